--- /dev/null
+++ b/toucangrade/src/http/mod.rs
@@ -0,0 +1,15 @@
+//! HTTP edges: a server that hands requests to closures and a client thread.
+
+mod client;
+mod replies;
+mod server;
+
+#[cfg(test)]
+mod tests;
+
+pub use self::client::{CallError, Client, Exchange, Response};
+pub(crate) use self::replies::Replies;
+pub use self::server::{Handler, Inbound, Outbound, Payload, Server};
+
+/// Largest body of a request or an answer, in bytes.
+pub(crate) const BODY_LIMIT: usize = 8 * 1024 * 1024;
--- /dev/null
+++ b/toucangrade/src/http/server.rs
@@ -0,0 +1,223 @@
+//! HTTP server on `xitca-web`; all decisions are left to the handler.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::pin::pin;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+
+use bytes::{Bytes, BytesMut};
+use futures_util::future::LocalBoxFuture;
+use futures_util::stream::poll_fn;
+use tokio::sync::mpsc;
+use xitca_web::body::{BodyExt, RequestBody, ResponseBody, StreamDataBody};
+use xitca_web::error::BodyError;
+use xitca_web::http::header::{CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue};
+use xitca_web::http::{Method, StatusCode, WebResponse};
+use xitca_web::service::fn_service;
+use xitca_web::{App, WebContext};
+
+use super::BODY_LIMIT;
+
+/// A request as the handler sees it.
+#[derive(Debug)]
+pub struct Inbound {
+    /// Method.
+    pub method: Method,
+    /// Path without the query.
+    pub path: String,
+    /// Query without the question mark, empty when missing.
+    pub query: String,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+impl Inbound {
+    /// The value of a header when it is present and visible ASCII.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
+    /// The value of a query parameter.
+    pub fn param(&self, name: &str) -> Option<&str> {
+        self.query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .find_map(|(key, value)| (key == name).then_some(value))
+    }
+
+    /// The path's segments.
+    pub fn segments(&self) -> Vec<&str> {
+        self.path
+            .split('/')
+            .filter(|segment| !segment.is_empty())
+            .collect()
+    }
+}
+
+/// Body of a response.
+#[derive(Debug)]
+pub enum Payload {
+    /// Chunks that are sent as they come; the response ends when the sender is dropped.
+    Stream(mpsc::Receiver<Bytes>),
+    /// The whole body.
+    Whole(Bytes),
+}
+
+/// A response as the handler gives it.
+#[derive(Debug)]
+pub struct Outbound {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers.
+    pub headers: Vec<(HeaderName, HeaderValue)>,
+    /// Body.
+    pub body: Payload,
+}
+
+impl Outbound {
+    /// A response with a whole body.
+    pub fn new(status: u16, body: impl Into<Bytes>) -> Self {
+        Self {
+            status,
+            headers: Vec::new(),
+            body: Payload::Whole(body.into()),
+        }
+    }
+
+    /// A JSON response.
+    pub fn json(status: u16, value: &serde_json::Value) -> Self {
+        Self::new(status, value.to_string())
+            .with(CONTENT_TYPE, HeaderValue::from_static("application/json"))
+    }
+
+    /// Adds a header.
+    #[must_use]
+    pub fn with(mut self, name: HeaderName, value: HeaderValue) -> Self {
+        self.headers.push((name, value));
+        self
+    }
+
+    /// Adds a header whose value is text; text that is no header value is left out.
+    #[must_use]
+    pub fn with_text(self, name: &'static str, value: &str) -> Self {
+        match HeaderValue::from_str(value) {
+            Ok(value) => self.with(HeaderName::from_static(name), value),
+            Err(_) => self,
+        }
+    }
+}
+
+/// Answers one request.
+pub type Handler = Arc<dyn Fn(Inbound) -> LocalBoxFuture<'static, Outbound> + Send + Sync>;
+
+/// A running HTTP server.
+pub struct Server {
+    handle: xitca_server::ServerHandle,
+    thread: JoinHandle<()>,
+    /// The address that the server listens on.
+    pub addr: SocketAddr,
+}
+
+impl Server {
+    /// Starts a server on `listener` with `threads` worker threads.
+    ///
+    /// # Errors
+    ///
+    /// The error of the operating system when the server can't be started.
+    pub fn start(listener: TcpListener, threads: usize, handler: Handler) -> io::Result<Self> {
+        let addr = listener.local_addr()?;
+        let mut running = App::new()
+            .with_state(handler)
+            .at("/{*path}", fn_service(answer))
+            .serve()
+            .worker_threads(threads)
+            .disable_signal()
+            .listen(listener)?
+            .run();
+        let handle = running.handle()?;
+        let thread = std::thread::Builder::new()
+            .name("http".to_owned())
+            .spawn(move || {
+                if let Err(error) = running.wait() {
+                    tracing::error!(%error, "HTTP server ended");
+                }
+            })?;
+        Ok(Self {
+            handle,
+            thread,
+            addr,
+        })
+    }
+
+    /// Takes no further connections, waits for the open ones to finish and ends the server.
+    pub fn stop(self) {
+        self.handle.stop(true);
+        if self.thread.join().is_err() {
+            tracing::error!("HTTP server thread panicked");
+        }
+    }
+}
+
+/// Reads the body, calls the handler and writes its response.
+async fn answer(mut ctx: WebContext<'_, Handler>) -> Result<WebResponse, Infallible> {
+    let handler = Arc::clone(ctx.state());
+    let request = ctx.take_request();
+    let (head, ext) = request.into_parts();
+    let (_, body) = ext.replace_body(());
+    let outbound = match read(body).await {
+        Ok(body) => {
+            let path = head.uri.path().to_owned();
+            let query = head.uri.query().unwrap_or_default().to_owned();
+            handler(Inbound {
+                method: head.method,
+                path,
+                query,
+                headers: head.headers,
+                body,
+            })
+            .await
+        }
+        Err(refused) => refused,
+    };
+    Ok(respond(outbound))
+}
+
+/// Collects a request body up to the limit.
+async fn read(body: RequestBody) -> Result<Bytes, Outbound> {
+    let mut body = pin!(body);
+    let mut whole = BytesMut::new();
+    while let Some(chunk) = body.as_mut().data().await {
+        let chunk = chunk.map_err(|_| refusal(400, "cut-body", "the request body was cut off"))?;
+        if whole.len() + chunk.len() > BODY_LIMIT {
+            let reason = format!("the request body exceeds {BODY_LIMIT} bytes");
+            return Err(refusal(413, "body-too-large", &reason));
+        }
+        whole.extend_from_slice(&chunk);
+    }
+    Ok(whole.freeze())
+}
+
+/// A refusal before any handler was called, so nothing ran.
+fn refusal(status: u16, code: &str, reason: &str) -> Outbound {
+    let body = serde_json::json!({ "error": code, "reason": reason, "verdict": "not-run" });
+    Outbound::json(status, &body).with_text("toucangrade-verdict", "not-run")
+}
+
+fn respond(outbound: Outbound) -> WebResponse {
+    let body = match outbound.body {
+        Payload::Whole(bytes) => ResponseBody::bytes(bytes),
+        Payload::Stream(mut chunks) => {
+            let stream = poll_fn(move |cx| chunks.poll_recv(cx).map(|c| c.map(Ok::<_, BodyError>)));
+            ResponseBody::boxed(StreamDataBody::new(stream))
+        }
+    };
+    let mut response = WebResponse::new(body);
+    *response.status_mut() =
+        StatusCode::from_u16(outbound.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    response.headers_mut().extend(outbound.headers);
+    response
+}
--- /dev/null
+++ b/toucangraded/src/main.rs
@@ -0,0 +1,2 @@
+//! Program entry point.
+fn main() {}
