--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,34 @@
+#!/usr/bin/env bash
+# Runs the main job end to end: a quote is answered whole and its outcome is explained.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+dir=$(mktemp -d)
+trap 'scripts/cluster.sh stop "$dir"; rm -rf "$dir"' EXIT
+scripts/cluster.sh start "$dir"
+. "$dir/cluster.env"
+tool=(target/release/toucangrade --control "$CONTROL_1")
+
+echo "# A quote is answered whole."
+curl -s -S -D "$dir/head" -o "$dir/body" -X POST -d 'cord 2.4 m, cedar' "http://$ENTRY_1/v1/balcao/quote"
+cat "$dir/body"
+echo
+[ "$(cat "$dir/body")" = "done cord 2.4 m, cedar" ]
+key=$(tr -d '\r' <"$dir/head" | sed -n 's/^idempotency-key: //Ip')
+grep -qi '^toucangrade-verdict: ran' "$dir/head"
+
+echo "# Why it ran where it did."
+"${tool[@]}" explain "$key"
+
+echo "# A stock order runs once, however often and wherever it is sent."
+for entry in "$ENTRY_1" "$ENTRY_2" "$ENTRY_1"; do
+    curl -s -S -X POST -H 'Idempotency-Key: order-7' -d 'cord 30 m' "http://$entry/v1/balcao/stock-order"
+    echo
+done
+starts=$(cat "$dir"/backend_*.journal | grep -c '^start order-7$')
+echo "executions of order-7: $starts"
+[ "$starts" = 1 ]
+"${tool[@]}" explain order-7
+
+echo "# Which processes have the configuration in force."
+"${tool[@]}" status
--- /dev/null
+++ b/toucangrade/src/admission/mod.rs
@@ -0,0 +1,488 @@
+//! The ledger of what runs beside this agent, and the only place where an attempt is admitted.
+
+mod message;
+
+#[cfg(test)]
+mod tests;
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use serde::Serialize;
+
+pub(crate) use self::message::{
+    Announce, Effect, Message, Outcome, Question, Report, Reported, Start,
+};
+use crate::core::{Key, Moment, Name, Span, invariant};
+use crate::http::CallError;
+use crate::membership::Offer;
+
+/// Time after its last announcement when a runner gets no new work.
+const ANNOUNCE_LAPSE: Span = Span::millis(3_000);
+/// Time for which the outcome of an attempt is kept for questions.
+const KEEP: Span = Span::secs(60);
+/// Bytes of kept answers; the oldest are dropped beyond it.
+const KEEP_BYTES: usize = 64 * 1024 * 1024;
+/// Attempts that are remembered at most.
+const KEEP_COUNT: usize = 65_536;
+/// Time between two requests to stop the same execution.
+const STOP_EVERY: Span = Span::millis(500);
+/// Slots and connections that a runner may announce.
+const ROOM_MAX: u32 = 100_000;
+
+/// A runner that announced itself.
+#[derive(Debug, Serialize)]
+struct Runner {
+    announce: Announce,
+    seen: Moment,
+    /// Attempts that occupy a slot.
+    running: u32,
+    /// Attempts that occupy a connection: those that run and those that wait for a slot.
+    held: u32,
+    waiting: VecDeque<Key>,
+}
+
+impl Runner {
+    fn available(&self, now: Moment) -> bool {
+        !self.announce.leaving && now.since(self.seen) <= ANNOUNCE_LAPSE
+    }
+}
+
+/// State of an attempt.
+#[derive(Debug, PartialEq, Serialize)]
+enum Phase {
+    /// The outcome is known.
+    Done(Report),
+    /// The runner works on it; `end` is the end of its lease, `stop` when to ask for a stop.
+    Running { end: Moment, stop: Option<Moment> },
+    /// It waits for a slot.
+    Waiting,
+}
+
+#[derive(Debug, Serialize)]
+struct Attempt {
+    runner: Option<SocketAddr>,
+    fence: u64,
+    kind: Name,
+    phase: Phase,
+    start_by: Moment,
+    lease: Span,
+    #[serde(skip)]
+    body: Bytes,
+    /// Requests that wait for the outcome.
+    tickets: Vec<u64>,
+    ended: Moment,
+}
+
+/// State of the duty.
+#[derive(Debug, Serialize)]
+pub(crate) struct Admission {
+    incarnation: u64,
+    runners: BTreeMap<SocketAddr, Runner>,
+    attempts: BTreeMap<Key, Attempt>,
+    /// Ended attempts, oldest first.
+    ended: VecDeque<(Moment, Key, u64)>,
+    kept: usize,
+    epochs: BTreeMap<u32, u64>,
+    until: Moment,
+    draining: bool,
+    refused: BTreeMap<String, u64>,
+}
+
+impl Admission {
+    /// The empty ledger of an agent.
+    pub(crate) fn new(incarnation: u64) -> Self {
+        Self {
+            incarnation,
+            runners: BTreeMap::new(),
+            attempts: BTreeMap::new(),
+            ended: VecDeque::new(),
+            kept: 0,
+            epochs: BTreeMap::new(),
+            until: Moment::START,
+            draining: false,
+            refused: BTreeMap::new(),
+        }
+    }
+
+    /// Handles one message.
+    pub(crate) fn step(&mut self, now: Moment, message: Message) -> Vec<Effect> {
+        match message {
+            Message::Announce { ticket, announce } => self.announce(now, ticket, announce),
+            Message::Confirmed { until } => {
+                self.until = self.until.max(until);
+                Vec::new()
+            },
+            Message::Drain => {
+                self.draining = true;
+                vec![self.offers(now)]
+            },
+            Message::Ended { key, fence, result } => self.ended(now, &key, fence, result),
+            Message::Query { ticket, about } => self.query(now, ticket, about),
+            Message::Start { ticket, start } => self.start(now, ticket, start),
+            Message::Stopped { key, fence, confirmed } => {
+                if !confirmed {
+                    return Vec::new();
+                }
+                let reason = "the execution was stopped when its lease ended".to_owned();
+                self.settle(now, &key, fence, Report::Lost { reason })
+            },
+            Message::Tick => self.tick(now),
+        }
+    }
+
+    fn announce(&mut self, now: Moment, ticket: u64, announce: Announce) -> Vec<Effect> {
+        let room = |n: u32| (1..=ROOM_MAX).contains(&n);
+        let error = if !room(announce.slots) {
+            Some(format!("slots is {}, allowed is 1 to {ROOM_MAX}", announce.slots))
+        } else if !room(announce.connections) || announce.connections < announce.slots {
+            let Announce { connections, slots, .. } = announce;
+            Some(format!("connections is {connections}, allowed is {slots} to {ROOM_MAX}"))
+        } else if announce.kinds.is_empty() {
+            Some("kinds is empty, allowed is one kind or more".to_owned())
+        } else {
+            None
+        };
+        if error.is_some() {
+            return vec![Effect::Announced { ticket, error }];
+        }
+        let addr = announce.addr;
+        match self.runners.get_mut(&addr) {
+            Some(runner) => (runner.announce, runner.seen) = (announce, now),
+            None => {
+                let (running, held, waiting) = (0, 0, VecDeque::new());
+                self.runners.insert(addr, Runner { announce, seen: now, running, held, waiting });
+            },
+        }
+        vec![Effect::Announced { ticket, error: None }, self.offers(now)]
+    }
+
+    /// What the available runners offer.
+    fn offers(&self, now: Moment) -> Effect {
+        let available = self.runners.values().filter(|r| !self.draining && r.available(now));
+        let offer = |runner: &Runner| {
+            let Announce { service, kinds, slots, connections, .. } = runner.announce.clone();
+            Offer { service, kinds, slots, connections }
+        };
+        Effect::Offers(available.map(offer).collect())
+    }
+
+    fn start(&mut self, now: Moment, ticket: u64, start: Start) -> Vec<Effect> {
+        if let Some(attempt) = self.attempts.get_mut(&start.key) {
+            let settled = match &attempt.phase {
+                Phase::Done(report) => Some(report.clone()),
+                _ => None,
+            };
+            if attempt.fence == start.fence {
+                // The same start again, after a lost answer.
+                return match settled {
+                    Some(report) => vec![self.reply(ticket, now, report)],
+                    None => {
+                        attempt.tickets.push(ticket);
+                        Vec::new()
+                    },
+                };
+            }
+            if attempt.fence > start.fence {
+                return vec![self.refuse(now, ticket, "stale-fence", "a newer attempt is known")];
+            }
+            if settled.is_none() {
+                let reason = "an earlier attempt for this key has not ended";
+                return vec![self.refuse(now, ticket, "earlier-attempt", reason)];
+            }
+        }
+        match self.obstacle(now, &start) {
+            Err((code, reason)) => vec![self.refuse(now, ticket, code, reason)],
+            Ok(addr) => self.admit(now, ticket, start, addr),
+        }
+    }
+
+    /// The runner for an attempt, or why it can't be admitted.
+    fn obstacle(
+        &mut self,
+        now: Moment,
+        start: &Start,
+    ) -> Result<SocketAddr, (&'static str, &'static str)> {
+        if start.incarnation != self.incarnation {
+            return Err(("other-incarnation", "the agent was restarted"));
+        }
+        let epoch = self.epochs.entry(start.partition).or_default();
+        if start.epoch < *epoch {
+            return Err(("stale-epoch", "the partition of the key has a newer owner"));
+        }
+        *epoch = start.epoch;
+        if now > start.start_by {
+            return Err(("too-late", "the attempt arrived after its start-by time"));
+        }
+        if self.draining {
+            return Err(("draining", "the agent is leaving"));
+        }
+        if now >= self.until {
+            return Err((
+                "unconfirmed",
+                "the agent can't confirm that its configuration is current",
+            ));
+        }
+        let able = |runner: &&Runner| {
+            let Announce { service, kinds, .. } = &runner.announce;
+            *service == start.service && kinds.contains(&start.kind) && runner.available(now)
+        };
+        let runners = self.runners.values().filter(able);
+        let Some(runner) = runners.min_by_key(|r| r.held * 1_000 / r.announce.connections) else {
+            return Err(("no-runner", "no runner beside the agent offers the kind"));
+        };
+        if runner.held >= runner.announce.connections {
+            return Err(("full", "all connections of the runner are in use"));
+        }
+        Ok(runner.announce.addr)
+    }
+
+    fn admit(&mut self, now: Moment, ticket: u64, start: Start, addr: SocketAddr) -> Vec<Effect> {
+        let Start { key, fence, kind, start_by, lease, body, .. } = start;
+        let tickets = vec![ticket];
+        let (runner, phase) = (Some(addr), Phase::Waiting);
+        let attempt =
+            Attempt { runner, fence, kind, phase, start_by, lease, body, tickets, ended: now };
+        self.forget(&key);
+        self.attempts.insert(key.clone(), attempt);
+        let Some(runner) = self.runners.get_mut(&addr) else { return Vec::new() };
+        runner.held += 1;
+        runner.waiting.push_back(key);
+        self.advance(now, addr)
+    }
+
+    /// Starts waiting attempts while the runner has free slots.
+    fn advance(&mut self, now: Moment, addr: SocketAddr) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        let Some(runner) = self.runners.get_mut(&addr) else { return effects };
+        let Announce { slots, connections, .. } = runner.announce;
+        while runner.running < slots {
+            let Some(key) = runner.waiting.pop_front() else { break };
+            let Some(attempt) = self.attempts.get_mut(&key) else { continue };
+            if attempt.phase != Phase::Waiting || now > attempt.start_by {
+                // The tick refuses what waits beyond its start-by time.
+                continue;
+            }
+            runner.running += 1;
+            attempt.phase = Phase::Running { end: now + attempt.lease, stop: None };
+            effects.push(Effect::Run {
+                addr,
+                key,
+                fence: attempt.fence,
+                kind: attempt.kind.clone(),
+                lease: attempt.lease,
+                body: std::mem::take(&mut attempt.body),
+            });
+        }
+        // A runner may announce fewer slots than it has in use, but nothing starts beyond them.
+        invariant!(
+            effects.is_empty()
+                || (runner.running <= slots && runner.held <= connections.max(slots)),
+            "runner {addr} has {} of {slots} slots in use",
+            runner.running
+        );
+        effects
+    }
+
+    fn ended(
+        &mut self,
+        now: Moment,
+        key: &Key,
+        fence: u64,
+        result: Result<Outcome, CallError>,
+    ) -> Vec<Effect> {
+        let report = match result {
+            Ok(outcome) if outcome.declined => Report::Refused {
+                code: "declined".to_owned(),
+                reason: "the runner declined the request".to_owned(),
+                after: None,
+            },
+            Ok(outcome) => Report::Ended(outcome.answer),
+            Err(CallError::Connect | CallError::Shed) => Report::Refused {
+                code: "runner-unreachable".to_owned(),
+                reason: "the runner took no connection".to_owned(),
+                after: None,
+            },
+            // The runner may still work on it, so the slot stays in use until it is stopped.
+            Err(CallError::Lost | CallError::Timeout) => return self.doubt(now, key, fence),
+        };
+        self.settle(now, key, fence, report)
+    }
+
+    /// Asks the runner to stop an execution whose answer was lost.
+    fn doubt(&mut self, now: Moment, key: &Key, fence: u64) -> Vec<Effect> {
+        let Some(attempt) = self.attempts.get_mut(key).filter(|a| a.fence == fence) else {
+            return Vec::new();
+        };
+        if let Phase::Running { stop, .. } = &mut attempt.phase {
+            *stop = Some(now);
+        }
+        self.stops(now)
+    }
+
+    /// Notes the outcome of an attempt and frees its slot, once.
+    fn settle(&mut self, now: Moment, key: &Key, fence: u64, report: Report) -> Vec<Effect> {
+        let Some(attempt) = self.attempts.get_mut(key).filter(|a| a.fence == fence) else {
+            return Vec::new();
+        };
+        let running = match attempt.phase {
+            Phase::Done(_) => return Vec::new(),
+            Phase::Running { .. } => true,
+            Phase::Waiting => false,
+        };
+        attempt.phase = Phase::Done(report.clone());
+        attempt.ended = now;
+        attempt.body = Bytes::new();
+        let tickets = std::mem::take(&mut attempt.tickets);
+        let addr = attempt.runner;
+        self.kept += size(&report);
+        self.ended.push_back((now, key.clone(), fence));
+        let mut effects = Vec::new();
+        if let Some(runner) = addr.and_then(|addr| self.runners.get_mut(&addr)) {
+            invariant!(runner.held > 0, "an attempt was released twice");
+            runner.held -= 1;
+            runner.running -= u32::from(running);
+            if !running {
+                runner.waiting.retain(|waiting| waiting != key);
+            }
+        }
+        for ticket in tickets {
+            effects.push(self.reply(ticket, now, report.clone()));
+        }
+        effects.extend(addr.map(|addr| self.advance(now, addr)).unwrap_or_default());
+        self.trim(now);
+        effects
+    }
+
+    fn query(&mut self, now: Moment, ticket: u64, about: Option<Question>) -> Vec<Effect> {
+        let Some(Question { key, fence, incarnation }) = about else {
+            return vec![self.reply(ticket, now, Report::Running)];
+        };
+        if incarnation != self.incarnation {
+            return vec![self.reply(ticket, now, Report::Forgotten)];
+        }
+        let known = self.attempts.get(&key);
+        if let Some(attempt) = known.filter(|attempt| attempt.fence >= fence) {
+            let report = match &attempt.phase {
+                _ if attempt.fence > fence => {
+                    Report::Lost { reason: "a newer attempt ran".to_owned() }
+                },
+                Phase::Done(report) => report.clone(),
+                _ => Report::Running,
+            };
+            return vec![self.reply(ticket, now, report)];
+        }
+        if known.is_some_and(|attempt| !matches!(attempt.phase, Phase::Done(_))) {
+            return vec![self.reply(ticket, now, Report::Running)];
+        }
+        // The attempt never came; remembering the refusal keeps a late start from running.
+        let reason = "the attempt had not arrived when its outcome was asked for".to_owned();
+        let report = Report::Refused { code: "never-started".to_owned(), reason, after: None };
+        self.forget(&key);
+        let attempt = Attempt {
+            runner: None,
+            fence,
+            kind: unknown_kind(),
+            phase: Phase::Done(report.clone()),
+            start_by: now,
+            lease: Span::ZERO,
+            body: Bytes::new(),
+            tickets: Vec::new(),
+            ended: now,
+        };
+        self.attempts.insert(key.clone(), attempt);
+        self.ended.push_back((now, key, fence));
+        self.kept += size(&report);
+        vec![self.reply(ticket, now, report)]
+    }
+
+    fn tick(&mut self, now: Moment) -> Vec<Effect> {
+        let late = |attempt: &Attempt| attempt.phase == Phase::Waiting && now > attempt.start_by;
+        let late: Vec<(Key, u64)> = self
+            .attempts
+            .iter()
+            .filter(|(_, a)| late(a))
+            .map(|(k, a)| (k.clone(), a.fence))
+            .collect();
+        let mut effects = Vec::new();
+        for (key, fence) in late {
+            let reason = "no slot was free before the start-by time".to_owned();
+            let report = Report::Refused { code: "full".to_owned(), reason, after: None };
+            effects.extend(self.settle(now, &key, fence, report));
+        }
+        effects.extend(self.stops(now));
+        self.trim(now);
+        let gone = |runner: &Runner| runner.held == 0 && now.since(runner.seen) > ANNOUNCE_LAPSE;
+        let before = self.runners.len();
+        self.runners.retain(|_, runner| !gone(runner));
+        if before != self.runners.len() {
+            effects.push(self.offers(now));
+        }
+        effects
+    }
+
+    /// Asks runners to stop executions that outlived their lease or whose answer was lost.
+    fn stops(&mut self, now: Moment) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        for (key, attempt) in &mut self.attempts {
+            let Phase::Running { end, stop } = &mut attempt.phase else { continue };
+            let due = if now >= *end { Some(stop.unwrap_or(now)) } else { *stop };
+            if let (Some(at), Some(addr)) = (due, attempt.runner)
+                && now >= at
+            {
+                *stop = Some(now + STOP_EVERY);
+                let (key, kind) = (key.clone(), attempt.kind.clone());
+                effects.push(Effect::Stop { addr, key, fence: attempt.fence, kind });
+            }
+        }
+        effects
+    }
+
+    /// Drops outcomes that are older or larger than what is kept.
+    fn trim(&mut self, now: Moment) {
+        while let Some((at, key, fence)) = self.ended.front() {
+            let over = self.kept > KEEP_BYTES || self.ended.len() > KEEP_COUNT;
+            if now.since(*at) <= KEEP && !over {
+                break;
+            }
+            let (key, fence) = (key.clone(), *fence);
+            self.ended.pop_front();
+            if self.attempts.get(&key).is_some_and(|attempt| attempt.fence == fence) {
+                self.forget(&key);
+            }
+        }
+    }
+
+    fn forget(&mut self, key: &Key) {
+        if let Some(Attempt { phase: Phase::Done(report), .. }) = self.attempts.remove(key) {
+            self.kept -= size(&report);
+        }
+    }
+
+    fn refuse(&mut self, now: Moment, ticket: u64, code: &str, reason: &str) -> Effect {
+        *self.refused.entry(code.to_owned()).or_default() += 1;
+        let (code, reason) = (code.to_owned(), reason.to_owned());
+        self.reply(ticket, now, Report::Refused { code, reason, after: None })
+    }
+
+    fn reply(&self, ticket: u64, now: Moment, report: Report) -> Effect {
+        let (incarnation, clock) = (self.incarnation, now);
+        let used = self.runners.values().map(|runner| runner.held).sum();
+        let slots = self.runners.values().map(|runner| runner.announce.slots).sum();
+        Effect::Reply { ticket, reported: Reported { report, incarnation, clock, used, slots } }
+    }
+}
+
+/// Bytes that a kept report takes.
+fn size(report: &Report) -> usize {
+    match report {
+        Report::Ended(answer) => answer.body.len() + 256,
+        _ => 256,
+    }
+}
+
+/// Kind of an attempt that never arrived.
+fn unknown_kind() -> Name {
+    Name::new("unknown").unwrap_or_else(|error| unreachable!("{error}"))
+}
--- /dev/null
+++ b/toucangrade/src/admission/tests.rs
@@ -0,0 +1,213 @@
+//! Tests of the agent's ledger.
+
+use rstest::rstest;
+
+use super::*;
+use crate::core::Answer;
+
+fn name(value: &str) -> Name {
+    Name::new(value).unwrap()
+}
+
+fn key(value: &str) -> Key {
+    Key::new(value).unwrap()
+}
+
+fn runner() -> SocketAddr {
+    "127.0.0.1:9".parse().unwrap()
+}
+
+fn announce(slots: u32, connections: u32, leaving: bool) -> Message {
+    let kinds = vec![name("quote")];
+    let announce =
+        Announce { service: name("balcao"), kinds, slots, connections, addr: runner(), leaving };
+    Message::Announce { ticket: 0, announce }
+}
+
+fn start(ticket: u64, k: &str, fence: u64) -> Start {
+    let _ = ticket;
+    Start {
+        key: key(k),
+        fence,
+        service: name("balcao"),
+        kind: name("quote"),
+        partition: 1,
+        epoch: 1,
+        incarnation: 5,
+        start_by: Moment::START + Span::millis(500),
+        lease: Span::millis(2_000),
+        body: Bytes::new(),
+    }
+}
+
+fn begin(ticket: u64, k: &str, fence: u64) -> Message {
+    Message::Start { ticket, start: start(ticket, k, fence) }
+}
+
+fn ended(k: &str, fence: u64) -> Message {
+    let answer = Answer { status: 200, media: String::new(), body: Bytes::from("fine") };
+    Message::Ended { key: key(k), fence, result: Ok(Outcome { answer, declined: false }) }
+}
+
+fn lost(k: &str, fence: u64) -> Message {
+    Message::Ended { key: key(k), fence, result: Err(CallError::Lost) }
+}
+
+fn ask(ticket: u64, k: &str, fence: u64) -> Message {
+    Message::Query { ticket, about: Some(Question { key: key(k), fence, incarnation: 5 }) }
+}
+
+/// One word for each effect.
+fn words(effects: Vec<Effect>) -> Vec<String> {
+    let word = |effect| match effect {
+        Effect::Announced { error, .. } => error.map(|error| format!("error {error}")),
+        Effect::Offers(_) => None,
+        Effect::Reply { ticket, reported } => Some(match reported.report {
+            Report::Ended(_) => format!("ended {ticket}"),
+            Report::Forgotten => format!("forgotten {ticket}"),
+            Report::Lost { .. } => format!("lost {ticket}"),
+            Report::Refused { code, .. } => format!("{code} {ticket}"),
+            Report::Running => format!("running {ticket}"),
+        }),
+        Effect::Run { key, .. } => Some(format!("run {key}")),
+        Effect::Stop { key, .. } => Some(format!("stop {key}")),
+    };
+    effects.into_iter().filter_map(word).collect()
+}
+
+struct Case {
+    messages: Vec<(u64, Message)>,
+    words: Vec<&'static str>,
+}
+
+/// Guards against overfilled runners, attempts that run twice, and false refusals.
+#[rstest]
+#[case::room_is_kept(Case {
+    messages: vec![
+        (0, begin(1, "a", 1)), (0, begin(2, "b", 1)), (0, begin(3, "c", 1)), (0, begin(4, "d", 1)),
+        (1, ended("a", 1)), (1, ended("b", 1)), (1, ended("c", 1)),
+    ],
+    words: vec!["run a", "run b", "full 4", "ended 1", "run c", "ended 2", "ended 3"],
+})]
+#[case::resent_start_joins(Case {
+    messages: vec![(0, begin(1, "a", 1)), (0, begin(2, "a", 1)), (1, ended("a", 1)), (2, begin(3, "a", 1))],
+    words: vec!["run a", "ended 1", "ended 2", "ended 3"],
+})]
+#[case::stale_fence(Case {
+    messages: vec![(0, begin(1, "a", 2)), (0, begin(2, "a", 1))],
+    words: vec!["run a", "stale-fence 2"],
+})]
+#[case::earlier_attempt_blocks(Case {
+    messages: vec![(0, begin(1, "a", 1)), (0, begin(2, "a", 2))],
+    words: vec!["run a", "earlier-attempt 2"],
+})]
+#[case::query_before_start_forbids_it(Case {
+    messages: vec![(0, ask(1, "a", 1)), (1, begin(2, "a", 1))],
+    words: vec!["never-started 1", "never-started 2"],
+})]
+#[case::restarted_agent_does_not_guess(Case {
+    messages: vec![(0, Message::Query {
+        ticket: 1,
+        about: Some(Question { key: key("a"), fence: 1, incarnation: 4 }),
+    })],
+    words: vec!["forgotten 1"],
+})]
+#[case::too_late(Case {
+    messages: vec![(501, announce(2, 3, false)), (501, begin(1, "a", 1))],
+    words: vec!["too-late 1"],
+})]
+#[case::waits_until_start_by(Case {
+    messages: vec![
+        (0, begin(1, "a", 1)), (0, begin(2, "b", 1)), (0, begin(3, "c", 1)), (501, Message::Tick),
+        (502, ended("a", 1)),
+    ],
+    words: vec!["run a", "run b", "full 3", "ended 1"],
+})]
+#[case::lost_answer_keeps_the_slot(Case {
+    messages: vec![
+        (0, begin(1, "a", 1)), (0, begin(2, "b", 1)), (0, begin(3, "c", 1)), (1, lost("a", 1)),
+        (2, Message::Stopped { key: key("a"), fence: 1, confirmed: false }),
+        (3, Message::Stopped { key: key("a"), fence: 1, confirmed: true }),
+    ],
+    words: vec!["run a", "run b", "stop a", "lost 1", "run c"],
+})]
+#[case::lease_ends(Case {
+    messages: vec![(0, begin(1, "a", 1)), (1_999, Message::Tick), (2_000, Message::Tick), (2_100, Message::Tick)],
+    words: vec!["run a", "stop a"],
+})]
+#[case::leaving_runner_gets_nothing(Case {
+    messages: vec![(0, announce(2, 3, true)), (0, begin(1, "a", 1))],
+    words: vec!["no-runner 1"],
+})]
+#[case::draining_finishes_what_runs(Case {
+    messages: vec![(0, begin(1, "a", 1)), (0, Message::Drain), (0, begin(2, "b", 1)), (1, ended("a", 1))],
+    words: vec!["run a", "draining 2", "ended 1"],
+})]
+#[case::ends_count_once(Case {
+    messages: vec![(0, begin(1, "a", 1)), (1, ended("a", 1)), (1, ended("a", 1)), (1, lost("a", 1))],
+    words: vec!["run a", "ended 1"],
+})]
+#[case::no_lease_no_work(Case {
+    messages: vec![(9_000, announce(2, 3, false)), (9_000, begin(1, "a", 1))],
+    words: vec!["too-late 1"],
+})]
+#[case::bad_announcement(Case {
+    messages: vec![(0, announce(4, 3, false))],
+    words: vec!["error connections is 3, allowed is 4 to 100000"],
+})]
+fn ledger_admits_what_fits(#[case] case: Case) {
+    let mut admission = Admission::new(5);
+    admission.step(Moment::START, Message::Confirmed { until: Moment::START + Span::secs(9) });
+    admission.step(Moment::START, announce(2, 3, false));
+    let mut seen = Vec::new();
+    for (millis, message) in case.messages {
+        let now = Moment::START + Span::millis(millis);
+        seen.extend(words(admission.step(now, message)));
+    }
+    assert_eq!(seen, case.words);
+}
+
+struct Refused {
+    start: Start,
+    code: &'static str,
+}
+
+/// Guards against attempts of owners or agents that were replaced.
+#[rstest]
+#[case::old_epoch(Refused { start: Start { epoch: 0, ..start(1, "b", 1) }, code: "stale-epoch" })]
+#[case::old_incarnation(Refused {
+    start: Start { incarnation: 4, ..start(1, "b", 1) },
+    code: "other-incarnation",
+})]
+#[case::unknown_kind(Refused {
+    start: Start { kind: name("match"), ..start(1, "b", 1) },
+    code: "no-runner",
+})]
+fn outdated_starts_are_refused(#[case] case: Refused) {
+    let mut admission = Admission::new(5);
+    admission.step(Moment::START, Message::Confirmed { until: Moment::START + Span::secs(9) });
+    admission.step(Moment::START, announce(2, 3, false));
+    admission.step(Moment::START, begin(1, "a", 1));
+    let message = Message::Start { ticket: 2, start: case.start };
+    assert_eq!(words(admission.step(Moment::START, message)), [format!("{} 2", case.code)]);
+}
+
+/// Guards against an agent whose memory grows with the requests that it has answered.
+#[test]
+fn ended_attempts_are_dropped() {
+    let mut admission = Admission::new(5);
+    let mut now = Moment::START;
+    for n in 0..2_000 {
+        let at = now;
+        admission.step(now, Message::Confirmed { until: now + Span::secs(9) });
+        admission.step(now, announce(2, 3, false));
+        let k = format!("k{n}");
+        let start = Start { start_by: at + Span::millis(500), ..start(1, &k, 1) };
+        admission.step(now, Message::Start { ticket: n, start });
+        admission.step(now, ended(&k, 1));
+        now = now + Span::millis(100);
+    }
+    admission.step(now + KEEP, Message::Tick);
+    admission.step(now + KEEP + Span::millis(1), Message::Tick);
+    assert_eq!((admission.attempts.len(), admission.ended.len(), admission.kept), (0, 0, 0));
+}
--- /dev/null
+++ b/toucangrade/src/claims/mod.rs
@@ -0,0 +1,197 @@
+//! Claims on work that must not run twice, agreed before the work is handed to an agent.
+
+#[cfg(test)]
+mod tests;
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::core::{Answer, Key, Name, Refusal, Span, invariant};
+use crate::routing::Target;
+
+/// Settled claims that are kept, so that a resent request gets its outcome.
+const SETTLED_KEPT: usize = 200_000;
+/// Bytes of kept answers; older answers are dropped beyond it, their verdicts stay.
+const ANSWERS_KEPT: usize = 48 * 1024 * 1024;
+
+/// Final outcome of a request.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) enum Outcome {
+    /// The whole answer of the runner.
+    Ran(Answer),
+    /// It ran, but its answer is no longer kept.
+    Dropped { status: u16 },
+    /// It did not run, or whether it ran can't be found out.
+    Refused(Refusal),
+}
+
+/// An attempt that a claim permits.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) struct Grant {
+    pub(crate) target: Target,
+    /// Fencing token: the log index of the grant.
+    pub(crate) fence: u64,
+    pub(crate) lease: Span,
+}
+
+/// Agreed state of one key.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) struct Claim {
+    pub(crate) service: Name,
+    pub(crate) kind: Name,
+    /// Digest of the request's body, so that a key reused with another body is refused.
+    pub(crate) digest: String,
+    /// Epoch of the partition's owner that made the last change.
+    pub(crate) epoch: u64,
+    /// The attempt that may run.
+    pub(crate) grant: Option<Grant>,
+    pub(crate) outcome: Option<Outcome>,
+    /// Log index of the first claim.
+    pub(crate) since: u64,
+}
+
+/// Command on the claim of one key.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) enum Action {
+    /// Asks for leave to run an attempt at this agent.
+    Attempt { service: Name, kind: Name, digest: String, target: Target, lease: Span },
+    /// Asks what stands, before a caller is told that its request did not run.
+    Look,
+    /// The attempt with this fence did not run and will not.
+    Release { fence: u64 },
+    /// The outcome is final.
+    Settle { fence: u64, outcome: Outcome },
+}
+
+/// Command with the owner that proposes it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) struct Command {
+    pub(crate) key: Key,
+    pub(crate) partition: u32,
+    pub(crate) epoch: u64,
+    pub(crate) action: Action,
+}
+
+/// Result of a command.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) enum Reply {
+    /// The attempt may run under this fence.
+    Granted { fence: u64 },
+    /// The claim stands as shown; what it says goes before what the owner asked for.
+    Stands(Box<Claim>),
+    /// The key was used with another body, service or kind.
+    Mismatch,
+    /// The partition has a newer owner.
+    Outdated,
+    /// The claim was released, or its outcome noted.
+    Done,
+}
+
+/// Agreed state: every claim that is open or settled within the retention.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub(crate) struct Claims {
+    claims: BTreeMap<Key, Claim>,
+    /// Settled claims by the log index of their outcome.
+    settled: BTreeMap<u64, Key>,
+    /// Settled claims whose answers are kept.
+    answers: BTreeMap<u64, Key>,
+    bytes: usize,
+}
+
+impl Claims {
+    /// Applies a command at log position `index`; `owner` is the partition's present epoch.
+    pub(crate) fn apply(&mut self, index: u64, owner: u64, command: Command) -> Reply {
+        let Command { key, epoch, action, .. } = command;
+        if epoch != owner {
+            return Reply::Outdated;
+        }
+        match action {
+            Action::Attempt { service, kind, digest, target, lease } => {
+                let claim = self.claims.entry(key).or_insert_with(|| Claim {
+                    service: service.clone(),
+                    kind: kind.clone(),
+                    digest: digest.clone(),
+                    epoch,
+                    grant: None,
+                    outcome: None,
+                    since: index,
+                });
+                if (&claim.service, &claim.kind, &claim.digest) != (&service, &kind, &digest) {
+                    return Reply::Mismatch;
+                }
+                if claim.outcome.is_some() || claim.grant.is_some() {
+                    return Reply::Stands(Box::new(claim.clone()));
+                }
+                claim.epoch = epoch;
+                claim.grant = Some(Grant { target, fence: index, lease });
+                Reply::Granted { fence: index }
+            },
+            Action::Look => match self.claims.get(&key) {
+                Some(claim) if claim.grant.is_some() || claim.outcome.is_some() => {
+                    Reply::Stands(Box::new(claim.clone()))
+                },
+                _ => Reply::Done,
+            },
+            Action::Release { fence } => {
+                let Some(claim) = self.claims.get_mut(&key) else { return Reply::Done };
+                if claim.outcome.is_some() {
+                    return Reply::Stands(Box::new(claim.clone()));
+                }
+                claim.grant.take_if(|grant| grant.fence == fence);
+                claim.epoch = epoch;
+                Reply::Done
+            },
+            Action::Settle { fence, outcome } => self.settle(index, key, fence, outcome),
+        }
+    }
+
+    fn settle(&mut self, index: u64, key: Key, fence: u64, outcome: Outcome) -> Reply {
+        let Some(claim) = self.claims.get_mut(&key) else { return Reply::Done };
+        if claim.outcome.is_some() {
+            return Reply::Stands(Box::new(claim.clone()));
+        }
+        let granted = claim.grant.as_ref().map(|grant| grant.fence);
+        if granted.is_some_and(|granted| granted != fence) {
+            return Reply::Stands(Box::new(claim.clone()));
+        }
+        let ran = !matches!(outcome, Outcome::Refused(_));
+        invariant!(!ran || granted.is_some(), "request {key} ran without a grant");
+        self.bytes += size(&outcome);
+        claim.outcome = Some(outcome);
+        self.settled.insert(index, key.clone());
+        self.answers.insert(index, key);
+        self.trim();
+        Reply::Done
+    }
+
+    /// Drops the oldest answers, then the oldest settled claims.
+    fn trim(&mut self) {
+        while self.bytes > ANSWERS_KEPT {
+            let Some((_, key)) = self.answers.pop_first() else { break };
+            let Some(claim) = self.claims.get_mut(&key) else { continue };
+            if let Some(Outcome::Ran(answer)) = &claim.outcome {
+                let status = answer.status;
+                self.bytes -= answer.body.len();
+                claim.outcome = Some(Outcome::Dropped { status });
+            }
+        }
+        while self.settled.len() > SETTLED_KEPT {
+            let Some((index, key)) = self.settled.pop_first() else { break };
+            self.answers.remove(&index);
+            if let Some(claim) = self.claims.remove(&key) {
+                self.bytes -= claim.outcome.as_ref().map_or(0, size);
+            }
+        }
+    }
+
+    /// The claim of a key.
+    pub(crate) fn get(&self, key: &Key) -> Option<&Claim> {
+        self.claims.get(key)
+    }
+}
+
+/// Bytes of the answer that an outcome keeps.
+fn size(outcome: &Outcome) -> usize {
+    if let Outcome::Ran(answer) = outcome { answer.body.len() } else { 0 }
+}
--- /dev/null
+++ b/toucangrade/src/claims/tests.rs
@@ -0,0 +1,88 @@
+//! Tests of claims.
+
+use bytes::Bytes;
+use rstest::rstest;
+
+use super::*;
+use crate::core::Moment;
+
+fn name(value: &str) -> Name {
+    Name::new(value).unwrap()
+}
+
+fn attempt(epoch: u64, digest: &str) -> Command {
+    let target = Target {
+        agent: name("a"),
+        addr: "127.0.0.1:1".parse().unwrap(),
+        incarnation: 1,
+        centre: name("olinda"),
+        start_by: Moment::START,
+    };
+    let (service, kind, lease) = (name("balcao"), name("stock-order"), Span::secs(1));
+    command(epoch, Action::Attempt { service, kind, digest: digest.to_owned(), target, lease })
+}
+
+fn command(epoch: u64, action: Action) -> Command {
+    Command { key: Key::new("order-1").unwrap(), partition: 0, epoch, action }
+}
+
+fn settle(epoch: u64, fence: u64) -> Command {
+    let answer = Answer { status: 200, media: String::new(), body: Bytes::from("done") };
+    command(epoch, Action::Settle { fence, outcome: Outcome::Ran(answer) })
+}
+
+struct Case {
+    /// Present epoch of the partition and the command.
+    commands: Vec<(u64, Command)>,
+    replies: Vec<&'static str>,
+}
+
+/// Guards against a second grant while an earlier attempt may run, and against lost outcomes.
+#[rstest]
+#[case::granted_once(Case {
+    commands: vec![(1, attempt(1, "d")), (1, attempt(1, "d"))],
+    replies: vec!["granted 1", "stands granted"],
+})]
+#[case::released_then_granted(Case {
+    commands: vec![
+        (1, attempt(1, "d")), (1, command(1, Action::Release { fence: 1 })), (1, attempt(1, "d")),
+    ],
+    replies: vec!["granted 1", "done", "granted 3"],
+})]
+#[case::stale_release_is_ignored(Case {
+    commands: vec![
+        (1, attempt(1, "d")),
+        (1, command(1, Action::Release { fence: 1 })),
+        (1, attempt(1, "d")),
+        (1, command(1, Action::Release { fence: 1 })),
+        (1, attempt(1, "d")),
+    ],
+    replies: vec!["granted 1", "done", "granted 3", "done", "stands granted"],
+})]
+#[case::settled_stays(Case {
+    commands: vec![(1, attempt(1, "d")), (1, settle(1, 1)), (1, attempt(1, "d")), (1, settle(1, 1))],
+    replies: vec!["granted 1", "done", "stands settled", "stands settled"],
+})]
+#[case::old_owner_is_refused(Case {
+    commands: vec![(2, attempt(1, "d")), (2, attempt(2, "d")), (2, settle(1, 2))],
+    replies: vec!["outdated", "granted 2", "outdated"],
+})]
+#[case::other_body(Case {
+    commands: vec![(1, attempt(1, "d")), (1, attempt(1, "e"))],
+    replies: vec!["granted 1", "mismatch"],
+})]
+fn claims_permit_one_attempt(#[case] case: Case) {
+    let mut claims = Claims::default();
+    let replies: Vec<String> = (1..)
+        .zip(case.commands)
+        .map(|(index, (owner, command))| match claims.apply(index, owner, command) {
+            Reply::Granted { fence } => format!("granted {fence}"),
+            Reply::Stands(claim) if claim.outcome.is_some() => "stands settled".to_owned(),
+            Reply::Stands(_) => "stands granted".to_owned(),
+            Reply::Mismatch => "mismatch".to_owned(),
+            Reply::Outdated => "outdated".to_owned(),
+            Reply::Done => "done".to_owned(),
+        })
+        .collect();
+    assert_eq!(replies, case.replies);
+}
--- a/toucangrade/src/core/duty.rs
+++ b/toucangrade/src/core/duty.rs
@@ -33,20 +33,14 @@
 
 impl<M> Clone for Handle<M> {
     fn clone(&self) -> Self {
-        Self {
-            name: self.name,
-            ring: Arc::clone(&self.ring),
-        }
+        Self { name: self.name, ring: Arc::clone(&self.ring) }
     }
 }
 
 impl<M> Handle<M> {
     /// A handle whose duty is not running yet, so that duties can refer to each other.
     pub(crate) fn new(name: &'static str) -> Self {
-        Self {
-            name,
-            ring: Arc::new(Ring::new(RING_LIMIT, RING_RESERVE)),
-        }
+        Self { name, ring: Arc::new(Ring::new(RING_LIMIT, RING_RESERVE)) }
     }
 
     /// Sends new work; the caller sheds it when it is handed back.
@@ -63,11 +57,7 @@
     /// means that a bound is broken and the process stops.
     pub(crate) fn push(&self, message: M) {
         if self.ring.push(Mail::Message(message)).is_err() && !self.ring.is_closed() {
-            error!(
-                duty = self.name,
-                waiting = self.ring.len(),
-                "ring reserve used up"
-            );
+            error!(duty = self.name, waiting = self.ring.len(), "ring reserve used up");
             std::process::exit(EXIT_BROKEN);
         }
     }
@@ -80,6 +70,7 @@
     }
 
     /// Ends the duty once the messages that wait are handled.
+    #[cfg(test)]
     pub(crate) fn close(&self) {
         self.ring.close();
     }
@@ -117,12 +108,7 @@
         mut perform: impl FnMut(Moment, E) + Send + 'static,
     ) -> std::io::Result<JoinHandle<()>> {
         let Handle { name, ring } = handle.clone();
-        let Self {
-            mut state,
-            step,
-            tick,
-            period,
-        } = self;
+        let Self { mut state, step, tick, period } = self;
         Builder::new().name(name.to_owned()).spawn(move || {
             let mut next = clock.now() + period;
             loop {
@@ -133,7 +119,7 @@
                         // A caller that no longer waits for its dump is of no concern.
                         let _ = reply.send(dump(&state));
                         continue;
-                    }
+                    },
                     Received::Message(Mail::Message(message)) => message,
                     Received::Timeout => tick(),
                 };
@@ -162,7 +148,7 @@
         Err(_) => {
             error!(duty = name, state = %dump(state), "step failed, stopping the process");
             std::process::exit(EXIT_BROKEN);
-        }
+        },
     }
 }
 
--- a/toucangrade/src/core/mod.rs
+++ b/toucangrade/src/core/mod.rs
@@ -11,7 +11,6 @@
 
 pub(crate) use self::duty::{Duty, Handle};
 pub use self::names::{BadName, Key, Name};
-pub(crate) use self::ring::{Full, Received, Ring};
 pub use self::time::{Clock, Moment, Span};
 pub use self::verdict::{Answer, Class, Refusal, Verdict};
 
--- a/toucangrade/src/core/names.rs
+++ b/toucangrade/src/core/names.rs
@@ -54,13 +54,9 @@
     ///
     /// [`BadName`] when the value is empty, too long or holds another character.
     pub fn new(value: &str) -> Result<Self, BadName> {
-        check(
-            "name",
-            value,
-            NAME_LIMIT,
-            "a-z, 0-9, '-', '_' and '.'",
-            |c| c.is_ascii_lowercase() || c.is_ascii_digit() || matches!(c, '-' | '_' | '.'),
-        )?;
+        check("name", value, NAME_LIMIT, "a-z, 0-9, '-', '_' and '.'", |c| {
+            c.is_ascii_lowercase() || c.is_ascii_digit() || matches!(c, '-' | '_' | '.')
+        })?;
         Ok(Self(value.into()))
     }
 
@@ -82,9 +78,7 @@
     ///
     /// [`BadName`] when the value is empty, too long or holds an invisible character.
     pub fn new(value: &str) -> Result<Self, BadName> {
-        check("key", value, KEY_LIMIT, "visible ASCII characters", |c| {
-            c.is_ascii_graphic()
-        })?;
+        check("key", value, KEY_LIMIT, "visible ASCII characters", |c| c.is_ascii_graphic())?;
         Ok(Self(value.into()))
     }
 
@@ -109,19 +103,10 @@
 ) -> Result<(), BadName> {
     let length = value.len();
     if length == 0 || length > limit {
-        return Err(BadName::Length {
-            what,
-            length,
-            limit,
-        });
+        return Err(BadName::Length { what, length, limit });
     }
     match value.chars().find(|&c| !valid(c)) {
-        Some(found) => Err(BadName::Character {
-            what,
-            value: value.to_owned(),
-            found,
-            allowed,
-        }),
+        Some(found) => Err(BadName::Character { what, value: value.to_owned(), found, allowed }),
         None => Ok(()),
     }
 }
--- a/toucangrade/src/core/ring.rs
+++ b/toucangrade/src/core/ring.rs
@@ -44,16 +44,8 @@
     /// A ring that sheds new work at `limit` messages and holds `limit + reserve` at most.
     pub(crate) fn new(limit: usize, reserve: usize) -> Self {
         let capacity = limit + reserve;
-        let slots = Slots {
-            queue: VecDeque::new(),
-            closed: false,
-        };
-        Self {
-            slots: Mutex::new(slots),
-            ready: Condvar::new(),
-            limit,
-            capacity,
-        }
+        let slots = Slots { queue: VecDeque::new(), closed: false };
+        Self { slots: Mutex::new(slots), ready: Condvar::new(), limit, capacity }
     }
 
     /// Adds new work, or hands it back when the limit is reached or the ring is closed.
@@ -103,6 +95,7 @@
     }
 
     /// Refuses further messages; those that wait are still received.
+    #[cfg(test)]
     pub(crate) fn close(&self) {
         self.lock().closed = true;
         self.ready.notify_all();
--- a/toucangrade/src/core/tests.rs
+++ b/toucangrade/src/core/tests.rs
@@ -6,6 +6,7 @@
 
 use rstest::rstest;
 
+use super::ring::{Received, Ring};
 use super::*;
 
 struct NameCase {
@@ -22,12 +23,7 @@
 #[case::slash(NameCase { value: "a/b", valid: false })]
 #[case::long(NameCase { value: "0123456789012345678901234567890123456789012345678901234567890123", valid: false })]
 fn names_are_checked(#[case] case: NameCase) {
-    assert_eq!(
-        Name::new(case.value).is_ok(),
-        case.valid,
-        "{:?}",
-        case.value
-    );
+    assert_eq!(Name::new(case.value).is_ok(), case.valid, "{:?}", case.value);
 }
 
 struct RingCase {
--- a/toucangrade/src/core/time.rs
+++ b/toucangrade/src/core/time.rs
@@ -114,16 +114,12 @@
     pub fn system() -> Self {
         let start = Instant::now();
         let read = move || Moment(u64::try_from(start.elapsed().as_micros()).unwrap_or(u64::MAX));
-        Self {
-            read: Arc::new(read),
-        }
+        Self { read: Arc::new(read) }
     }
 
     /// A clock that `read` answers for.
     pub fn from_fn(read: impl Fn() -> Moment + Send + Sync + 'static) -> Self {
-        Self {
-            read: Arc::new(read),
-        }
+        Self { read: Arc::new(read) }
     }
 
     /// The present moment.
--- a/toucangrade/src/core/verdict.rs
+++ b/toucangrade/src/core/verdict.rs
@@ -67,25 +67,13 @@
     /// A refusal for a request that certainly did not run.
     pub fn not_run(status: u16, code: &str, reason: impl Into<String>) -> Self {
         let (code, reason) = (code.to_owned(), reason.into());
-        Self {
-            status,
-            code,
-            reason,
-            verdict: Verdict::NotRun,
-            after: None,
-        }
+        Self { status, code, reason, verdict: Verdict::NotRun, after: None }
     }
 
     /// A report that the outcome is not known yet.
     pub fn unknown(reason: impl Into<String>) -> Self {
         let (code, reason) = ("outcome-unknown".to_owned(), reason.into());
-        Self {
-            status: 504,
-            code,
-            reason,
-            verdict: Verdict::MayHaveRun,
-            after: Some(1_000),
-        }
+        Self { status: 504, code, reason, verdict: Verdict::MayHaveRun, after: Some(1_000) }
     }
 
     /// Adds the wait after which another try may succeed, in milliseconds.
--- /dev/null
+++ b/toucangrade/src/daemon/agent.rs
@@ -0,0 +1,203 @@
+//! The agent role: the gate to the runners beside it.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use bytes::Bytes;
+use http::Method;
+use serde_json::json;
+
+use super::Context;
+use super::link::Link;
+use crate::admission::{self, Admission, Announce, Outcome, Reported};
+use crate::core::{Answer, Duty, Handle, Span};
+use crate::http::{CallError, Exchange, Handler, Inbound, Outbound, Replies, Response};
+use crate::membership::agent::{self as membership, Identity, Membership};
+use crate::peer::{Reply, Request};
+
+/// Longest time between two ticks of the ledger.
+const TICK: Span = Span::millis(10);
+/// Time that a reply of control may take.
+const CONTROL_TIMEOUT: Span = Span::millis(1_500);
+/// Time that a runner's confirmation of a stop may take.
+const STOP_TIMEOUT: Span = Span::millis(500);
+/// Time beyond the lease in which a runner's answer arrives.
+const ANSWER_MARGIN: Span = Span::millis(100);
+
+/// Handles of an agent's duties.
+#[derive(Clone)]
+pub(crate) struct Agent {
+    pub(crate) admission: Handle<admission::Message>,
+    pub(crate) membership: Handle<membership::Message>,
+    reports: Arc<Replies<Reported>>,
+    announced: Arc<Replies<Option<String>>>,
+    /// Executions under way at runners.
+    running: Arc<AtomicUsize>,
+}
+
+impl Agent {
+    /// Starts the duties of an agent.
+    pub(crate) fn start(context: &Context, link: &Link, peer: SocketAddr) -> io::Result<Self> {
+        let agent = Self {
+            admission: Handle::new("admission"),
+            membership: Handle::new("membership"),
+            reports: Arc::new(Replies::new()),
+            announced: Arc::new(Replies::new()),
+            running: Arc::new(AtomicUsize::new(0)),
+        };
+        agent.spawn_admission(context)?;
+        agent.spawn_membership(context, link, peer)?;
+        Ok(agent)
+    }
+
+    fn spawn_admission(&self, context: &Context) -> io::Result<()> {
+        let (agent, client) = (self.clone(), context.client.clone());
+        let state = Admission::new(context.incarnation);
+        let tick = || admission::Message::Tick;
+        let duty = Duty { state, step: Admission::step, tick, period: TICK };
+        duty.spawn(&self.admission, context.clock.clone(), move |_, effect| match effect {
+            admission::Effect::Announced { ticket, error } => {
+                agent.announced.close(ticket, error);
+            },
+            admission::Effect::Offers(offers) => {
+                agent.membership.push(membership::Message::Offers(offers));
+            },
+            admission::Effect::Reply { ticket, reported } => {
+                agent.reports.close(ticket, reported);
+            },
+            admission::Effect::Run { addr, key, fence, kind, lease, body } => {
+                let exchange =
+                    Exchange::post(addr, format!("/{kind}"), body, lease + ANSWER_MARGIN)
+                        .header("idempotency-key", key.as_str())
+                        .header("toucangrade-fence", &fence.to_string())
+                        .header("toucangrade-lease-ms", &lease.as_millis().to_string());
+                agent.running.fetch_add(1, Ordering::Relaxed);
+                let agent = agent.clone();
+                client.send(exchange, move |result| {
+                    agent.running.fetch_sub(1, Ordering::Relaxed);
+                    let result = result.map(outcome);
+                    agent.admission.push(admission::Message::Ended { key, fence, result });
+                });
+            },
+            admission::Effect::Stop { addr, key, fence, kind } => {
+                let exchange = Exchange::post(addr, format!("/{kind}"), Bytes::new(), STOP_TIMEOUT)
+                    .method(Method::DELETE)
+                    .header("idempotency-key", key.as_str())
+                    .header("toucangrade-fence", &fence.to_string());
+                let admission = agent.admission.clone();
+                client.send(exchange, move |result| {
+                    // A runner that takes no connection is gone, and its executions with it.
+                    let confirmed = match result {
+                        Ok(response) => (200..300).contains(&response.status),
+                        Err(error) => error == CallError::Connect,
+                    };
+                    admission.push(admission::Message::Stopped { key, fence, confirmed });
+                });
+            },
+        })?;
+        Ok(())
+    }
+
+    fn spawn_membership(&self, context: &Context, link: &Link, addr: SocketAddr) -> io::Result<()> {
+        let (agent, link) = (self.clone(), link.clone());
+        let settings = &context.settings;
+        let identity = Identity {
+            name: settings.name.clone(),
+            incarnation: context.incarnation,
+            addr,
+            centre: settings.centre.clone(),
+            rack: settings.rack.clone(),
+        };
+        let tick = || membership::Message::Tick;
+        let state = Membership::new(identity);
+        let duty = Duty { state, step: Membership::step, tick, period: Membership::PERIOD };
+        duty.spawn(&self.membership, context.clock.clone(), move |now, effect| match effect {
+            membership::Effect::Beat(beat) => {
+                let membership = agent.membership.clone();
+                link.control(&Request::Beat(beat), CONTROL_TIMEOUT, move |reply| {
+                    let beaten = match reply {
+                        Some(Reply::Beaten(beaten)) => Some(beaten),
+                        _ => None,
+                    };
+                    membership.push(membership::Message::Beaten { sent: now, beaten });
+                });
+            },
+            membership::Effect::Confirmed { until } => {
+                agent.admission.push(admission::Message::Confirmed { until });
+            },
+        })?;
+        Ok(())
+    }
+
+    /// Takes a start or a question from an entry.
+    pub(crate) async fn report(&self, message: impl FnOnce(u64) -> admission::Message) -> Reply {
+        let (ticket, reply) = self.reports.open();
+        if self.admission.offer(message(ticket)).is_err() {
+            let reason = "the agent sheds load".to_owned();
+            return Reply::Refused { reason, leader: None };
+        }
+        match reply.await {
+            Ok(reported) => Reply::Reported(reported),
+            Err(_) => Reply::Refused { reason: "the agent is stopping".to_owned(), leader: None },
+        }
+    }
+
+    /// Takes a runner's announcement.
+    async fn announce(&self, call: Inbound) -> Outbound {
+        let refused = |reason: String| {
+            Outbound::json(400, &json!({ "error": "bad-announcement", "reason": reason }))
+        };
+        let announce: Announce = match serde_json::from_slice(&call.body) {
+            Ok(announce) => announce,
+            Err(error) => return refused(error.to_string()),
+        };
+        let (ticket, reply) = self.announced.open();
+        if self.admission.offer(admission::Message::Announce { ticket, announce }).is_err() {
+            return Outbound::json(503, &json!({ "error": "overloaded", "reason": "try again" }));
+        }
+        match reply.await {
+            Ok(None) => Outbound::json(200, &json!({ "announced": true })),
+            Ok(Some(reason)) => refused(reason),
+            Err(_) => Outbound::json(503, &json!({ "error": "stopping", "reason": "try again" })),
+        }
+    }
+
+    /// Number of executions and of entries that wait for a report.
+    pub(crate) fn waiting(&self) -> usize {
+        self.running.load(Ordering::Relaxed) + self.reports.len()
+    }
+
+    /// The state of all duties.
+    pub(crate) async fn dump(&self) -> serde_json::Value {
+        json!({
+            "admission": super::dumped(self.admission.dump()).await,
+            "membership": super::dumped(self.membership.dump()).await,
+            "running": self.running.load(Ordering::Relaxed),
+        })
+    }
+
+    /// Handler of the port that runners use.
+    pub(crate) fn handler(&self, dump: Arc<super::Dump>) -> Handler {
+        let agent = self.clone();
+        Arc::new(move |call| {
+            let (agent, dump) = (agent.clone(), Arc::clone(&dump));
+            Box::pin(async move {
+                match (call.method.as_str(), call.path.as_str()) {
+                    ("GET", "/dump") => dump.serve().await,
+                    ("POST", "/v1/announce") => agent.announce(call).await,
+                    _ => super::not_found(),
+                }
+            })
+        })
+    }
+}
+
+/// What a runner's response says.
+fn outcome(response: Response) -> Outcome {
+    let verdict = response.headers.get("toucangrade-verdict");
+    let declined = verdict.is_some_and(|verdict| verdict == "not-run");
+    let media = response.media().to_owned();
+    Outcome { answer: Answer { status: response.status, media, body: response.body }, declined }
+}
--- /dev/null
+++ b/toucangrade/src/daemon/caller.rs
@@ -0,0 +1,87 @@
+//! Translation between callers' HTTP and the messages of an entry.
+
+use rand::Rng;
+use serde_json::json;
+
+use crate::core::{Key, Name, Refusal, Span};
+use crate::execution::Told;
+use crate::http::{Inbound, Outbound};
+
+/// Header with the idempotency key.
+const KEY: &str = "idempotency-key";
+/// Header with the caller's timeout, in milliseconds.
+const TIMEOUT: &str = "request-timeout-ms";
+/// Header with the verdict.
+const VERDICT: &str = "toucangrade-verdict";
+/// Timeouts that a caller may ask for, in milliseconds.
+const TIMEOUT_MS: std::ops::RangeInclusive<u64> = 1..=3_600_000;
+
+/// Service and kind of `POST /v1/{service}/{kind}`.
+pub(crate) fn path(call: &Inbound) -> Result<(Name, Name), Refusal> {
+    if call.method != http::Method::POST {
+        return Err(Refusal::not_run(405, "bad-method", "requests are sent with POST"));
+    }
+    let ["v1", service, kind] = call.segments()[..] else {
+        return Err(Refusal::not_run(404, "bad-path", "the path is /v1/{service}/{kind}"));
+    };
+    let name = |value: &str| {
+        Name::new(value).map_err(|error| Refusal::not_run(400, "bad-name", error.to_string()))
+    };
+    Ok((name(service)?, name(kind)?))
+}
+
+/// Idempotency key and timeout of a request.
+pub(crate) fn headers(call: &Inbound) -> Result<(Option<Key>, Option<Span>), Refusal> {
+    let key = call.headers.get(KEY).map(|value| value.to_str().unwrap_or_default());
+    let key = key.map(Key::new).transpose();
+    let key = key.map_err(|error| Refusal::not_run(400, "bad-key", error.to_string()))?;
+    let Some(value) = call.headers.get(TIMEOUT) else { return Ok((key, None)) };
+    let millis = value.to_str().ok().and_then(|value| value.parse().ok());
+    match millis.filter(|millis| TIMEOUT_MS.contains(millis)) {
+        Some(millis) => Ok((key, Some(Span::millis(millis)))),
+        None => {
+            let (least, most) = (TIMEOUT_MS.start(), TIMEOUT_MS.end());
+            let reason = format!("{TIMEOUT} is {value:?}, allowed is {least} to {most}");
+            Err(Refusal::not_run(400, "bad-timeout", reason))
+        },
+    }
+}
+
+/// A key for a response to a request that came without one and got none.
+pub(crate) fn fresh_key() -> Key {
+    let text = format!("{:032x}", rand::rng().random::<u128>());
+    Key::new(&text).unwrap_or_else(|error| unreachable!("{error}"))
+}
+
+/// The response to a request.
+pub(crate) fn outbound(key: &Key, told: Told) -> Outbound {
+    match told {
+        Told::Answer(answer) if (200..300).contains(&answer.status) => {
+            Outbound::new(200, answer.body)
+                .with_text("content-type", &answer.media)
+                .with_text(KEY, key.as_str())
+                .with_text(VERDICT, "ran")
+        },
+        Told::Answer(answer) => {
+            let reason = format!("the back end answered with status {}", answer.status);
+            let body = json!({ "error": "back-end-failed", "reason": reason, "verdict": "ran" });
+            Outbound::json(502, &body).with_text(KEY, key.as_str()).with_text(VERDICT, "ran")
+        },
+        Told::Refused(refusal) => refused(Some(key), &refusal),
+    }
+}
+
+/// The response to a request that was refused or whose outcome is not known.
+pub(crate) fn refused(key: Option<&Key>, refusal: &Refusal) -> Outbound {
+    let Refusal { status, code, reason, verdict, after } = refusal;
+    let body = json!({ "error": code, "reason": reason, "verdict": verdict });
+    let key = key.cloned().unwrap_or_else(fresh_key);
+    let outbound = Outbound::json(*status, &body)
+        .with_text(KEY, key.as_str())
+        .with_text(VERDICT, verdict.as_str());
+    match after {
+        // The header counts whole seconds, so a shorter wait becomes one second.
+        Some(millis) => outbound.with_text("retry-after", &millis.div_ceil(1_000).to_string()),
+        None => outbound,
+    }
+}
--- /dev/null
+++ b/toucangrade/src/daemon/entry.rs
@@ -0,0 +1,356 @@
+//! The entry role: callers' requests through limits, execution and routing to agents.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use serde_json::json;
+
+use super::link::Link;
+use super::{Context, caller};
+use crate::admission::{Report, Reported};
+use crate::core::{Duty, Handle, Key, Moment, Refusal, Span};
+use crate::execution::{self, Execution, Told, Waiter};
+use crate::history::{self, Event, History};
+use crate::http::{CallError, Handler, Inbound, Outbound, Replies};
+use crate::limits::{self, Arrival, Limits};
+use crate::membership::entry::{self as membership, Identity, Membership};
+use crate::partitions::PARTITIONS;
+use crate::peer::{Reply, Request};
+use crate::routing::{self, Feedback, Reading, Routing, Signal};
+
+/// Longest time between two ticks of the duties of a request.
+const TICK: Span = Span::millis(10);
+/// Time that a reply of control may take.
+const CONTROL_TIMEOUT: Span = Span::millis(1_500);
+/// Time that a question to an agent may take.
+const ASK_TIMEOUT: Span = Span::millis(500);
+/// Time beyond the lease in which an agent's report arrives.
+const REPORT_MARGIN: Span = Span::millis(1_000);
+
+/// Handles of an entry's duties.
+#[derive(Clone)]
+pub(crate) struct Entry {
+    pub(crate) limits: Handle<limits::Message>,
+    pub(crate) execution: Handle<execution::Message>,
+    pub(crate) routing: Handle<routing::Message>,
+    pub(crate) membership: Handle<membership::Message>,
+    pub(crate) history: Handle<history::Message>,
+    /// Callers that wait.
+    pub(crate) callers: Arc<Replies<(Key, Told)>>,
+    /// Other entries that wait for a forwarded request.
+    pub(crate) forwards: Arc<Replies<Told>>,
+    explains: Arc<Replies<Vec<Event>>>,
+    /// Partitions that this entry owns, as control last said.
+    pub(crate) owned: Arc<AtomicUsize>,
+}
+
+impl Entry {
+    /// Starts the duties of an entry.
+    pub(crate) fn start(context: &Context, link: &Link, peer: SocketAddr) -> io::Result<Self> {
+        let entry = Self {
+            limits: Handle::new("limits"),
+            execution: Handle::new("execution"),
+            routing: Handle::new("routing"),
+            membership: Handle::new("membership"),
+            history: Handle::new("history"),
+            callers: Arc::new(Replies::new()),
+            forwards: Arc::new(Replies::new()),
+            explains: Arc::new(Replies::new()),
+            owned: Arc::new(AtomicUsize::new(0)),
+        };
+        entry.spawn_limits(context)?;
+        entry.spawn_execution(context, link)?;
+        entry.spawn_routing(context, link)?;
+        entry.spawn_membership(context, link, peer)?;
+        entry.spawn_history(context)?;
+        Ok(entry)
+    }
+
+    fn spawn_limits(&self, context: &Context) -> io::Result<()> {
+        let (entry, name) = (self.clone(), context.settings.name.clone());
+        let state = Limits::default();
+        let duty = Duty { state, step: Limits::step, tick: || limits::Message::Tick, period: TICK };
+        duty.spawn(&self.limits, context.clock.clone(), move |now, effect| match effect {
+            limits::Effect::Begin(admitted) => {
+                entry.execution.push(execution::Message::Begin(admitted));
+            },
+            limits::Effect::Refuse { ticket, service, kind, key, refusal } => {
+                let key = key.unwrap_or_else(caller::fresh_key);
+                let text = format!("{service}/{kind} refused at once: {}", refusal.reason);
+                let events = vec![Event { at: now, by: name.clone(), text }];
+                // The history of refusals is shed first under load.
+                let record = history::Message::Record { key: key.clone(), events };
+                let _ = entry.history.offer(record);
+                entry.callers.close(ticket, (key, Told::Refused(refusal)));
+            },
+        })?;
+        Ok(())
+    }
+
+    fn spawn_execution(&self, context: &Context, link: &Link) -> io::Result<()> {
+        let (entry, link) = (self.clone(), link.clone());
+        let clock = context.clock.clone();
+        let state = Execution::new(context.settings.name.clone(), context.incarnation);
+        let tick = || execution::Message::Tick;
+        let duty = Duty { state, step: Execution::step, tick, period: TICK };
+        duty.spawn(&self.execution, context.clock.clone(), move |now, effect| match effect {
+            execution::Effect::Answer { waiter: Waiter::Caller { ticket }, key, told } => {
+                entry.callers.close(ticket, (key, told));
+                entry.limits.push(limits::Message::Finish { ticket });
+            },
+            execution::Effect::Answer { waiter: Waiter::Entry { ticket }, told, .. } => {
+                entry.forwards.close(ticket, told);
+            },
+            execution::Effect::Ask { attempt, addr, question } => {
+                let (execution, key) = (entry.execution.clone(), question.key.clone());
+                link.send(addr, &Request::Query(Some(question)), ASK_TIMEOUT, move |result| {
+                    let report = result.and_then(reported).map(|reported| reported.report);
+                    execution.push(execution::Message::Outcome { key, attempt, report });
+                });
+            },
+            execution::Effect::Call { attempt, target, start } => {
+                entry.call(&link, &clock, now, attempt, target, start);
+            },
+            execution::Effect::Claim { attempt, command } => {
+                let (execution, key) = (entry.execution.clone(), command.key.clone());
+                link.control(&Request::Claim(command), CONTROL_TIMEOUT, move |reply| {
+                    let reply = match reply {
+                        Some(Reply::Claimed(reply)) => Some(reply),
+                        _ => None,
+                    };
+                    execution.push(execution::Message::Claimed { key, attempt, reply });
+                });
+            },
+            execution::Effect::Forward { addr, ticket, patience, admitted } => {
+                let execution = entry.execution.clone();
+                let Some(key) = admitted.key.clone() else { return };
+                let request = Request::Forward { admitted: Box::new(admitted), patience };
+                link.send(addr, &request, patience + REPORT_MARGIN, move |result| {
+                    let told = result.and_then(|reply| match reply {
+                        Reply::Told(told) => Ok(told),
+                        Reply::Refused { .. } => Err(CallError::Shed),
+                        _ => Err(CallError::Lost),
+                    });
+                    execution.push(execution::Message::Forwarded { key, ticket, told });
+                });
+            },
+            execution::Effect::Pick(pick) => entry.routing.push(routing::Message::Pick(pick)),
+            execution::Effect::Record { key, events } => {
+                // A full history loses explanations, not work; the ring counts it.
+                let _ = entry.history.offer(history::Message::Record { key, events });
+            },
+            execution::Effect::Released(released) => {
+                entry.membership.push(membership::Message::Released(released));
+            },
+        })?;
+        Ok(())
+    }
+
+    /// Sends an attempt to its agent and hands the report to execution and routing.
+    fn call(
+        &self,
+        link: &Link,
+        clock: &crate::core::Clock,
+        now: Moment,
+        attempt: u32,
+        target: routing::Target,
+        start: crate::admission::Start,
+    ) {
+        let (execution, routing) = (self.execution.clone(), self.routing.clone());
+        let (clock, key) = (clock.clone(), start.key.clone());
+        let timeout = start.lease + routing::START_WITHIN + REPORT_MARGIN;
+        let request = Request::Start(Box::new(start));
+        link.send(target.addr, &request, timeout, move |result| {
+            let result = result.and_then(reported);
+            let taken = clock.now();
+            let signal = match &result {
+                Ok(Reported { report: Report::Ended(_), .. }) => {
+                    Signal::Answered { took: taken.since(now) }
+                },
+                Ok(Reported { report: Report::Refused { .. }, .. }) => Signal::Refused,
+                _ => Signal::Failed,
+            };
+            let reading = result.as_ref().ok().map(|reported| reading(reported, taken));
+            let agent = target.agent;
+            routing.push(routing::Message::Feedback(Feedback { agent, signal, reading }));
+            let report = result.map(|reported| reported.report);
+            execution.push(execution::Message::Outcome { key, attempt, report });
+        });
+    }
+
+    fn spawn_routing(&self, context: &Context, link: &Link) -> io::Result<()> {
+        let (entry, link, clock) = (self.clone(), link.clone(), context.clock.clone());
+        let state = Routing::new(context.settings.centre.clone(), context.incarnation);
+        let tick = || routing::Message::Tick;
+        let duty = Duty { state, step: Routing::step, tick, period: Span::millis(100) };
+        duty.spawn(&self.routing, context.clock.clone(), move |_, effect| match effect {
+            routing::Effect::Chosen { key, attempt, target, candidates } => {
+                let message = execution::Message::Chosen { key, attempt, target, candidates };
+                entry.execution.push(message);
+            },
+            routing::Effect::Sample { agent, addr } => {
+                let (routing, clock) = (entry.routing.clone(), clock.clone());
+                link.send(addr, &Request::Query(None), ASK_TIMEOUT, move |result| {
+                    let taken = clock.now();
+                    let reported = result.and_then(reported).ok();
+                    let reading = reported.map(|reported| reading(&reported, taken));
+                    routing.push(routing::Message::Sampled { agent, reading });
+                });
+            },
+            routing::Effect::Unplaced { key, attempt, candidates } => {
+                let message = execution::Message::Unplaced { key, attempt, candidates };
+                entry.execution.push(message);
+            },
+        })?;
+        Ok(())
+    }
+
+    fn spawn_membership(&self, context: &Context, link: &Link, addr: SocketAddr) -> io::Result<()> {
+        let (entry, link) = (self.clone(), link.clone());
+        let settings = &context.settings;
+        let (name, incarnation) = (settings.name.clone(), context.incarnation);
+        let centre = settings.centre.clone();
+        let mine = move |owner: &crate::membership::Owned, name: &crate::core::Name| {
+            owner.entry == *name && owner.incarnation == incarnation
+        };
+        let state = Membership::new(Identity { name: name.clone(), incarnation, addr, centre });
+        let tick = || membership::Message::Tick;
+        let duty = Duty { state, step: Membership::step, tick, period: Membership::PERIOD };
+        duty.spawn(&self.membership, context.clock.clone(), move |now, effect| match effect {
+            membership::Effect::Configure { config, entries } => {
+                entry.limits.push(limits::Message::Configure { config, entries });
+            },
+            membership::Effect::Confirmed { until } => {
+                entry.limits.push(limits::Message::Confirmed { until });
+            },
+            membership::Effect::Owners { owners, until, surplus } => {
+                let owned = owners.values().filter(|owner| mine(owner, &name)).count();
+                entry.owned.store(owned, Ordering::Relaxed);
+                entry.execution.push(execution::Message::Owners { owners, until, surplus });
+            },
+            membership::Effect::Poll(poll) => {
+                let membership = entry.membership.clone();
+                link.control(&Request::Poll(poll), CONTROL_TIMEOUT, move |reply| {
+                    let view = match reply {
+                        Some(Reply::Viewed(view)) => Some(*view),
+                        _ => None,
+                    };
+                    membership.push(membership::Message::Polled { sent: now, view });
+                });
+            },
+            membership::Effect::View(agents) => {
+                entry.routing.push(routing::Message::View(agents));
+            },
+        })?;
+        Ok(())
+    }
+
+    fn spawn_history(&self, context: &Context) -> io::Result<()> {
+        let explains = Arc::clone(&self.explains);
+        let (state, tick) = (History::default(), || history::Message::Tick);
+        let duty = Duty { state, step: History::step, tick, period: Span::secs(1) };
+        duty.spawn(&self.history, context.clock.clone(), move |_, effect| {
+            let history::Effect::Explained { ticket, events } = effect;
+            explains.close(ticket, events);
+        })?;
+        Ok(())
+    }
+
+    /// Answers a caller.
+    pub(crate) async fn serve(&self, call: Inbound) -> Outbound {
+        let (service, kind) = match caller::path(&call) {
+            Ok(names) => names,
+            Err(refusal) => return caller::refused(None, &refusal),
+        };
+        let (key, timeout) = match caller::headers(&call) {
+            Ok(headers) => headers,
+            Err(refusal) => return caller::refused(None, &refusal),
+        };
+        let (ticket, reply) = self.callers.open();
+        let body = call.body;
+        let arrival = Arrival { ticket, service, kind, key: key.clone(), timeout, body };
+        if self.limits.offer(limits::Message::Arrive(arrival)).is_err() {
+            let refusal = Refusal::not_run(503, "overloaded", "this entry sheds load");
+            let key = key.clone().unwrap_or_else(caller::fresh_key);
+            self.callers.close(ticket, (key, Told::Refused(refusal.retry_after(1_000))));
+        }
+        match reply.await {
+            Ok((key, told)) => caller::outbound(&key, told),
+            Err(_) => caller::refused(key.as_ref(), &Refusal::unknown("this entry is stopping")),
+        }
+    }
+
+    /// Takes a request that another entry forwarded.
+    pub(crate) async fn forwarded(
+        &self,
+        now: Moment,
+        mut admitted: limits::Admitted,
+        patience: Span,
+    ) -> Reply {
+        let (ticket, reply) = self.forwards.open();
+        admitted.deadline = now + patience;
+        let message = execution::Message::Owned { ticket, admitted };
+        if self.execution.offer(message).is_err() {
+            let refusal = Refusal::not_run(503, "overloaded", "the key's owner sheds load");
+            self.forwards.close(ticket, Told::Refused(refusal.retry_after(1_000)));
+        }
+        let lost = || Told::Refused(Refusal::unknown("the key's owner is stopping"));
+        Reply::Told(reply.await.unwrap_or_else(|_| lost()))
+    }
+
+    /// Gives the steps of a request.
+    pub(crate) async fn explain(&self, key: Key) -> Vec<Event> {
+        let (ticket, reply) = self.explains.open();
+        if self.history.offer(history::Message::Explain { ticket, key }).is_err() {
+            self.explains.close(ticket, Vec::new());
+        }
+        reply.await.unwrap_or_default()
+    }
+
+    /// Number of requests that wait for an answer here.
+    pub(crate) fn waiting(&self) -> usize {
+        self.callers.len() + self.forwards.len()
+    }
+
+    /// The state of all duties.
+    pub(crate) async fn dump(&self) -> serde_json::Value {
+        json!({
+            "limits": super::dumped(self.limits.dump()).await,
+            "execution": super::dumped(self.execution.dump()).await,
+            "routing": super::dumped(self.routing.dump()).await,
+            "membership": super::dumped(self.membership.dump()).await,
+            "history": super::dumped(self.history.dump()).await,
+            "callers": self.callers.len(),
+            "partitions": format!("{} of {PARTITIONS}", self.owned.load(Ordering::Relaxed)),
+        })
+    }
+
+    /// Handler of the caller port.
+    pub(crate) fn handler(&self, context: &Context, dump: Arc<super::Dump>) -> Handler {
+        let (entry, open) = (self.clone(), context.settings.caller_dump);
+        Arc::new(move |call| {
+            let (entry, dump) = (entry.clone(), Arc::clone(&dump));
+            Box::pin(async move {
+                if open && call.path == "/dump" {
+                    return dump.serve().await;
+                }
+                entry.serve(call).await
+            })
+        })
+    }
+}
+
+fn reported(reply: Reply) -> Result<Reported, CallError> {
+    match reply {
+        Reply::Reported(reported) => Ok(reported),
+        Reply::Refused { .. } => Err(CallError::Shed),
+        _ => Err(CallError::Lost),
+    }
+}
+
+fn reading(reported: &Reported, taken: Moment) -> Reading {
+    let Reported { incarnation, clock, used, slots, .. } = *reported;
+    Reading { incarnation, clock, taken, used, slots }
+}
--- /dev/null
+++ b/toucangrade/src/daemon/link.rs
@@ -0,0 +1,85 @@
+//! Requests to other processes, and to whichever control instance leads.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use crate::core::{Name, Span};
+use crate::http::{CallError, Client, Exchange};
+use crate::peer::{self, Reply, Request};
+
+/// Sends requests to other processes.
+#[derive(Clone)]
+pub(crate) struct Link {
+    client: Client,
+    members: Arc<BTreeMap<Name, SocketAddr>>,
+    /// The control instance that led when last heard of.
+    leader: Arc<Mutex<Option<Name>>>,
+}
+
+impl Link {
+    pub(crate) fn new(client: Client, members: BTreeMap<Name, SocketAddr>) -> Self {
+        let leader = members.keys().next().cloned();
+        Self { client, members: Arc::new(members), leader: Arc::new(Mutex::new(leader)) }
+    }
+
+    /// Sends a request to one process.
+    pub(crate) fn send(
+        &self,
+        to: SocketAddr,
+        request: &Request,
+        timeout: Span,
+        done: impl FnOnce(Result<Reply, CallError>) + Send + 'static,
+    ) {
+        let exchange = Exchange::post(to, peer::PATH, peer::encode(request), timeout);
+        self.client.send(exchange, move |result| {
+            done(result.and_then(|response| {
+                // A response that can't be read says nothing about what the receiver did.
+                peer::decode(&response.body).ok_or(CallError::Lost)
+            }));
+        });
+    }
+
+    /// Sends a request to the control instance that leads, as far as is known.
+    ///
+    /// `None` means no usable reply; the next request goes to another instance.
+    pub(crate) fn control(
+        &self,
+        request: &Request,
+        timeout: Span,
+        done: impl FnOnce(Option<Reply>) + Send + 'static,
+    ) {
+        let asked = self.leader.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let addr = asked.as_ref().and_then(|name| self.members.get(name));
+        let Some(&addr) = addr else { return done(None) };
+        let link = self.clone();
+        self.send(addr, request, timeout, move |result| match result {
+            Ok(Reply::Refused { leader, .. }) => {
+                link.turn(asked, leader);
+                done(None);
+            },
+            Ok(reply) => done(Some(reply)),
+            Err(_) => {
+                link.turn(asked, None);
+                done(None);
+            },
+        });
+    }
+
+    /// Turns to the leader that was named, or to the next instance.
+    fn turn(&self, asked: Option<Name>, named: Option<Name>) {
+        let mut leader = self.leader.lock().unwrap_or_else(PoisonError::into_inner);
+        if *leader != asked {
+            // Another reply has turned already.
+            return;
+        }
+        let named =
+            named.filter(|name| self.members.contains_key(name) && Some(name) != asked.as_ref());
+        let after = || {
+            let asked = asked.as_ref()?;
+            let mut later = self.members.keys().skip_while(|name| *name != asked).skip(1);
+            later.next().or(self.members.keys().next()).cloned()
+        };
+        *leader = named.or_else(after);
+    }
+}
--- /dev/null
+++ b/toucangrade/src/daemon/mod.rs
@@ -0,0 +1,295 @@
+//! The daemon: starts the duties of its roles, serves its ports and drains on a signal.
+
+mod agent;
+mod caller;
+mod control;
+mod entry;
+mod link;
+mod operator;
+mod settings;
+
+#[cfg(test)]
+mod tests;
+
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::path::Path;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use http::Method;
+use rand::Rng;
+use serde_json::{Value, json};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use tokio::sync::oneshot;
+use tracing::{error, info};
+
+pub use self::settings::{BadSetting, Role, Settings, parser};
+
+use self::agent::Agent;
+use self::control::Control;
+use self::entry::Entry;
+use self::link::Link;
+use self::operator::Operator;
+use crate::core::{Clock, Moment, Span};
+use crate::http::{Client, Handler, Inbound, Outbound, Server};
+use crate::peer::{self, Reply, Request};
+use crate::{admission, limits, membership};
+
+/// Threads of each HTTP server; handlers only translate, so two are enough.
+const HTTP_THREADS: usize = 2;
+/// Time between two looks at whether a drain is complete.
+const DRAIN_LOOK: Duration = Duration::from_millis(20);
+/// Time that other entries get to take over the partitions of one that leaves.
+const HANDOVER: Span = Span::millis(2_000);
+/// Exit status after a drain that had to cut requests off.
+const EXIT_CUT: i32 = 2;
+
+/// What all duties of a process share.
+pub(crate) struct Context {
+    pub(crate) settings: Settings,
+    pub(crate) clock: Clock,
+    pub(crate) client: Client,
+    /// Tells this run of the process from others; random, since clocks may step.
+    pub(crate) incarnation: u64,
+}
+
+/// The roles of a process that are running.
+#[derive(Clone)]
+struct Roles {
+    agent: Option<Agent>,
+    control: Option<Control>,
+    entry: Option<Entry>,
+}
+
+/// Answers requests for the state of the process.
+pub(crate) struct Dump {
+    roles: Roles,
+    settings: Settings,
+    clock: Clock,
+    incarnation: u64,
+}
+
+impl Dump {
+    /// The state of every duty as JSON; secrets are left out.
+    pub(crate) async fn serve(&self) -> Outbound {
+        let mut whole = json!({
+            "settings": self.settings,
+            "incarnation": self.incarnation,
+            "at_us": self.clock.now().as_micros(),
+        });
+        if let Some(agent) = &self.roles.agent {
+            whole["agent"] = agent.dump().await;
+        }
+        if let Some(control) = &self.roles.control {
+            whole["control"] = control.dump().await;
+        }
+        if let Some(entry) = &self.roles.entry {
+            whole["entry"] = entry.dump().await;
+        }
+        Outbound::json(200, &whole)
+    }
+}
+
+/// Waits for the state of a duty.
+pub(crate) async fn dumped(reply: Option<oneshot::Receiver<Value>>) -> Value {
+    match reply {
+        Some(reply) => reply.await.unwrap_or(Value::Null),
+        None => Value::Null,
+    }
+}
+
+pub(crate) fn not_found() -> Outbound {
+    Outbound::json(404, &json!({ "error": "not-found", "reason": "no such path or method" }))
+}
+
+/// Runs the daemon until a signal ends it; gives the exit status.
+///
+/// # Errors
+///
+/// The error of the operating system when a port, thread or file can't be had.
+pub fn run(settings: Settings) -> io::Result<i32> {
+    let signals = Signals::new([SIGINT, SIGTERM])?;
+    let context = Context {
+        settings,
+        clock: Clock::system(),
+        client: Client::start()?,
+        incarnation: rand::rng().random(),
+    };
+    let settings = &context.settings;
+    let peers = TcpListener::bind(settings.peer)?;
+    let addr = peers.local_addr()?;
+    let mut members = settings.control.clone();
+    if members.is_empty() {
+        members.insert(settings.name.clone(), addr);
+    }
+    let link = Link::new(context.client.clone(), members);
+    let roles = start(&context, &link, addr)?;
+    let mut servers = serve(&context, &link, &roles)?;
+    let mut ports = vec![("peer", addr)];
+    ports.extend(servers.iter().map(|(name, server)| (*name, server.addr)));
+    if let Some(path) = &settings.ports {
+        write_ports(path, &ports)?;
+    }
+    servers.push(("peer", Server::start(peers, HTTP_THREADS, peer_handler(&context, &roles))?));
+    let started = json!(ports.iter().map(|(n, a)| format!("{n}={a}")).collect::<Vec<_>>());
+    info!(name = %settings.name, incarnation = context.incarnation, ports = %started, "started");
+    Ok(wait(&context, &roles, signals, servers))
+}
+
+fn start(context: &Context, link: &Link, peer: SocketAddr) -> io::Result<Roles> {
+    let Settings { data, .. } = &context.settings;
+    let has = |role| context.settings.has(role);
+    let control = match data {
+        Some(data) if has(Role::Control) => Some(Control::start(context, data)?),
+        _ => None,
+    };
+    let agent = has(Role::Agent).then(|| Agent::start(context, link, peer)).transpose()?;
+    let entry = has(Role::Entry).then(|| Entry::start(context, link, peer)).transpose()?;
+    Ok(Roles { agent, control, entry })
+}
+
+/// Serves the ports of each role.
+fn serve(context: &Context, link: &Link, roles: &Roles) -> io::Result<Vec<(&'static str, Server)>> {
+    let settings = &context.settings;
+    let dump = Arc::new(Dump {
+        roles: roles.clone(),
+        settings: settings.clone(),
+        clock: context.clock.clone(),
+        incarnation: context.incarnation,
+    });
+    let listen = |addr, handler| Server::start(TcpListener::bind(addr)?, HTTP_THREADS, handler);
+    let mut servers = Vec::new();
+    if let Some(control) = &roles.control {
+        let operator = Operator::new(context, control.clone(), link.clone());
+        let handler = operator.handler(Arc::clone(&dump));
+        servers.push(("operator", listen(settings.operator, handler)?));
+    }
+    if let Some(agent) = &roles.agent {
+        let handler = agent.handler(Arc::clone(&dump));
+        servers.push(("announce", listen(settings.announce, handler)?));
+    }
+    if let Some(entry) = &roles.entry {
+        let handler = entry.handler(context, dump);
+        servers.push(("caller", listen(settings.caller, handler)?));
+    }
+    Ok(servers)
+}
+
+/// Handler of the port for other processes.
+fn peer_handler(context: &Context, roles: &Roles) -> Handler {
+    let (clock, roles) = (context.clock.clone(), roles.clone());
+    let dump = Arc::new(Dump {
+        roles: roles.clone(),
+        settings: context.settings.clone(),
+        clock: clock.clone(),
+        incarnation: context.incarnation,
+    });
+    Arc::new(move |call: Inbound| {
+        let (now, roles, dump) = (clock.now(), roles.clone(), Arc::clone(&dump));
+        Box::pin(async move {
+            match (&call.method, call.path.as_str()) {
+                (&Method::GET, "/dump") => dump.serve().await,
+                (&Method::POST, peer::PATH) => match peer::decode(&call.body) {
+                    Some(request) => {
+                        let reply = roles.answer(now, request).await;
+                        Outbound::new(200, peer::encode(&reply))
+                    },
+                    None => Outbound::new(400, "not a message of this protocol"),
+                },
+                _ => not_found(),
+            }
+        })
+    })
+}
+
+impl Roles {
+    /// Hands a request to the role that answers it.
+    async fn answer(&self, now: Moment, request: Request) -> Reply {
+        match (request, self) {
+            (Request::Start(start), Self { agent: Some(agent), .. }) => {
+                let start = *start;
+                agent.report(|ticket| admission::Message::Start { ticket, start }).await
+            },
+            (Request::Query(about), Self { agent: Some(agent), .. }) => {
+                agent.report(|ticket| admission::Message::Query { ticket, about }).await
+            },
+            (Request::Forward { admitted, patience }, Self { entry: Some(entry), .. }) => {
+                entry.forwarded(now, *admitted, patience).await
+            },
+            (Request::Explain(key), Self { entry: Some(entry), .. }) => {
+                Reply::Explained(entry.explain(key).await)
+            },
+            (request, Self { control: Some(control), .. }) => control.serve(request).await,
+            _ => {
+                let reason = "this process does not have the role that answers this".to_owned();
+                Reply::Refused { reason, leader: None }
+            },
+        }
+    }
+
+    /// Number of requests that are in flight here.
+    fn waiting(&self) -> usize {
+        self.entry.as_ref().map_or(0, Entry::waiting)
+            + self.agent.as_ref().map_or(0, Agent::waiting)
+    }
+}
+
+/// Waits for a signal, then drains.
+fn wait(
+    context: &Context,
+    roles: &Roles,
+    mut signals: Signals,
+    servers: Vec<(&'static str, Server)>,
+) -> i32 {
+    signals.forever().next();
+    let timeout = Span::millis(context.settings.drain_ms);
+    info!(waiting = roles.waiting(), "draining");
+    let deadline = context.clock.now() + timeout;
+    if let Some(entry) = &roles.entry {
+        entry.limits.push(limits::Message::Drain);
+    }
+    if let Some(agent) = &roles.agent {
+        agent.admission.push(admission::Message::Drain);
+        agent.membership.push(membership::agent::Message::Drain);
+    }
+    let mut until = |done: &dyn Fn() -> bool, deadline: Moment| {
+        while !done() {
+            if context.clock.now() >= deadline || signals.pending().next().is_some() {
+                return false;
+            }
+            thread::sleep(DRAIN_LOOK);
+        }
+        true
+    };
+    let mut whole = until(&|| roles.waiting() == 0, deadline);
+    if whole && let Some(entry) = &roles.entry {
+        entry.membership.push(membership::entry::Message::Drain);
+        let owned = Arc::clone(&entry.owned);
+        let handed = move || owned.load(std::sync::atomic::Ordering::Relaxed) == 0;
+        let limit = deadline.min(context.clock.now() + HANDOVER);
+        if !until(&handed, limit) {
+            info!("no other entry took over the partitions, they are left to lapse");
+        }
+        whole = roles.waiting() == 0;
+    }
+    if whole {
+        for (_, server) in servers {
+            server.stop();
+        }
+        info!("drained");
+        return 0;
+    }
+    error!(waiting = roles.waiting(), "drain ended early, requests are cut off");
+    EXIT_CUT
+}
+
+/// Writes the addresses in use, in one step so that a reader never sees half of them.
+fn write_ports(path: &Path, ports: &[(&str, SocketAddr)]) -> io::Result<()> {
+    let lines: String = ports.iter().map(|(name, addr)| format!("{name}={addr}\n")).collect();
+    let draft = path.with_extension("draft");
+    std::fs::write(&draft, lines)?;
+    std::fs::rename(draft, path)
+}
--- /dev/null
+++ b/toucangrade/src/daemon/operator.rs
@@ -0,0 +1,306 @@
+//! Translation between operators' HTTP and the messages of control.
+
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures_util::future::{Either, join_all, select};
+use http::Method;
+use serde_json::{Value, json};
+use subtle::ConstantTimeEq;
+use tokio::sync::{mpsc, oneshot};
+
+use super::Context;
+use super::control::Control;
+use super::link::Link;
+use crate::claims::{Claim, Outcome};
+use crate::core::{Key, Name, Span};
+use crate::history::Event;
+use crate::http::{Handler, Inbound, Outbound, Payload};
+use crate::peer::{Reply, Request};
+use crate::resources::{self, Change, Collection, Expect, Spec, Stored};
+use crate::state::{self, Command, Query};
+
+/// Changes that wait for a slow reader of a watch stream.
+const WATCH_QUEUE: usize = 64;
+/// Time that an entry's explanation may take.
+const EXPLAIN_TIMEOUT: Span = Span::millis(1_000);
+
+/// The operators' interface of one control instance.
+#[derive(Clone)]
+pub(crate) struct Operator {
+    control: Control,
+    link: Link,
+    token: Option<Arc<str>>,
+}
+
+impl Operator {
+    pub(crate) fn new(context: &Context, control: Control, link: Link) -> Self {
+        let token = context.settings.token.as_deref().map(Arc::from);
+        Self { control, link, token }
+    }
+
+    /// Handler of the operator port.
+    pub(crate) fn handler(self, dump: Arc<super::Dump>) -> Handler {
+        Arc::new(move |call| {
+            let (operator, dump) = (self.clone(), Arc::clone(&dump));
+            Box::pin(async move {
+                if call.path == "/dump" {
+                    return dump.serve().await;
+                }
+                operator.serve(call).await.unwrap_or_else(|refused| refused)
+            })
+        })
+    }
+
+    async fn serve(&self, call: Inbound) -> Result<Outbound, Outbound> {
+        let segments = call.segments();
+        match (call.method.as_str(), &segments[..]) {
+            ("GET", ["v1", "resources", collection]) => self.list(parse(collection)?).await,
+            ("GET", ["v1", "resources", collection, name]) => {
+                self.get(parse(collection)?, parse(name)?).await
+            },
+            ("PUT" | "DELETE", ["v1", "resources", collection, name]) => {
+                self.authorise(&call)?;
+                let (collection, name) = (parse(collection)?, parse(name)?);
+                let spec = match call.method {
+                    Method::DELETE => None,
+                    _ => Some(Spec::parse(collection, &call.body).map_err(bad_request)?),
+                };
+                self.write(&call, collection, name, spec).await
+            },
+            ("GET", ["v1", "watch"]) => self.watch(&call).await,
+            ("GET", ["v1", "explain", key]) => self.explain(parse(key)?).await,
+            ("GET", ["v1", "status"]) => {
+                let status = self.control.status().await.ok_or_else(unavailable)?;
+                Ok(Outbound::json(200, &status))
+            },
+            _ => Err(super::not_found()),
+        }
+    }
+
+    /// Checks the token of a write, in constant time so that its length of agreement is not told.
+    fn authorise(&self, call: &Inbound) -> Result<(), Outbound> {
+        let Some(token) = &self.token else { return Ok(()) };
+        let given = call.header("authorization").and_then(|v| v.strip_prefix("Bearer "));
+        if given.is_some_and(|given| given.as_bytes().ct_eq(token.as_bytes()).into()) {
+            return Ok(());
+        }
+        let reason = "writes need the header Authorization: Bearer TOKEN with the right token";
+        Err(problem(401, "unauthorised", reason))
+    }
+
+    async fn list(&self, collection: Collection) -> Result<Outbound, Outbound> {
+        match self.control.query(Query::List { collection }).await {
+            Some(state::Reply::Listed(list)) => {
+                let items: Vec<Value> =
+                    list.iter().map(|(name, stored)| shown(collection, name, stored)).collect();
+                Ok(Outbound::json(200, &json!({ "items": items })))
+            },
+            _ => Err(unavailable()),
+        }
+    }
+
+    async fn get(&self, collection: Collection, name: Name) -> Result<Outbound, Outbound> {
+        let query = Query::Get { collection, name: name.clone() };
+        match self.control.query(query).await {
+            Some(state::Reply::Got(Some(stored))) => {
+                let body = shown(collection, &name, &stored);
+                Ok(Outbound::json(200, &body).with_text("etag", &etag(stored.revision)))
+            },
+            Some(state::Reply::Got(None)) => Err(missing(collection, &name)),
+            _ => Err(unavailable()),
+        }
+    }
+
+    async fn write(
+        &self,
+        call: &Inbound,
+        collection: Collection,
+        name: Name,
+        spec: Option<Spec>,
+    ) -> Result<Outbound, Outbound> {
+        let expect = expect(call)?;
+        let key = call.header("idempotency-key").map(parse::<Key>).transpose()?;
+        let status = if spec.is_none() { 200 } else { 201 };
+        let write = resources::Command { collection, name: name.clone(), spec, expect, key };
+        match self.control.propose(Command::Resource(write)).await {
+            Some(state::Reply::Written(resources::Reply::Written { revision })) => {
+                let body = json!({ "collection": collection, "name": name, "revision": revision });
+                Ok(Outbound::json(status, &body).with_text("etag", &etag(revision)))
+            },
+            Some(state::Reply::Written(resources::Reply::Lost { current })) => {
+                let current = current.map(|stored| shown(collection, &name, &stored));
+                let reason = "the resource has another revision than the write expects";
+                let body = json!({ "error": "lost-race", "reason": reason, "current": current });
+                Err(Outbound::json(412, &body))
+            },
+            Some(state::Reply::Written(resources::Reply::Missing)) => {
+                Err(missing(collection, &name))
+            },
+            _ => Err(unavailable()),
+        }
+    }
+
+    /// Streams changes after a revision, one JSON object a line.
+    async fn watch(&self, call: &Inbound) -> Result<Outbound, Outbound> {
+        let since = call.param("since").unwrap_or("0");
+        let Ok(mut since) = since.parse::<u64>() else {
+            let reason = format!("since is {since:?}, allowed is a revision");
+            return Err(problem(400, "bad-request", &reason));
+        };
+        let mut changes = self.changes(since).await?;
+        let mut newest = self.control.revision.clone();
+        let (sender, receiver) = mpsc::channel(WATCH_QUEUE);
+        let operator = self.clone();
+        tokio::task::spawn_local(async move {
+            loop {
+                newest.mark_unchanged();
+                for change in changes {
+                    since = change.revision;
+                    if sender.send(line(&change)).await.is_err() {
+                        return;
+                    }
+                }
+                let (changed, closed) = (pin!(newest.changed()), pin!(sender.closed()));
+                match select(changed, closed).await {
+                    Either::Left((Ok(()), _)) => {},
+                    Either::Left((Err(_), _)) | Either::Right(_) => return,
+                }
+                // A stream that fell behind the compaction ends, and its reader resumes with 410.
+                let Ok(next) = operator.changes(since).await else { return };
+                changes = next;
+            }
+        });
+        Ok(Outbound { status: 200, headers: Vec::new(), body: Payload::Stream(receiver) }
+            .with_text("content-type", "application/x-ndjson"))
+    }
+
+    async fn changes(&self, since: u64) -> Result<Vec<Change>, Outbound> {
+        match self.control.query(Query::Changes { since }).await {
+            Some(state::Reply::Changes(Ok(changes))) => Ok(changes),
+            Some(state::Reply::Changes(Err(oldest))) => {
+                let reason = format!("changes up to revision {oldest} were compacted");
+                let body = json!({ "error": "compacted", "reason": reason, "oldest": oldest });
+                Err(Outbound::json(410, &body))
+            },
+            _ => Err(unavailable()),
+        }
+    }
+
+    /// Collects what the log and the entries know about a key.
+    async fn explain(&self, key: Key) -> Result<Outbound, Outbound> {
+        let query = Query::Claim { key: key.clone() };
+        let Some(state::Reply::Claim(claim)) = self.control.query(query).await else {
+            return Err(unavailable());
+        };
+        let entries = self.control.live_entries().await.ok_or_else(unavailable)?;
+        let asked = entries.into_iter().map(|addr| self.events(addr, key.clone()));
+        let mut steps: Vec<Event> = Vec::new();
+        for events in join_all(asked).await {
+            steps.extend(events);
+        }
+        if steps.is_empty() && claim.is_none() {
+            return Err(problem(404, "unknown-key", "nothing is kept about this key"));
+        }
+        let steps: Vec<Value> = steps
+            .iter()
+            .map(|e| json!({ "by": e.by, "at_us": e.at.as_micros(), "text": e.text }))
+            .collect();
+        let body = json!({ "key": key, "claim": claim.as_ref().map(claimed), "steps": steps });
+        Ok(Outbound::json(200, &body))
+    }
+
+    async fn events(&self, addr: SocketAddr, key: Key) -> Vec<Event> {
+        let (sender, receiver) = oneshot::channel();
+        self.link.send(addr, &Request::Explain(key), EXPLAIN_TIMEOUT, move |result| {
+            drop(sender.send(result));
+        });
+        match receiver.await {
+            Ok(Ok(Reply::Explained(events))) => events,
+            _ => Vec::new(),
+        }
+    }
+}
+
+/// The condition of a write on the current revision.
+fn expect(call: &Inbound) -> Result<Expect, Outbound> {
+    let refuse = |name: &str, value: &str, allowed: &str| {
+        let reason = format!("{name} is {value:?}, allowed is {allowed}");
+        Err(problem(400, "bad-request", &reason))
+    };
+    match (call.header("if-match"), call.header("if-none-match")) {
+        (None | Some("*"), None) => Ok(Expect::Any),
+        (None, Some("*")) => Ok(Expect::Absent),
+        (Some(value), None) => match value.trim_matches('"').parse() {
+            Ok(revision) => Ok(Expect::Revision(revision)),
+            Err(_) => refuse("If-Match", value, "a revision in quotation marks"),
+        },
+        (None, Some(value)) => refuse("If-None-Match", value, "*"),
+        (Some(value), Some(_)) => refuse("If-Match", value, "it alone, without If-None-Match"),
+    }
+}
+
+fn parse<T: std::str::FromStr<Err: std::fmt::Display>>(value: &str) -> Result<T, Outbound> {
+    value.parse().map_err(bad_request)
+}
+
+fn bad_request(error: impl std::fmt::Display) -> Outbound {
+    problem(400, "bad-request", &error.to_string())
+}
+
+fn problem(status: u16, code: &str, reason: &str) -> Outbound {
+    Outbound::json(status, &json!({ "error": code, "reason": reason }))
+}
+
+fn missing(collection: Collection, name: &Name) -> Outbound {
+    problem(404, "not-found", &format!("{collection} has no resource {name}"))
+}
+
+fn unavailable() -> Outbound {
+    problem(
+        503,
+        "unavailable",
+        "this instance can't answer now; a write may or may not be in force",
+    )
+}
+
+fn etag(revision: u64) -> String {
+    format!("\"{revision}\"")
+}
+
+fn shown(collection: Collection, name: &Name, stored: &Stored) -> Value {
+    let Stored { revision, spec } = stored;
+    json!({ "collection": collection, "name": name, "revision": revision, "spec": spec.body() })
+}
+
+fn line(change: &Change) -> Bytes {
+    let Change { revision, collection, name, spec } = change;
+    let action = if spec.is_some() { "put" } else { "delete" };
+    let spec = spec.as_ref().map(Spec::body);
+    let line = json!({
+        "revision": revision,
+        "action": action,
+        "collection": collection,
+        "name": name,
+        "spec": spec,
+    });
+    Bytes::from(format!("{line}\n"))
+}
+
+fn claimed(claim: &Claim) -> Value {
+    let verdict = match &claim.outcome {
+        Some(Outcome::Ran(_) | Outcome::Dropped { .. }) => json!("ran"),
+        Some(Outcome::Refused(refusal)) => json!(refusal.verdict),
+        None => Value::Null,
+    };
+    json!({
+        "service": claim.service,
+        "kind": claim.kind,
+        "claimed_at": claim.since,
+        "agent": claim.grant.as_ref().map(|grant| &grant.target.agent),
+        "fence": claim.grant.as_ref().map(|grant| grant.fence),
+        "verdict": verdict,
+    })
+}
--- /dev/null
+++ b/toucangrade/src/execution/attempt.rs
@@ -0,0 +1,552 @@
+//! The course of one request: attempts one after the other, never two at once.
+
+use rand::Rng;
+
+use super::message::{Effect, Told};
+use super::record::{Handed, Phase, Record};
+use super::{ANSWERS_KEPT, Execution, SETTLED_KEPT};
+use crate::admission::{Question, Report, Start};
+use crate::claims::{Action, Claim, Command, Outcome, Reply};
+use crate::core::{Answer, Class, Key, Moment, Refusal, Span, Verdict, invariant};
+use crate::http::CallError;
+use crate::partitions::PARTITIONS;
+use crate::routing::{Candidate, Pick, START_WITHIN, Target};
+
+/// First wait between two questions about an attempt; doubled up to [`ASK_MAX`].
+const ASK_WAIT: Span = Span::millis(50);
+/// Longest wait between two questions about an attempt.
+const ASK_MAX: Span = Span::millis(1_000);
+/// Wait before a command on a claim is sent again after control could not be reached.
+const CLAIM_WAIT: Span = Span::millis(200);
+/// Time after which a command on a claim is sent again for lack of any reply.
+const CLAIM_TIMEOUT: Span = Span::millis(2_000);
+/// Time after the end of an attempt for which its agent keeps the outcome.
+const KEPT_AT_AGENT: Span = Span::secs(60);
+
+/// Time after dispatch when an attempt must have ended: its start-by time and lease on the agent's
+/// clock, whose rate differs by less than 5%.
+pub(super) fn bound(lease: Span) -> Span {
+    (START_WITHIN + lease).percent(106)
+}
+
+impl Execution {
+    /// Asks routing for an agent for the next attempt.
+    pub(super) fn pick(&mut self, now: Moment, key: Key, out: &mut Vec<Effect>) {
+        let owns = self.owns(now, key.partition(PARTITIONS));
+        let Some(record) = self.records.get_mut(&key) else { return };
+        if !owns {
+            let refusal = Refusal::not_run(503, "not-owner", "the key's partition moved away");
+            return self.fail(now, key, refusal.retry_after(1_000), out);
+        }
+        record.attempt += 1;
+        record.phase = Phase::Picking;
+        let (service, kind) = (record.request.service.clone(), record.request.kind.clone());
+        let (attempt, exclude) = (record.attempt, record.exclude.clone());
+        out.push(Effect::Pick(Pick { key, attempt, service, kind, exclude }));
+    }
+
+    pub(super) fn chosen(
+        &mut self,
+        now: Moment,
+        key: Key,
+        attempt: u32,
+        target: Target,
+        candidates: &[Candidate],
+        out: &mut Vec<Effect>,
+    ) {
+        let entry = self.entry.clone();
+        let Some(record) = self.records.get_mut(&key) else { return };
+        if record.attempt != attempt || !matches!(record.phase, Phase::Picking) {
+            return;
+        }
+        let text = format!("attempt {attempt} goes to {}; {}", target.agent, reasons(candidates));
+        record.note(now, &entry, text);
+        if record.claims() {
+            record.phase = Phase::Claiming { target };
+            self.claim(now, &key, out);
+        } else {
+            let fence = (record.epoch << 20) | u64::from(attempt);
+            self.call(now, key, target, fence, out);
+        }
+    }
+
+    pub(super) fn unplaced(
+        &mut self,
+        now: Moment,
+        key: Key,
+        attempt: u32,
+        candidates: &[Candidate],
+        out: &mut Vec<Effect>,
+    ) {
+        let entry = self.entry.clone();
+        let Some(record) = self.records.get_mut(&key) else { return };
+        if record.attempt != attempt || !matches!(record.phase, Phase::Picking) {
+            return;
+        }
+        record.note(now, &entry, format!("no agent can take it; {}", reasons(candidates)));
+        let none = || Refusal::not_run(503, "nowhere-to-run", "no agent can take the request now");
+        let refusal = record.refusal.clone().unwrap_or_else(none);
+        // Agents that refused may have room again at the next attempt.
+        record.exclude.clear();
+        self.retry(now, key, refusal, None, out);
+    }
+
+    /// Hands the attempt to its agent.
+    fn call(&mut self, now: Moment, key: Key, target: Target, fence: u64, out: &mut Vec<Effect>) {
+        let Some(record) = self.records.get_mut(&key) else { return };
+        let end = now + bound(record.lease);
+        let start = Start {
+            key: key.clone(),
+            fence,
+            service: record.request.service.clone(),
+            kind: record.request.kind.clone(),
+            partition: key.partition(PARTITIONS),
+            epoch: record.epoch,
+            incarnation: target.incarnation,
+            start_by: target.start_by,
+            lease: record.lease,
+            body: record.request.body.clone(),
+        };
+        let handed = Handed { target: target.clone(), fence, end };
+        invariant!(
+            matches!(record.phase, Phase::Picking | Phase::Claiming { .. }),
+            "request {key} gets a second attempt while one may run"
+        );
+        record.phase = Phase::Running { handed };
+        out.push(Effect::Call { attempt: record.attempt, target, start });
+    }
+
+    /// Sends the claim command that the record's phase asks for.
+    fn claim(&mut self, now: Moment, key: &Key, out: &mut Vec<Effect>) {
+        let Some(record) = self.records.get_mut(key) else { return };
+        let request = &record.request;
+        let action = match &record.phase {
+            Phase::Claiming { target } => Action::Attempt {
+                service: request.service.clone(),
+                kind: request.kind.clone(),
+                digest: request.digest.clone(),
+                target: target.clone(),
+                lease: record.lease,
+            },
+            Phase::Looking { .. } => Action::Look,
+            Phase::Releasing { fence, .. } => Action::Release { fence: *fence },
+            Phase::Settling { fence, outcome, .. } => {
+                Action::Settle { fence: *fence, outcome: outcome.clone() }
+            },
+            _ => return,
+        };
+        let partition = key.partition(PARTITIONS);
+        let command = Command { key: key.clone(), partition, epoch: record.epoch, action };
+        record.resend = now + CLAIM_TIMEOUT;
+        self.timers.insert((record.resend, key.clone()));
+        out.push(Effect::Claim { attempt: record.attempt, command });
+    }
+
+    pub(super) fn claimed(
+        &mut self,
+        now: Moment,
+        key: Key,
+        attempt: u32,
+        reply: Option<Reply>,
+        out: &mut Vec<Effect>,
+    ) {
+        let entry = self.entry.clone();
+        let Some(record) = self.records.get_mut(&key) else { return };
+        if record.attempt != attempt {
+            return;
+        }
+        let Some(reply) = reply else {
+            // Control is asked again when the timer fires.
+            record.resend = now + CLAIM_WAIT;
+            self.timers.insert((record.resend, key));
+            return;
+        };
+        match (&record.phase, reply) {
+            (Phase::Claiming { target }, Reply::Granted { fence }) => {
+                let target = target.clone();
+                record.looked = true;
+                record.note(now, &entry, format!("the log grants the attempt under fence {fence}"));
+                self.call(now, key, target, fence, out);
+            },
+            (
+                Phase::Claiming { .. } | Phase::Looking { .. } | Phase::Releasing { .. },
+                Reply::Stands(claim),
+            ) => self.stands(now, key, *claim, out),
+            (Phase::Looking { refusal }, Reply::Done) => {
+                let refusal = refusal.clone();
+                record.looked = true;
+                self.fail(now, key, refusal, out);
+            },
+            (Phase::Releasing { refusal, after, .. }, Reply::Done) => {
+                let (refusal, after) = (refusal.clone(), *after);
+                self.retry(now, key, refusal, after, out);
+            },
+            (Phase::Settling { told, .. }, Reply::Done | Reply::Outdated | Reply::Stands(_)) => {
+                let told = told.clone();
+                self.finish(key, told, out);
+            },
+            (_, Reply::Mismatch) => {
+                let reason = "the key was used for another request";
+                let refusal = Refusal::not_run(422, "key-reused", reason);
+                self.drop_record(now, key, &Told::Refused(refusal), out);
+            },
+            (
+                Phase::Claiming { .. } | Phase::Looking { .. } | Phase::Releasing { .. },
+                Reply::Outdated,
+            ) => {
+                let told = Told::Refused(Refusal::unknown("the key's partition has a newer owner"));
+                self.drop_record(now, key, &told, out);
+            },
+            _ => {},
+        }
+    }
+
+    /// Follows a claim that an earlier attempt left.
+    fn stands(&mut self, now: Moment, key: Key, claim: Claim, out: &mut Vec<Effect>) {
+        let entry = self.entry.clone();
+        let Some(record) = self.records.get_mut(&key) else { return };
+        let request = &record.request;
+        if (&claim.service, &claim.kind, &claim.digest)
+            != (&request.service, &request.kind, &request.digest)
+        {
+            let reason = "the key was used for another request";
+            let refusal = Refusal::not_run(422, "key-reused", reason);
+            return self.drop_record(now, key, &Told::Refused(refusal), out);
+        }
+        record.looked = true;
+        if let Some(outcome) = claim.outcome {
+            record.note(now, &entry, "the log has its outcome".to_owned());
+            return self.finish(key, told(outcome), out);
+        }
+        if let Some(grant) = claim.grant {
+            let text = format!("an attempt at {} stands in the log", grant.target.agent);
+            record.note(now, &entry, text);
+            let end = now + bound(grant.lease);
+            let handed = Handed { target: grant.target, fence: grant.fence, end };
+            self.ask_later(now, key, handed, Span::ZERO, out);
+        }
+    }
+
+    pub(super) fn outcome(
+        &mut self,
+        now: Moment,
+        key: Key,
+        attempt: u32,
+        report: Result<Report, CallError>,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(record) = self.records.get_mut(&key) else { return };
+        if record.attempt != attempt {
+            return;
+        }
+        let (handed, asked) = match &record.phase {
+            Phase::Asking { handed, .. } => (handed.clone(), true),
+            Phase::Running { handed } => (handed.clone(), false),
+            _ => return,
+        };
+        match report {
+            Ok(Report::Ended(answer)) => self.ran(now, key, handed, answer, out),
+            Ok(Report::Refused { code, reason, after }) => {
+                self.refused(now, key, handed, &code, reason, after, out);
+            },
+            Ok(Report::Lost { reason }) => self.lost(now, key, handed, reason, out),
+            Ok(Report::Forgotten) => self.forgotten(now, key, handed, out),
+            Ok(Report::Running) => self.ask_later(now, key, handed, ASK_WAIT, out),
+            Err(CallError::Connect | CallError::Shed) if !asked => {
+                let reason = "the agent could not be reached".to_owned();
+                self.refused(now, key, handed, "agent-unreachable", reason, None, out);
+            },
+            Err(_) => self.ask_later(now, key, handed, ASK_WAIT, out),
+        }
+    }
+
+    /// The runner answered.
+    fn ran(
+        &mut self,
+        now: Moment,
+        key: Key,
+        handed: Handed,
+        answer: Answer,
+        out: &mut Vec<Effect>,
+    ) {
+        let entry = self.entry.clone();
+        let Some(record) = self.records.get_mut(&key) else { return };
+        let Handed { target, fence, .. } = handed;
+        let size = answer.body.len();
+        record.note(
+            now,
+            &entry,
+            format!("{} answered with status {} and {size} bytes", target.agent, answer.status),
+        );
+        let told = Told::Answer(answer.clone());
+        if record.claims() {
+            record.phase = Phase::Settling { fence, outcome: Outcome::Ran(answer), told };
+            self.claim(now, &key, out);
+        } else {
+            self.finish(key, told, out);
+        }
+    }
+
+    /// The attempt did not start and will not.
+    #[expect(clippy::too_many_arguments, reason = "the parts of one report")]
+    fn refused(
+        &mut self,
+        now: Moment,
+        key: Key,
+        handed: Handed,
+        code: &str,
+        reason: String,
+        after: Option<Span>,
+        out: &mut Vec<Effect>,
+    ) {
+        let entry = self.entry.clone();
+        let Some(record) = self.records.get_mut(&key) else { return };
+        let Handed { target, fence, .. } = handed;
+        record.note(now, &entry, format!("{} did not run it: {reason}", target.agent));
+        record.exclude.insert(target.agent);
+        let mut refusal = Refusal::not_run(503, code, reason);
+        refusal.after = after.map(Span::as_millis).or(Some(100));
+        if record.claims() {
+            record.phase = Phase::Releasing { fence, refusal, after };
+            self.claim(now, &key, out);
+        } else {
+            self.retry(now, key, refusal, after, out);
+        }
+    }
+
+    /// The attempt ended, but its answer is lost for good.
+    fn lost(
+        &mut self,
+        now: Moment,
+        key: Key,
+        handed: Handed,
+        reason: String,
+        out: &mut Vec<Effect>,
+    ) {
+        let entry = self.entry.clone();
+        let Some(record) = self.records.get_mut(&key) else { return };
+        let fence = handed.fence;
+        record.doubtful = true;
+        record.note(now, &entry, format!("its answer is lost: {reason}"));
+        record.exclude.insert(handed.target.agent);
+        let refusal = Refusal { after: None, ..Refusal::unknown(reason) };
+        match record.class {
+            Class::Quick => self.retry(now, key, refusal, None, out),
+            Class::Batch => {
+                record.phase = Phase::Releasing { fence, refusal, after: None };
+                self.claim(now, &key, out);
+            },
+            Class::Once => {
+                let outcome = Outcome::Refused(refusal.clone());
+                let told = Told::Refused(refusal);
+                record.phase = Phase::Settling { fence, outcome, told };
+                self.claim(now, &key, out);
+            },
+        }
+    }
+
+    /// The agent was restarted: nothing can be asked, but the runner may still work on it.
+    fn forgotten(&mut self, now: Moment, key: Key, handed: Handed, out: &mut Vec<Effect>) {
+        let Some(record) = self.records.get_mut(&key) else { return };
+        if record.class == Class::Once || now >= handed.end {
+            let reason = "the agent was restarted while it had the attempt".to_owned();
+            return self.lost(now, key, handed, reason, out);
+        }
+        let wait = handed.end.since(now);
+        self.ask_later(now, key, handed, wait, out);
+    }
+
+    /// Asks the agent about the attempt after `wait`, zero for at once.
+    fn ask_later(
+        &mut self,
+        now: Moment,
+        key: Key,
+        handed: Handed,
+        wait: Span,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(record) = self.records.get_mut(&key) else { return };
+        let wait = match &record.phase {
+            Phase::Asking { wait: last, .. } => wait.max((*last + *last).min(ASK_MAX)),
+            _ => wait,
+        };
+        let next = now + wait;
+        record.phase = Phase::Asking { handed, next, wait: wait.max(ASK_WAIT), pending: false };
+        self.timers.insert((next, key.clone()));
+        if wait == Span::ZERO {
+            self.due(now, key, out);
+        }
+    }
+
+    /// Tries again if the budget and the callers' patience allow, else refuses.
+    fn retry(
+        &mut self,
+        now: Moment,
+        key: Key,
+        refusal: Refusal,
+        after: Option<Span>,
+        out: &mut Vec<Effect>,
+    ) {
+        let jitter = self.rng.random();
+        let Some(record) = self.records.get_mut(&key) else { return };
+        let deadline = record.patience();
+        match self.budget.next(now, record.attempt, after, jitter, deadline) {
+            Some(until) => {
+                record.refusal = Some(refusal);
+                record.phase = Phase::Waiting { until };
+                self.timers.insert((until, key));
+            },
+            None => self.fail(now, key, refusal, out),
+        }
+    }
+
+    /// Refuses a request that no attempt of this owner ran or can still run.
+    fn fail(&mut self, now: Moment, key: Key, mut refusal: Refusal, out: &mut Vec<Effect>) {
+        let Some(record) = self.records.get_mut(&key) else { return };
+        if record.claims() && !record.looked {
+            record.phase = Phase::Looking { refusal };
+            return self.claim(now, &key, out);
+        }
+        if record.doubtful {
+            refusal.verdict = Verdict::MayHaveRun;
+            refusal.status = 504;
+        }
+        self.drop_record(now, key, &Told::Refused(refusal), out);
+    }
+
+    /// Notes the final outcome, keeps it and tells everyone who waits.
+    fn finish(&mut self, key: Key, told: Told, out: &mut Vec<Effect>) {
+        let Some(record) = self.records.get_mut(&key) else { return };
+        self.bytes += size(&told);
+        record.phase = Phase::Settled(told.clone());
+        record.request.body = bytes::Bytes::new();
+        let waiters = std::mem::take(&mut record.waiters);
+        let events = std::mem::take(&mut record.events);
+        self.close(&key);
+        self.settled.push_back(key.clone());
+        for (waiter, _) in waiters {
+            out.push(Effect::Answer { waiter, key: key.clone(), told: told.clone() });
+        }
+        out.push(Effect::Record { key, events });
+        while self.settled.len() > SETTLED_KEPT || self.bytes > ANSWERS_KEPT {
+            let Some(oldest) = self.settled.pop_front() else { break };
+            if let Some(Record { phase: Phase::Settled(told), .. }) = self.records.remove(&oldest) {
+                self.bytes -= size(&told);
+            }
+        }
+    }
+
+    /// Tells everyone who waits and forgets the key, so that it may be tried anew.
+    fn drop_record(&mut self, now: Moment, key: Key, told: &Told, out: &mut Vec<Effect>) {
+        let entry = self.entry.clone();
+        let Some(mut record) = self.records.remove(&key) else { return };
+        self.close(&key);
+        if let Told::Refused(refusal) = told {
+            let text = format!("refused, {}: {}", refusal.verdict, refusal.reason);
+            record.note(now, &entry, text);
+        }
+        for (waiter, _) in record.waiters {
+            out.push(Effect::Answer { waiter, key: key.clone(), told: told.clone() });
+        }
+        out.push(Effect::Record { key, events: record.events });
+    }
+
+    fn close(&mut self, key: &Key) {
+        let open = self.open.entry(key.partition(PARTITIONS)).or_default();
+        invariant!(*open > 0, "request {key} was closed twice");
+        *open -= 1;
+    }
+
+    /// Does what is due for a record: the next attempt, a question, a claim, a caller's timeout.
+    pub(super) fn due(&mut self, now: Moment, key: Key, out: &mut Vec<Effect>) {
+        self.expire(now, &key, out);
+        let Some(record) = self.records.get_mut(&key) else { return };
+        match &mut record.phase {
+            Phase::Waiting { until } if now >= *until => self.pick(now, key, out),
+            Phase::Asking { handed, next, wait, pending } if now >= *next => {
+                let handed = handed.clone();
+                let kept = match record.class {
+                    Class::Once => KEPT_AT_AGENT,
+                    Class::Batch | Class::Quick => Span::ZERO,
+                };
+                if now >= handed.end + kept {
+                    let reason = "the agent gave no outcome before the lease ended".to_owned();
+                    return self.lost(now, key, handed, reason, out);
+                }
+                let again = *wait + ASK_MAX;
+                *next = now + again;
+                *pending = true;
+                self.timers.insert((now + again, key.clone()));
+                let Target { addr, incarnation, .. } = handed.target;
+                let question = Question { key, fence: handed.fence, incarnation };
+                out.push(Effect::Ask { attempt: record.attempt, addr, question });
+            },
+            Phase::Claiming { .. }
+            | Phase::Looking { .. }
+            | Phase::Releasing { .. }
+            | Phase::Settling { .. }
+                if now >= record.resend =>
+            {
+                self.claim(now, &key, out);
+            },
+            _ => {},
+        }
+    }
+
+    /// Tells callers whose patience has ended; the request goes on if it may have run.
+    fn expire(&mut self, now: Moment, key: &Key, out: &mut Vec<Effect>) {
+        let entry = self.entry.clone();
+        let Some(record) = self.records.get_mut(key) else { return };
+        let (late, waiting): (Vec<_>, Vec<_>) =
+            record.waiters.drain(..).partition(|(_, deadline)| now >= *deadline);
+        record.waiters = waiting;
+        if late.is_empty() {
+            return;
+        }
+        let idle = matches!(record.phase, Phase::Picking | Phase::Waiting { .. });
+        if idle && record.waiters.is_empty() {
+            record.waiters = late;
+            let reason = "the timeout passed before an agent took the request";
+            let refusal = Refusal::not_run(503, "deadline-passed", reason).retry_after(100);
+            return self.fail(now, key.clone(), refusal, out);
+        }
+        let told = match &record.phase {
+            Phase::Settling { told, .. } => told.clone(),
+            _ => Told::Refused(Refusal::unknown("the outcome is not known yet")),
+        };
+        if let Told::Refused(_) = told {
+            record.note(now, &entry, "the caller's timeout passed, outcome not known".to_owned());
+        }
+        for (waiter, _) in late {
+            out.push(Effect::Answer { waiter, key: key.clone(), told: told.clone() });
+        }
+    }
+}
+
+/// What a caller is told of an outcome in the log.
+fn told(outcome: Outcome) -> Told {
+    match outcome {
+        Outcome::Ran(answer) => Told::Answer(answer),
+        Outcome::Dropped { status } => {
+            let reason = format!("it ran with status {status}; its answer is no longer kept");
+            let mut refusal = Refusal::not_run(410, "answer-dropped", reason);
+            refusal.verdict = Verdict::Ran;
+            Told::Refused(refusal)
+        },
+        Outcome::Refused(refusal) => Told::Refused(refusal),
+    }
+}
+
+fn size(told: &Told) -> usize {
+    if let Told::Answer(answer) = told { answer.body.len() } else { 0 }
+}
+
+/// The candidates and the reason of each, in one sentence part.
+fn reasons(candidates: &[Candidate]) -> String {
+    if candidates.is_empty() {
+        return "no agent offers the kind".to_owned();
+    }
+    let reasons: Vec<String> =
+        candidates.iter().map(|c| format!("{} {}", c.agent, c.reason)).collect();
+    format!("candidates: {}", reasons.join(", "))
+}
--- /dev/null
+++ b/toucangrade/src/execution/record.rs
@@ -0,0 +1,108 @@
+//! What is known about one key.
+
+use serde::Serialize;
+
+use super::message::{Request, Told, Waiter};
+use crate::claims::Outcome;
+use crate::core::{Class, Moment, Name, Refusal, Span};
+use crate::history::Event;
+use crate::routing::{Agents, Target};
+
+/// An attempt that was handed to an agent.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct Handed {
+    pub(crate) target: Target,
+    pub(crate) fence: u64,
+    /// Moment when the attempt must have ended, whatever became of the agent.
+    pub(crate) end: Moment,
+}
+
+/// Where a request stands.
+#[derive(Debug, Serialize)]
+pub(crate) enum Phase {
+    /// The outcome of an attempt is not known; the agent is asked at `next`.
+    Asking { handed: Handed, next: Moment, wait: Span, pending: bool },
+    /// Control is asked for leave to run an attempt at the target.
+    Claiming { target: Target },
+    /// Control is asked what stands before the caller is refused.
+    Looking { refusal: Refusal },
+    /// Routing is asked for an agent.
+    Picking,
+    /// Control is told that an attempt did not run.
+    Releasing { fence: u64, refusal: Refusal, after: Option<Span> },
+    /// An agent has the attempt.
+    Running { handed: Handed },
+    /// The outcome is final.
+    Settled(Told),
+    /// Control is told the outcome.
+    Settling { fence: u64, outcome: Outcome, told: Told },
+    /// The next attempt starts at `until`.
+    Waiting { until: Moment },
+}
+
+/// State of one key.
+#[derive(Debug, Serialize)]
+pub(crate) struct Record {
+    pub(crate) request: Request,
+    pub(crate) class: Class,
+    /// Longest time that an execution may take.
+    pub(crate) lease: Span,
+    /// Epoch of the partition under which attempts are made.
+    pub(crate) epoch: u64,
+    pub(crate) attempt: u32,
+    pub(crate) exclude: Agents,
+    pub(crate) phase: Phase,
+    /// Who waits, and until when.
+    pub(crate) waiters: Vec<(Waiter, Moment)>,
+    /// When a command on the claim is sent again for lack of a reply.
+    pub(crate) resend: Moment,
+    /// Whether control confirmed that no earlier owner made an attempt.
+    pub(crate) looked: bool,
+    /// Whether an earlier attempt may have run although its outcome is lost.
+    pub(crate) doubtful: bool,
+    /// Last reason for which an attempt did not run.
+    pub(crate) refusal: Option<Refusal>,
+    #[serde(skip)]
+    pub(crate) events: Vec<Event>,
+}
+
+impl Record {
+    pub(crate) fn new(request: Request, class: Class, lease: Span, epoch: u64) -> Self {
+        Self {
+            request,
+            class,
+            lease,
+            epoch,
+            attempt: 0,
+            exclude: Agents::new(),
+            phase: Phase::Picking,
+            waiters: Vec::new(),
+            resend: Moment::START,
+            looked: false,
+            doubtful: false,
+            refusal: None,
+            events: Vec::new(),
+        }
+    }
+
+    /// Whether `other` is the same request sent again.
+    pub(crate) fn same(&self, other: &Request) -> bool {
+        let Request { service, kind, digest, .. } = &self.request;
+        (service, kind, digest) == (&other.service, &other.kind, &other.digest)
+    }
+
+    /// Notes a step for the history.
+    pub(crate) fn note(&mut self, now: Moment, by: &Name, text: String) {
+        self.events.push(super::event(now, by, text));
+    }
+
+    /// Whether attempts need a claim in the log.
+    pub(crate) fn claims(&self) -> bool {
+        self.class != Class::Quick
+    }
+
+    /// End of the longest wait.
+    pub(crate) fn patience(&self) -> Moment {
+        self.waiters.iter().map(|(_, deadline)| *deadline).max().unwrap_or(Moment::START)
+    }
+}
--- /dev/null
+++ b/toucangrade/src/execution/tests.rs
@@ -0,0 +1,281 @@
+//! Tests of attempts, verdicts and ownership.
+
+use bytes::Bytes;
+use rstest::rstest;
+
+use super::*;
+use crate::admission::Report;
+use crate::claims::{self, Reply};
+use crate::core::{Answer, Verdict};
+use crate::routing::Target;
+
+fn name(value: &str) -> Name {
+    Name::new(value).unwrap()
+}
+
+fn key() -> Key {
+    Key::new("k").unwrap()
+}
+
+fn at(millis: u64) -> Moment {
+    Moment::START + Span::millis(millis)
+}
+
+fn owned(entry: &str, epoch: u64, clean: bool) -> Owned {
+    let addr = Some("127.0.0.1:2".parse().unwrap());
+    Owned { entry: name(entry), incarnation: 1, epoch, clean, addr }
+}
+
+fn owners(entry: &str, epoch: u64, clean: bool, until: u64, surplus: Vec<u32>) -> Message {
+    let owners = (0..PARTITIONS).map(|p| (p, owned(entry, epoch, clean))).collect();
+    Message::Owners { owners, until: at(until), surplus }
+}
+
+fn begin(class: Class, ticket: u64, body: &'static str) -> Message {
+    Message::Begin(Admitted {
+        ticket,
+        service: name("balcao"),
+        kind: name("quote"),
+        class,
+        key: Some(key()),
+        deadline: at(5_000),
+        lease: Span::millis(1_000),
+        revision: 1,
+        body: Bytes::from(body),
+    })
+}
+
+fn chosen(attempt: u32) -> Message {
+    let target = Target {
+        agent: name("a"),
+        addr: "127.0.0.1:1".parse().unwrap(),
+        incarnation: 1,
+        centre: name("olinda"),
+        start_by: at(500),
+    };
+    Message::Chosen { key: key(), attempt, target, candidates: Vec::new() }
+}
+
+fn report(attempt: u32, report: Result<Report, CallError>) -> Message {
+    Message::Outcome { key: key(), attempt, report }
+}
+
+fn answer() -> Report {
+    Report::Ended(Answer { status: 200, media: String::new(), body: Bytes::from("whole") })
+}
+
+fn refusal() -> Report {
+    Report::Refused { code: "full".to_owned(), reason: "full".to_owned(), after: None }
+}
+
+fn lost() -> Report {
+    Report::Lost { reason: "cut".to_owned() }
+}
+
+fn claimed(attempt: u32, reply: Option<Reply>) -> Message {
+    Message::Claimed { key: key(), attempt, reply }
+}
+
+/// One word for each effect that matters.
+fn words(effects: Vec<Effect>) -> Vec<String> {
+    let word = |effect| match effect {
+        Effect::Answer { told: Told::Answer(answer), .. } => {
+            Some(format!("answer {}", String::from_utf8_lossy(&answer.body)))
+        },
+        Effect::Answer { told: Told::Refused(refusal), .. } => {
+            Some(format!("{} {}", refusal.code, refusal.verdict))
+        },
+        Effect::Ask { .. } => Some("ask".to_owned()),
+        Effect::Call { start, .. } => Some(format!("call {}", start.fence & 0xfffff)),
+        Effect::Claim { command, .. } => Some(match command.action {
+            claims::Action::Attempt { .. } => "claim".to_owned(),
+            claims::Action::Look => "look".to_owned(),
+            claims::Action::Release { fence } => format!("release {fence}"),
+            claims::Action::Settle { fence, .. } => format!("settle {fence}"),
+        }),
+        Effect::Forward { .. } => Some("forward".to_owned()),
+        Effect::Pick(pick) => Some(format!("pick {}", pick.attempt)),
+        Effect::Record { .. } => None,
+        Effect::Released(released) => Some(format!("released {}", released.len())),
+    };
+    effects.into_iter().filter_map(word).collect()
+}
+
+struct Case {
+    messages: Vec<(u64, Message)>,
+    words: Vec<&'static str>,
+}
+
+/// Guards against requests that run twice, wrong verdicts and answers that get lost.
+#[rstest]
+#[case::quick(Case {
+    messages: vec![
+        (0, begin(Class::Quick, 1, "q")), (0, chosen(1)), (1, report(1, Ok(answer()))),
+    ],
+    words: vec!["pick 1", "call 1", "answer whole"],
+})]
+#[case::resend_joins_and_gets_the_same(Case {
+    messages: vec![
+        (0, begin(Class::Quick, 1, "q")), (0, chosen(1)), (0, begin(Class::Quick, 2, "q")),
+        (1, report(1, Ok(answer()))), (2, begin(Class::Quick, 3, "q")),
+    ],
+    words: vec!["pick 1", "call 1", "answer whole", "answer whole", "answer whole"],
+})]
+#[case::other_body_is_refused(Case {
+    messages: vec![(0, begin(Class::Quick, 1, "q")), (0, begin(Class::Quick, 2, "r"))],
+    words: vec!["pick 1", "key-reused not-run"],
+})]
+#[case::refusal_is_retried(Case {
+    messages: vec![
+        (0, begin(Class::Quick, 1, "q")), (0, chosen(1)), (1, report(1, Ok(refusal()))),
+        (100, Message::Tick), (100, chosen(2)), (101, report(2, Ok(answer()))),
+    ],
+    words: vec!["pick 1", "call 1", "pick 2", "call 2", "answer whole"],
+})]
+#[case::late_report_of_an_earlier_attempt(Case {
+    messages: vec![
+        (0, begin(Class::Quick, 1, "q")), (0, chosen(1)), (1, report(1, Ok(refusal()))),
+        (100, Message::Tick), (100, chosen(2)), (101, report(1, Ok(answer()))),
+    ],
+    words: vec!["pick 1", "call 1", "pick 2", "call 2"],
+})]
+#[case::lost_answer_blocks_the_next_attempt(Case {
+    messages: vec![
+        (0, begin(Class::Quick, 1, "q")), (0, chosen(1)), (1, report(1, Err(CallError::Lost))),
+        (60, Message::Tick), (61, report(1, Err(CallError::Connect))), (1_500, Message::Tick),
+        (1_501, report(1, Err(CallError::Timeout))), (4_000, Message::Tick), (4_100, Message::Tick),
+    ],
+    words: vec!["pick 1", "call 1", "ask", "ask", "pick 2"],
+})]
+#[case::unsent_is_retried_at_once(Case {
+    messages: vec![
+        (0, begin(Class::Quick, 1, "q")), (0, chosen(1)), (1, report(1, Err(CallError::Connect))),
+        (100, Message::Tick),
+    ],
+    words: vec!["pick 1", "call 1", "pick 2"],
+})]
+#[case::timeout_before_start_is_not_run(Case {
+    messages: vec![(0, begin(Class::Quick, 1, "q")), (5_000, Message::Tick)],
+    words: vec!["pick 1", "deadline-passed not-run"],
+})]
+#[case::timeout_after_start_may_have_run(Case {
+    messages: vec![
+        (0, begin(Class::Quick, 1, "q")), (0, chosen(1)), (5_000, Message::Tick),
+        (5_001, report(1, Ok(answer()))), (5_002, begin(Class::Quick, 2, "q")),
+    ],
+    words: vec!["pick 1", "call 1", "outcome-unknown may-have-run", "answer whole"],
+})]
+#[case::once_needs_a_claim(Case {
+    messages: vec![
+        (0, begin(Class::Once, 1, "q")), (0, chosen(1)), (1, claimed(1, Some(Reply::Granted { fence: 9 }))),
+        (2, report(1, Ok(answer()))), (3, claimed(1, Some(Reply::Done))),
+    ],
+    words: vec!["pick 1", "claim", "call 9", "settle 9", "answer whole"],
+})]
+#[case::once_never_runs_again_when_lost(Case {
+    messages: vec![
+        (0, begin(Class::Once, 1, "q")), (0, chosen(1)), (1, claimed(1, Some(Reply::Granted { fence: 9 }))),
+        (2, report(1, Ok(lost()))), (3, claimed(1, Some(Reply::Done))),
+    ],
+    words: vec!["pick 1", "claim", "call 9", "settle 9", "outcome-unknown may-have-run"],
+})]
+#[case::once_refused_is_released_first(Case {
+    messages: vec![
+        (0, begin(Class::Once, 1, "q")), (0, chosen(1)), (1, claimed(1, Some(Reply::Granted { fence: 9 }))),
+        (2, report(1, Ok(refusal()))), (3, claimed(1, Some(Reply::Done))), (100, Message::Tick),
+    ],
+    words: vec!["pick 1", "claim", "call 9", "release 9", "pick 2"],
+})]
+#[case::once_looks_before_it_says_not_run(Case {
+    messages: vec![
+        (0, begin(Class::Once, 1, "q")), (5_000, Message::Tick), (5_001, claimed(1, Some(Reply::Done))),
+    ],
+    words: vec!["pick 1", "look", "deadline-passed not-run"],
+})]
+#[case::once_without_control_is_not_called(Case {
+    messages: vec![
+        (0, begin(Class::Once, 1, "q")), (0, chosen(1)), (1, claimed(1, None)), (201, Message::Tick),
+        (5_000, Message::Tick),
+    ],
+    words: vec!["pick 1", "claim", "claim", "outcome-unknown may-have-run", "claim"],
+})]
+#[case::batch_runs_again_after_loss(Case {
+    messages: vec![
+        (0, begin(Class::Batch, 1, "q")), (0, chosen(1)), (1, claimed(1, Some(Reply::Granted { fence: 9 }))),
+        (2, report(1, Ok(lost()))), (3, claimed(1, Some(Reply::Done))), (100, Message::Tick),
+    ],
+    words: vec!["pick 1", "claim", "call 9", "release 9", "pick 2"],
+})]
+#[case::restarted_agent_blocks_until_the_lease_ends(Case {
+    messages: vec![
+        (0, begin(Class::Quick, 1, "q")), (0, chosen(1)), (1, report(1, Err(CallError::Lost))),
+        (60, Message::Tick), (61, report(1, Ok(Report::Forgotten))), (1_500, Message::Tick),
+        (1_600, Message::Tick), (1_700, Message::Tick),
+    ],
+    words: vec!["pick 1", "call 1", "ask", "pick 2"],
+})]
+#[case::expired_partition_lease_starts_nothing(Case {
+    messages: vec![
+        (0, owners("me", 1, true, 1_000, vec![])), (1_000, begin(Class::Quick, 1, "q")),
+    ],
+    words: vec!["no-owner not-run"],
+})]
+#[case::foreign_key_is_forwarded(Case {
+    messages: vec![(0, owners("other", 2, true, 9_000, vec![])), (0, begin(Class::Quick, 1, "q"))],
+    words: vec!["forward"],
+})]
+#[case::unclean_partition_waits(Case {
+    messages: vec![
+        (0, owners("me", 2, false, 9_000, vec![])), (0, begin(Class::Quick, 1, "q")),
+        (1_500, Message::Tick), (1_600, Message::Tick),
+    ],
+    words: vec!["pick 1"],
+})]
+#[case::surplus_is_released_when_idle(Case {
+    messages: vec![
+        (0, begin(Class::Quick, 1, "q")), (0, chosen(1)),
+        (1, owners("me", 1, true, 9_000, (0..PARTITIONS).collect())),
+        (2, report(1, Ok(answer()))), (3, Message::Tick),
+    ],
+    words: vec!["pick 1", "call 1", "released 63", "answer whole", "released 64"],
+})]
+fn requests_have_one_course(#[case] case: Case) {
+    let mut execution = Execution::new(name("me"), 1);
+    execution.step(Moment::START, owners("me", 1, true, 9_000, vec![]));
+    let mut seen = Vec::new();
+    for (millis, message) in case.messages {
+        seen.extend(words(execution.step(at(millis), message)));
+    }
+    assert_eq!(seen, case.words);
+}
+
+/// Guards against keys that would have to be forwarded.
+#[test]
+fn made_keys_belong_to_the_entry() {
+    let mut execution = Execution::new(name("me"), 1);
+    let owners =
+        (0..PARTITIONS).map(|p| (p, owned(if p == 5 { "me" } else { "other" }, 1, true))).collect();
+    let until = at(9_000);
+    execution.step(Moment::START, Message::Owners { owners, until, surplus: Vec::new() });
+    for ticket in 0..100 {
+        let Message::Begin(admitted) = begin(Class::Quick, ticket, "q") else { unreachable!() };
+        let message = Message::Begin(Admitted { key: None, ..admitted });
+        let effects = execution.step(Moment::START, message);
+        let Some(Effect::Pick(pick)) = effects.into_iter().next() else { panic!("not picked") };
+        assert_eq!(pick.key.partition(PARTITIONS), 5);
+    }
+}
+
+/// Guards against a verdict of not run for a quick request that an earlier owner may have run.
+#[test]
+fn unclean_owner_is_not_certain() {
+    let mut execution = Execution::new(name("me"), 1);
+    execution.step(Moment::START, owners("me", 2, false, 9_000, vec![]));
+    execution.step(Moment::START, begin(Class::Quick, 1, "q"));
+    let effects = execution.step(at(5_000), Message::Tick);
+    let verdict = effects.iter().find_map(|effect| match effect {
+        Effect::Answer { told: Told::Refused(refusal), .. } => Some(refusal.verdict),
+        _ => None,
+    });
+    assert_eq!(verdict, Some(Verdict::MayHaveRun));
+}
--- a/toucangrade/src/http/client.rs
+++ b/toucangrade/src/http/client.rs
@@ -69,10 +69,7 @@
 impl Response {
     /// Content type of the response, empty when it has none.
     pub fn media(&self) -> &str {
-        self.headers
-            .get(CONTENT_TYPE)
-            .and_then(|value| value.to_str().ok())
-            .unwrap_or_default()
+        self.headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok()).unwrap_or_default()
     }
 }
 
@@ -90,14 +87,7 @@
     /// A `POST` of `body` to `path`, given up after `timeout`.
     pub fn post(to: SocketAddr, path: impl Into<String>, body: Bytes, timeout: Span) -> Self {
         let (method, headers) = (Method::POST, Vec::new());
-        Self {
-            to,
-            method,
-            path: path.into(),
-            headers,
-            body,
-            timeout,
-        }
+        Self { to, method, path: path.into(), headers, body, timeout }
     }
 
     /// Changes the method.
@@ -132,13 +122,9 @@
     ///
     /// The error of the operating system when the thread or its runtime can't be started.
     pub fn start() -> io::Result<Self> {
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_all()
-            .build()?;
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
         let (queue, exchanges) = mpsc::channel(QUEUE_LIMIT);
-        Builder::new()
-            .name("client".to_owned())
-            .spawn(move || runtime.block_on(run(exchanges)))?;
+        Builder::new().name("client".to_owned()).spawn(move || runtime.block_on(run(exchanges)))?;
         Ok(Self { queue })
     }
 
@@ -178,9 +164,7 @@
         .build(connector);
     let open = Arc::new(Semaphore::new(OPEN_LIMIT));
     while let Some((exchange, done)) = exchanges.recv().await {
-        let Ok(permit) = Arc::clone(&open).acquire_owned().await else {
-            return;
-        };
+        let Ok(permit) = Arc::clone(&open).acquire_owned().await else { return };
         let pool = pool.clone();
         tokio::spawn(async move {
             let limit = exchange.timeout.duration();
@@ -200,21 +184,10 @@
     request.headers_mut().extend(exchange.headers);
     let response = pool.request(request).await.map_err(classify)?;
     let (head, body) = response.into_parts();
-    let body = Limited::new(body, BODY_LIMIT)
-        .collect()
-        .await
-        .map_err(|_| CallError::Lost)?;
-    Ok(Response {
-        status: head.status.as_u16(),
-        headers: head.headers,
-        body: body.to_bytes(),
-    })
+    let body = Limited::new(body, BODY_LIMIT).collect().await.map_err(|_| CallError::Lost)?;
+    Ok(Response { status: head.status.as_u16(), headers: head.headers, body: body.to_bytes() })
 }
 
 fn classify(error: Error) -> CallError {
-    if error.is_connect() {
-        CallError::Connect
-    } else {
-        CallError::Lost
-    }
+    if error.is_connect() { CallError::Connect } else { CallError::Lost }
 }
--- a/toucangrade/src/http/replies.rs
+++ b/toucangrade/src/http/replies.rs
@@ -17,12 +17,7 @@
 
 impl<T> Replies<T> {
     pub(crate) fn new() -> Self {
-        Self {
-            open: Mutex::new(Open {
-                next: 1,
-                waiting: BTreeMap::new(),
-            }),
-        }
+        Self { open: Mutex::new(Open { next: 1, waiting: BTreeMap::new() }) }
     }
 
     /// Registers a handler and gives it a ticket.
@@ -45,10 +40,6 @@
 
     /// Number of handlers that wait.
     pub(crate) fn len(&self) -> usize {
-        self.open
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .waiting
-            .len()
+        self.open.lock().unwrap_or_else(PoisonError::into_inner).waiting.len()
     }
 }
--- a/toucangrade/src/http/server.rs
+++ b/toucangrade/src/http/server.rs
@@ -51,10 +51,7 @@
 
     /// The path's segments.
     pub fn segments(&self) -> Vec<&str> {
-        self.path
-            .split('/')
-            .filter(|segment| !segment.is_empty())
-            .collect()
+        self.path.split('/').filter(|segment| !segment.is_empty()).collect()
     }
 }
 
@@ -81,11 +78,7 @@
 impl Outbound {
     /// A response with a whole body.
     pub fn new(status: u16, body: impl Into<Bytes>) -> Self {
-        Self {
-            status,
-            headers: Vec::new(),
-            body: Payload::Whole(body.into()),
-        }
+        Self { status, headers: Vec::new(), body: Payload::Whole(body.into()) }
     }
 
     /// A JSON response.
@@ -139,18 +132,12 @@
             .listen(listener)?
             .run();
         let handle = running.handle()?;
-        let thread = std::thread::Builder::new()
-            .name("http".to_owned())
-            .spawn(move || {
-                if let Err(error) = running.wait() {
-                    tracing::error!(%error, "HTTP server ended");
-                }
-            })?;
-        Ok(Self {
-            handle,
-            thread,
-            addr,
-        })
+        let thread = std::thread::Builder::new().name("http".to_owned()).spawn(move || {
+            if let Err(error) = running.wait() {
+                tracing::error!(%error, "HTTP server ended");
+            }
+        })?;
+        Ok(Self { handle, thread, addr })
     }
 
     /// Takes no further connections, waits for the open ones to finish and ends the server.
@@ -172,15 +159,8 @@
         Ok(body) => {
             let path = head.uri.path().to_owned();
             let query = head.uri.query().unwrap_or_default().to_owned();
-            handler(Inbound {
-                method: head.method,
-                path,
-                query,
-                headers: head.headers,
-                body,
-            })
-            .await
-        }
+            handler(Inbound { method: head.method, path, query, headers: head.headers, body }).await
+        },
         Err(refused) => refused,
     };
     Ok(respond(outbound))
@@ -213,7 +193,7 @@
         Payload::Stream(mut chunks) => {
             let stream = poll_fn(move |cx| chunks.poll_recv(cx).map(|c| c.map(Ok::<_, BodyError>)));
             ResponseBody::boxed(StreamDataBody::new(stream))
-        }
+        },
     };
     let mut response = WebResponse::new(body);
     *response.status_mut() =
--- a/toucangrade/src/http/tests.rs
+++ b/toucangrade/src/http/tests.rs
@@ -33,19 +33,14 @@
             for chunk in ["one", "two", "six"] {
                 sender.send(Bytes::from(chunk)).await.unwrap();
             }
-            Outbound {
-                status: 200,
-                headers: Vec::new(),
-                body: Payload::Stream(receiver),
-            }
+            Outbound { status: 200, headers: Vec::new(), body: Payload::Stream(receiver) }
         })
     });
     let server = Server::start(TcpListener::bind("127.0.0.1:0").unwrap(), 1, handler).unwrap();
     let client = Client::start().unwrap();
     let body = Bytes::from(vec![7; case.size]);
-    let response = client
-        .call(Exchange::post(server.addr, case.path, body, Span::secs(60)))
-        .unwrap();
+    let response =
+        client.call(Exchange::post(server.addr, case.path, body, Span::secs(60))).unwrap();
     assert_eq!(response.status, case.status);
     if case.status == 200 {
         assert_eq!(response.body.len(), case.length);
@@ -59,11 +54,6 @@
     let addr = listener.local_addr().unwrap();
     drop(listener);
     let client = Client::start().unwrap();
-    let error = client
-        .call(Exchange::post(addr, "/", Bytes::new(), Span::secs(60)))
-        .unwrap_err();
-    assert_eq!(
-        (error, error.verdict()),
-        (CallError::Connect, Verdict::NotRun)
-    );
+    let error = client.call(Exchange::post(addr, "/", Bytes::new(), Span::secs(60))).unwrap_err();
+    assert_eq!((error, error.verdict()), (CallError::Connect, Verdict::NotRun));
 }
--- a/toucangrade/src/lib.rs
+++ b/toucangrade/src/lib.rs
@@ -2,13 +2,25 @@
 //!
 //! Every duty is a folder with its own state, messages and tests, and runs on its own thread.
 
-// Slices land before the daemon uses them.
-#![allow(dead_code, unused_imports, unused_macros)]
-
+mod admission;
+mod claims;
 mod core;
+mod daemon;
+mod execution;
+mod history;
 mod http;
+mod journal;
+mod limits;
+mod membership;
+mod partitions;
+mod peer;
+mod resources;
+mod retry;
+mod routing;
+mod state;
 
 pub use crate::core::{Answer, BadName, Class, Clock, Key, Moment, Name, Refusal, Span, Verdict};
+pub use crate::daemon::{BadSetting, Role, Settings, parser, run};
 pub use crate::http::{
     CallError, Client, Exchange, Handler, Inbound, Outbound, Payload, Response, Server,
 };
--- /dev/null
+++ b/toucangrade/src/partitions/mod.rs
@@ -0,0 +1,205 @@
+//! Partitions of the key space and the entries that own them.
+
+#[cfg(test)]
+mod tests;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+use crate::core::{Moment, Name, Span};
+
+/// Number of partitions of the key space.
+pub(crate) const PARTITIONS: u32 = 64;
+/// Time after its last confirmation when an owner has certainly given up its partitions.
+pub(crate) const LEASE: Span = Span::millis(3_000);
+/// Share of the lease that an owner uses, in percent; the rest covers clocks whose rates differ
+/// by less than 5% on each side.
+pub(crate) const LEASE_USED: u64 = 90;
+
+/// Earlier incarnations of an entry whose delayed polls are refused.
+const EARLIER_KEPT: usize = 16;
+
+/// Owner of a partition.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct Owner {
+    pub(crate) entry: Name,
+    pub(crate) incarnation: u64,
+    /// Grows with each grant of the partition.
+    pub(crate) epoch: u64,
+    /// The owner before confirmed that none of its attempts is left.
+    pub(crate) clean: bool,
+}
+
+/// Grant of partitions to one entry.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) struct Command {
+    pub(crate) entry: Name,
+    pub(crate) incarnation: u64,
+    /// Partition and the epoch that its present owner must have.
+    pub(crate) grants: Vec<(u32, u64)>,
+    pub(crate) clean: bool,
+}
+
+/// Agreed state: the owner of each partition.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub(crate) struct Partitions {
+    owners: BTreeMap<u32, Owner>,
+}
+
+impl Partitions {
+    /// Grants each partition whose epoch did not change since the grant was proposed.
+    pub(crate) fn apply(&mut self, command: &Command) {
+        for &(partition, epoch) in &command.grants {
+            if self.epoch(partition) == epoch {
+                // The first owner has no one before it whose attempts could be left.
+                let clean = command.clean || epoch == 0;
+                let (entry, incarnation) = (command.entry.clone(), command.incarnation);
+                let owner = Owner { entry, incarnation, epoch: epoch + 1, clean };
+                self.owners.insert(partition, owner);
+            }
+        }
+    }
+
+    /// Owners by partition.
+    pub(crate) fn owners(&self) -> &BTreeMap<u32, Owner> {
+        &self.owners
+    }
+
+    /// Epoch of the present owner, zero when there was none.
+    pub(crate) fn epoch(&self, partition: u32) -> u64 {
+        self.owners.get(&partition).map_or(0, |owner| owner.epoch)
+    }
+}
+
+/// An entry that polls the leader.
+#[derive(Clone, Debug, Serialize)]
+struct Holder {
+    incarnation: u64,
+    seen: Moment,
+    draining: bool,
+    /// Earlier incarnations and when each was last seen.
+    earlier: BTreeMap<u64, Moment>,
+}
+
+impl Holder {
+    fn last_seen(&self, incarnation: u64) -> Option<Moment> {
+        if self.incarnation == incarnation {
+            return Some(self.seen);
+        }
+        self.earlier.get(&incarnation).copied()
+    }
+}
+
+/// Soft state of the leader: which entries are live and what should be moved between them.
+#[derive(Debug, Default, Serialize)]
+pub(crate) struct Balancer {
+    /// Start of this instance's leadership; `None` when it doesn't lead.
+    leading: Option<Moment>,
+    holders: BTreeMap<Name, Holder>,
+    /// Partitions that their owner confirmed to be free of attempts.
+    released: BTreeSet<(u32, u64)>,
+}
+
+impl Balancer {
+    /// Starts or ends leadership; what an earlier leader knew of leases is unknown here.
+    pub(crate) fn lead(&mut self, now: Moment, leading: bool) {
+        if leading != self.leading.is_some() {
+            *self = Self { leading: leading.then_some(now), ..Self::default() };
+        }
+    }
+
+    /// Notes a poll of an entry.
+    pub(crate) fn seen(&mut self, now: Moment, entry: &Name, incarnation: u64, draining: bool) {
+        let mut earlier = BTreeMap::new();
+        if let Some(holder) = self.holders.remove(entry) {
+            if holder.earlier.contains_key(&incarnation) {
+                // A delayed poll of an earlier incarnation.
+                self.holders.insert(entry.clone(), holder);
+                return;
+            }
+            earlier = holder.earlier;
+            if holder.incarnation != incarnation {
+                earlier.insert(holder.incarnation, holder.seen);
+                if earlier.len() > EARLIER_KEPT {
+                    earlier.pop_first();
+                }
+            }
+        }
+        self.holders.insert(entry.clone(), Holder { incarnation, seen: now, draining, earlier });
+    }
+
+    /// Notes that the owner of `partition` under `epoch` has no attempt left and starts none.
+    pub(crate) fn released(&mut self, partition: u32, epoch: u64) {
+        self.released.insert((partition, epoch));
+    }
+
+    /// Grants to propose: partitions that are free, released, or whose owner's lease has
+    /// certainly expired.
+    pub(crate) fn grants(&mut self, now: Moment, agreed: &Partitions) -> Vec<Command> {
+        let Some(since) = self.leading else { return Vec::new() };
+        let live = self.live(now);
+        if live.is_empty() {
+            return Vec::new();
+        }
+        let mut load = self.load(agreed, &live);
+        let mut grants: BTreeMap<(Name, bool), Vec<(u32, u64)>> = BTreeMap::new();
+        for partition in 0..PARTITIONS {
+            let Some(clean) = self.free(now, since, agreed, partition) else { continue };
+            let Some(entry) = live.iter().min_by_key(|name| load.get(*name).copied()).cloned()
+            else {
+                continue;
+            };
+            *load.entry(entry.clone()).or_default() += 1;
+            grants.entry((entry, clean)).or_default().push((partition, agreed.epoch(partition)));
+        }
+        let command = |((entry, clean), grants): ((Name, bool), Vec<(u32, u64)>)| {
+            let incarnation = self.holders[&entry].incarnation;
+            Command { entry, incarnation, grants, clean }
+        };
+        grants.into_iter().map(command).collect()
+    }
+
+    /// Partitions that `entry` should release so that all live entries own about as many.
+    pub(crate) fn surplus(&self, now: Moment, agreed: &Partitions, entry: &Name) -> Vec<u32> {
+        let live = self.live(now);
+        let share = (PARTITIONS as usize).div_ceil(live.len().max(1));
+        let keep = if live.contains(entry) { share } else { 0 };
+        let owned = agreed.owners.iter().filter(|(_, owner)| owner.entry == *entry);
+        owned.map(|(&partition, _)| partition).skip(keep).collect()
+    }
+
+    /// Whether a partition may be granted, and if so whether no attempt of its owner is left.
+    fn free(
+        &self,
+        now: Moment,
+        since: Moment,
+        agreed: &Partitions,
+        partition: u32,
+    ) -> Option<bool> {
+        let Some(owner) = agreed.owners.get(&partition) else { return Some(true) };
+        if self.released.contains(&(partition, owner.epoch)) {
+            return Some(true);
+        }
+        // A leader does not know what its predecessor confirmed, so its own start counts.
+        let seen = self.holders.get(&owner.entry).and_then(|h| h.last_seen(owner.incarnation));
+        let last = seen.map_or(since, |seen| seen.max(since));
+        (now.since(last) > LEASE).then_some(false)
+    }
+
+    fn live(&self, now: Moment) -> BTreeSet<Name> {
+        let live = |h: &Holder| !h.draining && now.since(h.seen) <= LEASE;
+        self.holders.iter().filter(|(_, h)| live(h)).map(|(name, _)| name.clone()).collect()
+    }
+
+    fn load(&self, agreed: &Partitions, live: &BTreeSet<Name>) -> BTreeMap<Name, usize> {
+        let mut load: BTreeMap<Name, usize> = live.iter().map(|n| (n.clone(), 0)).collect();
+        for owner in agreed.owners.values() {
+            let holder = self.holders.get(&owner.entry);
+            if holder.is_some_and(|h| h.incarnation == owner.incarnation) {
+                load.entry(owner.entry.clone()).and_modify(|count| *count += 1);
+            }
+        }
+        load
+    }
+}
--- /dev/null
+++ b/toucangrade/src/resources/tests.rs
@@ -0,0 +1,123 @@
+//! Tests of resource writes and validation.
+
+use rstest::rstest;
+
+use super::*;
+
+fn service(timeout: u64) -> Spec {
+    let body = format!(
+        r#"{{"shop": "klopca", "kinds": {{"match": {{"class": "quick", "timeout_ms": {timeout}}}}}}}"#
+    );
+    Spec::parse(Collection::Services, body.as_bytes()).unwrap()
+}
+
+fn put(name: &str, spec: Option<Spec>, expect: Expect, key: Option<&str>) -> Command {
+    Command {
+        collection: Collection::Services,
+        name: Name::new(name).unwrap(),
+        spec,
+        expect,
+        key: key.map(|key| Key::new(key).unwrap()),
+    }
+}
+
+struct Case {
+    writes: Vec<Command>,
+    replies: Vec<&'static str>,
+    revision: u64,
+}
+
+/// Guards against two winners of one version, doubled writes and lost deletions.
+#[rstest]
+#[case::race(Case {
+    writes: vec![
+        put("pew-atelier", Some(service(100)), Expect::Absent, None),
+        put("pew-atelier", Some(service(200)), Expect::Revision(1), Some("a")),
+        put("pew-atelier", Some(service(300)), Expect::Revision(1), Some("b")),
+    ],
+    replies: vec!["written 1", "written 2", "lost to 2"],
+    revision: 2,
+})]
+#[case::resend(Case {
+    writes: vec![
+        put("pew-atelier", Some(service(100)), Expect::Absent, Some("a")),
+        put("pew-atelier", Some(service(100)), Expect::Absent, Some("a")),
+    ],
+    replies: vec!["written 1", "written 1"],
+    revision: 1,
+})]
+#[case::delete_twice(Case {
+    writes: vec![
+        put("pew-atelier", Some(service(100)), Expect::Any, None),
+        put("pew-atelier", None, Expect::Any, None),
+        put("pew-atelier", None, Expect::Any, None),
+    ],
+    replies: vec!["written 1", "written 2", "missing"],
+    revision: 2,
+})]
+#[case::absent_when_present(Case {
+    writes: vec![
+        put("pew-atelier", Some(service(100)), Expect::Absent, None),
+        put("pew-atelier", Some(service(100)), Expect::Absent, None),
+    ],
+    replies: vec!["written 1", "lost to 1"],
+    revision: 1,
+})]
+fn writes_have_one_winner(#[case] case: Case) {
+    let mut resources = Resources::default();
+    let replies: Vec<String> = (1..)
+        .zip(case.writes)
+        .map(|(index, write)| match resources.apply(index, write) {
+            Reply::Written { revision } => format!("written {revision}"),
+            Reply::Lost { current } => format!("lost to {}", current.map_or(0, |c| c.revision)),
+            Reply::Missing => "missing".to_owned(),
+        })
+        .collect();
+    assert_eq!(replies, case.replies);
+    assert_eq!(resources.revision(), case.revision);
+}
+
+/// Guards against a watch stream that misses or repeats a change.
+#[test]
+fn changes_resume_where_they_stopped() {
+    let mut resources = Resources::default();
+    for index in 1..=CHANGES_KEPT as u64 + 5 {
+        resources.apply(index, put("balcao", Some(service(100)), Expect::Any, None));
+    }
+    assert_eq!(resources.since(4), Err(5));
+    let revisions: Vec<u64> = resources.since(9_990).unwrap().iter().map(|c| c.revision).collect();
+    assert_eq!(revisions, (9_991..=CHANGES_KEPT as u64 + 5).collect::<Vec<_>>());
+}
+
+struct Body {
+    collection: Collection,
+    body: &'static str,
+    field: &'static str,
+}
+
+/// Guards against resources that can't be put in force.
+#[rstest]
+#[case::timeout(Body {
+    collection: Collection::Services,
+    body: r#"{"shop": "klopca", "kinds": {"match": {"class": "quick", "timeout_ms": 1}}}"#,
+    field: "kinds.match.timeout_ms",
+})]
+#[case::no_kinds(Body {
+    collection: Collection::Services,
+    body: r#"{"shop": "klopca", "kinds": {}}"#,
+    field: "kinds",
+})]
+#[case::unknown_field(Body {
+    collection: Collection::Quotas,
+    body: r#"{"speed": 4}"#,
+    field: "body",
+})]
+#[case::too_much_memory(Body {
+    collection: Collection::Watches,
+    body: r#"{"shop": "klopca", "kind": "humidity", "millicores": 5, "memory_mb": 0}"#,
+    field: "memory_mb",
+})]
+fn bad_bodies_name_the_field(#[case] case: Body) {
+    let invalid = Spec::parse(case.collection, case.body.as_bytes()).unwrap_err();
+    assert_eq!(invalid.field, case.field, "{invalid}");
+}
--- /dev/null
+++ b/toucangrade/src/routing/message.rs
@@ -0,0 +1,105 @@
+//! Messages of the routing duty.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use super::Agents;
+use crate::core::{Key, Moment, Name, Span};
+use crate::membership::Agent;
+
+/// Message to the duty.
+#[derive(Debug)]
+pub(crate) enum Message {
+    /// An attempt ended or was refused.
+    Feedback(Feedback),
+    /// An attempt needs an agent.
+    Pick(Pick),
+    /// An agent gave its clock reading, or did not.
+    Sampled { agent: Name, reading: Option<Reading> },
+    /// Time passed.
+    Tick,
+    /// The live agents changed.
+    View(BTreeMap<Name, Agent>),
+}
+
+/// What the duty asks for.
+#[derive(Debug)]
+pub(crate) enum Effect {
+    /// The attempt goes to this agent.
+    Chosen { key: Key, attempt: u32, target: Target, candidates: Vec<Candidate> },
+    /// Reads the clock of an agent.
+    Sample { agent: Name, addr: SocketAddr },
+    /// No agent can take the attempt now.
+    Unplaced { key: Key, attempt: u32, candidates: Vec<Candidate> },
+}
+
+/// An attempt that needs an agent.
+#[derive(Clone, Debug)]
+pub(crate) struct Pick {
+    pub(crate) key: Key,
+    pub(crate) attempt: u32,
+    pub(crate) service: Name,
+    pub(crate) kind: Name,
+    /// Agents that refused this request already.
+    pub(crate) exclude: Agents,
+}
+
+/// Why an agent was chosen or not.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct Candidate {
+    pub(crate) agent: Name,
+    pub(crate) reason: &'static str,
+}
+
+/// The agent that an attempt goes to.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct Target {
+    pub(crate) agent: Name,
+    pub(crate) addr: SocketAddr,
+    pub(crate) incarnation: u64,
+    pub(crate) centre: Name,
+    /// Moment on the agent's clock after which it must not start the attempt.
+    pub(crate) start_by: Moment,
+}
+
+/// Clock and load of an agent as it gave them.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct Reading {
+    pub(crate) incarnation: u64,
+    /// The agent's clock.
+    pub(crate) clock: Moment,
+    /// This entry's clock when the reading arrived.
+    pub(crate) taken: Moment,
+    pub(crate) used: u32,
+    pub(crate) slots: u32,
+}
+
+impl Reading {
+    /// A moment that the agent's clock has certainly reached at `now`.
+    ///
+    /// The reading was taken before it arrived, so the agent's clock is ahead of this.
+    pub(crate) fn clock_at(&self, now: Moment) -> Moment {
+        self.clock + now.since(self.taken).percent(95)
+    }
+}
+
+/// How an attempt went, as far as the choice of agents is concerned.
+#[derive(Clone, Debug)]
+pub(crate) struct Feedback {
+    pub(crate) agent: Name,
+    pub(crate) signal: Signal,
+    pub(crate) reading: Option<Reading>,
+}
+
+/// Kind of feedback.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Signal {
+    /// A whole answer came after this time.
+    Answered { took: Span },
+    /// The attempt failed or the agent could not be reached.
+    Failed,
+    /// The agent refused for lack of room.
+    Refused,
+}
--- /dev/null
+++ b/toucangrade/src/routing/mod.rs
@@ -0,0 +1,264 @@
+//! Chooses the agent for an attempt from what this entry knows of load, latency and errors.
+
+mod message;
+
+#[cfg(test)]
+mod tests;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use rand::rngs::SmallRng;
+use rand::seq::index;
+use rand::{Rng, SeedableRng};
+use serde::Serialize;
+
+pub(crate) use self::message::{
+    Candidate, Effect, Feedback, Message, Pick, Reading, Signal, Target,
+};
+use crate::core::{Moment, Name, Span};
+use crate::membership::Agent;
+
+/// Candidates that are compared for one attempt. Two give most of the gain of the full view and
+/// keep many entries from choosing the same agent on the same stale view (Mitzenmacher, "The
+/// Power of Two Choices in Randomized Load Balancing", 2001).
+const CHOICES: usize = 2;
+/// Share of a new sample in the moving averages, in percent.
+const SAMPLE_WEIGHT: f64 = 0.1;
+/// Errors in a row that eject an agent.
+const EJECT_AFTER: u32 = 3;
+/// Time for which an agent is ejected before it is probed again.
+const EJECT_FOR: Span = Span::millis(2_000);
+/// Greatest share of a pool that may be ejected at once, in percent.
+const EJECT_SHARE: usize = 34;
+/// Extra cost of an agent in another data centre, in microseconds of latency: a round trip at 4 ms
+/// one way.
+const REMOTE_COST: f64 = 8_000.0;
+/// Latency that is assumed before the first answer, in microseconds.
+const UNKNOWN_LATENCY: f64 = 1_000.0;
+/// Age at which a clock reading is taken anew; at 5% difference in rate it is then off by 250 ms at
+/// most, half of the start-by time.
+const READING_AGE: Span = Span::millis(5_000);
+/// Time from dispatch in which an attempt must have started.
+pub(crate) const START_WITHIN: Span = Span::millis(500);
+
+/// What this entry learned about one agent.
+#[derive(Clone, Debug, Serialize)]
+struct Peer {
+    agent: Agent,
+    /// Attempts that this entry handed out and that have not ended.
+    open: u32,
+    /// Slots in use and slots in all as the agent last reported, over all entries.
+    used: u32,
+    slots: u32,
+    /// Moving average of the latency, in microseconds.
+    latency: f64,
+    /// Errors in a row.
+    errors: u32,
+    ejected: Option<Moment>,
+    probing: bool,
+    reading: Option<Reading>,
+    sampled: Option<Moment>,
+}
+
+/// State of the duty.
+#[derive(Debug, Serialize)]
+pub(crate) struct Routing {
+    centre: Name,
+    peers: BTreeMap<Name, Peer>,
+    #[serde(skip)]
+    rng: SmallRng,
+}
+
+impl Routing {
+    /// State of an entry in `centre` that knows no agent yet.
+    pub(crate) fn new(centre: Name, seed: u64) -> Self {
+        Self { centre, peers: BTreeMap::new(), rng: SmallRng::seed_from_u64(seed) }
+    }
+
+    /// Handles one message.
+    pub(crate) fn step(&mut self, now: Moment, message: Message) -> Vec<Effect> {
+        match message {
+            Message::Feedback(feedback) => {
+                self.feedback(now, feedback);
+                Vec::new()
+            },
+            Message::Pick(pick) => vec![self.pick(now, pick)],
+            Message::Sampled { agent, reading } => {
+                if let Some(peer) = self.peers.get_mut(&agent) {
+                    peer.sampled = None;
+                    peer.reading = reading.filter(|r| r.incarnation == peer.agent.incarnation);
+                }
+                Vec::new()
+            },
+            Message::Tick => self.sample(now),
+            Message::View(agents) => {
+                self.view(agents);
+                self.sample(now)
+            },
+        }
+    }
+
+    /// Takes over a new view; what was learned about agents that stay is kept.
+    fn view(&mut self, agents: BTreeMap<Name, Agent>) {
+        let mut old = std::mem::take(&mut self.peers);
+        for (name, agent) in agents {
+            let known = old.remove(&name).filter(|p| p.agent.incarnation == agent.incarnation);
+            let slots = agent.offers.iter().map(|offer| offer.slots).sum();
+            let peer = match known {
+                Some(peer) => Peer { agent, slots, ..peer },
+                None => Peer::new(agent, slots),
+            };
+            self.peers.insert(name, peer);
+        }
+    }
+
+    /// Asks for a clock reading of each agent whose reading is missing or old.
+    fn sample(&mut self, now: Moment) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        for (name, peer) in &mut self.peers {
+            let fresh = peer.reading.as_ref().is_some_and(|r| now.since(r.taken) < READING_AGE);
+            let pending = peer.sampled.is_some_and(|at| now.since(at) < START_WITHIN);
+            if !fresh && !pending {
+                peer.sampled = Some(now);
+                effects.push(Effect::Sample { agent: name.clone(), addr: peer.agent.addr });
+            }
+        }
+        effects
+    }
+
+    fn feedback(&mut self, now: Moment, feedback: Feedback) {
+        let pool = self.peers.len();
+        let ejected = self.peers.values().filter(|peer| peer.ejected.is_some()).count();
+        let Some(peer) = self.peers.get_mut(&feedback.agent) else { return };
+        peer.open = peer.open.saturating_sub(1);
+        peer.probing = false;
+        if let Some(reading) = feedback.reading.filter(|r| r.incarnation == peer.agent.incarnation)
+        {
+            (peer.used, peer.slots) = (reading.used, reading.slots.max(1));
+            peer.reading = Some(reading);
+        }
+        match feedback.signal {
+            Signal::Answered { took } => {
+                peer.latency += SAMPLE_WEIGHT * (took.as_micros() as f64 - peer.latency);
+                (peer.errors, peer.ejected) = (0, None);
+            },
+            // A full agent is healthy, so a refusal says nothing about errors.
+            Signal::Refused => {},
+            Signal::Failed => {
+                peer.errors += 1;
+                let room = (ejected + 1) * 100 <= pool * EJECT_SHARE;
+                if peer.ejected.is_some() || (peer.errors >= EJECT_AFTER && room) {
+                    peer.ejected = Some(now + EJECT_FOR);
+                }
+            },
+        }
+    }
+
+    fn pick(&mut self, now: Moment, pick: Pick) -> Effect {
+        let mut candidates = Vec::new();
+        let mut able = Vec::new();
+        for (name, peer) in &self.peers {
+            let reason = peer.obstacle(now, &pick, name);
+            if reason.is_none() {
+                able.push(name.clone());
+            }
+            // Agents that don't offer the kind at all would only blur the explanation.
+            if reason != Some(NO_OFFER) {
+                candidates
+                    .push(Candidate { agent: name.clone(), reason: reason.unwrap_or("able") });
+            }
+        }
+        let (key, attempt) = (pick.key, pick.attempt);
+        let Some(best) = self.best(&able) else {
+            return Effect::Unplaced { key, attempt, candidates };
+        };
+        for candidate in &mut candidates {
+            if candidate.agent == best {
+                candidate.reason = "chosen";
+            }
+        }
+        let target = self.target(now, &best);
+        Effect::Chosen { key, attempt, target, candidates }
+    }
+
+    /// The cheapest of a few randomly drawn candidates.
+    fn best(&mut self, able: &[Name]) -> Option<Name> {
+        let probe = able.iter().find(|name| self.peers[*name].ejected.is_some());
+        // An ejected agent whose time is over gets one request as a probe.
+        if let Some(name) = probe.filter(|_| self.rng.random_ratio(1, 4) || able.len() == 1) {
+            return Some(name.clone());
+        }
+        let healthy: Vec<&Name> =
+            able.iter().filter(|name| self.peers[*name].ejected.is_none()).collect();
+        let drawn = index::sample(&mut self.rng, healthy.len(), CHOICES.min(healthy.len()));
+        let cost = |name: &&Name| self.peers[*name].cost(&self.centre);
+        drawn.iter().map(|i| healthy[i]).min_by(|a, b| cost(a).total_cmp(&cost(b))).cloned()
+    }
+
+    fn target(&mut self, now: Moment, name: &Name) -> Target {
+        let Some(peer) = self.peers.get_mut(name) else { unreachable!("candidates are known") };
+        peer.open += 1;
+        peer.probing = peer.ejected.is_some();
+        let start_by = peer.reading.as_ref().map_or(Moment::START, |reading| reading.clock_at(now))
+            + START_WITHIN;
+        Target {
+            agent: name.clone(),
+            addr: peer.agent.addr,
+            incarnation: peer.agent.incarnation,
+            centre: peer.agent.centre.clone(),
+            start_by,
+        }
+    }
+}
+
+const NO_OFFER: &str = "does not offer the kind";
+
+impl Peer {
+    fn new(agent: Agent, slots: u32) -> Self {
+        Self {
+            agent,
+            open: 0,
+            used: 0,
+            slots,
+            latency: UNKNOWN_LATENCY,
+            errors: 0,
+            ejected: None,
+            probing: false,
+            reading: None,
+            sampled: None,
+        }
+    }
+
+    /// Why the agent can't take the attempt, if it can't.
+    fn obstacle(&self, now: Moment, pick: &Pick, name: &Name) -> Option<&'static str> {
+        let offers = |service: &Name, kind: &Name| {
+            let mut offers = self.agent.offers.iter();
+            offers.any(|offer| offer.service == *service && offer.kinds.contains(kind))
+        };
+        if !offers(&pick.service, &pick.kind) {
+            return Some(NO_OFFER);
+        }
+        if pick.exclude.contains(name) {
+            return Some("already tried");
+        }
+        if self.reading.is_none() {
+            return Some("its clock was not read yet");
+        }
+        if self.ejected.is_some_and(|until| now < until || self.probing) {
+            return Some("ejected after errors");
+        }
+        None
+    }
+
+    /// Expected cost of one more attempt, in microseconds.
+    fn cost(&self, centre: &Name) -> f64 {
+        let slots = f64::from(self.slots.max(1));
+        // The report counts all entries, the open attempts only this one, but at once.
+        let busy = f64::from(self.used.max(self.open));
+        let link = if self.agent.centre == *centre { 0.0 } else { REMOTE_COST };
+        self.latency * (1.0 + busy / slots) * if busy >= slots { 4.0 } else { 1.0 } + link
+    }
+}
+
+/// Set of agents, by name.
+pub(crate) type Agents = BTreeSet<Name>;
--- /dev/null
+++ b/toucangrade/src/routing/tests.rs
@@ -0,0 +1,151 @@
+//! Tests of the choice of agents.
+
+use rstest::rstest;
+
+use super::*;
+use crate::core::Key;
+use crate::membership::Offer;
+
+fn name(value: &str) -> Name {
+    Name::new(value).unwrap()
+}
+
+fn agent(centre: &str) -> Agent {
+    Agent {
+        incarnation: 1,
+        addr: "127.0.0.1:1".parse().unwrap(),
+        centre: name(centre),
+        rack: name("r1"),
+        offers: vec![Offer {
+            service: name("balcao"),
+            kinds: vec![name("quote")],
+            slots: 8,
+            connections: 64,
+        }],
+    }
+}
+
+fn reading(now: Moment, used: u32) -> Reading {
+    Reading { incarnation: 1, clock: Moment::START, taken: now, used, slots: 8 }
+}
+
+fn pick(kind: &str) -> Pick {
+    Pick {
+        key: Key::new("k").unwrap(),
+        attempt: 1,
+        service: name("balcao"),
+        kind: name(kind),
+        exclude: Agents::new(),
+    }
+}
+
+/// A pool of agents, of which the first is local, the others too unless said otherwise.
+fn routing(agents: &[(&str, &str)]) -> Routing {
+    let mut routing = Routing::new(name("olinda"), 1);
+    let view = agents.iter().map(|(n, centre)| (name(n), agent(centre))).collect();
+    let effects = routing.step(Moment::START, Message::View(view));
+    assert_eq!(effects.len(), agents.len(), "each clock is read");
+    for (n, _) in agents {
+        let reading = Some(reading(Moment::START, 0));
+        routing.step(Moment::START, Message::Sampled { agent: name(n), reading });
+    }
+    routing
+}
+
+struct Case {
+    agents: Vec<(&'static str, &'static str)>,
+    /// Agent, slots in use, and failures in a row that are fed back before the picks.
+    fed: Vec<(&'static str, u32, u32)>,
+    kind: &'static str,
+    chosen: Vec<&'static str>,
+}
+
+/// Guards against choices that pass over load, distance, errors or what an agent offers.
+#[rstest]
+#[case::prefers_local(Case {
+    agents: vec![("a", "olinda"), ("b", "boa-viagem")],
+    fed: vec![],
+    kind: "quote",
+    chosen: vec!["a"],
+})]
+#[case::prefers_idle(Case {
+    agents: vec![("a", "olinda"), ("b", "olinda")],
+    fed: vec![("a", 8, 0), ("b", 1, 0)],
+    kind: "quote",
+    chosen: vec!["b"],
+})]
+#[case::ejects_failing(Case {
+    agents: vec![("a", "olinda"), ("b", "olinda"), ("c", "olinda")],
+    fed: vec![("a", 0, 3)],
+    kind: "quote",
+    chosen: vec!["b", "c"],
+})]
+#[case::never_ejects_most(Case {
+    agents: vec![("a", "olinda"), ("b", "olinda"), ("c", "olinda")],
+    fed: vec![("a", 0, 9), ("b", 0, 9), ("c", 0, 9)],
+    kind: "quote",
+    chosen: vec!["b", "c"],
+})]
+#[case::unknown_kind(Case {
+    agents: vec![("a", "olinda")],
+    fed: vec![],
+    kind: "stock-order",
+    chosen: vec![],
+})]
+fn picks_follow_what_is_known(#[case] case: Case) {
+    let mut routing = routing(&case.agents);
+    for (agent, used, failures) in case.fed {
+        let reading = Some(reading(Moment::START, used));
+        let feedback =
+            |signal, reading| Message::Feedback(Feedback { agent: name(agent), signal, reading });
+        routing.step(Moment::START, feedback(Signal::Refused, reading));
+        for _ in 0..failures {
+            routing.step(Moment::START, feedback(Signal::Failed, None));
+        }
+    }
+    let mut chosen = Agents::new();
+    for _ in 0..50 {
+        for effect in routing.step(Moment::START, Message::Pick(pick(case.kind))) {
+            if let Effect::Chosen { target, .. } = effect {
+                let feedback = Feedback {
+                    agent: target.agent.clone(),
+                    signal: Signal::Refused,
+                    reading: None,
+                };
+                routing.step(Moment::START, Message::Feedback(feedback));
+                chosen.insert(target.agent);
+            }
+        }
+    }
+    assert_eq!(chosen, case.chosen.into_iter().map(name).collect());
+}
+
+/// Guards against an ejected agent that never comes back.
+#[test]
+fn ejected_agent_is_probed() {
+    let mut routing = routing(&[("a", "olinda"), ("b", "olinda"), ("c", "olinda")]);
+    for _ in 0..EJECT_AFTER {
+        let feedback = Feedback { agent: name("a"), signal: Signal::Failed, reading: None };
+        routing.step(Moment::START, Message::Feedback(feedback));
+    }
+    let later = Moment::START + EJECT_FOR;
+    let probed = (0..50).any(|_| {
+        let effects = routing.step(later, Message::Pick(pick("quote")));
+        effects
+            .iter()
+            .any(|e| matches!(e, Effect::Chosen { target, .. } if target.agent == name("a")))
+    });
+    assert!(probed);
+    let open = routing.peers[&name("a")].open;
+    assert_eq!(open, 1, "one probe at a time");
+}
+
+/// Guards against a start-by time that lies beyond 500 ms after dispatch on the agent's clock.
+#[test]
+fn start_by_is_bounded() {
+    let mut routing = routing(&[("a", "olinda")]);
+    let now = Moment::START + Span::millis(1_000);
+    let effects = routing.step(now, Message::Pick(pick("quote")));
+    let Some(Effect::Chosen { target, .. }) = effects.into_iter().next() else { panic!() };
+    assert!(target.start_by <= now + START_WITHIN);
+}
--- /dev/null
+++ b/toucangrade/src/state/message.rs
@@ -0,0 +1,65 @@
+//! Messages of the state duty.
+
+use serde::{Deserialize, Serialize};
+
+use crate::core::{Key, Name};
+use crate::membership::Config;
+use crate::partitions::Partitions;
+use crate::resources::{Change, Collection, Stored};
+use crate::{claims, partitions, resources};
+
+/// Command in the log.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) enum Command {
+    Claim(claims::Command),
+    Partition(partitions::Command),
+    Resource(resources::Command),
+}
+
+/// Question about the agreed state.
+#[derive(Clone, Debug)]
+pub(crate) enum Query {
+    /// Changes after a revision.
+    Changes { since: u64 },
+    /// The claim of a key.
+    Claim { key: Key },
+    /// One resource.
+    Get { collection: Collection, name: Name },
+    /// All resources of a collection.
+    List { collection: Collection },
+}
+
+/// Reply to a command or question.
+#[derive(Clone, Debug)]
+pub(crate) enum Reply {
+    /// Changes, or the oldest revision that can be resumed from.
+    Changes(Result<Vec<Change>, u64>),
+    Claim(Option<claims::Claim>),
+    Claimed(claims::Reply),
+    Got(Option<Stored>),
+    Granted,
+    Listed(Vec<(Name, Stored)>),
+    Written(resources::Reply),
+}
+
+/// Message to the duty.
+#[derive(Debug)]
+pub(crate) enum Message {
+    /// The command at this log index is agreed.
+    Apply { index: u64, ticket: Option<u64>, command: Command },
+    /// Someone asks about the agreed state.
+    Query { ticket: u64, query: Query },
+    /// Time passed.
+    Tick,
+}
+
+/// What the duty asks for.
+#[derive(Debug)]
+pub(crate) enum Effect {
+    /// The configuration changed.
+    Configure(Config),
+    /// The owners of partitions changed.
+    Partitions(Partitions),
+    /// Replies to who proposed the command or asked.
+    Reply { ticket: u64, reply: Reply },
+}
--- /dev/null
+++ b/toucangrade/src/state/mod.rs
@@ -0,0 +1,100 @@
+//! The agreed state machine of control: resources, partitions and claims, changed in log order.
+
+mod message;
+
+#[cfg(test)]
+mod tests;
+
+use serde::{Deserialize, Serialize};
+
+pub(crate) use self::message::{Command, Effect, Message, Query, Reply};
+use crate::claims::Claims;
+use crate::core::Moment;
+use crate::membership::Config;
+use crate::partitions::Partitions;
+use crate::resources::Resources;
+
+/// State that is the same on every replica at the same log index.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub(crate) struct Machine {
+    index: u64,
+    resources: Resources,
+    partitions: Partitions,
+    claims: Claims,
+}
+
+/// State of the duty.
+#[derive(Debug, Default, Serialize)]
+pub(crate) struct State {
+    machine: Machine,
+}
+
+impl State {
+    /// Handles one message.
+    pub(crate) fn step(&mut self, _now: Moment, message: Message) -> Vec<Effect> {
+        match message {
+            Message::Apply { index, ticket, command } => self.apply(index, ticket, command),
+            Message::Query { ticket, query } => {
+                vec![Effect::Reply { ticket, reply: self.query(query) }]
+            },
+            Message::Tick => Vec::new(),
+        }
+    }
+
+    fn apply(&mut self, index: u64, ticket: Option<u64>, command: Command) -> Vec<Effect> {
+        let machine = &mut self.machine;
+        machine.index = index;
+        let mut effects = Vec::new();
+        let reply = match command {
+            Command::Claim(command) => {
+                let epoch = machine.partitions.epoch(command.partition);
+                Reply::Claimed(machine.claims.apply(index, epoch, command))
+            },
+            Command::Partition(command) => {
+                machine.partitions.apply(&command);
+                effects.push(Effect::Partitions(machine.partitions.clone()));
+                Reply::Granted
+            },
+            Command::Resource(command) => {
+                let before = machine.resources.revision();
+                let reply = machine.resources.apply(index, command);
+                if machine.resources.revision() != before {
+                    effects.push(Effect::Configure(self.config()));
+                }
+                Reply::Written(reply)
+            },
+        };
+        effects.extend(ticket.map(|ticket| Effect::Reply { ticket, reply }));
+        effects
+    }
+
+    fn query(&self, query: Query) -> Reply {
+        let resources = &self.machine.resources;
+        match query {
+            Query::Changes { since } => Reply::Changes(resources.since(since)),
+            Query::Claim { key } => Reply::Claim(self.machine.claims.get(&key).cloned()),
+            Query::Get { collection, name } => {
+                Reply::Got(resources.get(collection, &name).cloned())
+            },
+            Query::List { collection } => {
+                let list = resources.list(collection);
+                Reply::Listed(list.map(|(name, stored)| (name.clone(), stored.clone())).collect())
+            },
+        }
+    }
+
+    /// The configuration that entries and agents put in force.
+    pub(crate) fn config(&self) -> Config {
+        let resources = &self.machine.resources;
+        Config {
+            revision: resources.revision(),
+            services: resources.services(),
+            quotas: resources.quotas(),
+        }
+    }
+
+    /// The agreed owners of partitions.
+    pub(crate) fn partitions(&self) -> Partitions {
+        self.machine.partitions.clone()
+    }
+}
--- /dev/null
+++ b/toucangrade_standin/src/options.rs
@@ -0,0 +1,65 @@
+//! Options of the stand-in back end.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use bpaf::{OptionParser, Parser, construct, long};
+
+/// Settings of one stand-in.
+#[derive(Clone, Debug)]
+pub(crate) struct Options {
+    pub(crate) agent: SocketAddr,
+    pub(crate) addr: SocketAddr,
+    pub(crate) service: String,
+    pub(crate) kinds: String,
+    pub(crate) slots: u32,
+    pub(crate) connections: u32,
+    pub(crate) delay: u64,
+    pub(crate) fail: u64,
+    pub(crate) journal: Option<PathBuf>,
+    pub(crate) ports: Option<PathBuf>,
+}
+
+/// Parser of the command line.
+pub(crate) fn parser() -> OptionParser<Options> {
+    let agent = long("agent").help("Announce port of the agent").argument::<SocketAddr>("ADDR");
+    let addr = long("addr")
+        .help("Address to listen on")
+        .argument::<SocketAddr>("ADDR")
+        .fallback(SocketAddr::from(([127, 0, 0, 1], 0)));
+    let service = long("service").help("Service to announce").argument::<String>("NAME");
+    let kinds = long("kinds").help("Kinds to announce, with commas").argument::<String>("NAMES");
+    let slots = long("slots").help("Executions at once").argument::<u32>("N").fallback(8);
+    let connections =
+        long("connections").help("Connections at once").argument::<u32>("N").fallback(64);
+    let delay = long("delay-ms")
+        .help("Time that an execution takes, in milliseconds")
+        .argument::<u64>("MS")
+        .fallback(5);
+    let fail = long("fail-percent")
+        .help("Share of executions that answer with status 500, in percent")
+        .argument::<u64>("PERCENT")
+        .fallback(0);
+    let journal = long("journal")
+        .help("File that every execution is appended to")
+        .argument::<PathBuf>("FILE")
+        .optional();
+    let ports = long("ports-file")
+        .help("File that the address in use is written to")
+        .argument::<PathBuf>("FILE")
+        .optional();
+    construct!(Options {
+        agent,
+        addr,
+        service,
+        kinds,
+        slots,
+        connections,
+        delay,
+        fail,
+        journal,
+        ports
+    })
+    .to_options()
+    .descr("Stand-in back end for tests and the demo")
+}
--- a/toucangraded/src/main.rs
+++ b/toucangraded/src/main.rs
@@ -1,2 +1,32 @@
-//! Program entry point.
-fn main() {}
+//! The daemon `toucangraded`.
+
+use std::process::ExitCode;
+
+use tracing_subscriber::EnvFilter;
+
+/// Exit status for settings that are refused, `EX_USAGE` of sysexits.
+const EXIT_USAGE: u8 = 64;
+
+fn main() -> ExitCode {
+    let settings = match toucangrade::parser().run() {
+        Ok(settings) => settings,
+        Err(bad) => {
+            eprintln!("toucangraded: {bad}");
+            return ExitCode::from(EXIT_USAGE);
+        },
+    };
+    if settings.check {
+        println!("{}", serde_json::json!(settings));
+        return ExitCode::SUCCESS;
+    }
+    let filter = EnvFilter::try_from_env("TOUCANGRADE_LOG").unwrap_or_else(|_| "info".into());
+    tracing_subscriber::fmt().json().with_env_filter(filter).with_writer(std::io::stderr).init();
+    match toucangrade::run(settings) {
+        Ok(0) => ExitCode::SUCCESS,
+        Ok(_) => ExitCode::FAILURE,
+        Err(error) => {
+            tracing::error!(%error, "can't run");
+            ExitCode::FAILURE
+        },
+    }
+}
