--- /dev/null
+++ b/toucangrade/src/agreement/fake_disk.rs
@@ -0,0 +1,229 @@
+//! Files in memory that fail like a disk, for tests and randomised runs.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use super::disk::Disk;
+use super::next_random;
+
+#[derive(Clone, Debug, Default)]
+struct Content {
+    durable: Vec<u8>,
+    current: Vec<u8>,
+}
+
+#[derive(Debug, Default)]
+struct Files {
+    contents: Vec<Content>,
+    /// Positions in `contents`.
+    names: BTreeMap<String, usize>,
+    durable_names: BTreeMap<String, usize>,
+    limit: Option<usize>,
+    fuse: Option<u64>,
+    syncs: u64,
+}
+
+/// A disk that survives the crash of the process that uses it.
+#[derive(Clone, Debug, Default)]
+pub(super) struct FakeDisk(Arc<Mutex<Files>>);
+
+impl FakeDisk {
+    fn files(&self) -> MutexGuard<'_, Files> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The operations of this disk for a storage.
+    pub(super) fn disk(&self) -> Disk {
+        let files = || self.clone();
+        Disk {
+            append: Box::new({
+                let disk = files();
+                move |name, data| disk.files().append(name, data)
+            }),
+            list: Box::new({
+                let disk = files();
+                move || Ok(disk.files().names.keys().cloned().collect())
+            }),
+            read: Box::new({
+                let disk = files();
+                move |name| {
+                    let mut files = disk.files();
+                    let content = files.content(name)?;
+                    Ok(content.current.clone())
+                }
+            }),
+            remove: Box::new({
+                let disk = files();
+                move |name| {
+                    let mut files = disk.files();
+                    files.spend()?;
+                    files.names.remove(name).map(|_| ()).ok_or_else(missing)
+                }
+            }),
+            rename: Box::new({
+                let disk = files();
+                move |from, to| {
+                    let mut files = disk.files();
+                    files.spend()?;
+                    let content = files.names.remove(from).ok_or_else(missing)?;
+                    files.names.insert(to.to_owned(), content);
+                    Ok(())
+                }
+            }),
+            sync: Box::new({
+                let disk = files();
+                move |name| {
+                    let mut files = disk.files();
+                    files.spend()?;
+                    files.syncs += 1;
+                    let content = files.content(name)?;
+                    content.durable = content.current.clone();
+                    Ok(())
+                }
+            }),
+            sync_names: Box::new({
+                let disk = files();
+                move || {
+                    let mut files = disk.files();
+                    files.spend()?;
+                    files.durable_names = files.names.clone();
+                    Ok(())
+                }
+            }),
+            truncate: Box::new({
+                let disk = files();
+                move |name, length| {
+                    let mut files = disk.files();
+                    files.spend()?;
+                    let length = usize::try_from(length).map_err(io::Error::other)?;
+                    files.content(name)?.current.truncate(length);
+                    Ok(())
+                }
+            }),
+        }
+    }
+
+    /// Number of syncs of files.
+    pub(super) fn syncs(&self) -> u64 {
+        self.files().syncs
+    }
+
+    /// Names and sizes of the files.
+    pub(super) fn sizes(&self) -> BTreeMap<String, usize> {
+        let files = self.files();
+        let size =
+            |(name, &at): (&String, &usize)| (name.clone(), files.contents[at].current.len());
+        files.names.iter().map(size).collect()
+    }
+
+    /// Fails writes once all files together hold this many bytes.
+    pub(super) fn set_limit(&self, limit: Option<usize>) {
+        self.files().limit = limit;
+    }
+
+    /// Fails the operation after `operations` more, and all that follow until the next crash.
+    pub(super) fn set_fuse(&self, operations: u64) {
+        self.files().fuse = Some(operations);
+    }
+
+    /// Loses what is not synced; a random part of it is kept where the system may have written it.
+    pub(super) fn crash(&self, random: &mut u64) {
+        let mut files = self.files();
+        files.fuse = None;
+        if next_random(random).is_multiple_of(2) {
+            files.names = files.durable_names.clone();
+        }
+        files.durable_names = files.names.clone();
+        for content in &mut files.contents {
+            if content.current.starts_with(&content.durable) {
+                let unsynced = content.current.len() - content.durable.len();
+                let kept = next_random(random) as usize % (unsynced + 1);
+                let length = content.durable.len() + kept;
+                content.current.truncate(length);
+                // A block that was allocated but not written reads as other bytes.
+                if kept > 0 && next_random(random).is_multiple_of(2) {
+                    content.current[length - 1] ^= 0x5a;
+                }
+            } else if next_random(random).is_multiple_of(2) {
+                content.current = content.durable.clone();
+            }
+            content.durable = content.current.clone();
+        }
+    }
+
+    /// Loses all files.
+    pub(super) fn wipe(&self) {
+        *self.files() = Files::default();
+    }
+
+    /// Inverts the lowest bit of a byte.
+    pub(super) fn flip(&self, name: &str, offset: usize) {
+        if let Ok(content) = self.files().content(name) {
+            content.current[offset] ^= 1;
+            content.durable = content.current.clone();
+        }
+    }
+
+    /// Removes bytes at the end of a file.
+    pub(super) fn tear(&self, name: &str, bytes: usize) {
+        if let Ok(content) = self.files().content(name) {
+            let length = content.current.len().saturating_sub(bytes);
+            content.current.truncate(length);
+            content.durable = content.current.clone();
+        }
+    }
+}
+
+impl Files {
+    fn spend(&mut self) -> io::Result<()> {
+        match &mut self.fuse {
+            Some(0) => Err(io::Error::other("injected failure")),
+            Some(left) => {
+                *left -= 1;
+                Ok(())
+            }
+            None => Ok(()),
+        }
+    }
+
+    fn content(&mut self, name: &str) -> io::Result<&mut Content> {
+        let at = self.names.get(name).ok_or_else(missing)?;
+        Ok(&mut self.contents[*at])
+    }
+
+    fn append(&mut self, name: &str, data: &[u8]) -> io::Result<()> {
+        let spent = self.spend();
+        if !self.names.contains_key(name) {
+            self.names.insert(name.to_owned(), self.contents.len());
+            self.contents.push(Content::default());
+        }
+        let used: usize = self
+            .names
+            .values()
+            .map(|&at| self.contents[at].current.len())
+            .sum();
+        let room = self
+            .limit
+            .map_or(usize::MAX, |limit| limit.saturating_sub(used));
+        let written = match spent {
+            Ok(()) => data.len().min(room),
+            Err(_) => data.len() / 2,
+        };
+        self.content(name)?
+            .current
+            .extend_from_slice(&data[..written]);
+        spent?;
+        if written < data.len() {
+            return Err(io::Error::new(
+                io::ErrorKind::StorageFull,
+                "no space left on device",
+            ));
+        }
+        Ok(())
+    }
+}
+
+fn missing() -> io::Error {
+    io::Error::new(io::ErrorKind::NotFound, "no such file")
+}
--- /dev/null
+++ b/toucangrade/src/agreement/log.rs
@@ -0,0 +1,128 @@
+//! The part of the log that is held in memory.
+
+use std::collections::VecDeque;
+
+use serde::{Serialize, Serializer};
+
+use super::message::{Entry, Payload};
+use crate::core::invariant;
+
+/// Consecutive entries after a base, whose index and term are known.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Log {
+    base: u64,
+    base_term: u64,
+    entries: VecDeque<Entry>,
+}
+
+impl Log {
+    pub(super) fn new(base: u64, base_term: u64, entries: Vec<Entry>) -> Self {
+        Self {
+            base,
+            base_term,
+            entries: entries.into(),
+        }
+    }
+
+    /// Index of the last entry that is no longer held.
+    pub(super) fn base(&self) -> u64 {
+        self.base
+    }
+
+    pub(super) fn last(&self) -> u64 {
+        self.base + self.entries.len() as u64
+    }
+
+    pub(super) fn last_term(&self) -> u64 {
+        self.entries.back().map_or(self.base_term, |e| e.term)
+    }
+
+    pub(super) fn get(&self, index: u64) -> Option<&Entry> {
+        let position = index.checked_sub(self.base + 1)?;
+        self.entries.get(usize::try_from(position).ok()?)
+    }
+
+    pub(super) fn term(&self, index: u64) -> Option<u64> {
+        if index == self.base {
+            return Some(self.base_term);
+        }
+        self.get(index).map(|entry| entry.term)
+    }
+
+    pub(super) fn push(&mut self, entry: Entry) {
+        invariant!(
+            entry.index == self.last() + 1 && entry.term >= self.last_term(),
+            "entry {} of term {} appended after {} of term {}",
+            entry.index,
+            entry.term,
+            self.last(),
+            self.last_term()
+        );
+        self.entries.push_back(entry);
+    }
+
+    /// Entries from `first` on, up to the limits; always one when there is one.
+    pub(super) fn batch(&self, first: u64, count: usize, bytes: usize) -> Vec<Entry> {
+        let mut size = 0;
+        let mut batch = Vec::new();
+        let skipped = usize::try_from(first.saturating_sub(self.base + 1)).unwrap_or(usize::MAX);
+        for entry in self.entries.iter().skip(skipped).take(count) {
+            size += entry.payload.size();
+            if size > bytes && !batch.is_empty() {
+                break;
+            }
+            batch.push(entry.clone());
+        }
+        batch
+    }
+
+    /// Removes the entries at and after `index`.
+    pub(super) fn truncate(&mut self, index: u64) {
+        let kept = usize::try_from(index.saturating_sub(self.base + 1)).unwrap_or(usize::MAX);
+        self.entries.truncate(kept);
+    }
+
+    /// Removes the entries up to `index`.
+    pub(super) fn compact(&mut self, index: u64) {
+        while self.base < index {
+            let Some(entry) = self.entries.pop_front() else {
+                return;
+            };
+            (self.base, self.base_term) = (entry.index, entry.term);
+        }
+    }
+
+    /// First index of the run of entries that have the term of the entry at `index`.
+    pub(super) fn run_start(&self, index: u64) -> u64 {
+        let term = self.term(index);
+        let mut first = index;
+        while first > self.base + 1 && self.term(first - 1) == term {
+            first -= 1;
+        }
+        first
+    }
+
+    pub(super) fn size(&self, first: u64) -> usize {
+        let skipped = usize::try_from(first.saturating_sub(self.base + 1)).unwrap_or(usize::MAX);
+        let held = self.entries.iter().skip(skipped);
+        held.map(|entry| entry.payload.size()).sum()
+    }
+
+    pub(super) fn commands(&self) -> usize {
+        let command = |entry: &&Entry| matches!(entry.payload, Payload::Command(_));
+        self.entries.iter().filter(command).count()
+    }
+}
+
+/// The state dump shows the extent of the log, not the commands in it.
+impl Serialize for Log {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        use serde::ser::SerializeStruct;
+        let mut log = serializer.serialize_struct("Log", 4)?;
+        log.serialize_field("base", &self.base)?;
+        log.serialize_field("base_term", &self.base_term)?;
+        log.serialize_field("last", &self.last())?;
+        log.serialize_field("last_term", &self.last_term())?;
+        log.end()
+    }
+}
--- /dev/null
+++ b/toucangrade/src/agreement/random_run.rs
@@ -0,0 +1,693 @@
+//! Seeded randomised run of a group over a small fake network and fake disks.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use bytes::Bytes;
+
+use super::fake_disk::FakeDisk;
+use super::message::{Change, Effect, Message, PeerMessage, Rejection, Replica, Store};
+use super::snapshots::CHUNK_BYTES;
+use super::storage::Storage;
+use super::{Agreement, Members, Settings, next_random};
+use crate::core::{Moment, Name, Verdict, invariant};
+
+const MILLI: u64 = 1_000;
+const SECOND: u64 = 1_000 * MILLI;
+/// Period of the duty's tick.
+const TICK: u64 = 20 * MILLI;
+/// Commands between two snapshots of a state machine.
+const SNAPSHOT_COMMANDS: u64 = 150;
+/// Simulated time without faults at the end, in which the group has to recover.
+const SETTLE: u64 = 20 * SECOND;
+const NAMES: [&str; 3] = ["a", "b", "c"];
+
+/// Counts of what a run contained, which show that it tested something.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub(crate) struct RunReport {
+    pub(crate) steps: u64,
+    pub(crate) acknowledged: u64,
+    pub(crate) refused: u64,
+    pub(crate) unknown: u64,
+    pub(crate) reads: u64,
+    pub(crate) terms: u64,
+    pub(crate) crashes: u64,
+    pub(crate) torn: u64,
+    pub(crate) installs: u64,
+    pub(crate) isolations: u64,
+    pub(crate) pauses: u64,
+    pub(crate) full_disks: u64,
+    pub(crate) transfers: u64,
+    pub(crate) replaced: u64,
+}
+
+/// Sequence of commands that a member has applied, as a checksum.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+struct Machine {
+    index: u64,
+    chain: u64,
+    count: u64,
+}
+
+impl Machine {
+    fn apply(&mut self, index: u64, command: &[u8]) {
+        invariant!(index > self.index, "{index} applied after {}", self.index);
+        let mut chain = self.chain ^ u64::from(crc32fast::hash(command)) ^ (index << 32);
+        self.chain = next_random(&mut chain);
+        self.index = index;
+        self.count += 1;
+    }
+
+    fn encode(self) -> Bytes {
+        let words = [self.index, self.chain, self.count];
+        let mut state: Vec<u8> = words.iter().flat_map(|word| word.to_le_bytes()).collect();
+        // Some states need more than one message; the same index gives the same state everywhere.
+        if self.chain.is_multiple_of(4) {
+            state.resize(2 * CHUNK_BYTES + 100, 0);
+        }
+        state.into()
+    }
+
+    fn decode(state: &[u8]) -> Self {
+        let word = |at: usize| {
+            let bytes = state.get(at * 8..at * 8 + 8)?.try_into().ok()?;
+            Some(u64::from_le_bytes(bytes))
+        };
+        let [index, chain, count] = [0, 1, 2].map(|at| word(at).unwrap_or(0));
+        Self {
+            index,
+            chain,
+            count,
+        }
+    }
+}
+
+/// A running process.
+struct Process {
+    agreement: Agreement,
+    storage: Storage,
+    stores: Vec<(u64, Store)>,
+    machine: Machine,
+    /// Commands in the snapshot taken last.
+    snapshot: u64,
+    failed: bool,
+}
+
+/// A machine with a disk, on which a process may run.
+struct Instance {
+    disk: FakeDisk,
+    process: Option<Process>,
+    /// Counts starts, so that events for an earlier process are dropped.
+    epoch: u64,
+    /// Clock rate in millionths; any two differ by less than 5%.
+    rate: u64,
+    paused: u64,
+    isolated: bool,
+}
+
+enum Event {
+    Client,
+    Deliver {
+        to: Name,
+        message: PeerMessage,
+    },
+    Fault,
+    Heal {
+        name: Name,
+    },
+    Save {
+        name: Name,
+        epoch: u64,
+    },
+    Snapshot {
+        name: Name,
+        epoch: u64,
+        machine: Machine,
+    },
+    Start {
+        name: Name,
+        epoch: u64,
+    },
+    Tick {
+        name: Name,
+        epoch: u64,
+    },
+}
+
+struct World {
+    now: u64,
+    random: u64,
+    sequence: u64,
+    events: BTreeMap<(u64, u64), Event>,
+    instances: BTreeMap<Name, Instance>,
+    /// Loss and duplication of messages in thousandths, and the greatest delay.
+    loss: u64,
+    repeat: u64,
+    delay: u64,
+    /// Checksum of the command sequence at each index that any member applied.
+    chains: BTreeMap<u64, u64>,
+    leaders: BTreeMap<u64, Replica>,
+    /// Index that each read answered from now on has to reach.
+    floor: u64,
+    /// For each open ticket the floor when it was issued.
+    floors: BTreeMap<u64, u64>,
+    /// Tickets that were refused as not run.
+    refused: BTreeSet<u64>,
+    ticket: u64,
+    members: (u64, Members),
+    /// The instance that lost its disk and is being replaced.
+    replacing: Option<Name>,
+    report: RunReport,
+}
+
+/// Runs a group of three for a number of steps with faults, then without until it has recovered.
+///
+/// # Panics
+///
+/// When an invariant is broken or the group does not recover.
+pub(crate) fn random_run(seed: u64, steps: u64) -> RunReport {
+    let mut world = World::new(seed);
+    while world.report.steps < steps {
+        world.advance();
+    }
+    world.settle();
+    world.report.terms = world.leaders.len() as u64;
+    world.report
+}
+
+fn name(value: &str) -> Name {
+    match Name::new(value) {
+        Ok(name) => name,
+        Err(error) => panic!("{error}"),
+    }
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let mut random = seed;
+        let instance = |rate| Instance {
+            disk: FakeDisk::default(),
+            process: None,
+            epoch: 0,
+            rate,
+            paused: 0,
+            isolated: false,
+        };
+        let mut rate = || 976_500 + next_random(&mut random) % 47_000;
+        let instances = NAMES.iter().map(|n| (name(n), instance(rate())));
+        let mut world = Self {
+            now: 0,
+            instances: instances.collect(),
+            random,
+            sequence: 0,
+            events: BTreeMap::new(),
+            loss: 0,
+            repeat: 0,
+            delay: 2 * MILLI,
+            chains: BTreeMap::new(),
+            leaders: BTreeMap::new(),
+            floor: 0,
+            floors: BTreeMap::new(),
+            refused: BTreeSet::new(),
+            ticket: 0,
+            members: (0, Members::default()),
+            replacing: None,
+            report: RunReport::default(),
+        };
+        for n in NAMES {
+            world.start(&name(n));
+        }
+        world.schedule(2 * SECOND, Event::Client);
+        world.schedule(3 * SECOND, Event::Fault);
+        world
+    }
+
+    fn draw(&mut self, below: u64) -> u64 {
+        next_random(&mut self.random) % below.max(1)
+    }
+
+    fn pick(&mut self) -> Name {
+        name(NAMES[self.draw(NAMES.len() as u64) as usize])
+    }
+
+    fn schedule(&mut self, after: u64, event: Event) {
+        self.sequence += 1;
+        self.events.insert((self.now + after, self.sequence), event);
+    }
+
+    /// Handles the next event.
+    fn advance(&mut self) {
+        let Some(((at, _), event)) = self.events.pop_first() else {
+            panic!("no event is left");
+        };
+        self.now = self.now.max(at);
+        match event {
+            Event::Client => self.client(),
+            Event::Deliver { to, message } => {
+                if let Some(wait) = self.pause_left(&to) {
+                    return self.schedule(wait, Event::Deliver { to, message });
+                }
+                let apart = [&to, &message.from.name]
+                    .into_iter()
+                    .any(|n| self.instances[n].isolated);
+                if !apart {
+                    self.step(&to, Message::Peer(message));
+                }
+            }
+            Event::Fault => self.fault(),
+            Event::Heal { name } => {
+                self.instance(&name).isolated = false;
+            }
+            Event::Save { name, epoch } if self.instances[&name].epoch == epoch => {
+                self.save(&name);
+            }
+            Event::Snapshot {
+                name,
+                epoch,
+                machine,
+            } if self.instances[&name].epoch == epoch => {
+                let (index, state) = (machine.index, machine.encode());
+                self.step(&name, Message::SnapshotTaken { index, state });
+            }
+            Event::Start { name, epoch } if self.instances[&name].epoch == epoch => {
+                self.start(&name);
+            }
+            Event::Tick { name, epoch } if self.instances[&name].epoch == epoch => {
+                let wait = self.pause_left(&name).unwrap_or(0);
+                if wait == 0 {
+                    self.step(&name, Message::Tick);
+                }
+                self.schedule(wait.max(TICK), Event::Tick { name, epoch });
+            }
+            // The process that this was meant for has ended.
+            Event::Save { .. }
+            | Event::Snapshot { .. }
+            | Event::Start { .. }
+            | Event::Tick { .. } => {}
+        }
+    }
+
+    fn instance(&mut self, name: &Name) -> &mut Instance {
+        match self.instances.get_mut(name) {
+            Some(instance) => instance,
+            None => panic!("no instance {name}"),
+        }
+    }
+
+    fn pause_left(&self, name: &Name) -> Option<u64> {
+        let left = self.instances[name].paused.saturating_sub(self.now);
+        (left > 0).then_some(left)
+    }
+
+    /// Starts the process of an instance on what its disk holds.
+    fn start(&mut self, name: &Name) {
+        let (now, seed) = (self.now, self.draw(u64::MAX));
+        let instance = self.instance(name);
+        instance.disk.set_limit(None);
+        instance.disk.set_fuse(u64::MAX);
+        instance.epoch += 1;
+        let epoch = instance.epoch;
+        let new = Replica {
+            name: name.clone(),
+            identity: seed.max(1),
+        };
+        let (storage, recovered) = match Storage::open(instance.disk.disk(), new) {
+            Ok(opened) => opened,
+            Err(error) => panic!("{name} can't start: {error}"),
+        };
+        let torn = recovered.torn.is_some();
+        let settings = Settings {
+            name: name.clone(),
+            founders: NAMES.iter().map(|n| self::name(n)).collect(),
+            seed,
+        };
+        let local = Moment::micros(now / 1_000 * instance.rate / 1_000);
+        instance.process = Some(Process {
+            agreement: Agreement::new(settings, recovered, local),
+            storage,
+            stores: Vec::new(),
+            machine: Machine::default(),
+            snapshot: 0,
+            failed: false,
+        });
+        self.report.torn += u64::from(torn);
+        let name = name.clone();
+        self.schedule(0, Event::Tick { name, epoch });
+    }
+
+    /// Ends the process of an instance; what it did not sync may be lost.
+    fn crash(&mut self, name: &Name, down: u64) {
+        let mut random = self.draw(u64::MAX);
+        let instance = self.instance(name);
+        instance.process = None;
+        instance.paused = 0;
+        instance.epoch += 1;
+        instance.disk.crash(&mut random);
+        let epoch = instance.epoch;
+        let name = name.clone();
+        self.report.crashes += 1;
+        self.schedule(down, Event::Start { name, epoch });
+    }
+
+    /// Hands a message to a process and performs the effects.
+    fn step(&mut self, name: &Name, message: Message) {
+        let now = self.now;
+        let instance = self.instance(name);
+        let local = Moment::micros(now / 1_000 * instance.rate / 1_000);
+        let Some(process) = &mut instance.process else {
+            return;
+        };
+        let effects = process.agreement.step(local, message);
+        let leading = process.agreement.leading();
+        let me = process.agreement.me().clone();
+        self.report.steps += 1;
+        if let Some(term) = leading {
+            let leader = self.leaders.entry(term).or_insert_with(|| me.clone());
+            invariant!(*leader == me, "{leader:?} and {me:?} lead term {term}");
+        }
+        for effect in effects {
+            self.perform(name, effect);
+        }
+    }
+
+    fn perform(&mut self, name: &Name, effect: Effect) {
+        match effect {
+            Effect::Commit {
+                index,
+                ticket,
+                command,
+            } => self.commit(name, index, ticket, &command),
+            Effect::Install { state, .. } => {
+                let machine = Machine::decode(&state);
+                self.check_chain(machine);
+                self.report.installs += 1;
+                if let Some(process) = &mut self.instance(name).process {
+                    process.machine = machine;
+                    process.snapshot = machine.count;
+                }
+            }
+            Effect::Members { index, members, .. } if index > self.members.0 => {
+                self.members = (index, members);
+            }
+            Effect::ReadReady { ticket, index } => {
+                let machine = self.machine(name);
+                let floor = self.floors.remove(&ticket).unwrap_or(0);
+                invariant!(
+                    machine.index >= floor && index >= floor,
+                    "read {ticket} at {name} answered from {} up to {index}, was at {floor} before",
+                    machine.index
+                );
+                self.floor = self.floor.max(machine.index);
+                self.report.reads += 1;
+            }
+            Effect::Reject { ticket, reason } => {
+                self.floors.remove(&ticket);
+                if reason.verdict() == Verdict::NotRun {
+                    self.refused.insert(ticket);
+                    self.report.refused += 1;
+                } else {
+                    self.report.unknown += 1;
+                }
+            }
+            Effect::Send { to, body } => self.transmit(to, body),
+            Effect::Store { seq, store } => {
+                let wait = 200 + self.draw(4 * MILLI);
+                let instance = self.instance(name);
+                let epoch = instance.epoch;
+                if let Some(process) = &mut instance.process {
+                    process.stores.push((seq, store));
+                    if process.stores.len() == 1 {
+                        let name = name.clone();
+                        self.schedule(wait, Event::Save { name, epoch });
+                    }
+                }
+            }
+            Effect::Members { .. } | Effect::Report(_) | Effect::Role { .. } => {}
+        }
+    }
+
+    fn machine(&self, name: &Name) -> Machine {
+        let process = self.instances[name].process.as_ref();
+        process.map(|p| p.machine).unwrap_or_default()
+    }
+
+    fn check_chain(&mut self, machine: Machine) {
+        if machine.index > 0 {
+            let chain = *self.chains.entry(machine.index).or_insert(machine.chain);
+            let index = machine.index;
+            invariant!(
+                chain == machine.chain,
+                "command sequences differ at {index}"
+            );
+        }
+    }
+
+    fn commit(&mut self, name: &Name, index: u64, ticket: Option<u64>, command: &Bytes) {
+        let Some(process) = &mut self.instance(name).process else {
+            return;
+        };
+        process.machine.apply(index, command);
+        let machine = process.machine;
+        let snapshot = machine.count >= process.snapshot + SNAPSHOT_COMMANDS;
+        if snapshot {
+            process.snapshot = machine.count;
+        }
+        self.check_chain(machine);
+        let proposed = command.get(..8).and_then(|bytes| bytes.try_into().ok());
+        let proposed = proposed.map_or(0, u64::from_le_bytes);
+        invariant!(
+            !self.refused.contains(&proposed),
+            "command {proposed} committed, but refused as not run"
+        );
+        if let Some(ticket) = ticket {
+            invariant!(ticket == proposed, "{proposed} acknowledged as {ticket}");
+            self.floor = self.floor.max(index);
+            self.floors.remove(&ticket);
+            self.report.acknowledged += 1;
+        }
+        if snapshot {
+            let (name, epoch) = (name.clone(), self.instances[name].epoch);
+            let event = Event::Snapshot {
+                name,
+                epoch,
+                machine,
+            };
+            self.schedule(0, event);
+        }
+    }
+
+    fn transmit(&mut self, to: Name, message: PeerMessage) {
+        let copies = match self.draw(1_000) {
+            n if n < self.loss => 0,
+            n if n < self.loss + self.repeat => 2,
+            _ => 1,
+        };
+        for _ in 0..copies {
+            let delay = 200 + self.draw(self.delay);
+            let (to, message) = (to.clone(), message.clone());
+            self.schedule(delay, Event::Deliver { to, message });
+        }
+    }
+
+    /// Performs the `Store` effects that wait; a failure of the disk crashes the process or is
+    /// reported to it.
+    fn save(&mut self, name: &Name) {
+        if let Some(wait) = self.pause_left(name) {
+            let (epoch, name) = (self.instances[name].epoch, name.clone());
+            return self.schedule(wait, Event::Save { name, epoch });
+        }
+        let Some(process) = &mut self.instance(name).process else {
+            return;
+        };
+        let stores = std::mem::take(&mut process.stores);
+        for (seq, store) in stores {
+            let Some(process) = &mut self.instance(name).process else {
+                return;
+            };
+            if process.failed {
+                return;
+            }
+            match process.storage.perform(&store) {
+                Ok(()) => self.step(name, Message::Synced { upto: seq }),
+                Err(error) if error.kind() == std::io::ErrorKind::StorageFull => {
+                    process.failed = true;
+                    let reason = error.to_string();
+                    return self.step(name, Message::StoreFailed { reason });
+                }
+                Err(_) => {
+                    let down = 10 * MILLI + self.draw(2 * SECOND);
+                    return self.crash(name, down);
+                }
+            }
+        }
+    }
+
+    /// Proposes, reads or changes the membership at some instance.
+    fn client(&mut self) {
+        let wait = 500 + self.draw(10 * MILLI);
+        self.schedule(wait, Event::Client);
+        self.check_replaced();
+        self.ticket += 1;
+        let ticket = self.ticket;
+        let name = self.pick();
+        let leading = |i: &Instance| {
+            i.process
+                .as_ref()
+                .is_some_and(|p| p.agreement.leading().is_some())
+        };
+        let leaders: Vec<Name> = self
+            .instances
+            .iter()
+            .filter(|(_, i)| leading(i))
+            .map(|(n, _)| n.clone())
+            .collect();
+        // A client rarely knows better than to ask an instance that believes to lead.
+        let at = match leaders.len() as u64 {
+            0 => name,
+            n => leaders[self.draw(n) as usize].clone(),
+        };
+        if self.pause_left(&at).is_some() {
+            return;
+        }
+        self.floors.insert(ticket, self.floor);
+        let message = match self.draw(20) {
+            0..=9 => {
+                let length = self.draw(64) as usize;
+                let mut command = ticket.to_le_bytes().to_vec();
+                command.resize(8 + length, 7);
+                let command = command.into();
+                Message::Propose { ticket, command }
+            }
+            10 => match self.change() {
+                Some(change) => Message::Change { ticket, change },
+                None => return,
+            },
+            _ => Message::Read { ticket },
+        };
+        self.step(&at, message);
+    }
+
+    /// Ends a replacement once the new member votes.
+    fn check_replaced(&mut self) {
+        let (instances, members) = (&self.instances, &self.members.1);
+        let done = |name: &mut Name| {
+            let process = instances[name].process.as_ref();
+            process.is_some_and(|p| members.is_voter(p.agreement.me()))
+        };
+        self.report.replaced += u64::from(self.replacing.take_if(done).is_some());
+    }
+
+    /// Next step of the replacement of an instance that lost its disk.
+    fn change(&self) -> Option<Change> {
+        let name = self.replacing.as_ref()?;
+        let process = self.instances[name].process.as_ref()?;
+        let replica = process.agreement.me().clone();
+        match self.members.1.get(name) {
+            Some(member) if member.identity == replica.identity => None,
+            Some(_) => Some(Change::Remove(name.clone())),
+            None => Some(Change::Add(replica)),
+        }
+    }
+
+    fn fault(&mut self) {
+        let wait = 100 * MILLI + self.draw(1_500 * MILLI);
+        self.schedule(wait, Event::Fault);
+        let name = self.pick();
+        let down = 10 * MILLI + self.draw(3 * SECOND);
+        let running = self.instances[&name].process.is_some();
+        match self.draw(12) {
+            0 | 1 if running => self.crash(&name, down),
+            // Crashes between two operations on files, before or after a sync.
+            2 | 3 if running => {
+                let operations = self.draw(6);
+                self.instance(&name).disk.set_fuse(operations);
+            }
+            4 | 5 => {
+                self.instance(&name).isolated = true;
+                self.report.isolations += 1;
+                self.schedule(down * 2, Event::Heal { name });
+            }
+            6 => {
+                self.instance(&name).paused = self.now + down;
+                self.report.pauses += 1;
+            }
+            7 if running => {
+                let used: usize = self.instances[&name].disk.sizes().values().sum();
+                let limit = Some(used + self.draw(300) as usize);
+                let instance = self.instance(&name);
+                instance.disk.set_limit(limit);
+                let epoch = instance.epoch;
+                self.report.full_disks += 1;
+                // The process is started again once there is room.
+                self.schedule(down + SECOND, Event::Start { name, epoch });
+            }
+            8 => {
+                self.report.transfers += 1;
+                self.step(&name, Message::Transfer { to: None });
+            }
+            9 => {
+                self.loss = [0, 10, 200][self.draw(3) as usize];
+                self.repeat = [0, 10, 200][self.draw(3) as usize];
+                self.delay = [2, 10, 120][self.draw(3) as usize] * MILLI;
+            }
+            10 => self.lose_disk(&name),
+            _ => {}
+        }
+    }
+
+    /// Loses the disk of an instance, one at a time, also right after another was replaced.
+    fn lose_disk(&mut self, name: &Name) {
+        if self.replacing.is_none() && self.members.1.voters().count() == NAMES.len() {
+            self.replacing = Some(name.clone());
+            self.crash(name, SECOND);
+            self.instance(name).disk.wipe();
+        }
+    }
+
+    /// States of all processes as JSON.
+    fn dump(&self) -> String {
+        let processes = self.instances.values().filter_map(|i| i.process.as_ref());
+        let state = |p: &Process| serde_json::to_string(&p.agreement).unwrap_or_default();
+        processes.map(state).collect::<Vec<_>>().join("\n")
+    }
+
+    /// Ends all faults and checks that the group recovers with everything acknowledged.
+    fn settle(&mut self) {
+        (self.loss, self.repeat, self.delay) = (0, 0, 2 * MILLI);
+        self.events
+            .retain(|_, event| !matches!(event, Event::Fault));
+        for n in NAMES {
+            let name = name(n);
+            let instance = self.instance(&name);
+            (instance.isolated, instance.paused) = (false, 0);
+            // Also ends a pending failure of the disk.
+            self.crash(&name, MILLI);
+        }
+        let acknowledged = self.report.acknowledged;
+        let end = self.now + SETTLE;
+        while self.now < end {
+            self.advance();
+        }
+        // No further proposals, so that all members reach the same end.
+        self.events
+            .retain(|_, event| !matches!(event, Event::Client));
+        while self.now < end + 2 * SECOND {
+            self.advance();
+        }
+        invariant!(
+            self.report.acknowledged > acknowledged && self.replacing.is_none(),
+            "the group did not recover: {:?}, replacing {:?}, members {:?}, states {}",
+            self.report,
+            self.replacing,
+            self.members,
+            self.dump()
+        );
+        let ends: Vec<Machine> = NAMES.iter().map(|n| self.machine(&name(n))).collect();
+        for end in &ends {
+            invariant!(
+                *end == ends[0] && end.index >= self.floor,
+                "members end at {ends:?}, acknowledged was {}",
+                self.floor
+            );
+        }
+    }
+}
--- /dev/null
+++ b/toucangrade/src/agreement/reads.rs
@@ -0,0 +1,114 @@
+//! Linearizable reads and the transfer of leadership.
+
+use serde::Serialize;
+
+use super::message::{Body, Effect, Rejection};
+use super::{Agreement, ELECTION_MAX, ELECTION_MIN, LEASE_PERCENT, Role, Transfer, WAITING_LIMIT};
+use crate::core::{Moment, Name, Span};
+
+/// A read that is not answered yet.
+#[derive(Debug, Serialize)]
+pub(super) struct PendingRead {
+    pub(super) ticket: u64,
+    arrived: Moment,
+    /// Commit index that the state machine has to reach, once the read is known to be current.
+    index: Option<u64>,
+}
+
+impl Agreement {
+    pub(super) fn read(&mut self, now: Moment, ticket: u64) {
+        let leader = self.leader_name();
+        let reason = match (&self.failed, &mut self.role) {
+            (Some(reason), _) => Rejection::Storage {
+                reason: reason.clone(),
+            },
+            (None, Role::Leader(lead)) if lead.reads.len() < WAITING_LIMIT => {
+                return lead.reads.push_back(PendingRead {
+                    ticket,
+                    // A heartbeat of the same microsecond may have been sent before the read.
+                    arrived: now.max(lead.beat + Span::micros(1)),
+                    index: None,
+                });
+            }
+            (None, Role::Leader(lead)) => Rejection::TooMany {
+                waiting: lead.reads.len(),
+            },
+            _ => Rejection::NotLeader { leader },
+        };
+        self.out.push(Effect::Reject { ticket, reason });
+    }
+
+    /// Answers the reads that are known to be current.
+    ///
+    /// Either the lease holds, during which no other leader can be elected, or a majority has
+    /// confirmed a heartbeat that was sent after the read arrived.
+    pub(super) fn answer_reads(&mut self, now: Moment) {
+        let own_term = self.log.term(self.commit) == Some(self.term);
+        let (commit, applied) = (self.commit, self.applied);
+        let Role::Leader(lead) = &self.role else {
+            return;
+        };
+        let confirmed = self.confirmed(lead, now);
+        let lease = ELECTION_MIN.percent(LEASE_PERCENT);
+        let leased = !lead.lease_void && confirmed.is_some_and(|at| now < at + lease);
+        let Role::Leader(lead) = &mut self.role else {
+            return;
+        };
+        // Until an entry of this term is committed, the commit index may be behind.
+        let current = |read: &PendingRead| {
+            own_term && (leased || confirmed.is_some_and(|at| at >= read.arrived))
+        };
+        for read in &mut lead.reads {
+            if read.index.is_none() && current(read) {
+                read.index = Some(commit);
+            }
+        }
+        let ready = |read: &PendingRead| read.index.is_some_and(|index| index <= applied);
+        while let Some(read) = lead.reads.pop_front_if(|read| ready(read)) {
+            let (ticket, index) = (read.ticket, read.index.unwrap_or(applied));
+            self.out.push(Effect::ReadReady { ticket, index });
+        }
+        // One round of heartbeats at a time confirms all reads that arrived before it.
+        let open = lead.reads.iter().any(|read| read.index.is_none());
+        let answered = confirmed.is_some_and(|at| at >= lead.beat);
+        if open && own_term && answered && now > lead.beat {
+            self.beat(now);
+        }
+    }
+
+    /// Starts to hand over leadership; proposals are refused meanwhile.
+    pub(super) fn transfer(&mut self, now: Moment, to: Option<Name>) {
+        let Role::Leader(lead) = &self.role else {
+            return;
+        };
+        let voters = lead.progress.iter().filter(|(name, _)| self.votes(name));
+        let wanted = voters.filter(|(name, _)| to.as_ref().is_none_or(|to| to == *name));
+        let best = wanted.max_by_key(|(_, p)| (p.confirmed, p.matched));
+        if let Some(to) = best.map(|(name, _)| name.clone()) {
+            let until = now + ELECTION_MAX;
+            let sent = false;
+            if let Role::Leader(lead) = &mut self.role {
+                lead.transfer = Some(Transfer { to, until, sent });
+            }
+        }
+    }
+
+    /// Asks the new leader to start its election once all entries are committed and sent.
+    pub(super) fn push_transfer(&mut self) {
+        let last = self.log.last();
+        let done = self.applied == last;
+        let Role::Leader(lead) = &mut self.role else {
+            return;
+        };
+        let Some(transfer) = &mut lead.transfer else {
+            return;
+        };
+        let matched = lead.progress.get(&transfer.to).map(|p| p.matched);
+        if done && matched == Some(last) && !transfer.sent {
+            transfer.sent = true;
+            lead.lease_void = true;
+            let to = transfer.to.clone();
+            self.send(&to, Body::TimeoutNow);
+        }
+    }
+}
--- /dev/null
+++ b/toucangrade/src/agreement/storage.rs
@@ -0,0 +1,417 @@
+//! Durable part of an instance: identity, term, vote, snapshot and log.
+//!
+//! The log is a sequence of segment files to which frames are only appended. A frame holds one or
+//! more entries; entries with an index that was written before replace those from there on. A frame
+//! is synced before the next one is written, so a crash can tear only the last frame.
+
+use std::io;
+
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use super::disk::Disk;
+use super::message::{Entry, Replica, Snapshot, Store};
+
+/// A segment of this size is followed by a new one.
+const SEGMENT_BYTES: u64 = 4 * 1024 * 1024;
+/// Length and checksum of the payload, then a checksum of these two.
+const HEADER: usize = 12;
+const META: &str = "meta";
+const TEMPORARY: &str = ".tmp";
+
+/// Why a data directory can't be used.
+#[derive(Debug, Error)]
+pub(crate) enum OpenError {
+    /// Data that was durable is damaged. The instance must be replaced, or the file restored.
+    #[error("{file} is corrupt at byte {offset}: {reason}")]
+    Corrupt {
+        file: String,
+        offset: u64,
+        reason: &'static str,
+    },
+    #[error("data directory can't be read or written: {0}")]
+    Io(#[from] io::Error),
+    #[error("the data directory belongs to {found}, not to {expected}")]
+    OtherName { found: String, expected: String },
+}
+
+/// An incomplete write at the end of the log, which a crash leaves behind.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Torn {
+    pub(crate) file: String,
+    pub(crate) offset: u64,
+    /// Bytes removed.
+    pub(crate) bytes: u64,
+}
+
+/// What a start finds in the data directory.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Recovered {
+    pub(crate) identity: u64,
+    pub(crate) term: u64,
+    pub(crate) vote: Option<Replica>,
+    pub(crate) snapshot: Snapshot,
+    /// Entries after the snapshot.
+    pub(crate) entries: Vec<Entry>,
+    pub(crate) torn: Option<Torn>,
+}
+
+#[derive(Debug, Deserialize, Serialize)]
+struct Meta {
+    me: Replica,
+    term: u64,
+    vote: Option<Replica>,
+}
+
+/// Content of a frame of the log.
+#[derive(Debug, Deserialize)]
+enum Record {
+    Entries(Vec<Entry>),
+    /// A snapshot replaced the log, which goes on after `index`.
+    Reset {
+        index: u64,
+        term: u64,
+    },
+}
+
+/// The same content as `Record`, borrowed for writing.
+#[derive(Serialize)]
+#[serde(rename = "Record")]
+enum RecordRef<'a> {
+    Entries(&'a [Entry]),
+    Reset { index: u64, term: u64 },
+}
+
+#[derive(Debug)]
+struct Segment {
+    number: u64,
+    /// Index of the first entry, or the first index after a reset.
+    first: u64,
+    size: u64,
+}
+
+impl Segment {
+    fn file(&self) -> String {
+        segment_file(self.number)
+    }
+}
+
+/// Performs `Store` effects on a data directory.
+pub(crate) struct Storage {
+    disk: Disk,
+    meta: Meta,
+    segments: Vec<Segment>,
+    snapshot: u64,
+    written: u64,
+}
+
+impl Storage {
+    /// Recovers the data directory, or sets up an empty one with `identity`.
+    ///
+    /// # Errors
+    ///
+    /// [`OpenError`] when a file can't be read or written, or holds damaged data. An incomplete
+    /// frame at the end of the log is removed and reported in [`Recovered::torn`] instead.
+    pub(crate) fn open(mut disk: Disk, me: Replica) -> Result<(Self, Recovered), OpenError> {
+        let mut names = (disk.list)()?;
+        for name in names.extract_if(.., |name| name.ends_with(TEMPORARY)) {
+            (disk.remove)(&name)?;
+        }
+        let numbers = |prefix: &str| -> Vec<u64> {
+            let suffixes = names.iter().filter_map(|name| name.strip_prefix(prefix));
+            suffixes.filter_map(|suffix| suffix.parse().ok()).collect()
+        };
+        let (segments, snapshots) = (numbers("log-"), numbers("snapshot-"));
+        let known = names.iter().any(|name| name == META);
+        let meta = if known {
+            read_file(&mut disk, META)?
+        } else if segments.is_empty() && snapshots.is_empty() {
+            let (term, vote) = (0, None);
+            let meta = Meta { me, term, vote };
+            write_file(&mut disk, META, &meta)?;
+            meta
+        } else {
+            return Err(corrupt(META, 0, "the file is missing"));
+        };
+        let snapshot: Snapshot = match snapshots.iter().max() {
+            Some(index) => read_file(&mut disk, &snapshot_file(*index))?,
+            None => Snapshot::default(),
+        };
+        let mut storage = Self {
+            disk,
+            meta,
+            segments: Vec::new(),
+            snapshot: snapshot.index,
+            written: 0,
+        };
+        let (entries, torn) = storage.recover_log(&segments, &snapshot)?;
+        let recovered = Recovered {
+            identity: storage.meta.me.identity,
+            term: storage.meta.term,
+            vote: storage.meta.vote.clone(),
+            snapshot,
+            entries,
+            torn,
+        };
+        Ok((storage, recovered))
+    }
+
+    /// Fails when the data directory belongs to an instance of another name.
+    pub(crate) fn check_name(&self, name: &crate::core::Name) -> Result<(), OpenError> {
+        let found = &self.meta.me.name;
+        if found == name {
+            return Ok(());
+        }
+        Err(OpenError::OtherName {
+            found: found.to_string(),
+            expected: name.to_string(),
+        })
+    }
+
+    /// Bytes written since the start.
+    pub(crate) fn written(&self) -> u64 {
+        self.written
+    }
+
+    /// Makes a change durable.
+    ///
+    /// # Errors
+    ///
+    /// The error of the system; the storage must not be used any further then, as the end of the
+    /// log is unknown until the next start.
+    pub(crate) fn perform(&mut self, store: &Store) -> io::Result<()> {
+        match store {
+            Store::Append(entries) => {
+                let Some(first) = entries.first().map(|entry| entry.index) else {
+                    return Ok(());
+                };
+                self.write_frame(first, &RecordRef::Entries(entries), false)
+            }
+            Store::Snapshot { snapshot, reset } => {
+                let (index, term) = (snapshot.index, snapshot.term);
+                let file = snapshot_file(index);
+                self.written += write_file(&mut self.disk, &file, snapshot.as_ref())?;
+                if *reset {
+                    self.write_frame(index + 1, &RecordRef::Reset { index, term }, true)?;
+                }
+                self.compact(index)
+            }
+            Store::Vote { term, vote } => {
+                self.meta.term = *term;
+                self.meta.vote = vote.clone();
+                self.written += write_file(&mut self.disk, META, &self.meta)?;
+                Ok(())
+            }
+        }
+    }
+
+    fn write_frame(&mut self, first: u64, record: &RecordRef<'_>, new: bool) -> io::Result<()> {
+        let frame = encode(record)?;
+        let last = self.segments.last();
+        let new = new || last.is_none_or(|segment| segment.size >= SEGMENT_BYTES);
+        if new {
+            let number = last.map_or(0, |segment| segment.number + 1);
+            let size = 0;
+            self.segments.push(Segment {
+                number,
+                first,
+                size,
+            });
+        }
+        if let Some(segment) = self.segments.last_mut() {
+            let file = segment.file();
+            (self.disk.append)(&file, &frame)?;
+            (self.disk.sync)(&file)?;
+            if new {
+                (self.disk.sync_names)()?;
+            }
+            segment.size += frame.len() as u64;
+            self.written += frame.len() as u64;
+        }
+        Ok(())
+    }
+
+    /// Removes what the durable snapshot at `index` makes superfluous.
+    fn compact(&mut self, index: u64) -> io::Result<()> {
+        if self.snapshot > 0 && self.snapshot != index {
+            (self.disk.remove)(&snapshot_file(self.snapshot))?;
+        }
+        self.snapshot = index;
+        // Entries in a segment matter only below the first index of the next one.
+        while self
+            .segments
+            .get(1)
+            .is_some_and(|next| next.first <= index + 1)
+        {
+            let segment = self.segments.remove(0);
+            (self.disk.remove)(&segment.file())?;
+        }
+        Ok(())
+    }
+
+    fn recover_log(
+        &mut self,
+        numbers: &[u64],
+        snapshot: &Snapshot,
+    ) -> Result<(Vec<Entry>, Option<Torn>), OpenError> {
+        let mut entries: Vec<Entry> = Vec::new();
+        let mut next = None;
+        let mut torn = None;
+        for (position, &number) in numbers.iter().enumerate() {
+            let file = segment_file(number);
+            let content = (self.disk.read)(&file)?;
+            let mut offset = 0;
+            let mut start = None;
+            while offset < content.len() {
+                let Some((record, length)) = decode::<Record>(&content[offset..]) else {
+                    let last = position + 1 == numbers.len();
+                    torn = Some(self.cut(&file, &content, offset, last)?);
+                    break;
+                };
+                let gap = corrupt(
+                    &file,
+                    offset as u64,
+                    "entries are missing before this frame",
+                );
+                let first = match record {
+                    Record::Entries(batch) => {
+                        let Some(first) = batch.first().map(|entry| entry.index) else {
+                            return Err(corrupt(&file, offset as u64, "a frame has no entries"));
+                        };
+                        if next.is_none_or(|next| first > next) {
+                            // The snapshot stands in for segments that were removed.
+                            if first > snapshot.index + 1 {
+                                return Err(gap);
+                            }
+                            entries.clear();
+                        }
+                        entries.truncate(entries.partition_point(|entry| entry.index < first));
+                        next = batch.last().map(|entry| entry.index + 1);
+                        entries.extend(batch);
+                        first
+                    }
+                    Record::Reset { index, .. } => {
+                        if index > snapshot.index {
+                            return Err(gap);
+                        }
+                        entries.clear();
+                        next = Some(index + 1);
+                        index + 1
+                    }
+                };
+                start = start.or(Some(first));
+                offset += length;
+            }
+            // A segment without a frame is the trace of a crash and takes the next frame.
+            let first = start.or(next).unwrap_or(snapshot.index + 1);
+            let size = offset as u64;
+            self.segments.push(Segment {
+                number,
+                first,
+                size,
+            });
+        }
+        let (index, term) = (snapshot.index, snapshot.term);
+        let ends = next.is_some_and(|next| next <= index);
+        let differs = |entry: &Entry| entry.index == index && entry.term != term;
+        if ends || entries.iter().any(differs) {
+            // A crash came between the snapshot and the reset of the log.
+            entries.clear();
+            self.write_frame(index + 1, &RecordRef::Reset { index, term }, true)?;
+        }
+        entries.retain(|entry| entry.index > index);
+        Ok((entries, torn))
+    }
+
+    /// Removes an incomplete frame at the end of the log.
+    fn cut(
+        &mut self,
+        file: &str,
+        content: &[u8],
+        offset: usize,
+        last: bool,
+    ) -> Result<Torn, OpenError> {
+        // A whole frame further on proves that this one was durable.
+        let later =
+            (offset + 1..content.len()).any(|at| decode::<Record>(&content[at..]).is_some());
+        if later || !last {
+            let reason = "the checksum of a frame in the middle of the log does not match";
+            return Err(corrupt(file, offset as u64, reason));
+        }
+        (self.disk.truncate)(file, offset as u64)?;
+        (self.disk.sync)(file)?;
+        Ok(Torn {
+            file: file.to_owned(),
+            offset: offset as u64,
+            bytes: (content.len() - offset) as u64,
+        })
+    }
+}
+
+fn segment_file(number: u64) -> String {
+    format!("log-{number:020}")
+}
+
+fn snapshot_file(index: u64) -> String {
+    format!("snapshot-{index:020}")
+}
+
+fn corrupt(file: &str, offset: u64, reason: &'static str) -> OpenError {
+    OpenError::Corrupt {
+        file: file.to_owned(),
+        offset,
+        reason,
+    }
+}
+
+fn encode<T: Serialize>(value: &T) -> io::Result<Vec<u8>> {
+    let mut frame = vec![0; HEADER];
+    rmp_serde::encode::write(&mut frame, value).map_err(io::Error::other)?;
+    let length = u32::try_from(frame.len() - HEADER).map_err(io::Error::other)?;
+    let checksum = crc32fast::hash(&frame[HEADER..]);
+    frame[..4].copy_from_slice(&length.to_le_bytes());
+    frame[4..8].copy_from_slice(&checksum.to_le_bytes());
+    let header = crc32fast::hash(&frame[..8]);
+    frame[8..HEADER].copy_from_slice(&header.to_le_bytes());
+    Ok(frame)
+}
+
+/// The value in the frame at the start of `data`, and the frame's length.
+fn decode<T: DeserializeOwned>(data: &[u8]) -> Option<(T, usize)> {
+    let word = |at: usize| {
+        let bytes = data.get(at..at + 4)?.try_into().ok()?;
+        Some(u32::from_le_bytes(bytes))
+    };
+    let (length, checksum, header) = (word(0)?, word(4)?, word(8)?);
+    if crc32fast::hash(&data[..8]) != header {
+        return None;
+    }
+    let end = HEADER.checked_add(usize::try_from(length).ok()?)?;
+    let payload = data.get(HEADER..end)?;
+    if crc32fast::hash(payload) != checksum {
+        return None;
+    }
+    rmp_serde::from_slice(payload)
+        .ok()
+        .map(|value| (value, end))
+}
+
+fn read_file<T: DeserializeOwned>(disk: &mut Disk, file: &str) -> Result<T, OpenError> {
+    let content = (disk.read)(file)?;
+    match decode(&content) {
+        Some((value, length)) if length == content.len() => Ok(value),
+        _ => Err(corrupt(file, 0, "the checksum does not match")),
+    }
+}
+
+/// Replaces a file so that a crash leaves the old or the new content; returns the bytes written.
+fn write_file<T: Serialize>(disk: &mut Disk, file: &str, value: &T) -> io::Result<u64> {
+    let frame = encode(value)?;
+    let temporary = format!("{file}{TEMPORARY}");
+    (disk.append)(&temporary, &frame)?;
+    (disk.sync)(&temporary)?;
+    (disk.rename)(&temporary, file)?;
+    (disk.sync_names)()?;
+    Ok(frame.len() as u64)
+}
--- /dev/null
+++ b/toucangrade/src/agreement/tests/mod.rs
@@ -0,0 +1,8 @@
+//! Tests of the replicated log.
+
+mod driver;
+mod group;
+mod random;
+mod scripted;
+mod steps;
+mod storage;
--- /dev/null
+++ b/toucangrade/src/agreement/tests/steps.rs
@@ -0,0 +1,234 @@
+//! Single decisions that scripts of a whole group do not reach.
+
+use bytes::Bytes;
+use rstest::rstest;
+
+use super::group::name;
+use crate::agreement::fake_disk::FakeDisk;
+use crate::agreement::*;
+use crate::core::{Moment, Verdict};
+
+fn replica(n: &str, identity: u64) -> Replica {
+    Replica {
+        name: name(n),
+        identity,
+    }
+}
+
+fn at(millis: u64) -> Moment {
+    Moment::micros(millis * 1_000)
+}
+
+/// Instance `a` of a group of three with entries of these terms after the first.
+fn instance(term: u64, terms: &[u64]) -> Agreement {
+    let entry = |(n, term): (usize, &u64)| Entry {
+        index: n as u64 + 2,
+        term: *term,
+        payload: Payload::Command(Bytes::new()),
+    };
+    let members = Members::voting([replica("a", 1), replica("b", 2), replica("c", 3)]);
+    let recovered = Recovered {
+        identity: 1,
+        term,
+        snapshot: Snapshot {
+            index: 1,
+            term: 1,
+            members,
+            members_at: 1,
+            state: Bytes::new(),
+        },
+        entries: terms.iter().enumerate().map(entry).collect(),
+        ..Recovered::default()
+    };
+    let settings = Settings {
+        name: name("a"),
+        founders: Vec::new(),
+        seed: 1,
+    };
+    Agreement::new(settings, recovered, at(0))
+}
+
+fn peer(from: Replica, term: u64, body: Body) -> Message {
+    Message::Peer(PeerMessage {
+        from,
+        target: 1,
+        term,
+        members_at: 1,
+        body,
+    })
+}
+
+/// Makes `a` leader of the term after `term` with the votes of `b`.
+fn leader(term: u64, terms: &[u64]) -> Agreement {
+    let mut a = instance(term, terms);
+    a.step(at(1_100), Message::Tick);
+    for pre in [true, false] {
+        let granted = Body::VoteReply { pre, granted: true };
+        a.step(at(1_100), peer(replica("b", 2), term + 1, granted));
+        let upto = a.seq;
+        a.step(at(1_100), Message::Synced { upto });
+    }
+    let granted = Body::VoteReply {
+        pre: false,
+        granted: true,
+    };
+    a.step(at(1_100), peer(replica("b", 2), term + 1, granted));
+    assert_eq!(a.leading(), Some(term + 1));
+    a
+}
+
+struct CommitCase {
+    matched: u64,
+    commit: u64,
+}
+
+/// Guards against committing an entry of an earlier term by its copies alone, which a later leader
+/// may replace (figure 8 of the Raft paper).
+#[rstest]
+#[case::earlier_term(CommitCase { matched: 3, commit: 1 })]
+#[case::own_term(CommitCase { matched: 4, commit: 4 })]
+fn earlier_terms_commit_with_the_own(#[case] case: CommitCase) {
+    let mut a = leader(5, &[2, 2]);
+    let upto = a.seq;
+    a.step(at(1_110), Message::Synced { upto });
+    let matched = case.matched;
+    a.step(
+        at(1_120),
+        peer(replica("b", 2), 6, Body::Appended { matched }),
+    );
+    assert_eq!(a.commit, case.commit);
+}
+
+struct VoteCase {
+    from: Replica,
+    term: u64,
+    last: (u64, u64),
+    granted: bool,
+}
+
+/// Guards against a second vote in one term, also after a restart, and against votes for a
+/// candidate that may lack committed entries.
+#[rstest]
+#[case::same_candidate(VoteCase { from: replica("b", 2), term: 6, last: (2, 3), granted: true })]
+#[case::other_candidate(VoteCase { from: replica("c", 3), term: 6, last: (2, 3), granted: false })]
+#[case::later_term(VoteCase { from: replica("c", 3), term: 7, last: (2, 3), granted: true })]
+#[case::shorter_log(VoteCase { from: replica("c", 3), term: 7, last: (2, 2), granted: false })]
+#[case::earlier_last_term(VoteCase { from: replica("c", 3), term: 7, last: (1, 9), granted: false })]
+#[case::other_identity(VoteCase { from: replica("c", 4), term: 7, last: (2, 3), granted: false })]
+fn votes_are_durable(#[case] case: VoteCase) {
+    let disk = FakeDisk::default();
+    let (mut storage, _) = Storage::open(disk.disk(), replica("a", 1)).expect("opens");
+    let vote = |(last_term, last_index)| Body::Vote {
+        last_index,
+        last_term,
+        pre: false,
+        transfer: false,
+    };
+    let mut a = instance(5, &[2, 2]);
+    let effects = a.step(at(600), peer(replica("b", 2), 6, vote((2, 3))));
+    let granted = |effects: &[Effect]| {
+        effects.iter().any(|effect| {
+            matches!(effect, Effect::Send { body, .. }
+                if matches!(body.body, Body::VoteReply { granted: true, .. }))
+        })
+    };
+    assert!(!granted(&effects), "voted before the vote was durable");
+    for effect in effects {
+        if let Effect::Store { store, .. } = effect {
+            storage.perform(&store).expect("stored");
+        }
+    }
+    disk.crash(&mut 1);
+    let (_, recovered) = Storage::open(disk.disk(), replica("a", 9)).expect("opens");
+    let mut a = instance(recovered.term, &[2, 2]);
+    a.vote = recovered.vote;
+    let mut effects = a.step(at(600), peer(case.from, case.term, vote(case.last)));
+    let upto = a.seq;
+    effects.extend(a.step(at(600), Message::Synced { upto }));
+    assert_eq!(granted(&effects), case.granted);
+}
+
+struct BatchCase {
+    limit: usize,
+    syncs: usize,
+}
+
+/// Guards against one sync for each proposal.
+#[rstest]
+#[case::group_commit(BatchCase { limit: usize::MAX, syncs: 2 })]
+#[case::single(BatchCase { limit: 1, syncs: 100 })]
+fn proposals_share_a_sync(#[case] case: BatchCase) {
+    let mut a = leader(5, &[]);
+    a.limit_batch(case.limit);
+    let mut syncs = 0;
+    for ticket in 0..100 {
+        let command = Bytes::from_static(b"x");
+        a.step(at(1_100), Message::Propose { ticket, command });
+    }
+    while a.saved < a.log.last() {
+        syncs += 1;
+        let upto = a.seq;
+        a.step(at(1_100), Message::Synced { upto });
+    }
+    assert_eq!(syncs, case.syncs);
+}
+
+/// Guards against two membership changes at once, whose quorums need not overlap.
+#[test]
+fn one_membership_change_at_a_time() {
+    let mut a = leader(5, &[]);
+    let mut refused = |ticket, change| {
+        let effects = a.step(at(1_100), Message::Change { ticket, change });
+        effects.iter().any(|e| matches!(e, Effect::Reject { .. }))
+    };
+    let add = |n: &str| Change::Add(replica(n, 9));
+    assert!(
+        refused(1, add("d")),
+        "changed before an entry of the own term was committed"
+    );
+    let upto = a.seq;
+    a.step(at(1_100), Message::Synced { upto });
+    let matched = a.log.last();
+    a.step(
+        at(1_100),
+        peer(replica("b", 2), 6, Body::Appended { matched }),
+    );
+    let mut refused = |ticket, change| {
+        let effects = a.step(at(1_100), Message::Change { ticket, change });
+        effects.iter().any(|e| matches!(e, Effect::Reject { .. }))
+    };
+    assert!(
+        refused(2, Change::Remove(name("d"))),
+        "removed a name that is no member"
+    );
+    assert!(!refused(3, add("d")));
+    assert!(
+        refused(4, add("e")),
+        "a second change began before the first was committed"
+    );
+}
+
+struct VerdictCase {
+    reason: Rejection,
+    verdict: Verdict,
+}
+
+/// Guards against calling a proposal not run that may still be committed.
+#[rstest]
+#[case::change(VerdictCase { reason: Rejection::Change("x"), verdict: Verdict::NotRun })]
+#[case::lost(VerdictCase { reason: Rejection::LostLeadership, verdict: Verdict::MayHaveRun })]
+#[case::follower(VerdictCase { reason: Rejection::NotLeader { leader: None }, verdict: Verdict::NotRun })]
+#[case::storage(VerdictCase { reason: Rejection::Storage { reason: String::new() }, verdict: Verdict::NotRun })]
+#[case::large(VerdictCase { reason: Rejection::TooLarge { size: 2, limit: 1 }, verdict: Verdict::NotRun })]
+#[case::many(VerdictCase { reason: Rejection::TooMany { waiting: 1 }, verdict: Verdict::NotRun })]
+fn rejections_have_verdicts(#[case] case: VerdictCase) {
+    assert_eq!(case.reason.verdict(), case.verdict);
+}
+
+/// Guards against a state that cannot be dumped.
+#[test]
+fn state_is_json() {
+    let a = leader(5, &[2, 2]);
+    let state = serde_json::to_value(&a).expect("state as JSON");
+    assert_eq!(state["term"], 6);
+}
--- a/toucangrade/src/lib.rs
+++ b/toucangrade/src/lib.rs
@@ -5,6 +5,7 @@
 // Slices land before the daemon uses them.
 #![allow(dead_code, unused_imports, unused_macros)]
 
+mod agreement;
 mod core;
 mod http;
 
