Run control as a group of three on the replicated log

Cause: control was one instance with a log of its own, so losing it lost the agreed state. A poll is answered only after a linearizable read, since a deposed leader must not extend leases of partitions that its successor may grant. Before: one control instance. Conclusion: agreed state survives the loss of an instance; the proof with killed processes is next.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -12,7 +12,7 @@
 bin="$root/target/release"
 
 # Control instances agree by a quorum of this many members.
-controls=1
+controls=3
 entries=2
 agents=3
 
--- a/toucangrade/src/core/duty.rs
+++ b/toucangrade/src/core/duty.rs
@@ -70,7 +70,6 @@
     }
 
     /// Ends the duty once the messages that wait are handled.
-    #[cfg(test)]
     pub(crate) fn close(&self) {
         self.ring.close();
     }
--- a/toucangrade/src/core/mod.rs
+++ b/toucangrade/src/core/mod.rs
@@ -11,6 +11,7 @@
 
 pub(crate) use self::duty::{Duty, Handle};
 pub use self::names::{BadName, Key, Name};
+pub(crate) use self::ring::{Received, Ring};
 pub use self::time::{Clock, Moment, Span};
 pub use self::verdict::{Answer, Class, Refusal, Verdict};
 
--- a/toucangrade/src/core/ring.rs
+++ b/toucangrade/src/core/ring.rs
@@ -95,7 +95,6 @@
     }
 
     /// Refuses further messages; those that wait are still received.
-    #[cfg(test)]
     pub(crate) fn close(&self) {
         self.lock().closed = true;
         self.ready.notify_all();
--- a/toucangrade/src/core/tests.rs
+++ b/toucangrade/src/core/tests.rs
@@ -6,7 +6,6 @@
 
 use rstest::rstest;
 
-use super::ring::{Received, Ring};
 use super::*;
 
 struct NameCase {
--- a/toucangrade/src/daemon/control.rs
+++ b/toucangrade/src/daemon/control.rs
@@ -1,60 +1,79 @@
-//! The control role: the agreed state, membership and the operators' interface.
+//! The control role: the replicated log, the agreed state, membership and their replies.
 
 use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 
 use serde_json::{Value, json};
+use thiserror::Error;
 use tokio::sync::watch;
+use tracing::{error, info};
 
 use super::Context;
-use crate::core::{Duty, Handle, Span};
+use super::link::Link;
+use crate::agreement::{self, Disk, Driver, Outlets, Rejection};
+use crate::core::{Duty, Handle, Name, Span};
 use crate::http::Replies;
-use crate::journal::{self, Journal, Log};
 use crate::membership::control::{self as membership, Membership};
 use crate::membership::{Beaten, View};
 use crate::peer::{self, Reply, Request};
-use crate::state::{self, Command, Query, State};
+use crate::state::{self, Command, Machine, Query, State};
 use crate::{claims, partitions};
 
 /// Longest time between two ticks.
 const TICK: Span = Span::millis(100);
+/// Time that a message of the replicated log may take; it is repeated by the log itself.
+const AGREE_TIMEOUT: Span = Span::millis(1_000);
+/// Exit status after agreed state that can't be read, `EX_DATAERR` of sysexits.
+const EXIT_DATA: i32 = 65;
+
+/// What a handler gets for a proposal, a read or a question.
+#[derive(Debug)]
+enum Agreed {
+    /// The log refused the proposal or the read.
+    Rejected(Rejection),
+    /// The reply of the agreed state.
+    Replied(Box<state::Reply>),
+    /// Reads of the agreed state are now linearizable.
+    Ready,
+}
+
+/// Why the agreed state gave no reply.
+#[derive(Debug, Error)]
+pub(crate) enum Unanswered {
+    /// Too many messages wait, or the process is stopping.
+    #[error("this instance sheds load or is stopping")]
+    Overloaded,
+    /// The log refused the proposal or the read.
+    #[error("the replicated log refused it: {0}")]
+    Rejected(#[from] Rejection),
+}
 
 /// Handles of control's duties.
 #[derive(Clone)]
 pub(crate) struct Control {
-    pub(crate) journal: Handle<journal::Message>,
+    pub(crate) agreement: Handle<agreement::Message>,
     pub(crate) state: Handle<state::Message>,
     pub(crate) membership: Handle<membership::Message>,
-    replies: Arc<Replies<state::Reply>>,
+    replies: Arc<Replies<Agreed>>,
     beats: Arc<Replies<Option<Beaten>>>,
     polls: Arc<Replies<Option<View>>>,
     statuses: Arc<Replies<Value>>,
     entries: Arc<Replies<Vec<SocketAddr>>>,
+    leader: Arc<Mutex<Option<Name>>>,
+    driver: Arc<Mutex<Option<Driver>>>,
+    name: Name,
     /// Revision of the newest change, for watch streams.
     pub(crate) revision: watch::Receiver<u64>,
 }
 
 impl Control {
-    /// Recovers the agreed state and starts the duties of control.
-    pub(crate) fn start(context: &Context, data: &Path) -> io::Result<Self> {
-        std::fs::create_dir_all(data)?;
-        let (log, commands) = Log::open(&data.join("log")).map_err(io::Error::other)?;
-        let mut recovered = State::default();
-        let count = commands.len() as u64;
-        for (index, command) in (1..).zip(commands) {
-            let Some(command) = peer::decode::<Command>(&command) else {
-                let reason = format!("command {index} of the log can't be read");
-                return Err(io::Error::new(io::ErrorKind::InvalidData, reason));
-            };
-            let apply = state::Message::Apply { index, ticket: None, command };
-            recovered.step(context.clock.now(), apply);
-        }
-        tracing::info!(commands = count, "agreed state recovered");
-        let (sender, revision) = watch::channel(recovered.config().revision);
+    /// Recovers the replicated log and starts the duties of control.
+    pub(crate) fn start(context: &Context, link: &Link, data: &Path) -> io::Result<Self> {
+        let (sender, revision) = watch::channel(0);
         let control = Self {
-            journal: Handle::new("journal"),
+            agreement: Handle::new("agreement"),
             state: Handle::new("state"),
             membership: Handle::new("membership"),
             replies: Arc::new(Replies::new()),
@@ -62,51 +81,92 @@
             polls: Arc::new(Replies::new()),
             statuses: Arc::new(Replies::new()),
             entries: Arc::new(Replies::new()),
+            leader: Arc::new(Mutex::new(None)),
+            driver: Arc::new(Mutex::new(None)),
+            name: context.settings.name.clone(),
             revision,
         };
-        control.membership.push(membership::Message::Configure(recovered.config()));
-        control.membership.push(membership::Message::Partitions(recovered.partitions()));
-        control.membership.push(membership::Message::Lead { leading: true });
-        control.spawn_journal(context, log, count)?;
-        control.spawn_state(context, recovered, sender)?;
+        control.spawn_state(context, sender)?;
         control.spawn_membership(context)?;
+        control.spawn_agreement(context, link, data)?;
         Ok(control)
     }
 
-    fn spawn_journal(&self, context: &Context, mut log: Log, count: u64) -> io::Result<()> {
-        let state = self.state.clone();
-        let duty = Duty {
-            state: Journal::new(count),
-            step: Journal::step,
-            tick: || journal::Message::Tick,
-            period: TICK,
+    fn spawn_agreement(&self, context: &Context, link: &Link, data: &Path) -> io::Result<()> {
+        let settings = agreement::Settings {
+            name: self.name.clone(),
+            founders: link.members().cloned().collect(),
+            seed: context.incarnation,
         };
-        duty.spawn(&self.journal, context.clock.clone(), move |_, effect| match effect {
-            journal::Effect::Append { command } => {
-                if let Err(error) = log.append(&command) {
-                    // What can't be synced must not be acknowledged.
-                    tracing::error!(%error, "the log can't be written, stopping");
-                    std::process::exit(1);
-                }
+        let disk = Disk::directory(data)?;
+        let link = link.clone();
+        let send = move |to: Name, body| {
+            // A lost message is repeated by the log, so its result is of no use.
+            link.member(&to, &Request::Agree(body), AGREE_TIMEOUT, |_| {});
+        };
+        let control = self.clone();
+        let deliver = move |_, effect| control.deliver(effect);
+        let outlets = Outlets { send: Box::new(send), deliver: Box::new(deliver) };
+        let clock = context.clock.clone();
+        let driver = Driver::start(&self.agreement, settings, clock, disk, outlets)
+            .map_err(io::Error::other)?;
+        info!(identity = format!("{:016x}", driver.me().identity), "replicated log started");
+        *self.driver.lock().unwrap_or_else(PoisonError::into_inner) = Some(driver);
+        Ok(())
+    }
+
+    /// Hands on what the replicated log decided.
+    fn deliver(&self, effect: agreement::Effect) {
+        match effect {
+            agreement::Effect::Commit { index, ticket, command } => {
+                let Some(command) = peer::decode::<Command>(&command) else {
+                    error!(index, "a command of the log can't be read, stopping the process");
+                    std::process::exit(EXIT_DATA);
+                };
+                self.state.push(state::Message::Apply { index, ticket, command });
             },
-            journal::Effect::Commit { index, ticket, command } => {
-                if let Some(command) = peer::decode(&command) {
-                    state.push(state::Message::Apply { index, ticket, command });
+            agreement::Effect::Install { index, state } => {
+                let machine = if state.is_empty() {
+                    Some(Machine::default())
+                } else {
+                    peer::decode::<Machine>(&state)
+                };
+                let Some(machine) = machine else {
+                    error!(index, "a snapshot can't be read, stopping the process");
+                    std::process::exit(EXIT_DATA);
+                };
+                let machine = Box::new(machine);
+                self.state.push(state::Message::Install { index, machine });
+            },
+            agreement::Effect::Members { index, ticket, members } => {
+                info!(index, members = members.len(), "members of the control group changed");
+                if let Some(ticket) = ticket {
+                    self.replies.close(ticket, Agreed::Ready);
                 }
             },
-        })?;
-        Ok(())
+            agreement::Effect::ReadReady { ticket, .. } => {
+                self.replies.close(ticket, Agreed::Ready);
+            },
+            agreement::Effect::Reject { ticket, reason } => {
+                self.replies.close(ticket, Agreed::Rejected(reason));
+            },
+            agreement::Effect::Role { term, leader, leading } => {
+                info!(term, leading, leader = leader.as_ref().map(Name::as_str), "role changed");
+                *self.leader.lock().unwrap_or_else(PoisonError::into_inner) = leader;
+                self.membership.push(membership::Message::Lead { leading });
+            },
+            // The driver performs these itself.
+            agreement::Effect::Report(_)
+            | agreement::Effect::Send { .. }
+            | agreement::Effect::Store { .. } => {},
+        }
     }
 
-    fn spawn_state(
-        &self,
-        context: &Context,
-        state: State,
-        revision: watch::Sender<u64>,
-    ) -> io::Result<()> {
-        let (membership, replies) = (self.membership.clone(), Arc::clone(&self.replies));
+    fn spawn_state(&self, context: &Context, revision: watch::Sender<u64>) -> io::Result<()> {
+        let (agreement, membership) = (self.agreement.clone(), self.membership.clone());
+        let replies = Arc::clone(&self.replies);
         let tick = || state::Message::Tick;
-        let duty = Duty { state, step: State::step, tick, period: TICK };
+        let duty = Duty { state: State::default(), step: State::step, tick, period: TICK };
         duty.spawn(&self.state, context.clock.clone(), move |_, effect| match effect {
             state::Effect::Configure(config) => {
                 revision.send_replace(config.revision);
@@ -116,7 +176,11 @@
                 membership.push(membership::Message::Partitions(partitions));
             },
             state::Effect::Reply { ticket, reply } => {
-                replies.close(ticket, reply);
+                replies.close(ticket, Agreed::Replied(Box::new(reply)));
+            },
+            state::Effect::Snapshot { index, machine } => {
+                let state = peer::encode(&*machine);
+                agreement.push(agreement::Message::SnapshotTaken { index, state });
             },
         })?;
         Ok(())
@@ -150,34 +214,56 @@
     }
 
     fn grant(&self, command: partitions::Command) {
+        // Nobody waits for the reply; the next tick proposes again what was not agreed.
+        let (ticket, _) = self.replies.open();
         let command = peer::encode(&Command::Partition(command));
-        let proposal = journal::Message::Propose { ticket: None, command };
-        if self.journal.offer(proposal).is_err() {
-            tracing::warn!("a grant of partitions was shed, the next tick proposes it again");
+        if self.agreement.offer(agreement::Message::Propose { ticket, command }).is_err() {
+            tracing::warn!("a grant of partitions was shed");
         }
     }
 
-    /// Proposes a command and waits until it is agreed; `None` means that it may or may not be.
-    pub(crate) async fn propose(&self, command: Command) -> Option<state::Reply> {
+    /// Proposes a command and waits until it is applied.
+    pub(crate) async fn propose(&self, command: Command) -> Result<state::Reply, Unanswered> {
         let (ticket, reply) = self.replies.open();
         let command = peer::encode(&command);
-        let proposal = journal::Message::Propose { ticket: Some(ticket), command };
-        self.journal.offer(proposal).ok()?;
-        reply.await.ok()
+        let message = agreement::Message::Propose { ticket, command };
+        self.agreement.offer(message).map_err(|_| Unanswered::Overloaded)?;
+        match reply.await {
+            Ok(Agreed::Replied(reply)) => Ok(*reply),
+            Ok(Agreed::Rejected(reason)) => Err(Unanswered::Rejected(reason)),
+            Ok(Agreed::Ready) | Err(_) => Err(Unanswered::Overloaded),
+        }
     }
 
-    /// Asks about the agreed state.
+    /// Waits until reads of the agreed state here see every write that was acknowledged.
+    pub(crate) async fn current(&self) -> Result<(), Unanswered> {
+        let (ticket, reply) = self.replies.open();
+        let message = agreement::Message::Read { ticket };
+        self.agreement.offer(message).map_err(|_| Unanswered::Overloaded)?;
+        match reply.await {
+            Ok(Agreed::Ready) => Ok(()),
+            Ok(Agreed::Rejected(reason)) => Err(Unanswered::Rejected(reason)),
+            Ok(Agreed::Replied(_)) | Err(_) => Err(Unanswered::Overloaded),
+        }
+    }
+
+    /// Asks about the state that this replica has applied.
     pub(crate) async fn query(&self, query: Query) -> Option<state::Reply> {
         let (ticket, reply) = self.replies.open();
         self.state.offer(state::Message::Query { ticket, query }).ok()?;
-        reply.await.ok()
+        match reply.await {
+            Ok(Agreed::Replied(reply)) => Some(*reply),
+            _ => None,
+        }
     }
 
     /// Which processes are live and which revision each has in force.
     pub(crate) async fn status(&self) -> Option<Value> {
         let (ticket, reply) = self.statuses.open();
         self.membership.offer(membership::Message::Status { ticket }).ok()?;
-        reply.await.ok()
+        let mut status = reply.await.ok()?;
+        status["leader"] = json!(self.leader());
+        Some(status)
     }
 
     /// Peer addresses of the live entries.
@@ -187,9 +273,37 @@
         reply.await.ok()
     }
 
+    /// The leader, as far as is known.
+    pub(crate) fn leader(&self) -> Option<Name> {
+        self.leader.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Whether this instance leads, as far as it knows.
+    pub(crate) fn leads(&self) -> bool {
+        self.leader().as_ref() == Some(&self.name)
+    }
+
+    /// Hands leadership to another instance.
+    pub(crate) fn hand_over(&self) {
+        self.agreement.push(agreement::Message::Transfer { to: None });
+    }
+
+    /// Ends the replicated log once what it was given is on disk.
+    pub(crate) fn stop(&self) {
+        if let Some(driver) = self.driver.lock().unwrap_or_else(PoisonError::into_inner).take() {
+            driver.stop();
+        }
+    }
+
     /// Answers another process.
     pub(crate) async fn serve(&self, request: Request) -> Reply {
         match request {
+            Request::Agree(message) => {
+                if self.agreement.offer(agreement::Message::Peer(message)).is_ok() {
+                    return Reply::Agreed;
+                }
+                self.refuse()
+            },
             Request::Beat(beat) => {
                 let (ticket, reply) = self.beats.open();
                 if self.membership.offer(membership::Message::Beat { ticket, beat }).is_ok()
@@ -201,6 +315,11 @@
             },
             Request::Claim(command) => self.claim(command).await,
             Request::Poll(poll) => {
+                // A deposed leader must not extend the leases of partitions that its successor
+                // may grant to others.
+                if self.current().await.is_err() {
+                    return self.refuse();
+                }
                 let (ticket, reply) = self.polls.open();
                 if self.membership.offer(membership::Message::Poll { ticket, poll }).is_ok()
                     && let Ok(Some(view)) = reply.await
@@ -215,19 +334,21 @@
 
     async fn claim(&self, command: claims::Command) -> Reply {
         match self.propose(Command::Claim(command)).await {
-            Some(state::Reply::Claimed(reply)) => Reply::Claimed(reply),
-            _ => self.refuse(),
+            Ok(state::Reply::Claimed(reply)) => Reply::Claimed(reply),
+            Ok(_) => self.refuse(),
+            Err(error) => Reply::Refused { reason: error.to_string(), leader: self.leader() },
         }
     }
 
-    fn refuse(&self) -> Reply {
-        Reply::Refused { reason: "this instance can't answer now".to_owned(), leader: None }
+    pub(crate) fn refuse(&self) -> Reply {
+        let reason = "this instance can't answer now".to_owned();
+        Reply::Refused { reason, leader: self.leader() }
     }
 
     /// The state of all duties.
     pub(crate) async fn dump(&self) -> Value {
         json!({
-            "journal": super::dumped(self.journal.dump()).await,
+            "agreement": super::dumped(self.agreement.dump()).await,
             "state": super::dumped(self.state.dump()).await,
             "membership": super::dumped(self.membership.dump()).await,
         })
--- a/toucangrade/src/daemon/link.rs
+++ b/toucangrade/src/daemon/link.rs
@@ -23,6 +23,25 @@
         Self { client, members: Arc::new(members), leader: Arc::new(Mutex::new(leader)) }
     }
 
+    /// Names of the control instances.
+    pub(crate) fn members(&self) -> impl Iterator<Item = &Name> {
+        self.members.keys()
+    }
+
+    /// Sends a request to one control instance.
+    pub(crate) fn member(
+        &self,
+        name: &Name,
+        request: &Request,
+        timeout: Span,
+        done: impl FnOnce(Result<Reply, CallError>) + Send + 'static,
+    ) {
+        match self.members.get(name) {
+            Some(&addr) => self.send(addr, request, timeout, done),
+            None => done(Err(CallError::Connect)),
+        }
+    }
+
     /// Sends a request to one process.
     pub(crate) fn send(
         &self,
--- a/toucangrade/src/daemon/mod.rs
+++ b/toucangrade/src/daemon/mod.rs
@@ -4,6 +4,7 @@
 mod caller;
 mod control;
 mod entry;
+mod forward;
 mod link;
 mod operator;
 mod settings;
@@ -133,7 +134,8 @@
     if let Some(path) = &settings.ports {
         write_ports(path, &ports)?;
     }
-    servers.push(("peer", Server::start(peers, HTTP_THREADS, peer_handler(&context, &roles))?));
+    servers
+        .push(("peer", Server::start(peers, HTTP_THREADS, peer_handler(&context, &link, &roles))?));
     let started = json!(ports.iter().map(|(n, a)| format!("{n}={a}")).collect::<Vec<_>>());
     info!(name = %settings.name, incarnation = context.incarnation, ports = %started, "started");
     Ok(wait(&context, &roles, signals, servers))
@@ -143,7 +145,7 @@
     let Settings { data, .. } = &context.settings;
     let has = |role| context.settings.has(role);
     let control = match data {
-        Some(data) if has(Role::Control) => Some(Control::start(context, data)?),
+        Some(data) if has(Role::Control) => Some(Control::start(context, link, data)?),
         _ => None,
     };
     let agent = has(Role::Agent).then(|| Agent::start(context, link, peer)).transpose()?;
@@ -164,7 +166,8 @@
     let mut servers = Vec::new();
     if let Some(control) = &roles.control {
         let operator = Operator::new(context, control.clone(), link.clone());
-        let handler = operator.handler(Arc::clone(&dump));
+        let local = operator.handler(Arc::clone(&dump));
+        let handler = forward::handler(control.clone(), link.clone(), local);
         servers.push(("operator", listen(settings.operator, handler)?));
     }
     if let Some(agent) = &roles.agent {
@@ -179,7 +182,7 @@
 }
 
 /// Handler of the port for other processes.
-fn peer_handler(context: &Context, roles: &Roles) -> Handler {
+fn peer_handler(context: &Context, link: &Link, roles: &Roles) -> Handler {
     let (clock, roles) = (context.clock.clone(), roles.clone());
     let dump = Arc::new(Dump {
         roles: roles.clone(),
@@ -187,14 +190,18 @@
         clock: clock.clone(),
         incarnation: context.incarnation,
     });
+    let local = roles.control.as_ref().map(|control| {
+        Operator::new(context, control.clone(), link.clone()).handler(Arc::clone(&dump))
+    });
     Arc::new(move |call: Inbound| {
         let (now, roles, dump) = (clock.now(), roles.clone(), Arc::clone(&dump));
+        let local = local.clone();
         Box::pin(async move {
             match (&call.method, call.path.as_str()) {
                 (&Method::GET, "/dump") => dump.serve().await,
                 (&Method::POST, peer::PATH) => match peer::decode(&call.body) {
                     Some(request) => {
-                        let reply = roles.answer(now, request).await;
+                        let reply = roles.answer(now, local.as_ref(), request).await;
                         Outbound::new(200, peer::encode(&reply))
                     },
                     None => Outbound::new(400, "not a message of this protocol"),
@@ -207,7 +214,7 @@
 
 impl Roles {
     /// Hands a request to the role that answers it.
-    async fn answer(&self, now: Moment, request: Request) -> Reply {
+    async fn answer(&self, now: Moment, local: Option<&Handler>, request: Request) -> Reply {
         match (request, self) {
             (Request::Start(start), Self { agent: Some(agent), .. }) => {
                 let start = *start;
@@ -222,6 +229,10 @@
             (Request::Explain(key), Self { entry: Some(entry), .. }) => {
                 Reply::Explained(entry.explain(key).await)
             },
+            (Request::Operate(operation), Self { control: Some(control), .. }) => match local {
+                Some(local) => forward::answer(control, local, *operation).await,
+                None => control.refuse(),
+            },
             (request, Self { control: Some(control), .. }) => control.serve(request).await,
             _ => {
                 let reason = "this process does not have the role that answers this".to_owned();
@@ -255,6 +266,9 @@
         agent.admission.push(admission::Message::Drain);
         agent.membership.push(membership::agent::Message::Drain);
     }
+    if let Some(control) = &roles.control {
+        control.hand_over();
+    }
     let mut until = |done: &dyn Fn() -> bool, deadline: Moment| {
         while !done() {
             if context.clock.now() >= deadline || signals.pending().next().is_some() {
@@ -275,10 +289,17 @@
         }
         whole = roles.waiting() == 0;
     }
+    if let Some(control) = &roles.control {
+        // The handover takes as long as an election at most; nothing is lost if it fails.
+        until(&|| !control.leads(), deadline.min(context.clock.now() + HANDOVER));
+    }
     if whole {
         for (_, server) in servers {
             server.stop();
         }
+        if let Some(control) = &roles.control {
+            control.stop();
+        }
         info!("drained");
         return 0;
     }
--- a/toucangrade/src/daemon/operator.rs
+++ b/toucangrade/src/daemon/operator.rs
@@ -91,7 +91,13 @@
         Err(problem(401, "unauthorised", reason))
     }
 
+    /// Waits until this instance sees every write that was acknowledged.
+    async fn current(&self) -> Result<(), Outbound> {
+        self.control.current().await.map_err(|_| unavailable())
+    }
+
     async fn list(&self, collection: Collection) -> Result<Outbound, Outbound> {
+        self.current().await?;
         match self.control.query(Query::List { collection }).await {
             Some(state::Reply::Listed(list)) => {
                 let items: Vec<Value> =
@@ -103,6 +109,7 @@
     }
 
     async fn get(&self, collection: Collection, name: Name) -> Result<Outbound, Outbound> {
+        self.current().await?;
         let query = Query::Get { collection, name: name.clone() };
         match self.control.query(query).await {
             Some(state::Reply::Got(Some(stored))) => {
@@ -126,19 +133,17 @@
         let status = if spec.is_none() { 200 } else { 201 };
         let write = resources::Command { collection, name: name.clone(), spec, expect, key };
         match self.control.propose(Command::Resource(write)).await {
-            Some(state::Reply::Written(resources::Reply::Written { revision })) => {
+            Ok(state::Reply::Written(resources::Reply::Written { revision })) => {
                 let body = json!({ "collection": collection, "name": name, "revision": revision });
                 Ok(Outbound::json(status, &body).with_text("etag", &etag(revision)))
             },
-            Some(state::Reply::Written(resources::Reply::Lost { current })) => {
+            Ok(state::Reply::Written(resources::Reply::Lost { current })) => {
                 let current = current.map(|stored| shown(collection, &name, &stored));
                 let reason = "the resource has another revision than the write expects";
                 let body = json!({ "error": "lost-race", "reason": reason, "current": current });
                 Err(Outbound::json(412, &body))
             },
-            Some(state::Reply::Written(resources::Reply::Missing)) => {
-                Err(missing(collection, &name))
-            },
+            Ok(state::Reply::Written(resources::Reply::Missing)) => Err(missing(collection, &name)),
             _ => Err(unavailable()),
         }
     }
@@ -191,6 +196,7 @@
 
     /// Collects what the log and the entries know about a key.
     async fn explain(&self, key: Key) -> Result<Outbound, Outbound> {
+        self.current().await?;
         let query = Query::Claim { key: key.clone() };
         let Some(state::Reply::Claim(claim)) = self.control.query(query).await else {
             return Err(unavailable());
--- a/toucangrade/src/lib.rs
+++ b/toucangrade/src/lib.rs
@@ -3,13 +3,15 @@
 //! Every duty is a folder with its own state, messages and tests, and runs on its own thread.
 
 mod admission;
+// The measuring programs and the tests use all of it, the daemon a part.
+#[allow(dead_code)]
+mod agreement;
 mod claims;
 mod core;
 mod daemon;
 mod execution;
 mod history;
 mod http;
-mod journal;
 mod limits;
 mod membership;
 mod partitions;
@@ -19,6 +21,7 @@
 mod routing;
 mod state;
 
+pub use crate::agreement::{RunReport, random_run};
 pub use crate::core::{Answer, BadName, Class, Clock, Key, Moment, Name, Refusal, Span, Verdict};
 pub use crate::daemon::{BadSetting, Role, Settings, parser, run};
 pub use crate::http::{
--- a/toucangrade/src/peer/mod.rs
+++ b/toucangrade/src/peer/mod.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::admission::{Question, Reported, Start};
+use crate::agreement;
 use crate::claims;
 use crate::core::{Key, Name, Span};
 use crate::execution::Told;
@@ -20,6 +21,8 @@
 /// Request from one process to another.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) enum Request {
+    /// A message of the replicated log, from one control instance to another.
+    Agree(agreement::PeerMessage),
     /// An agent's heartbeat, to control.
     Beat(Beat),
     /// A command on a claim, from an entry to control.
@@ -28,6 +31,8 @@
     Explain(Key),
     /// A request whose key the other entry owns, and how long its caller still waits.
     Forward { admitted: Box<Admitted>, patience: Span },
+    /// An operator's request, from a control instance to the leader.
+    Operate(Box<Operation>),
     /// An entry's poll, to control.
     Poll(Poll),
     /// A question for the outcome of an attempt, or only for clock and load, to an agent.
@@ -39,6 +44,8 @@
 /// Reply to a request.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) enum Reply {
+    /// The message was taken; an answer comes as a message of its own.
+    Agreed,
     Beaten(Beaten),
     Claimed(claims::Reply),
     Explained(Vec<Event>),
@@ -48,11 +55,30 @@
         reason: String,
         leader: Option<Name>,
     },
+    Operated(Box<Operated>),
     Reported(Reported),
     Told(Told),
     Viewed(Box<View>),
 }
 
+/// An operator's request as one control instance hands it to another.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) struct Operation {
+    pub(crate) method: String,
+    pub(crate) path: String,
+    pub(crate) query: String,
+    pub(crate) headers: Vec<(String, String)>,
+    pub(crate) body: Bytes,
+}
+
+/// The response to an operator's request.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) struct Operated {
+    pub(crate) status: u16,
+    pub(crate) headers: Vec<(String, String)>,
+    pub(crate) body: Bytes,
+}
+
 /// Encodes a message.
 ///
 /// Every message type serialises, so a failure is an error of this program.
--- a/toucangrade/src/state/message.rs
+++ b/toucangrade/src/state/message.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::Machine;
 use crate::core::{Key, Name};
 use crate::membership::Config;
 use crate::partitions::Partitions;
@@ -47,6 +48,8 @@
 pub(crate) enum Message {
     /// The command at this log index is agreed.
     Apply { index: u64, ticket: Option<u64>, command: Command },
+    /// A snapshot of another replica replaces the state.
+    Install { index: u64, machine: Box<Machine> },
     /// Someone asks about the agreed state.
     Query { ticket: u64, query: Query },
     /// Time passed.
@@ -60,6 +63,8 @@
     Configure(Config),
     /// The owners of partitions changed.
     Partitions(Partitions),
+    /// The log up to this index can be replaced by this state.
+    Snapshot { index: u64, machine: Box<Machine> },
     /// Replies to who proposed the command or asked.
     Reply { ticket: u64, reply: Reply },
 }
--- a/toucangrade/src/state/mod.rs
+++ b/toucangrade/src/state/mod.rs
@@ -14,6 +14,9 @@
 use crate::partitions::Partitions;
 use crate::resources::Resources;
 
+/// Commands between two snapshots.
+const SNAPSHOT_EVERY: u64 = 5_000;
+
 /// State that is the same on every replica at the same log index.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub(crate) struct Machine {
@@ -27,6 +30,8 @@
 #[derive(Debug, Default, Serialize)]
 pub(crate) struct State {
     machine: Machine,
+    /// Log index of the newest snapshot.
+    snapshot: u64,
 }
 
 impl State {
@@ -34,6 +39,7 @@
     pub(crate) fn step(&mut self, _now: Moment, message: Message) -> Vec<Effect> {
         match message {
             Message::Apply { index, ticket, command } => self.apply(index, ticket, command),
+            Message::Install { index, machine } => self.install(index, *machine),
             Message::Query { ticket, query } => {
                 vec![Effect::Reply { ticket, reply: self.query(query) }]
             },
@@ -65,9 +71,20 @@
             },
         };
         effects.extend(ticket.map(|ticket| Effect::Reply { ticket, reply }));
+        if index >= self.snapshot + SNAPSHOT_EVERY {
+            self.snapshot = index;
+            let machine = Box::new(self.machine.clone());
+            effects.push(Effect::Snapshot { index, machine });
+        }
         effects
     }
 
+    fn install(&mut self, index: u64, machine: Machine) -> Vec<Effect> {
+        self.machine = machine;
+        self.snapshot = index;
+        vec![Effect::Configure(self.config()), Effect::Partitions(self.partitions())]
+    }
+
     fn query(&self, query: Query) -> Reply {
         let resources = &self.machine.resources;
         match query {
