Check the checks of the replicated log with injected faults

Cause: a test that never failed proves little. Change: 35 one-line faults were put in by hand, one at a time, run against the tests of the slice, and removed. Five passed at first and got a test.

--- a/toucangrade/src/agreement/tests/scripted.rs
+++ b/toucangrade/src/agreement/tests/scripted.rs
@@ -61,6 +61,11 @@
     Hold("a"), Cut("c"), Propose("a", 1), Run(100), Open(1), Has("b", 1, false), Release("a"),
     Acknowledged(1),
 ] })]
+// A leader whose disk is behind acknowledges nothing, even when the others made it durable.
+#[case::quorum_without_leader(Case { script: &[
+    Hold("a"), Propose("a", 1), Run(300), Open(1), Has("b", 1, true), Has("a", 1, false),
+    Release("a"), Acknowledged(1),
+] })]
 // What is acknowledged survives a crash of all instances.
 #[case::crash_after_sync(Case { script: &[
     Propose("a", 1), Acknowledged(1), Crash("a"), Crash("b"), Crash("c"), Start("a"), Start("b"),
@@ -112,6 +117,11 @@
     Remove("a"), Run(3_000), Leads("a", false), OneLeader, ProposeToLeader(1), Acknowledged(1),
     Has("a", 1, false),
 ] })]
+// A membership that was replaced by the next leader's entries is not in force any more.
+#[case::membership_undone(Case { script: &[
+    Cut("a"), Remove("c"), Run(3_000), ProposeToLeader(1), Acknowledged(1), Heal("a"), Run(2_000),
+    Transfer("b", "a"), Transfer("c", "a"), Run(500), Leads("a", true), Voter("c", true),
+] })]
 // Leadership moves without waiting for an election timeout.
 #[case::transfer(Case { script: &[
     Propose("a", 1), Transfer("a", "b"), Run(50), Leads("b", true), Leads("a", false),
--- a/toucangrade/src/agreement/tests/steps.rs
+++ b/toucangrade/src/agreement/tests/steps.rs
@@ -148,6 +148,103 @@
     assert_eq!(granted(&effects), case.granted);
 }
 
+struct LeaseCase {
+    /// Milliseconds after the last heartbeat that was answered.
+    after: u64,
+    ready: bool,
+}
+
+/// Guards against a lease that outlasts the promise of a follower whose clock is 5% faster.
+#[rstest]
+#[case::within(LeaseCase { after: 449, ready: true })]
+#[case::over(LeaseCase { after: 451, ready: false })]
+#[case::nearly_election(LeaseCase { after: 480, ready: false })]
+fn leases_end_early(#[case] case: LeaseCase) {
+    let mut a = leader(5, &[]);
+    let upto = a.seq;
+    a.step(at(1_100), Message::Synced { upto });
+    let sent = at(1_100).as_micros();
+    let matched = a.log.last();
+    let reply = Body::HeartbeatReply { matched, sent };
+    a.step(at(1_101), peer(replica("b", 2), 6, reply));
+    assert_eq!(a.commit, matched);
+    let effects = a.step(at(1_100 + case.after), Message::Read { ticket: 1 });
+    let ready = effects
+        .iter()
+        .any(|e| matches!(e, Effect::ReadReady { .. }));
+    assert_eq!(ready, case.ready);
+}
+
+/// What the follower `a` told its leader to be durable, in the order of its replies.
+fn matched(effects: &[Effect]) -> Vec<u64> {
+    let matched = effects.iter().filter_map(|effect| match effect {
+        Effect::Send { body, .. } => match body.body {
+            Body::Appended { matched } | Body::HeartbeatReply { matched, .. } => Some(matched),
+            _ => None,
+        },
+        _ => None,
+    });
+    matched.collect()
+}
+
+fn append(prev: (u64, u64), indices: std::ops::RangeInclusive<u64>, term: u64) -> Body {
+    let entry = |index| Entry {
+        index,
+        term,
+        payload: Payload::Noop,
+    };
+    Body::Append {
+        prev_index: prev.0,
+        prev_term: prev.1,
+        commit: 1,
+        entries: indices.map(entry).collect(),
+    }
+}
+
+/// Guards against counting the sync of replaced entries for those that replace them.
+#[test]
+fn replaced_entries_do_not_count_as_durable() {
+    let mut a = instance(5, &[]);
+    let effects = a.step(at(1), peer(replica("b", 2), 5, append((1, 1), 2..=5, 5)));
+    assert!(matched(&effects).is_empty(), "acknowledged before the sync");
+    let upto = a.seq;
+    a.step(at(2), peer(replica("c", 3), 6, append((2, 5), 3..=3, 6)));
+    let effects = a.step(at(3), Message::Synced { upto });
+    assert_eq!(matched(&effects), [2]);
+    let upto = a.seq;
+    let effects = a.step(at(4), Message::Synced { upto });
+    assert_eq!(matched(&effects), [3]);
+}
+
+/// Guards against acknowledging a snapshot that a crash could lose.
+#[test]
+fn snapshots_count_once_durable() {
+    let mut a = instance(5, &[]);
+    let part = Snapshot {
+        index: 9,
+        term: 4,
+        members: a.members().clone(),
+        members_at: 1,
+        state: Bytes::from_static(b"state"),
+    };
+    let chunk = Body::Chunk {
+        part,
+        offset: 0,
+        total: 5,
+    };
+    let mut effects = a.step(at(1), peer(replica("b", 2), 5, chunk));
+    let (commit, sent) = (9, 0);
+    let heartbeat = Body::Heartbeat { commit, sent };
+    effects.extend(a.step(at(2), peer(replica("b", 2), 5, heartbeat)));
+    assert!(
+        matched(&effects).iter().all(|&matched| matched < 9),
+        "{effects:?}"
+    );
+    let upto = a.seq;
+    let effects = a.step(at(3), Message::Synced { upto });
+    assert_eq!(matched(&effects), [9]);
+}
+
 struct BatchCase {
     limit: usize,
     syncs: usize,
