Stop servers once their responses are written

Cause: Server::stop used the HTTP server's graceful stop, which waits until idle keep-alive connections time out, and 30 s for connections that peers keep using.

Change: each server counts its requests until the last byte of the response is handed to the socket, waits for them, ends open-ended streams, then closes what is idle. Connections are kept for 20 s instead of 5 s, since clients drop theirs after 4 s and a stall of 1 s made the two race.

--- a/toucangrade/src/http/mod.rs
+++ b/toucangrade/src/http/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP edges: a server that hands requests to closures and a client thread.
 
+mod body;
 mod client;
 mod replies;
 mod server;
--- a/toucangrade/src/http/server.rs
+++ b/toucangrade/src/http/server.rs
@@ -6,19 +6,28 @@
 use std::pin::pin;
 use std::sync::Arc;
 use std::thread::JoinHandle;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use futures_util::future::LocalBoxFuture;
-use futures_util::stream::poll_fn;
 use tokio::sync::mpsc;
-use xitca_web::body::{BodyExt, RequestBody, ResponseBody, StreamDataBody};
-use xitca_web::error::BodyError;
-use xitca_web::http::header::{CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue};
+use xitca_web::body::{BodyExt, RequestBody, ResponseBody};
+use xitca_web::http::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue};
 use xitca_web::http::{Method, StatusCode, WebResponse};
 use xitca_web::service::fn_service;
 use xitca_web::{App, WebContext};
 
 use super::BODY_LIMIT;
+use super::body::{Gauge, Open, Stream, Whole};
+
+/// Longest time that responses under way get to be written when a server is stopped; the default
+/// of the drain timeout.
+const STOP_LIMIT: Duration = Duration::from_secs(30);
+/// Time for which a connection without a request is kept. Clients of this project drop theirs after
+/// 4 s, so that none is reused just when the server closes it, which would look like a lost answer.
+pub(super) const KEEP_ALIVE: Duration = Duration::from_secs(20);
+/// Time in which a connection writes the end mark of a stream, which follows after its body.
+const END_MARK: Duration = Duration::from_millis(50);
 
 /// A request as the handler sees it.
 #[derive(Debug)]
@@ -58,7 +67,8 @@
 /// Body of a response.
 #[derive(Debug)]
 pub enum Payload {
-    /// Chunks that are sent as they come; the response ends when the sender is dropped.
+    /// Chunks that are sent as they come; the response ends when the sender is dropped or the
+    /// server is stopped.
     Stream(mpsc::Receiver<Bytes>),
     /// The whole body.
     Whole(Bytes),
@@ -109,6 +119,7 @@
 
 /// A running HTTP server.
 pub struct Server {
+    gauge: Arc<Gauge>,
     handle: xitca_server::ServerHandle,
     thread: JoinHandle<()>,
     /// The address that the server listens on.
@@ -123,12 +134,14 @@
     /// The error of the operating system when the server can't be started.
     pub fn start(listener: TcpListener, threads: usize, handler: Handler) -> io::Result<Self> {
         let addr = listener.local_addr()?;
+        let gauge = Gauge::new();
         let mut running = App::new()
-            .with_state(handler)
+            .with_state((handler, Arc::clone(&gauge)))
             .at("/{*path}", fn_service(answer))
             .serve()
             .worker_threads(threads)
             .disable_signal()
+            .keep_alive_timeout(KEEP_ALIVE)
             .listen(listener)?
             .run();
         let handle = running.handle()?;
@@ -137,21 +150,40 @@
                 tracing::error!(%error, "HTTP server ended");
             }
         })?;
-        Ok(Self { handle, thread, addr })
+        Ok(Self { gauge, handle, thread, addr })
     }
 
-    /// Takes no further connections, waits for the open ones to finish and ends the server.
+    /// Waits until every response under way is written, for 30 s at most, and ends the server.
     pub fn stop(self) {
-        self.handle.stop(true);
+        self.stop_within(STOP_LIMIT);
+    }
+
+    /// Waits until every response under way is written, at most for `limit`, and ends the server;
+    /// gives the number of responses that were cut off.
+    ///
+    /// Connections without a request are closed. The server's own graceful stop would wait until
+    /// their keep-alive timeout.
+    pub fn stop_within(self, limit: Duration) -> usize {
+        self.gauge.stop();
+        let cut = self.gauge.wait(limit);
+        std::thread::sleep(END_MARK);
+        self.handle.stop(false);
         if self.thread.join().is_err() {
             tracing::error!("HTTP server thread panicked");
         }
+        if cut > 0 {
+            tracing::error!(cut, addr = %self.addr, "responses were cut off");
+        }
+        cut
     }
 }
 
+type State = (Handler, Arc<Gauge>);
+
 /// Reads the body, calls the handler and writes its response.
-async fn answer(mut ctx: WebContext<'_, Handler>) -> Result<WebResponse, Infallible> {
-    let handler = Arc::clone(ctx.state());
+async fn answer(mut ctx: WebContext<'_, State>) -> Result<WebResponse, Infallible> {
+    let (handler, gauge) = ctx.state().clone();
+    let open = gauge.enter();
     let request = ctx.take_request();
     let (head, ext) = request.into_parts();
     let (_, body) = ext.replace_body(());
@@ -163,7 +195,11 @@
         },
         Err(refused) => refused,
     };
-    Ok(respond(outbound))
+    let mut response = respond(outbound, open);
+    if gauge.stopping() {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(response)
 }
 
 /// Collects a request body up to the limit.
@@ -187,13 +223,10 @@
     Outbound::json(status, &body).with_text("toucangrade-verdict", "not-run")
 }
 
-fn respond(outbound: Outbound) -> WebResponse {
+fn respond(outbound: Outbound, open: Open) -> WebResponse {
     let body = match outbound.body {
-        Payload::Whole(bytes) => ResponseBody::bytes(bytes),
-        Payload::Stream(mut chunks) => {
-            let stream = poll_fn(move |cx| chunks.poll_recv(cx).map(|c| c.map(Ok::<_, BodyError>)));
-            ResponseBody::boxed(StreamDataBody::new(stream))
-        },
+        Payload::Whole(bytes) => ResponseBody::boxed(Whole::new(bytes, open)),
+        Payload::Stream(chunks) => ResponseBody::boxed(Stream::new(chunks, open)),
     };
     let mut response = WebResponse::new(body);
     *response.status_mut() =
--- a/toucangrade/src/http/tests.rs
+++ b/toucangrade/src/http/tests.rs
@@ -1,7 +1,9 @@
 //! Tests of the HTTP edges over loopback.
 
-use std::net::TcpListener;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use rstest::rstest;
@@ -57,3 +59,111 @@
     let error = client.call(Exchange::post(addr, "/", Bytes::new(), Span::secs(60))).unwrap_err();
     assert_eq!((error, error.verdict()), (CallError::Connect, Verdict::NotRun));
 }
+
+/// Sends a request on a raw connection and leaves the connection open.
+fn ask(addr: SocketAddr, path: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(addr).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(60))).unwrap();
+    write!(stream, "POST {path} HTTP/1.1\r\nhost: test\r\ncontent-length: 0\r\n\r\n").unwrap();
+    stream
+}
+
+/// Reads until a whole head and `length` bytes of body have come or the connection ends.
+fn body_length(stream: &mut TcpStream, pause: Duration) -> usize {
+    let (mut seen, mut buffer) = (Vec::new(), vec![0; 256 * 1024]);
+    loop {
+        let count = stream.read(&mut buffer).unwrap_or(0);
+        if count == 0 {
+            break;
+        }
+        seen.extend_from_slice(&buffer[..count]);
+        std::thread::sleep(pause);
+    }
+    let head = seen.windows(4).position(|window| window == b"\r\n\r\n");
+    head.map_or(0, |head| seen.len() - head - 4)
+}
+
+struct StopCase {
+    /// Path of the request that is under way when the server is stopped, if any.
+    path: Option<&'static str>,
+    /// Time between two reads of the caller.
+    pause: Duration,
+    limit: Duration,
+    length: usize,
+    cut: usize,
+}
+
+/// Guards against a stop that waits for idle connections, and against one that cuts a response off
+/// before its last byte is in the socket.
+#[rstest]
+#[case::idle_connection(StopCase {
+    path: None, pause: Duration::ZERO, limit: Duration::from_secs(600), length: 0, cut: 0,
+})]
+#[case::late_answer(StopCase {
+    path: Some("/late"), pause: Duration::ZERO, limit: Duration::from_secs(600), length: 5, cut: 0,
+})]
+#[case::large_answer_to_slow_reader(StopCase {
+    path: Some("/large"),
+    pause: Duration::from_millis(5),
+    limit: Duration::from_secs(600),
+    length: BODY_LIMIT,
+    cut: 0,
+})]
+#[case::open_ended_stream(StopCase {
+    path: Some("/stream"),
+    pause: Duration::ZERO,
+    limit: Duration::from_secs(600),
+    length: "4\r\nnews\r\n0\r\n\r\n".len(),
+    cut: 0,
+})]
+#[case::answer_that_never_comes(StopCase {
+    path: Some("/never"), pause: Duration::ZERO, limit: Duration::from_millis(50), length: 0, cut: 1,
+})]
+fn stop_writes_answers_whole(#[case] case: StopCase) {
+    let (entered, seen) = std::sync::mpsc::channel();
+    let go = Arc::new(tokio::sync::Semaphore::new(0));
+    let released = Arc::clone(&go);
+    let handler: Handler = Arc::new(move |call: Inbound| {
+        let (entered, go) = (entered.clone(), Arc::clone(&go));
+        Box::pin(async move {
+            entered.send(()).unwrap();
+            match call.path.as_str() {
+                "/large" => Outbound::new(200, vec![7; BODY_LIMIT]),
+                "/late" => {
+                    go.acquire().await.unwrap().forget();
+                    Outbound::new(200, "whole")
+                },
+                "/stream" => {
+                    let (sender, receiver) = tokio::sync::mpsc::channel(1);
+                    sender.send(Bytes::from("news")).await.unwrap();
+                    // The stream's sender is never dropped.
+                    std::mem::forget(sender);
+                    Outbound { status: 200, headers: Vec::new(), body: Payload::Stream(receiver) }
+                },
+                "/never" => std::future::pending().await,
+                _ => Outbound::new(200, ""),
+            }
+        })
+    });
+    let server = Server::start(TcpListener::bind("127.0.0.1:0").unwrap(), 1, handler).unwrap();
+    let mut idle = ask(server.addr, "/idle");
+    seen.recv().unwrap();
+    let mut first = [0; 1];
+    idle.read_exact(&mut first).unwrap();
+    let mut busy = case.path.map(|path| ask(server.addr, path));
+    if busy.is_some() {
+        seen.recv().unwrap();
+    }
+    let stopping = std::thread::spawn(move || {
+        let begun = std::time::Instant::now();
+        (server.stop_within(case.limit), begun.elapsed())
+    });
+    released.add_permits(1);
+    let length = busy.as_mut().map_or(0, |busy| body_length(busy, case.pause));
+    let (cut, took) = stopping.join().unwrap();
+    assert_eq!((length, cut), (case.length, case.cut));
+    // The idle connection would hold the stop up until its keep-alive timeout.
+    assert!(took < super::server::KEEP_ALIVE, "the stop took {took:?}");
+    let mut rest = Vec::new();
+    idle.read_to_end(&mut rest).unwrap();
+}
