--- a/toucangrade/src/core/duty.rs
+++ b/toucangrade/src/core/duty.rs
@@ -69,6 +69,12 @@
         Some(receiver)
     }
 
+    /// Name of the duty, messages that wait for it and messages refused since its start.
+    pub(crate) fn load(&self) -> (&'static str, usize, u64) {
+        let (waiting, shed) = self.ring.load();
+        (self.name, waiting, shed)
+    }
+
     /// Ends the duty once the messages that wait are handled.
     #[cfg(test)]
     pub(crate) fn close(&self) {
--- a/toucangrade/src/core/ring.rs
+++ b/toucangrade/src/core/ring.rs
@@ -25,6 +25,8 @@
 struct Slots<T> {
     queue: VecDeque<T>,
     closed: bool,
+    /// Messages refused since the start.
+    shed: u64,
 }
 
 /// Bounded queue with many senders and one receiver.
@@ -44,7 +46,7 @@
     /// A ring that sheds new work at `limit` messages and holds `limit + reserve` at most.
     pub(crate) fn new(limit: usize, reserve: usize) -> Self {
         let capacity = limit + reserve;
-        let slots = Slots { queue: VecDeque::new(), closed: false };
+        let slots = Slots { queue: VecDeque::new(), closed: false, shed: 0 };
         Self { slots: Mutex::new(slots), ready: Condvar::new(), limit, capacity }
     }
 
@@ -61,6 +63,7 @@
     fn add(&self, message: T, bound: usize) -> Result<(), Full<T>> {
         let mut slots = self.lock();
         if slots.closed || slots.queue.len() >= bound {
+            slots.shed += 1;
             return Err(Full(message));
         }
         slots.queue.push_back(message);
@@ -89,6 +92,12 @@
         self.lock().queue.len()
     }
 
+    /// Number of messages that wait, and of those refused since the start.
+    pub(crate) fn load(&self) -> (usize, u64) {
+        let slots = self.lock();
+        (slots.queue.len(), slots.shed)
+    }
+
     /// Whether the ring refuses all messages.
     pub(crate) fn is_closed(&self) -> bool {
         self.lock().closed
--- a/toucangrade/src/daemon/agent.rs
+++ b/toucangrade/src/daemon/agent.rs
@@ -49,6 +49,8 @@
         };
         agent.spawn_admission(context)?;
         agent.spawn_membership(context, link, peer)?;
+        context.telemetry.watch(&agent.admission);
+        context.telemetry.watch(&agent.membership);
         Ok(agent)
     }
 
--- /dev/null
+++ b/toucangrade/src/daemon/archive.rs
@@ -0,0 +1,185 @@
+//! The durable history of one control instance: its duty thread, its files and its callers.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+
+use serde_json::Value;
+
+use super::Context;
+use super::link::Link;
+use crate::core::{Duty, Handle, Key, Name, Span};
+use crate::history::files::{self, Files};
+use crate::history::review::Report;
+use crate::history::{
+    ArchiveEffect as Effect, ArchiveMessage as Message, Body, Event, Frame, Item, Place, archive,
+};
+use crate::http::Replies;
+use crate::peer::{self, Reply, Request};
+
+/// Time that control may take to store a batch.
+const STORE_TIMEOUT: Span = Span::millis(1_500);
+
+/// Handle of the history duty of control.
+#[derive(Clone)]
+pub(crate) struct Archive {
+    duty: Handle<Message>,
+    explains: Arc<Replies<Vec<Event>>>,
+    reviews: Arc<Replies<Value>>,
+    stores: Arc<Replies<bool>>,
+}
+
+impl Archive {
+    /// Opens the files and starts the duty.
+    pub(crate) fn start(context: &Context, data: &Path) -> io::Result<Self> {
+        let (files, found) = Files::open(&data.join("history"), peer::decode::<Item>)?;
+        if found.cut > 0 {
+            tracing::warn!(bytes = found.cut, "cut off what followed the last valid outcome");
+        }
+        let limit = context.settings.history_mb * 1_000_000;
+        let state = archive::Archive::new(limit, found.segments, found.newest);
+        let archive = Self {
+            duty: Handle::new("history"),
+            explains: Arc::new(Replies::new()),
+            reviews: Arc::new(Replies::new()),
+            stores: Arc::new(Replies::new()),
+        };
+        archive.spawn(context, state, files)?;
+        context.telemetry.watch(&archive.duty);
+        Ok(archive)
+    }
+
+    fn spawn(
+        &self,
+        context: &Context,
+        state: archive::Archive,
+        mut files: Files,
+    ) -> io::Result<()> {
+        let archive = self.clone();
+        let (clock, telemetry) = (context.clock.clone(), context.telemetry.clone());
+        let tick = || Message::Tick;
+        let duty = Duty { state, step: archive::Archive::step, tick, period: Span::secs(1) };
+        duty.spawn(&self.duty, context.clock.clone(), move |_, effect| match effect {
+            Effect::Append { ticket, segment, offset, frames } => {
+                let began = clock.now();
+                let result = files.append(segment, offset, &frames);
+                telemetry.timer("history_sync", clock.now().since(began));
+                if let Err(error) = &result {
+                    tracing::error!(%error, "outcomes can't be written, entries keep them");
+                    let first = first_numbers(&frames);
+                    archive.duty.push(Message::Failed { segment, offset, first });
+                }
+                archive.stores.close(ticket, result.is_ok());
+            },
+            Effect::Read { ticket, key, places } => {
+                archive.explains.close(ticket, read(&files, &key, &places));
+            },
+            Effect::Remove { segment } => {
+                if let Err(error) = files.remove(segment) {
+                    tracing::error!(%error, segment, "a history segment can't be removed");
+                }
+            },
+            Effect::Scan { ticket, segments, report } => {
+                archive.reviews.close(ticket, scan(&files, &segments, *report));
+            },
+            Effect::Stored { ticket } => {
+                archive.stores.close(ticket, true);
+            },
+        })?;
+        Ok(())
+    }
+
+    /// Stores an entry's items; the reply says whether they are durable.
+    pub(crate) async fn store(&self, items: Vec<Item>) -> Reply {
+        let frames = items.iter().map(|item| files::frame(item, &peer::encode(item))).collect();
+        let (ticket, reply) = self.stores.open();
+        let sent = self.duty.offer(Message::Store { ticket, frames }).is_ok();
+        if sent && reply.await == Ok(true) {
+            return Reply::Stored;
+        }
+        let reason = "the history can't be written now".to_owned();
+        Reply::Refused { reason, leader: None }
+    }
+
+    /// The steps of a request as far as they are durable here.
+    pub(crate) async fn explain(&self, key: Key) -> Vec<Event> {
+        let (ticket, reply) = self.explains.open();
+        if self.duty.offer(Message::Explain { ticket, key }).is_err() {
+            return Vec::new();
+        }
+        reply.await.unwrap_or_default()
+    }
+
+    /// What went wrong from `from` to `to`, in milliseconds since 1970.
+    pub(crate) async fn review(&self, from: u64, to: u64) -> Option<Value> {
+        let (ticket, reply) = self.reviews.open();
+        self.duty.offer(Message::Review { ticket, from, to }).ok()?;
+        reply.await.ok()
+    }
+
+    /// The state of the duty.
+    pub(crate) async fn dump(&self) -> Value {
+        super::dumped(self.duty.dump()).await
+    }
+}
+
+/// Smallest number of each entry among the frames.
+fn first_numbers(frames: &[Frame]) -> BTreeMap<(Name, u64), u64> {
+    let mut first = BTreeMap::new();
+    for frame in frames {
+        let number = first.entry((frame.entry.clone(), frame.incarnation)).or_insert(frame.number);
+        *number = frame.number.min(*number);
+    }
+    first
+}
+
+fn read(files: &Files, key: &Key, places: &[Place]) -> Vec<Event> {
+    let items = places.iter().filter_map(|place| peer::decode::<Item>(&files.read(*place)?));
+    let mut events = Vec::new();
+    for item in items {
+        if let Body::Outcome(outcome) = item.body
+            && outcome.key == *key
+        {
+            events.extend(outcome.events);
+        }
+    }
+    events
+}
+
+fn scan(files: &Files, segments: &[u32], mut report: Report) -> Value {
+    for segment in segments {
+        let visit = |bytes: &[u8]| {
+            if let Some(item) = peer::decode::<Item>(bytes) {
+                report.add(item);
+            }
+        };
+        if let Err(error) = files.scan(*segment, visit) {
+            tracing::error!(%error, segment, "a history segment can't be read");
+        }
+    }
+    report.value()
+}
+
+/// Sends items to every control instance; `done` learns whether one or more stored them.
+pub(crate) fn send(link: &Link, items: Vec<Item>, done: impl FnOnce(bool) + Send + 'static) {
+    let members = link.members();
+    let (left, stored) = (AtomicUsize::new(members.len()), AtomicBool::new(false));
+    let shared = Arc::new((left, stored, Mutex::new(Some(done))));
+    let request = Request::Store(items);
+    for addr in members {
+        let shared = Arc::clone(&shared);
+        link.send(addr, &request, STORE_TIMEOUT, move |result| {
+            let (left, stored, done) = &*shared;
+            if matches!(result, Ok(Reply::Stored)) {
+                stored.store(true, Ordering::Release);
+            }
+            if left.fetch_sub(1, Ordering::AcqRel) == 1
+                && let Some(done) = done.lock().unwrap_or_else(PoisonError::into_inner).take()
+            {
+                done(stored.load(Ordering::Acquire));
+            }
+        });
+    }
+}
--- a/toucangrade/src/daemon/caller.rs
+++ b/toucangrade/src/daemon/caller.rs
@@ -1,5 +1,7 @@
 //! Translation between callers' HTTP and the messages of an entry.
 
+use std::borrow::Cow;
+
 use rand::Rng;
 use serde_json::json;
 
@@ -13,6 +15,10 @@
 const TIMEOUT: &str = "request-timeout-ms";
 /// Header with the verdict.
 const VERDICT: &str = "toucangrade-verdict";
+/// Code of a refusal for a service that is not declared.
+pub(crate) const UNKNOWN_SERVICE: &str = "unknown-service";
+/// Code of a refusal for a kind that its service does not declare.
+pub(crate) const UNKNOWN_KIND: &str = "unknown-kind";
 /// Timeouts that a caller may ask for, in milliseconds.
 const TIMEOUT_MS: std::ops::RangeInclusive<u64> = 1..=3_600_000;
 
@@ -53,6 +59,28 @@
     Key::new(&text).unwrap_or_else(|error| unreachable!("{error}"))
 }
 
+/// Verdict and code of a refusal, by which it is counted.
+pub(crate) fn result(refusal: &Refusal) -> String {
+    format!("{} {}", refusal.verdict, refusal.code)
+}
+
+/// Verdict of what a caller is told, with the code of a refusal, by which it is counted.
+pub(crate) fn told_result(told: &Told) -> Cow<'static, str> {
+    match told {
+        Told::Answer(answer) if (200..300).contains(&answer.status) => "ran".into(),
+        Told::Answer(_) => "ran back-end-failed".into(),
+        Told::Refused(refusal) => result(refusal).into(),
+    }
+}
+
+/// Whether the request named a service or kind that is not declared.
+pub(crate) fn is_unknown(told: &Told) -> bool {
+    match told {
+        Told::Answer(_) => false,
+        Told::Refused(refusal) => matches!(refusal.code.as_str(), UNKNOWN_SERVICE | UNKNOWN_KIND),
+    }
+}
+
 /// The response to a request.
 pub(crate) fn outbound(key: &Key, told: Told) -> Outbound {
     match told {
--- a/toucangrade/src/daemon/entry.rs
+++ b/toucangrade/src/daemon/entry.rs
@@ -3,19 +3,20 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
 use serde_json::json;
 
 use super::link::Link;
-use super::{Context, caller};
+use super::{Context, archive, caller, wall_ms};
 use crate::admission::{Report, Reported};
-use crate::core::{Duty, Handle, Key, Moment, Refusal, Span};
+use crate::core::{Duty, Handle, Key, Moment, Name, Refusal, Span};
 use crate::execution::{self, Execution, Told, Waiter};
-use crate::history::{self, Event, History};
+use crate::history::{self, Course, Event, History};
 use crate::http::{CallError, Handler, Inbound, Outbound, Replies};
 use crate::limits::{self, Arrival, Limits};
 use crate::membership::entry::{self as membership, Identity, Membership};
+use crate::metrics::{self, Answers, flat};
 use crate::partitions::PARTITIONS;
 use crate::peer::{Reply, Request};
 use crate::routing::{self, Feedback, Reading, Routing, Signal};
@@ -42,29 +43,49 @@
     /// Other entries that wait for a forwarded request.
     pub(crate) forwards: Arc<Replies<Told>>,
     explains: Arc<Replies<Vec<Event>>>,
+    answers: Answers,
     /// Partitions that this entry owns, as control last said.
     pub(crate) owned: Arc<AtomicUsize>,
+    /// Whether control has all durable outcomes, after a drain of the history.
+    pub(crate) recorded: Arc<AtomicBool>,
 }
 
 impl Entry {
     /// Starts the duties of an entry.
     pub(crate) fn start(context: &Context, link: &Link, peer: SocketAddr) -> io::Result<Self> {
+        let (telemetry, history) = (context.telemetry.clone(), Handle::new("history"));
+        let answers = Answers::new(context.clock.clone(), {
+            let history = history.clone();
+            move |counted| {
+                telemetry.offer(metrics::Message::Answers(counted.clone()));
+                // Counts of a second are lost when the ring is full, which the ring counts.
+                let _ = history.offer(history::Message::Tally(counted));
+            }
+        });
         let entry = Self {
             limits: Handle::new("limits"),
             execution: Handle::new("execution"),
             routing: Handle::new("routing"),
             membership: Handle::new("membership"),
-            history: Handle::new("history"),
+            history,
             callers: Arc::new(Replies::new()),
             forwards: Arc::new(Replies::new()),
             explains: Arc::new(Replies::new()),
+            answers,
             owned: Arc::new(AtomicUsize::new(0)),
+            recorded: Arc::new(AtomicBool::new(false)),
         };
         entry.spawn_limits(context)?;
         entry.spawn_execution(context, link)?;
         entry.spawn_routing(context, link)?;
         entry.spawn_membership(context, link, peer)?;
-        entry.spawn_history(context)?;
+        entry.spawn_history(context, link)?;
+        let telemetry = &context.telemetry;
+        telemetry.watch(&entry.limits);
+        telemetry.watch(&entry.execution);
+        telemetry.watch(&entry.routing);
+        telemetry.watch(&entry.membership);
+        telemetry.watch(&entry.history);
         Ok(entry)
     }
 
@@ -79,10 +100,20 @@
             limits::Effect::Refuse { ticket, service, kind, key, refusal } => {
                 let key = key.unwrap_or_else(caller::fresh_key);
                 let text = format!("{service}/{kind} refused at once: {}", refusal.reason);
-                let events = vec![Event { at: now, by: name.clone(), text }];
-                // The history of refusals is shed first under load.
-                let record = history::Message::Record { key: key.clone(), events };
-                let _ = entry.history.offer(record);
+                // Names that are not declared come from callers and are too many to count by.
+                let (service, kind) = match refusal.code.as_str() {
+                    caller::UNKNOWN_SERVICE | caller::UNKNOWN_KIND => (unknown(), unknown()),
+                    _ => (service, kind),
+                };
+                let course = Course {
+                    service,
+                    kind,
+                    class: None,
+                    verdict: refusal.verdict,
+                    code: Some(refusal.code.clone()),
+                    late: false,
+                };
+                entry.note(now, &name, key.clone(), Some(course), text);
                 entry.callers.close(ticket, (key, Told::Refused(refusal)));
             },
         })?;
@@ -91,7 +122,8 @@
 
     fn spawn_execution(&self, context: &Context, link: &Link) -> io::Result<()> {
         let (entry, link) = (self.clone(), link.clone());
-        let clock = context.clock.clone();
+        let (clock, name) = (context.clock.clone(), context.settings.name.clone());
+        let telemetry = context.telemetry.clone();
         let state = Execution::new(context.settings.name.clone(), context.incarnation);
         let tick = || execution::Message::Tick;
         let duty = Duty { state, step: Execution::step, tick, period: TICK };
@@ -126,6 +158,8 @@
             execution::Effect::Forward { addr, ticket, patience, admitted } => {
                 let execution = entry.execution.clone();
                 let Some(key) = admitted.key.clone() else { return };
+                let text = format!("forwarded to the entry at {addr}, which owns the key");
+                entry.note(now, &name, key.clone(), None, text);
                 let request = Request::Forward { admitted: Box::new(admitted), patience };
                 link.send(addr, &request, patience + REPORT_MARGIN, move |result| {
                     let told = result.and_then(|reply| match reply {
@@ -137,9 +171,15 @@
                 });
             },
             execution::Effect::Pick(pick) => entry.routing.push(routing::Message::Pick(pick)),
-            execution::Effect::Record { key, events } => {
+            execution::Effect::Record { key, course, events } => {
+                if let Some(course) = course.as_ref().filter(|c| c.finished_batch()) {
+                    let (service, kind) = (flat(&course.service), flat(&course.kind));
+                    let name = format!("batch_finished.{service}.{kind}");
+                    telemetry.offer(metrics::Message::Count { name, by: 1 });
+                }
+                let wall = wall_ms();
                 // A full history loses explanations, not work; the ring counts it.
-                let _ = entry.history.offer(history::Message::Record { key, events });
+                let _ = entry.history.offer(history::Message::Record { key, course, events, wall });
             },
             execution::Effect::Released(released) => {
                 entry.membership.push(membership::Message::Released(released));
@@ -148,6 +188,13 @@
         Ok(())
     }
 
+    /// Notes one step of a request; the history sheds it first under load.
+    fn note(&self, at: Moment, by: &Name, key: Key, course: Option<Course>, text: String) {
+        let events = vec![Event::new(at, by.clone(), text)];
+        let _ =
+            self.history.offer(history::Message::Record { key, course, events, wall: wall_ms() });
+    }
+
     /// Sends an attempt to its agent and hands the report to execution and routing.
     fn call(
         &self,
@@ -211,6 +258,7 @@
         let (entry, link) = (self.clone(), link.clone());
         let settings = &context.settings;
         let (name, incarnation) = (settings.name.clone(), context.incarnation);
+        let telemetry = context.telemetry.clone();
         let centre = settings.centre.clone();
         let mine = move |owner: &crate::membership::Owned, name: &crate::core::Name| {
             owner.entry == *name && owner.incarnation == incarnation
@@ -220,6 +268,7 @@
         let duty = Duty { state, step: Membership::step, tick, period: Membership::PERIOD };
         duty.spawn(&self.membership, context.clock.clone(), move |now, effect| match effect {
             membership::Effect::Configure { config, entries } => {
+                telemetry.gauge("revision", config.revision);
                 entry.limits.push(limits::Message::Configure { config, entries });
             },
             membership::Effect::Confirmed { until } => {
@@ -247,27 +296,58 @@
         Ok(())
     }
 
-    fn spawn_history(&self, context: &Context) -> io::Result<()> {
-        let explains = Arc::clone(&self.explains);
-        let (state, tick) = (History::default(), || history::Message::Tick);
+    fn spawn_history(&self, context: &Context, link: &Link) -> io::Result<()> {
+        let (entry, link) = (self.clone(), link.clone());
+        let state = History::new(context.settings.name.clone(), context.incarnation);
+        let tick = || history::Message::Tick { wall: wall_ms() };
         let duty = Duty { state, step: History::step, tick, period: Span::secs(1) };
-        duty.spawn(&self.history, context.clock.clone(), move |_, effect| {
-            let history::Effect::Explained { ticket, events } = effect;
-            explains.close(ticket, events);
+        duty.spawn(&self.history, context.clock.clone(), move |_, effect| match effect {
+            history::Effect::Drained => entry.recorded.store(true, Ordering::Relaxed),
+            history::Effect::Explained { ticket, events } => {
+                entry.explains.close(ticket, events);
+            },
+            history::Effect::Send { items, through } => {
+                let history = entry.history.clone();
+                archive::send(&link, items, move |stored| {
+                    history.push(history::Message::Sent { through, stored });
+                });
+            },
         })?;
         Ok(())
     }
 
-    /// Answers a caller.
+    /// Answers a caller and counts the answer.
     pub(crate) async fn serve(&self, call: Inbound) -> Outbound {
+        let began = self.answers.begin();
         let (service, kind) = match caller::path(&call) {
             Ok(names) => names,
-            Err(refusal) => return caller::refused(None, &refusal),
+            Err(refusal) => {
+                let unknown = unknown();
+                self.answers.end(began, &unknown, &unknown, &caller::result(&refusal));
+                return caller::refused(None, &refusal);
+            },
         };
+        let (key, told) = self.answer(call, &service, &kind).await;
+        let result = caller::told_result(&told);
+        if caller::is_unknown(&told) {
+            let unknown = unknown();
+            self.answers.end(began, &unknown, &unknown, &result);
+        } else {
+            self.answers.end(began, &service, &kind, &result);
+        }
+        match (key, told) {
+            (Some(key), told) => caller::outbound(&key, told),
+            (None, Told::Refused(refusal)) => caller::refused(None, &refusal),
+            (None, told) => caller::outbound(&caller::fresh_key(), told),
+        }
+    }
+
+    async fn answer(&self, call: Inbound, service: &Name, kind: &Name) -> (Option<Key>, Told) {
         let (key, timeout) = match caller::headers(&call) {
             Ok(headers) => headers,
-            Err(refusal) => return caller::refused(None, &refusal),
+            Err(refusal) => return (None, Told::Refused(refusal)),
         };
+        let (service, kind) = (service.clone(), kind.clone());
         let (ticket, reply) = self.callers.open();
         let body = call.body;
         let arrival = Arrival { ticket, service, kind, key: key.clone(), timeout, body };
@@ -277,8 +357,8 @@
             self.callers.close(ticket, (key, Told::Refused(refusal.retry_after(1_000))));
         }
         match reply.await {
-            Ok((key, told)) => caller::outbound(&key, told),
-            Err(_) => caller::refused(key.as_ref(), &Refusal::unknown("this entry is stopping")),
+            Ok((key, told)) => (Some(key), told),
+            Err(_) => (key, Told::Refused(Refusal::unknown("this entry is stopping"))),
         }
     }
 
@@ -342,6 +422,11 @@
     }
 }
 
+/// Name under which requests for names that are not declared are counted.
+fn unknown() -> Name {
+    Name::new("unknown").unwrap_or_else(|error| unreachable!("{error}"))
+}
+
 fn reported(reply: Reply) -> Result<Reported, CallError> {
     match reply {
         Reply::Reported(reported) => Ok(reported),
--- a/toucangrade/src/daemon/link.rs
+++ b/toucangrade/src/daemon/link.rs
@@ -23,6 +23,11 @@
         Self { client, members: Arc::new(members), leader: Arc::new(Mutex::new(leader)) }
     }
 
+    /// Peer addresses of the control instances.
+    pub(crate) fn members(&self) -> Vec<SocketAddr> {
+        self.members.values().copied().collect()
+    }
+
     /// Sends a request to one process.
     pub(crate) fn send(
         &self,
--- a/toucangrade/src/daemon/mod.rs
+++ b/toucangrade/src/daemon/mod.rs
@@ -1,12 +1,14 @@
 //! The daemon: starts the duties of its roles, serves its ports and drains on a signal.
 
 mod agent;
+mod archive;
 mod caller;
 mod control;
 mod entry;
 mod link;
 mod operator;
 mod settings;
+mod telemetry;
 
 #[cfg(test)]
 mod tests;
@@ -16,7 +18,7 @@
 use std::path::Path;
 use std::sync::Arc;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use http::Method;
 use rand::Rng;
@@ -29,14 +31,16 @@
 pub use self::settings::{BadSetting, Role, Settings, parser};
 
 use self::agent::Agent;
+use self::archive::Archive;
 use self::control::Control;
 use self::entry::Entry;
 use self::link::Link;
 use self::operator::Operator;
+use self::telemetry::Telemetry;
 use crate::core::{Clock, Moment, Span};
 use crate::http::{Client, Handler, Inbound, Outbound, Server};
 use crate::peer::{self, Reply, Request};
-use crate::{admission, limits, membership};
+use crate::{admission, history, limits, membership};
 
 /// Threads of each HTTP server; handlers only translate, so two are enough.
 const HTTP_THREADS: usize = 2;
@@ -52,6 +56,7 @@
     pub(crate) settings: Settings,
     pub(crate) clock: Clock,
     pub(crate) client: Client,
+    pub(crate) telemetry: Telemetry,
     /// Tells this run of the process from others; random, since clocks may step.
     pub(crate) incarnation: u64,
 }
@@ -60,6 +65,7 @@
 #[derive(Clone)]
 struct Roles {
     agent: Option<Agent>,
+    archive: Option<Archive>,
     control: Option<Control>,
     entry: Option<Entry>,
 }
@@ -86,6 +92,9 @@
         if let Some(control) = &self.roles.control {
             whole["control"] = control.dump().await;
         }
+        if let Some(archive) = &self.roles.archive {
+            whole["history"] = archive.dump().await;
+        }
         if let Some(entry) = &self.roles.entry {
             whole["entry"] = entry.dump().await;
         }
@@ -101,6 +110,12 @@
     }
 }
 
+/// Wall-clock time in milliseconds since 1970, for display only.
+pub(crate) fn wall_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
 pub(crate) fn not_found() -> Outbound {
     Outbound::json(404, &json!({ "error": "not-found", "reason": "no such path or method" }))
 }
@@ -112,9 +127,11 @@
 /// The error of the operating system when a port, thread or file can't be had.
 pub fn run(settings: Settings) -> io::Result<i32> {
     let signals = Signals::new([SIGINT, SIGTERM])?;
+    let clock = Clock::system();
     let context = Context {
+        telemetry: Telemetry::start(&settings, &clock)?,
         settings,
-        clock: Clock::system(),
+        clock,
         client: Client::start()?,
         incarnation: rand::rng().random(),
     };
@@ -146,9 +163,13 @@
         Some(data) if has(Role::Control) => Some(Control::start(context, data)?),
         _ => None,
     };
+    let archive = match data {
+        Some(data) if has(Role::Control) => Some(Archive::start(context, data)?),
+        _ => None,
+    };
     let agent = has(Role::Agent).then(|| Agent::start(context, link, peer)).transpose()?;
     let entry = has(Role::Entry).then(|| Entry::start(context, link, peer)).transpose()?;
-    Ok(Roles { agent, control, entry })
+    Ok(Roles { agent, archive, control, entry })
 }
 
 /// Serves the ports of each role.
@@ -162,8 +183,8 @@
     });
     let listen = |addr, handler| Server::start(TcpListener::bind(addr)?, HTTP_THREADS, handler);
     let mut servers = Vec::new();
-    if let Some(control) = &roles.control {
-        let operator = Operator::new(context, control.clone(), link.clone());
+    if let (Some(control), Some(archive)) = (&roles.control, &roles.archive) {
+        let operator = Operator::new(context, control.clone(), archive.clone(), link.clone());
         let handler = operator.handler(Arc::clone(&dump));
         servers.push(("operator", listen(settings.operator, handler)?));
     }
@@ -219,8 +240,18 @@
             (Request::Forward { admitted, patience }, Self { entry: Some(entry), .. }) => {
                 entry.forwarded(now, *admitted, patience).await
             },
-            (Request::Explain(key), Self { entry: Some(entry), .. }) => {
-                Reply::Explained(entry.explain(key).await)
+            (Request::Explain(key), Self { entry, archive, .. }) => {
+                let mut events = Vec::new();
+                if let Some(entry) = entry {
+                    events = entry.explain(key.clone()).await;
+                }
+                if let Some(archive) = archive {
+                    events.extend(archive.explain(key).await);
+                }
+                Reply::Explained(events)
+            },
+            (Request::Store(items), Self { archive: Some(archive), .. }) => {
+                archive.store(items).await
             },
             (request, Self { control: Some(control), .. }) => control.serve(request).await,
             _ => {
@@ -273,6 +304,13 @@
         if !until(&handed, limit) {
             info!("no other entry took over the partitions, they are left to lapse");
         }
+        entry.history.push(history::Message::Drain { wall: wall_ms() });
+        let recorded = Arc::clone(&entry.recorded);
+        let recorded = move || recorded.load(std::sync::atomic::Ordering::Relaxed);
+        let limit = deadline.min(context.clock.now() + HANDOVER);
+        if !until(&recorded, limit) {
+            info!("control did not take the last outcomes, their history is lost");
+        }
         whole = roles.waiting() == 0;
     }
     if whole {
--- a/toucangrade/src/daemon/operator.rs
+++ b/toucangrade/src/daemon/operator.rs
@@ -1,5 +1,6 @@
 //! Translation between operators' HTTP and the messages of control.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
@@ -7,13 +8,15 @@
 use bytes::Bytes;
 use futures_util::future::{Either, join_all, select};
 use http::Method;
+use jiff::Timestamp;
 use serde_json::{Value, json};
 use subtle::ConstantTimeEq;
 use tokio::sync::{mpsc, oneshot};
 
-use super::Context;
+use super::archive::Archive;
 use super::control::Control;
 use super::link::Link;
+use super::{Context, wall_ms};
 use crate::claims::{Claim, Outcome};
 use crate::core::{Key, Name, Span};
 use crate::history::Event;
@@ -24,6 +27,8 @@
 
 /// Changes that wait for a slow reader of a watch stream.
 const WATCH_QUEUE: usize = 64;
+/// Period of a review that names none, in milliseconds.
+const DAY_MS: u64 = 86_400_000;
 /// Time that an entry's explanation may take.
 const EXPLAIN_TIMEOUT: Span = Span::millis(1_000);
 
@@ -31,14 +36,15 @@
 #[derive(Clone)]
 pub(crate) struct Operator {
     control: Control,
+    archive: Archive,
     link: Link,
     token: Option<Arc<str>>,
 }
 
 impl Operator {
-    pub(crate) fn new(context: &Context, control: Control, link: Link) -> Self {
+    pub(crate) fn new(context: &Context, control: Control, archive: Archive, link: Link) -> Self {
         let token = context.settings.token.as_deref().map(Arc::from);
-        Self { control, link, token }
+        Self { control, archive, link, token }
     }
 
     /// Handler of the operator port.
@@ -72,6 +78,7 @@
             },
             ("GET", ["v1", "watch"]) => self.watch(&call).await,
             ("GET", ["v1", "explain", key]) => self.explain(parse(key)?).await,
+            ("GET", ["v1", "review"]) => self.review(&call).await,
             ("GET", ["v1", "status"]) => {
                 let status = self.control.status().await.ok_or_else(unavailable)?;
                 Ok(Outbound::json(200, &status))
@@ -189,16 +196,18 @@
         }
     }
 
-    /// Collects what the log and the entries know about a key.
+    /// Collects what the log, the entries and every control instance know about a key.
     async fn explain(&self, key: Key) -> Result<Outbound, Outbound> {
         let query = Query::Claim { key: key.clone() };
         let Some(state::Reply::Claim(claim)) = self.control.query(query).await else {
             return Err(unavailable());
         };
-        let entries = self.control.live_entries().await.ok_or_else(unavailable)?;
-        let asked = entries.into_iter().map(|addr| self.events(addr, key.clone()));
-        let mut steps: Vec<Event> = Vec::new();
+        let mut asked: BTreeSet<SocketAddr> = self.link.members().into_iter().collect();
+        asked.extend(self.control.live_entries().await.ok_or_else(unavailable)?);
+        let asked = asked.into_iter().map(|addr| self.events(addr, key.clone()));
+        let mut steps: BTreeSet<Event> = BTreeSet::new();
         for events in join_all(asked).await {
+            // Several processes hold the same step.
             steps.extend(events);
         }
         if steps.is_empty() && claim.is_none() {
@@ -206,12 +215,28 @@
         }
         let steps: Vec<Value> = steps
             .iter()
-            .map(|e| json!({ "by": e.by, "at_us": e.at.as_micros(), "text": e.text }))
+            .map(|e| {
+                let at = e.at.as_micros();
+                json!({ "by": e.by, "wall_ms": e.wall, "at_us": at, "text": e.text })
+            })
             .collect();
         let body = json!({ "key": key, "claim": claim.as_ref().map(claimed), "steps": steps });
         Ok(Outbound::json(200, &body))
     }
 
+    /// What went wrong in a period; without `from` the last day, without `to` until now.
+    async fn review(&self, call: &Inbound) -> Result<Outbound, Outbound> {
+        let now = wall_ms();
+        let to = period("to", call.param("to"), now)?;
+        let from = period("from", call.param("from"), to.saturating_sub(DAY_MS))?;
+        if from >= to {
+            let reason = "from lies at or after to, allowed is an earlier time";
+            return Err(problem(400, "bad-request", reason));
+        }
+        let review = self.archive.review(from, to).await.ok_or_else(unavailable)?;
+        Ok(Outbound::json(200, &review))
+    }
+
     async fn events(&self, addr: SocketAddr, key: Key) -> Vec<Event> {
         let (sender, receiver) = oneshot::channel();
         self.link.send(addr, &Request::Explain(key), EXPLAIN_TIMEOUT, move |result| {
@@ -224,6 +249,19 @@
     }
 }
 
+/// A point in time as unix seconds or RFC 3339, in milliseconds since 1970.
+fn period(name: &str, value: Option<&str>, missing: u64) -> Result<u64, Outbound> {
+    let Some(value) = value else { return Ok(missing) };
+    let seconds = value.parse::<u64>().ok().and_then(|seconds| seconds.checked_mul(1_000));
+    // Colons of a time may come encoded, and a plus sign always does.
+    let plain = value.replace("%3A", ":").replace("%3a", ":").replace("%2B", "+");
+    let time = || plain.parse::<Timestamp>().ok()?.as_millisecond().try_into().ok();
+    seconds.or_else(time).ok_or_else(|| {
+        let reason = format!("{name} is {value:?}, allowed are unix seconds or an RFC 3339 time");
+        problem(400, "bad-request", &reason)
+    })
+}
+
 /// The condition of a write on the current revision.
 fn expect(call: &Inbound) -> Result<Expect, Outbound> {
     let refuse = |name: &str, value: &str, allowed: &str| {
--- a/toucangrade/src/daemon/settings.rs
+++ b/toucangrade/src/daemon/settings.rs
@@ -13,6 +13,10 @@
 /// Drain timeouts that may be set, in milliseconds.
 const DRAIN_MS: std::ops::RangeInclusive<u64> = 100..=600_000;
 
+/// Sizes of the durable history that may be set, in megabytes. A segment has 4 MB, and two are the
+/// least that can rotate.
+const HISTORY_MB: std::ops::RangeInclusive<u64> = 10..=100_000;
+
 /// Role of a process.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "lowercase")]
@@ -71,6 +75,10 @@
     pub token: Option<String>,
     /// Longest time that a drain may take, in milliseconds.
     pub drain_ms: u64,
+    /// Size of the durable history of outcomes, in megabytes.
+    pub history_mb: u64,
+    /// StatsD server that metrics are sent to.
+    pub statsd: Option<SocketAddr>,
     /// File that the addresses in use are written to.
     pub ports: Option<PathBuf>,
     /// Whether the state dump is also served on the caller port.
@@ -93,6 +101,8 @@
     data: Option<PathBuf>,
     token: Option<String>,
     drain_ms: u64,
+    history_mb: u64,
+    statsd: Option<SocketAddr>,
     ports: Option<PathBuf>,
     caller_dump: bool,
     check: bool,
@@ -151,6 +161,16 @@
         .help("Longest time that a drain may take, in milliseconds")
         .argument::<u64>("MS")
         .fallback(30_000);
+    let history_mb = long("history-mb")
+        .env("TOUCANGRADE_HISTORY_MB")
+        .help("Size of the durable history of outcomes at control, in megabytes")
+        .argument::<u64>("MB")
+        .fallback(1_000);
+    let statsd = long("statsd-addr")
+        .env("TOUCANGRADE_STATSD_ADDR")
+        .help("StatsD server that metrics are sent to over UDP")
+        .argument::<SocketAddr>("ADDR")
+        .optional();
     let ports = long("ports-file")
         .env("TOUCANGRADE_PORTS_FILE")
         .help("File that the addresses in use are written to, as NAME=ADDR lines")
@@ -172,6 +192,8 @@
         data,
         token,
         drain_ms,
+        history_mb,
+        statsd,
         ports,
         caller_dump,
         check,
@@ -200,6 +222,10 @@
             let allowed = format!("{} to {} milliseconds", DRAIN_MS.start(), DRAIN_MS.end());
             return Err(BadSetting::new("--drain-timeout-ms", raw.drain_ms, allowed));
         }
+        if !HISTORY_MB.contains(&raw.history_mb) {
+            let allowed = format!("{} to {} megabytes", HISTORY_MB.start(), HISTORY_MB.end());
+            return Err(BadSetting::new("--history-mb", raw.history_mb, allowed));
+        }
         if raw.token.as_ref().is_some_and(String::is_empty) {
             return Err(BadSetting::new("--token", "", "one character or more"));
         }
@@ -216,6 +242,8 @@
             data: raw.data,
             token: raw.token,
             drain_ms: raw.drain_ms,
+            history_mb: raw.history_mb,
+            statsd: raw.statsd,
             ports: raw.ports,
             caller_dump: raw.caller_dump,
             check: raw.check,
--- a/toucangrade/src/execution/attempt.rs
+++ b/toucangrade/src/execution/attempt.rs
@@ -419,6 +419,7 @@
         let Some(record) = self.records.get_mut(&key) else { return };
         self.bytes += size(&told);
         record.phase = Phase::Settled(told.clone());
+        let course = record.course(&told);
         record.request.body = bytes::Bytes::new();
         let waiters = std::mem::take(&mut record.waiters);
         let events = std::mem::take(&mut record.events);
@@ -427,7 +428,7 @@
         for (waiter, _) in waiters {
             out.push(Effect::Answer { waiter, key: key.clone(), told: told.clone() });
         }
-        out.push(Effect::Record { key, events });
+        out.push(Effect::Record { key, course: Some(course), events });
         while self.settled.len() > SETTLED_KEPT || self.bytes > ANSWERS_KEPT {
             let Some(oldest) = self.settled.pop_front() else { break };
             if let Some(Record { phase: Phase::Settled(told), .. }) = self.records.remove(&oldest) {
@@ -445,10 +446,11 @@
             let text = format!("refused, {}: {}", refusal.verdict, refusal.reason);
             record.note(now, &entry, text);
         }
+        let course = record.course(told);
         for (waiter, _) in record.waiters {
             out.push(Effect::Answer { waiter, key: key.clone(), told: told.clone() });
         }
-        out.push(Effect::Record { key, events: record.events });
+        out.push(Effect::Record { key, course: Some(course), events: record.events });
     }
 
     fn close(&mut self, key: &Key) {
@@ -516,6 +518,10 @@
         };
         if let Told::Refused(_) = told {
             record.note(now, &entry, "the caller's timeout passed, outcome not known".to_owned());
+            record.late = true;
+            // The outcome may take long, and this process may end before it is known.
+            let (course, events) = (Some(record.course(&told)), record.events.clone());
+            out.push(Effect::Record { key: key.clone(), course, events });
         }
         for (waiter, _) in late {
             out.push(Effect::Answer { waiter, key: key.clone(), told: told.clone() });
--- a/toucangrade/src/execution/message.rs
+++ b/toucangrade/src/execution/message.rs
@@ -9,7 +9,7 @@
 use crate::admission::{Question, Report, Start};
 use crate::claims;
 use crate::core::{Answer, Key, Moment, Name, Refusal, Span};
-use crate::history::Event;
+use crate::history::{Course, Event};
 use crate::http::CallError;
 use crate::limits::Admitted;
 use crate::membership::Owned;
@@ -71,8 +71,8 @@
     Forward { addr: SocketAddr, ticket: u64, patience: Span, admitted: Admitted },
     /// Asks routing for an agent.
     Pick(Pick),
-    /// Hands the steps of a request to the history.
-    Record { key: Key, events: Vec<Event> },
+    /// Hands the steps of a request and how it came out to the history.
+    Record { key: Key, course: Option<Course>, events: Vec<Event> },
     /// Partitions of which no attempt is left, with their epochs.
     Released(Vec<(u32, u64)>),
 }
--- a/toucangrade/src/execution/mod.rs
+++ b/toucangrade/src/execution/mod.rs
@@ -343,5 +343,5 @@
 
 /// One sentence for the history.
 fn event(now: Moment, by: &Name, text: String) -> Event {
-    Event { at: now, by: by.clone(), text }
+    Event::new(now, by.clone(), text)
 }
--- a/toucangrade/src/execution/record.rs
+++ b/toucangrade/src/execution/record.rs
@@ -4,8 +4,8 @@
 
 use super::message::{Request, Told, Waiter};
 use crate::claims::Outcome;
-use crate::core::{Class, Moment, Name, Refusal, Span};
-use crate::history::Event;
+use crate::core::{Class, Moment, Name, Refusal, Span, Verdict};
+use crate::history::{Course, Event};
 use crate::routing::{Agents, Target};
 
 /// An attempt that was handed to an agent.
@@ -60,6 +60,8 @@
     pub(crate) looked: bool,
     /// Whether an earlier attempt may have run although its outcome is lost.
     pub(crate) doubtful: bool,
+    /// Whether a caller's timeout passed before the outcome was known.
+    pub(crate) late: bool,
     /// Last reason for which an attempt did not run.
     pub(crate) refusal: Option<Refusal>,
     #[serde(skip)]
@@ -80,6 +82,7 @@
             resend: Moment::START,
             looked: false,
             doubtful: false,
+            late: false,
             refusal: None,
             events: Vec::new(),
         }
@@ -96,6 +99,17 @@
         self.events.push(super::event(now, by, text));
     }
 
+    /// How the request came out, for the history.
+    pub(crate) fn course(&self, told: &Told) -> Course {
+        let (verdict, code) = match told {
+            Told::Answer(answer) if (200..300).contains(&answer.status) => (Verdict::Ran, None),
+            Told::Answer(_) => (Verdict::Ran, Some("back-end-failed".to_owned())),
+            Told::Refused(refusal) => (refusal.verdict, Some(refusal.code.clone())),
+        };
+        let (service, kind) = (self.request.service.clone(), self.request.kind.clone());
+        Course { service, kind, class: Some(self.class), verdict, code, late: self.late }
+    }
+
     /// Whether attempts need a claim in the log.
     pub(crate) fn claims(&self) -> bool {
         self.class != Class::Quick
--- /dev/null
+++ b/toucangrade/src/history/review.rs
@@ -0,0 +1,175 @@
+//! What went wrong in a period, how often and why, with the tail latency of each service.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+use serde_json::{Value, json};
+
+use super::{Body, Item, Outcome, Tally};
+use crate::core::Verdict;
+
+/// Causes that a review lists; the rarest are left out.
+const CAUSES_SHOWN: usize = 200;
+/// Length of one point of the curves, in milliseconds.
+const POINT_MS: u64 = 60_000;
+/// Points of the curves; longer periods get longer points.
+const POINTS: u64 = 1_440;
+
+/// Outcomes of one service and kind.
+#[derive(Debug, Default)]
+struct Row {
+    tally: Tally,
+    late: u64,
+    /// Batch work that ran to its end.
+    finished: u64,
+    /// Evictions of batch work.
+    evictions: u64,
+}
+
+/// One reason for outcomes that went wrong.
+#[derive(Debug, Default, Serialize)]
+struct Cause {
+    count: u64,
+    /// Key of the newest such outcome, to be explained.
+    example: String,
+    /// Last step of that outcome.
+    reason: String,
+}
+
+/// Answers of one service and kind during one point of a curve.
+#[derive(Debug, Default)]
+struct Point {
+    tally: Tally,
+}
+
+/// Gathers a review.
+#[derive(Debug)]
+pub(crate) struct Report {
+    from: u64,
+    to: u64,
+    point: u64,
+    missed: u64,
+    removed: u64,
+    dropped: u64,
+    items: u64,
+    rows: BTreeMap<(String, String), Row>,
+    causes: BTreeMap<(String, String, String, String), Cause>,
+    curves: BTreeMap<(String, u64), Point>,
+}
+
+impl Report {
+    /// A review of the time from `from` to `to`, in milliseconds since 1970.
+    pub(crate) fn new(from: u64, to: u64, missed: u64, removed: u64) -> Self {
+        Self {
+            from,
+            to,
+            point: (to.saturating_sub(from) / POINTS).max(POINT_MS),
+            missed,
+            removed,
+            dropped: 0,
+            items: 0,
+            rows: BTreeMap::new(),
+            causes: BTreeMap::new(),
+            curves: BTreeMap::new(),
+        }
+    }
+
+    /// Counts an item if it belongs to the period.
+    pub(crate) fn add(&mut self, item: Item) {
+        if item.wall < self.from || item.wall >= self.to {
+            return;
+        }
+        self.items += 1;
+        match item.body {
+            Body::Dropped { count } => self.dropped += count,
+            Body::Outcome(outcome) => self.outcome(&outcome),
+            Body::Summary { service, kind, summary } => {
+                let names = (service.to_string(), kind.to_string());
+                let point = (item.wall - self.from) / self.point;
+                let curve = self.curves.entry((format!("{service}/{kind}"), point)).or_default();
+                curve.tally.merge(&summary);
+                self.rows.entry(names).or_default().tally.merge(&summary);
+            },
+        }
+    }
+
+    fn outcome(&mut self, outcome: &Outcome) {
+        let course = &outcome.course;
+        let names = (course.service.to_string(), course.kind.to_string());
+        let row = self.rows.entry(names.clone()).or_default();
+        row.late += u64::from(course.late);
+        let whole = course.verdict == Verdict::Ran && course.code.is_none();
+        row.finished += u64::from(course.finished_batch());
+        if whole && !course.late {
+            return;
+        }
+        let code = course.code.clone().unwrap_or_else(|| "late".to_owned());
+        let verdict = course.verdict.to_string();
+        let cause = self.causes.entry((names.0, names.1, code, verdict)).or_default();
+        cause.count += 1;
+        cause.example = outcome.key.to_string();
+        cause.reason = outcome.events.last().map(|e| e.text.clone()).unwrap_or_default();
+    }
+
+    /// The review as JSON.
+    pub(crate) fn value(&self) -> Value {
+        let hours = (self.to.saturating_sub(self.from)) as f64 / 3_600_000.0;
+        let services: Vec<Value> =
+            self.rows.iter().map(|(names, row)| shown(names, row, hours)).collect();
+        let mut causes: Vec<_> = self.causes.iter().collect();
+        causes.sort_by_key(|(_, cause)| std::cmp::Reverse(cause.count));
+        let causes: Vec<Value> = causes
+            .into_iter()
+            .take(CAUSES_SHOWN)
+            .map(|((service, kind, code, verdict), cause)| {
+                json!({
+                    "service": service, "kind": kind, "code": code, "verdict": verdict,
+                    "count": cause.count, "example": cause.example, "reason": cause.reason,
+                })
+            })
+            .collect();
+        let curves: Vec<Value> = self
+            .curves
+            .iter()
+            .map(|((name, point), curve)| {
+                json!({
+                    "name": name,
+                    "at_ms": self.from + point * self.point,
+                    "answers": curve.tally.len(),
+                    "p50_us": curve.tally.quantile(0.5),
+                    "p99_us": curve.tally.quantile(0.99),
+                    "p999_us": curve.tally.quantile(0.999),
+                })
+            })
+            .collect();
+        json!({
+            "from_ms": self.from,
+            "to_ms": self.to,
+            "items": self.items,
+            "not_sent": self.dropped,
+            "missed_by_this_instance": self.missed,
+            "removed_for_size": self.removed,
+            "services": services,
+            "causes": causes,
+            "curves": curves,
+        })
+    }
+}
+
+fn shown(names: &(String, String), row: &Row, hours: f64) -> Value {
+    let per_hour = if hours > 0.0 { row.finished as f64 / hours } else { 0.0 };
+    json!({
+        "service": names.0,
+        "kind": names.1,
+        "answers": row.tally.len(),
+        "results": row.tally.counts(),
+        "late": row.late,
+        "p50_us": row.tally.quantile(0.5),
+        "p99_us": row.tally.quantile(0.99),
+        "p999_us": row.tally.quantile(0.999),
+        "max_us": row.tally.max(),
+        "batch_finished": row.finished,
+        "batch_per_hour": per_hour,
+        "evictions": row.evictions,
+    })
+}
--- a/toucangrade/src/history/tests.rs
+++ b/toucangrade/src/history/tests.rs
@@ -1,9 +1,48 @@
-//! Tests of the window of explanations.
+//! Tests of the window, the outbox, the segments and the review.
 
+use std::collections::BTreeMap;
+use std::fs;
+
+use rstest::rstest;
+
+use super::archive::{self, Archive};
+use super::files::{self, Files};
+use super::review::Report;
 use super::*;
+use crate::core::{Class, Verdict};
+use crate::peer;
+
+fn name(text: &str) -> Name {
+    Name::new(text).unwrap()
+}
+
+fn key(n: usize) -> Key {
+    Key::new(&format!("k{n}")).unwrap()
+}
+
+fn at(seconds: u64) -> Moment {
+    Moment::START + Span::secs(seconds)
+}
 
 fn event(n: usize) -> Event {
-    Event { at: Moment::START, by: Name::new("entry").unwrap(), text: n.to_string() }
+    Event { wall: 5, at: Moment::START, by: name("entry"), text: n.to_string() }
+}
+
+fn course(class: Option<Class>, verdict: Verdict, code: Option<&str>, late: bool) -> Course {
+    let code = code.map(str::to_owned);
+    Course { service: name("balcao"), kind: name("quote"), class, verdict, code, late }
+}
+
+fn failed() -> Course {
+    course(Some(Class::Once), Verdict::MayHaveRun, Some("outcome-unknown"), true)
+}
+
+fn record(n: usize, course: Option<Course>) -> Message {
+    Message::Record { key: key(n), course, events: vec![event(n)], wall: 1_000 }
+}
+
+fn history() -> History {
+    History::new(name("e1"), 7)
 }
 
 fn explain(history: &mut History, key: &Key) -> Vec<Event> {
@@ -14,20 +53,355 @@
     events
 }
 
+fn sent(effects: Vec<Effect>) -> Vec<u64> {
+    let items = effects.into_iter().flat_map(|effect| match effect {
+        Effect::Send { items, .. } => items,
+        Effect::Drained | Effect::Explained { .. } => Vec::new(),
+    });
+    items.map(|item| item.number).collect()
+}
+
+fn item(number: u64, wall: u64, n: usize, course: Course) -> Item {
+    let (took, events) = (Span::millis(3), vec![event(n)]);
+    let body = Body::Outcome(Outcome { key: key(n), course, took, events });
+    Item { entry: name("e1"), incarnation: 7, number, wall, body }
+}
+
+fn frame(item: &Item) -> Frame {
+    files::frame(item, &peer::encode(item))
+}
+
 /// Guards against explanations that mix requests up, grow without bound or lose the ends.
 #[test]
 fn window_is_bounded() {
-    let mut history = History::default();
-    let key = |n: usize| Key::new(&format!("k{n}")).unwrap();
+    let mut history = history();
     for n in 0..KEYS_KEPT + 10 {
-        let record = Message::Record { key: key(n), events: vec![event(n)] };
-        history.step(Moment::START, record);
+        history.step(Moment::START, record(n, None));
     }
     assert_eq!(explain(&mut history, &key(9)), []);
     assert_eq!(explain(&mut history, &key(10)), [event(10)]);
     let events = (0..STEPS_KEPT * 2).map(event).collect();
-    history.step(Moment::START, Message::Record { key: key(12), events });
+    let message = Message::Record { key: key(12), course: None, events, wall: 5 };
+    history.step(Moment::START, message);
     let kept = explain(&mut history, &key(12));
     assert_eq!((kept.len(), &kept[0]), (STEPS_KEPT, &event(12)));
     assert_eq!(kept[STEPS_KEPT - 1], event(STEPS_KEPT * 2 - 1));
 }
+
+/// Guards against steps that appear twice when an outcome follows the caller's timeout, and
+/// against wall-clock times that are those of the recording instead of the step.
+#[test]
+fn steps_are_kept_once_with_their_time() {
+    let mut history = history();
+    let step = |seconds, text: &str| Event::new(at(seconds), name("entry"), text.to_owned());
+    let long = "x".repeat(TEXT_KEPT + 1);
+    for (events, wall) in
+        [(vec![step(1, "a")], 9_000), (vec![step(1, "a"), step(2, "b"), step(3, &long)], 10_000)]
+    {
+        let message = Message::Record { key: key(1), course: None, events, wall };
+        history.step(at(4), message);
+    }
+    let kept = explain(&mut history, &key(1));
+    let shown: Vec<_> = kept.iter().map(|e| (e.wall, e.text.len())).collect();
+    assert_eq!(shown, [(6_000, 1), (8_000, 1), (9_000, TEXT_KEPT + " (cut off)".len())]);
+}
+
+struct Durable {
+    course: Course,
+    durable: bool,
+}
+
+/// Guards against failures that are lost with the entry, and against ordinary quick answers that
+/// use up the bytes meant for failures.
+#[rstest]
+#[case::quick_answer(Durable { course: course(Some(Class::Quick), Verdict::Ran, None, false), durable: false })]
+#[case::late_answer(Durable { course: course(Some(Class::Quick), Verdict::Ran, None, true), durable: true })]
+#[case::failed_answer(Durable {
+    course: course(Some(Class::Quick), Verdict::Ran, Some("back-end-failed"), false),
+    durable: true,
+})]
+#[case::refusal(Durable {
+    course: course(None, Verdict::NotRun, Some("over-quota"), false),
+    durable: true,
+})]
+#[case::order(Durable { course: course(Some(Class::Once), Verdict::Ran, None, false), durable: true })]
+#[case::batch(Durable { course: course(Some(Class::Batch), Verdict::Ran, None, false), durable: true })]
+#[case::unknown(Durable {
+    course: course(Some(Class::Quick), Verdict::MayHaveRun, Some("outcome-unknown"), true),
+    durable: true,
+})]
+fn durable_outcomes(#[case] case: Durable) {
+    assert_eq!(case.course.durable(), case.durable);
+    let mut history = history();
+    history.step(at(1), record(1, Some(case.course)));
+    let sent = sent(history.step(at(1), Message::Tick { wall: 0 }));
+    assert_eq!(sent.len(), usize::from(case.durable));
+}
+
+struct Outbox {
+    messages: Vec<(u64, Message)>,
+    sent: Vec<Vec<u64>>,
+}
+
+/// Guards against outcomes that are forgotten before a control instance has them, or sent again
+/// after one has.
+#[rstest]
+#[case::sent_again_until_stored(Outbox {
+    messages: vec![
+        (1, record(1, Some(failed()))),
+        (1, Message::Tick { wall: 0 }),
+        (2, record(2, Some(failed()))),
+        (3, Message::Tick { wall: 0 }),
+        (4, Message::Sent { through: 1, stored: false }),
+        (5, Message::Tick { wall: 0 }),
+        (9, Message::Tick { wall: 0 }),
+        (9, Message::Sent { through: 2, stored: true }),
+        (20, Message::Tick { wall: 0 }),
+    ],
+    sent: vec![vec![1], vec![1, 2]],
+})]
+#[case::drain_sends_at_once(Outbox {
+    messages: vec![
+        (1, record(1, Some(failed()))),
+        (1, Message::Tick { wall: 0 }),
+        (1, Message::Sent { through: 1, stored: true }),
+        (2, record(2, Some(failed()))),
+        (2, Message::Drain { wall: 0 }),
+        (2, Message::Sent { through: 2, stored: true }),
+    ],
+    sent: vec![vec![1], vec![2]],
+})]
+#[case::summaries_every_minute(Outbox {
+    messages: vec![
+        (1, Message::Tally(vec![(name("s"), name("k"), Summary { latencies: vec![(9, 2)], counts: BTreeMap::new() })])),
+        (59, Message::Tick { wall: 0 }),
+        (60, Message::Tick { wall: 0 }),
+    ],
+    sent: vec![vec![1]],
+})]
+fn outbox_is_sent(#[case] case: Outbox) {
+    let mut history = history();
+    let mut seen = Vec::new();
+    for (seconds, message) in case.messages {
+        seen.push(sent(history.step(at(seconds), message)));
+    }
+    seen.retain(|sent| !sent.is_empty());
+    assert_eq!(seen, case.sent);
+}
+
+/// Guards against a storm of failures that uses more than the history's bytes a second, and
+/// against outcomes that are dropped without being counted.
+#[test]
+fn storm_is_bounded_and_counted() {
+    let mut history = history();
+    let (storm, seconds) = (50_000_u64, 10);
+    let mut bytes = 0;
+    let mut number = 0;
+    for second in 0..seconds {
+        for n in 0..storm / seconds {
+            history.step(at(second), record(n as usize, Some(failed())));
+        }
+    }
+    for tick in seconds..500 {
+        for effect in history.step(at(tick), Message::Tick { wall: 0 }) {
+            let Effect::Send { items, through } = effect else { continue };
+            bytes += peer::encode(&items).len() as u64;
+            number = through;
+            history.step(at(tick), Message::Sent { through, stored: true });
+        }
+    }
+    assert!(bytes <= BYTES_BURST + BYTES_RATE * seconds + 200, "{bytes} bytes");
+    // All items but the last are outcomes; the last tells how many were dropped.
+    assert_eq!(history.dropped, (0, storm - (number - 1)));
+}
+
+struct Stored {
+    /// Numbers of the items in each batch.
+    batches: Vec<Vec<u64>>,
+    kept: Vec<u64>,
+    missed: u64,
+}
+
+/// Guards against outcomes that count twice after a lost confirmation, and against gaps that no
+/// review tells of.
+#[rstest]
+#[case::sent_twice(Stored { batches: vec![vec![1, 2], vec![1, 2, 3]], kept: vec![1, 2, 3], missed: 0 })]
+#[case::gap(Stored { batches: vec![vec![1], vec![4]], kept: vec![1, 4], missed: 2 })]
+fn batches_are_stored_once(#[case] case: Stored) {
+    let mut archive = Archive::new(10_000_000, Vec::new(), BTreeMap::new());
+    let mut kept = Vec::new();
+    for numbers in case.batches {
+        let frames = numbers.iter().map(|&n| frame(&item(n, 1, 1, failed()))).collect();
+        for effect in archive.step(at(0), ArchiveMessage::Store { ticket: 1, frames }) {
+            if let ArchiveEffect::Append { frames, .. } = effect {
+                kept.extend(frames.iter().map(|frame| frame.number));
+            }
+        }
+    }
+    let dump = serde_json::to_value(&archive).unwrap();
+    assert_eq!((kept, &dump["missed"]), (case.kept, &case.missed.into()));
+}
+
+/// Carries out what an archive asks for on real files; gives the steps that were read.
+fn perform(files: &mut Files, effects: Vec<ArchiveEffect>) -> Vec<Event> {
+    let mut events = Vec::new();
+    for effect in effects {
+        match effect {
+            ArchiveEffect::Append { segment, offset, frames, .. } => {
+                files.append(segment, offset, &frames).unwrap();
+            },
+            ArchiveEffect::Read { places, key, .. } => {
+                let items = places.iter().filter_map(|place| files.read(*place));
+                for item in items.filter_map(|bytes| peer::decode::<Item>(&bytes)) {
+                    let Body::Outcome(outcome) = item.body else { panic!("no outcome") };
+                    assert_eq!(outcome.key, key);
+                    events.extend(outcome.events);
+                }
+            },
+            ArchiveEffect::Remove { segment } => files.remove(segment).unwrap(),
+            ArchiveEffect::Scan { .. } | ArchiveEffect::Stored { .. } => {},
+        }
+    }
+    events
+}
+
+struct Damage {
+    /// What happens to the bytes of the only segment between two starts.
+    harm: fn(&mut Vec<u8>),
+    /// Requests that are explained afterwards.
+    left: Vec<usize>,
+}
+
+/// Guards against a control instance that loses outcomes over a restart, can't start after a
+/// crash in the middle of a write, or takes damaged bytes for outcomes.
+#[rstest]
+#[case::clean(Damage { harm: |_| (), left: vec![1, 2, 3] })]
+#[case::torn_tail(Damage { harm: |bytes| bytes.truncate(bytes.len() - 5), left: vec![1, 2] })]
+#[case::torn_head(Damage { harm: |bytes| bytes.extend([9, 0, 0]), left: vec![1, 2, 3] })]
+#[case::zeros_at_the_end(Damage { harm: |bytes| bytes.extend([0; 64]), left: vec![1, 2, 3] })]
+#[case::flipped_bit(Damage {
+    harm: |bytes| {
+        let last = bytes.len() - 4;
+        bytes[last] ^= 1;
+    },
+    left: vec![1, 2],
+})]
+fn restart_keeps_outcomes(#[case] case: Damage) {
+    let folder = tempfile::tempdir().unwrap();
+    let (mut files, found) = Files::open(folder.path(), peer::decode::<Item>).unwrap();
+    let mut archive = Archive::new(10_000_000, found.segments, found.newest);
+    for n in 1..=3_usize {
+        let frames = vec![frame(&item(n as u64, 1, n, failed()))];
+        let store = ArchiveMessage::Store { ticket: 1, frames };
+        perform(&mut files, archive.step(at(0), store));
+    }
+    let path = fs::read_dir(folder.path()).unwrap().next().unwrap().unwrap().path();
+    let mut bytes = fs::read(&path).unwrap();
+    (case.harm)(&mut bytes);
+    fs::write(&path, bytes).unwrap();
+
+    let (mut files, found) = Files::open(folder.path(), peer::decode::<Item>).unwrap();
+    let mut archive = Archive::new(10_000_000, found.segments, found.newest);
+    let frames = vec![frame(&item(9, 1, 9, failed()))];
+    perform(&mut files, archive.step(at(0), ArchiveMessage::Store { ticket: 1, frames }));
+    let explained: Vec<usize> = (1..=9)
+        .filter(|&n| {
+            let message = ArchiveMessage::Explain { ticket: 1, key: key(n) };
+            perform(&mut files, archive.step(at(0), message)) == [event(n)]
+        })
+        .collect();
+    assert_eq!(explained, [&case.left[..], &[9]].concat());
+}
+
+/// Guards against a disk that fills with history, and against removal that is not counted.
+#[test]
+fn oldest_segments_go_first() {
+    let folder = tempfile::tempdir().unwrap();
+    let (mut files, found) = Files::open(folder.path(), peer::decode::<Item>).unwrap();
+    let limit = 10_000_000;
+    let mut archive = Archive::new(limit, found.segments, found.newest);
+    let mut long = item(1, 1, 1, failed());
+    for number in 1..=200 {
+        long.number = number;
+        if let Body::Outcome(outcome) = &mut long.body {
+            outcome.key = key(number as usize);
+            outcome.events[0].text = "x".repeat(100_000);
+        }
+        let frames = vec![frame(&long)];
+        let store = ArchiveMessage::Store { ticket: 1, frames };
+        perform(&mut files, archive.step(at(0), store));
+    }
+    let sizes = fs::read_dir(folder.path()).unwrap().map(|f| f.unwrap().metadata().unwrap().len());
+    let bytes: u64 = sizes.sum();
+    assert!(bytes <= limit, "{bytes} bytes");
+    let dropped = serde_json::to_value(&archive).unwrap()["dropped"].as_u64().unwrap();
+    for n in 1..=200_usize {
+        let message = ArchiveMessage::Explain { ticket: 1, key: key(n) };
+        let found = perform(&mut files, archive.step(at(0), message)).len();
+        assert_eq!(found, usize::from(n as u64 > dropped), "request {n}, {dropped} dropped");
+    }
+}
+
+/// Guards against outcomes that stay lost after a full disk: what could not be written is taken
+/// again, at the place where the segment still ends.
+#[test]
+fn failed_write_is_taken_again() {
+    let mut archive = Archive::new(10_000_000, Vec::new(), BTreeMap::new());
+    let store = || {
+        let frames = vec![frame(&item(1, 1, 1, failed()))];
+        ArchiveMessage::Store { ticket: 1, frames }
+    };
+    archive.step(at(0), store());
+    let first = BTreeMap::from([((name("e1"), 7), 1)]);
+    archive.step(at(0), ArchiveMessage::Failed { segment: 1, offset: 0, first });
+    let effects = archive.step(at(0), store());
+    let Some(ArchiveEffect::Append { segment: 1, offset: 0, .. }) = effects.first() else {
+        panic!("{effects:?}")
+    };
+}
+
+/// Guards against hash collisions that explain another request.
+#[test]
+fn index_hash_is_of_the_key() {
+    assert_eq!(archive::hash(&key(1)), crc32fast::hash(b"k1"));
+}
+
+/// Guards against reviews that count other periods, hide refusals or report wrong tails.
+#[test]
+fn review_counts_what_went_wrong() {
+    let mut report = Report::new(1_000, 61_000, 4, 5);
+    let mut tally = Tally::default();
+    for n in 0..1_000 {
+        tally.add(if n < 985 { 1_000 } else { 50_000 }, "ran");
+    }
+    let summary =
+        Body::Summary { service: name("balcao"), kind: name("quote"), summary: tally.summary() };
+    let batch = course(Some(Class::Batch), Verdict::Ran, None, false);
+    let refused = course(None, Verdict::NotRun, Some("over-quota"), false);
+    let mut items = vec![
+        item(1, 999, 1, failed()),
+        item(2, 1_000, 2, failed()),
+        item(3, 60_999, 3, refused.clone()),
+        item(4, 60_999, 4, refused),
+        item(5, 61_000, 5, failed()),
+        item(6, 2_000, 6, batch),
+    ];
+    items.push(Item { wall: 2_000, body: summary, ..items[0].clone() });
+    items.push(Item { wall: 2_000, body: Body::Dropped { count: 3 }, ..items[0].clone() });
+    items.into_iter().for_each(|item| report.add(item));
+    let value = report.value();
+    let row = &value["services"][0];
+    let numbers = ["answers", "late", "p50_us", "p99_us", "batch_finished", "evictions"];
+    let numbers = numbers.map(|field| row[field].as_u64().unwrap());
+    // Latencies keep two digits, as the upper end of their bucket.
+    assert_eq!(numbers, [1_000, 1, 1_003, 50_175, 1, 0]);
+    let causes: Vec<_> = value["causes"].as_array().unwrap().iter().collect();
+    let shown: Vec<_> = causes
+        .iter()
+        .map(|c| (c["code"].as_str().unwrap(), c["count"].as_u64().unwrap()))
+        .collect();
+    assert_eq!(shown, [("over-quota", 2), ("outcome-unknown", 1)]);
+    assert_eq!(causes[0]["example"], "k4");
+    let rest = ["not_sent", "missed_by_this_instance", "removed_for_size"];
+    assert_eq!(rest.map(|field| value[field].as_u64().unwrap()), [3, 4, 5]);
+}
--- a/toucangrade/src/lib.rs
+++ b/toucangrade/src/lib.rs
@@ -12,6 +12,7 @@
 mod journal;
 mod limits;
 mod membership;
+mod metrics;
 mod partitions;
 mod peer;
 mod resources;
--- /dev/null
+++ b/toucangrade/src/metrics/mod.rs
@@ -0,0 +1,133 @@
+//! Counters, gauges and timers for a StatsD server, gathered by duties and sent on ticks.
+
+mod answers;
+mod message;
+
+#[cfg(test)]
+mod tests;
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+pub(crate) use self::answers::Answers;
+pub(crate) use self::message::{Effect, Load, Message, Stat};
+use crate::core::{Moment, Name, Span};
+use crate::history::{Summary, Tally};
+
+/// Time between two sendings; the common flush interval of StatsD servers.
+const SEND_EVERY: Span = Span::secs(10);
+/// Timers of one name that are sent as single values between two sendings; more are dropped and
+/// counted, so that a fast disk can't fill the buffer.
+const TIMERS_KEPT: usize = 1_000;
+
+/// State of the duty.
+#[derive(Debug, Default, Serialize)]
+pub(crate) struct Metrics {
+    #[serde(skip)]
+    answers: BTreeMap<(Name, Name), Tally>,
+    counts: BTreeMap<String, u64>,
+    gauges: BTreeMap<&'static str, u64>,
+    timers: BTreeMap<&'static str, Vec<Span>>,
+    /// Messages each duty had shed when its load was last sent.
+    shed: BTreeMap<&'static str, u64>,
+    next: Moment,
+}
+
+impl Metrics {
+    /// Greatest time between two ticks.
+    pub(crate) const PERIOD: Span = Span::secs(1);
+
+    /// State that sends these counters even while they are zero.
+    pub(crate) fn new(zeros: &[&str]) -> Self {
+        let counts = zeros.iter().map(|&name| (name.to_owned(), 0)).collect();
+        Self { counts, ..Self::default() }
+    }
+
+    /// Handles one message.
+    pub(crate) fn step(&mut self, now: Moment, message: Message) -> Vec<Effect> {
+        match message {
+            Message::Answers(answers) => {
+                for (service, kind, summary) in answers {
+                    self.answers.entry((service, kind)).or_default().merge(&summary);
+                }
+            },
+            Message::Count { name, by } => *self.counts.entry(name).or_default() += by,
+            Message::Gauge { name, value } => {
+                self.gauges.insert(name, value);
+            },
+            Message::Loads(loads) => return self.loads(loads),
+            Message::Tick if now >= self.next => {
+                self.next = now + SEND_EVERY;
+                return self.send();
+            },
+            Message::Tick => {},
+            Message::Timer { name, span } => {
+                let timers = self.timers.entry(name).or_default();
+                if timers.len() < TIMERS_KEPT {
+                    timers.push(span);
+                } else {
+                    *self.counts.entry(format!("{name}_not_sent")).or_default() += 1;
+                }
+            },
+        }
+        Vec::new()
+    }
+
+    fn loads(&mut self, loads: Vec<Load>) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        for Load { duty, waiting, shed } in loads {
+            let before = self.shed.insert(duty, shed).unwrap_or(0);
+            let name = format!("duty.{duty}.waiting");
+            effects.push(Effect::Send(Stat::Gauge { name, value: waiting as u64 }));
+            let name = format!("duty.{duty}.shed");
+            effects.push(Effect::Send(Stat::Count { name, value: shed.saturating_sub(before) }));
+        }
+        effects.push(Effect::Flush);
+        effects
+    }
+
+    /// Sends what was gathered since the last time; gauges stay.
+    fn send(&mut self) -> Vec<Effect> {
+        let mut stats = Vec::new();
+        for (name, value) in &mut self.counts {
+            stats.push(Stat::Count { name: name.clone(), value: std::mem::take(value) });
+        }
+        for (&name, &value) in &self.gauges {
+            stats.push(Stat::Gauge { name: name.to_owned(), value });
+        }
+        for (&name, spans) in &mut self.timers {
+            for span in spans.drain(..) {
+                let micros = span.as_micros();
+                stats.push(Stat::Timer { name: name.to_owned(), micros, count: 1 });
+            }
+        }
+        for ((service, kind), tally) in std::mem::take(&mut self.answers) {
+            let path = format!("{}.{}", flat(&service), flat(&kind));
+            latencies(&path, &tally, &mut stats);
+        }
+        let mut effects: Vec<Effect> = stats.into_iter().map(Effect::Send).collect();
+        effects.push(Effect::Sample);
+        effects
+    }
+}
+
+fn latencies(path: &str, tally: &Tally, stats: &mut Vec<Stat>) {
+    let Summary { latencies, counts } = tally.summary();
+    for (result, value) in counts {
+        let name = format!("answers.{path}.{}", result.replace(' ', "."));
+        stats.push(Stat::Count { name, value });
+    }
+    for (micros, count) in latencies {
+        stats.push(Stat::Timer { name: format!("latency.{path}"), micros, count });
+    }
+    for (quantile, word) in [(0.5, "p50"), (0.99, "p99"), (0.999, "p999")] {
+        let name = format!("latency_us.{path}.{word}");
+        stats.push(Stat::Gauge { name, value: tally.quantile(quantile) });
+    }
+}
+
+/// A name as one part of a metric's path, in which dots separate parts.
+pub(crate) fn flat(name: &Name) -> String {
+    name.as_str().replace('.', "_")
+}
--- /dev/null
+++ b/toucangrade/src/metrics/tests.rs
@@ -0,0 +1,92 @@
+//! Tests of what is sent to the StatsD server.
+
+use std::collections::BTreeMap;
+
+use rstest::rstest;
+
+use super::*;
+
+struct Case {
+    messages: Vec<Message>,
+    /// Stats of the tick at 10 s, as `name value`.
+    sent: Vec<&'static str>,
+}
+
+fn name(text: &str) -> Name {
+    Name::new(text).unwrap()
+}
+
+fn answers(results: &[(&str, u64)], latencies: &[(u64, u64)]) -> Message {
+    let counts: BTreeMap<_, _> = results.iter().map(|(r, n)| ((*r).to_owned(), *n)).collect();
+    let summary = Summary { latencies: latencies.to_vec(), counts };
+    Message::Answers(vec![(name("balcao"), name("quote.v2"), summary)])
+}
+
+fn words(effects: Vec<Effect>) -> Vec<String> {
+    let word = |effect| match effect {
+        Effect::Flush => "flush".to_owned(),
+        Effect::Sample => "sample".to_owned(),
+        Effect::Send(Stat::Count { name, value }) => format!("{name} {value}c"),
+        Effect::Send(Stat::Gauge { name, value }) => format!("{name} {value}g"),
+        Effect::Send(Stat::Timer { name, micros, count }) => format!("{name} {micros}us x{count}"),
+    };
+    effects.into_iter().map(word).collect()
+}
+
+/// Guards against counters that are sent twice, gauges that vanish, names with stray dots and
+/// timers that grow without bound.
+#[rstest]
+#[case::counters_start_again(Case {
+    messages: vec![
+        Message::Count { name: "evictions".into(), by: 2 },
+        Message::Tick,
+        Message::Count { name: "evictions".into(), by: 1 },
+    ],
+    sent: vec!["evictions 1c", "sample"],
+})]
+#[case::zero_is_sent(Case { messages: vec![], sent: vec!["evictions 0c", "sample"] })]
+#[case::gauges_stay(Case {
+    messages: vec![Message::Gauge { name: "revision", value: 4 }, Message::Tick],
+    sent: vec!["evictions 0c", "revision 4g", "sample"],
+})]
+#[case::timers(Case {
+    messages: vec![Message::Timer { name: "sync", span: Span::micros(1_500) }],
+    sent: vec!["evictions 0c", "sync 1500us x1", "sample"],
+})]
+#[case::answers(Case {
+    messages: vec![answers(&[("ran", 2), ("not-run over-quota", 1)], &[(1_000, 2), (4_000, 1)])],
+    sent: vec![
+        "evictions 0c",
+        "answers.balcao.quote_v2.not-run.over-quota 1c",
+        "answers.balcao.quote_v2.ran 2c",
+        "latency.balcao.quote_v2 1003us x2",
+        "latency.balcao.quote_v2 4015us x1",
+        "latency_us.balcao.quote_v2.p50 1003g",
+        "latency_us.balcao.quote_v2.p99 4015g",
+        "latency_us.balcao.quote_v2.p999 4015g",
+        "sample",
+    ],
+})]
+#[case::loads(Case {
+    messages: vec![Message::Loads(vec![Load { duty: "limits", waiting: 3, shed: 5 }])],
+    sent: vec!["evictions 0c", "sample"],
+})]
+fn stats_are_sent(#[case] case: Case) {
+    let mut metrics = Metrics::new(&["evictions"]);
+    for message in case.messages {
+        metrics.step(Moment::START, message);
+    }
+    assert_eq!(words(metrics.step(Moment::START + SEND_EVERY, Message::Tick)), case.sent);
+}
+
+/// Guards against shed messages that are counted again on each tick.
+#[test]
+fn sheds_are_differences() {
+    let mut metrics = Metrics::new(&[]);
+    let mut loads = |shed| {
+        let load = Load { duty: "limits", waiting: 1, shed };
+        words(metrics.step(Moment::START, Message::Loads(vec![load])))
+    };
+    assert_eq!(loads(5), ["duty.limits.waiting 1g", "duty.limits.shed 5c", "flush"]);
+    assert_eq!(loads(7), ["duty.limits.waiting 1g", "duty.limits.shed 2c", "flush"]);
+}
--- a/toucangrade/src/peer/mod.rs
+++ b/toucangrade/src/peer/mod.rs
@@ -10,7 +10,7 @@
 use crate::claims;
 use crate::core::{Key, Name, Span};
 use crate::execution::Told;
-use crate::history::Event;
+use crate::history::{Event, Item};
 use crate::limits::Admitted;
 use crate::membership::{Beat, Beaten, Poll, View};
 
@@ -24,7 +24,7 @@
     Beat(Beat),
     /// A command on a claim, from an entry to control.
     Claim(claims::Command),
-    /// A question for the steps of a request, from control to an entry.
+    /// A question for the steps of a request, to an entry or a control instance.
     Explain(Key),
     /// A request whose key the other entry owns, and how long its caller still waits.
     Forward { admitted: Box<Admitted>, patience: Span },
@@ -34,6 +34,8 @@
     Query(Option<Question>),
     /// Start of an attempt, to an agent.
     Start(Box<Start>),
+    /// Durable outcomes and summaries, from an entry to control.
+    Store(Vec<Item>),
 }
 
 /// Reply to a request.
@@ -49,6 +51,8 @@
         leader: Option<Name>,
     },
     Reported(Reported),
+    /// The items are durable at this control instance.
+    Stored,
     Told(Told),
     Viewed(Box<View>),
 }
