--- a/toucangrade/src/agreement/tests/steps.rs
+++ b/toucangrade/src/agreement/tests/steps.rs
@@ -142,9 +142,7 @@
     a.step(at(1_101), peer(replica("b", 2), 6, reply));
     assert_eq!(a.commit, matched);
     let effects = a.step(at(1_100 + case.after), Message::Read { ticket: 1 });
-    let ready = effects
-        .iter()
-        .any(|e| matches!(e, Effect::ReadReady { .. }));
+    let ready = effects.iter().any(|e| matches!(e, Effect::ReadReady { .. }));
     assert_eq!(ready, case.ready);
 }
 
@@ -161,11 +159,7 @@
 }
 
 fn append(prev: (u64, u64), indices: std::ops::RangeInclusive<u64>, term: u64) -> Body {
-    let entry = |index| Entry {
-        index,
-        term,
-        payload: Payload::Noop,
-    };
+    let entry = |index| Entry { index, term, payload: Payload::Noop };
     Body::Append {
         prev_index: prev.0,
         prev_term: prev.1,
@@ -200,19 +194,12 @@
         members_at: 1,
         state: Bytes::from_static(b"state"),
     };
-    let chunk = Body::Chunk {
-        part,
-        offset: 0,
-        total: 5,
-    };
+    let chunk = Body::Chunk { part, offset: 0, total: 5 };
     let mut effects = a.step(at(1), peer(replica("b", 2), 5, chunk));
     let (commit, sent) = (9, 0);
     let heartbeat = Body::Heartbeat { commit, sent };
     effects.extend(a.step(at(2), peer(replica("b", 2), 5, heartbeat)));
-    assert!(
-        matched(&effects).iter().all(|&matched| matched < 9),
-        "{effects:?}"
-    );
+    assert!(matched(&effects).iter().all(|&matched| matched < 9), "{effects:?}");
     let upto = a.seq;
     let effects = a.step(at(3), Message::Synced { upto });
     assert_eq!(matched(&effects), [9]);
--- a/toucangrade/src/daemon/link.rs
+++ b/toucangrade/src/daemon/link.rs
@@ -42,6 +42,11 @@
         }
     }
 
+    /// Peer addresses of the control instances.
+    pub(crate) fn addrs(&self) -> Vec<SocketAddr> {
+        self.members.values().copied().collect()
+    }
+
     /// Sends a request to one process.
     pub(crate) fn send(
         &self,
--- a/toucangrade/src/daemon/mod.rs
+++ b/toucangrade/src/daemon/mod.rs
@@ -1,6 +1,7 @@
 //! The daemon: starts the duties of its roles, serves its ports and drains on a signal.
 
 mod agent;
+mod archive;
 mod caller;
 mod control;
 mod entry;
@@ -8,6 +9,7 @@
 mod link;
 mod operator;
 mod settings;
+mod telemetry;
 
 #[cfg(test)]
 mod tests;
@@ -17,7 +19,7 @@
 use std::path::Path;
 use std::sync::Arc;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use http::Method;
 use rand::Rng;
@@ -30,14 +32,16 @@
 pub use self::settings::{BadSetting, Role, Settings, parser};
 
 use self::agent::Agent;
+use self::archive::Archive;
 use self::control::Control;
 use self::entry::Entry;
 use self::link::Link;
 use self::operator::Operator;
+use self::telemetry::Telemetry;
 use crate::core::{Clock, Moment, Span};
 use crate::http::{Client, Handler, Inbound, Outbound, Server};
 use crate::peer::{self, Reply, Request};
-use crate::{admission, limits, membership};
+use crate::{admission, history, limits, membership};
 
 /// Threads of each HTTP server; handlers only translate, so two are enough.
 const HTTP_THREADS: usize = 2;
@@ -53,6 +57,7 @@
     pub(crate) settings: Settings,
     pub(crate) clock: Clock,
     pub(crate) client: Client,
+    pub(crate) telemetry: Telemetry,
     /// Tells this run of the process from others; random, since clocks may step.
     pub(crate) incarnation: u64,
 }
@@ -61,6 +66,7 @@
 #[derive(Clone)]
 struct Roles {
     agent: Option<Agent>,
+    archive: Option<Archive>,
     control: Option<Control>,
     entry: Option<Entry>,
 }
@@ -87,6 +93,9 @@
         if let Some(control) = &self.roles.control {
             whole["control"] = control.dump().await;
         }
+        if let Some(archive) = &self.roles.archive {
+            whole["history"] = archive.dump().await;
+        }
         if let Some(entry) = &self.roles.entry {
             whole["entry"] = entry.dump().await;
         }
@@ -102,6 +111,12 @@
     }
 }
 
+/// Wall-clock time in milliseconds since 1970, for display only.
+pub(crate) fn wall_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
 pub(crate) fn not_found() -> Outbound {
     Outbound::json(404, &json!({ "error": "not-found", "reason": "no such path or method" }))
 }
@@ -113,9 +128,11 @@
 /// The error of the operating system when a port, thread or file can't be had.
 pub fn run(settings: Settings) -> io::Result<i32> {
     let signals = Signals::new([SIGINT, SIGTERM])?;
+    let clock = Clock::system();
     let context = Context {
+        telemetry: Telemetry::start(&settings, &clock)?,
         settings,
-        clock: Clock::system(),
+        clock,
         client: Client::start()?,
         incarnation: rand::rng().random(),
     };
@@ -148,9 +165,13 @@
         Some(data) if has(Role::Control) => Some(Control::start(context, link, data)?),
         _ => None,
     };
+    let archive = match data {
+        Some(data) if has(Role::Control) => Some(Archive::start(context, data)?),
+        _ => None,
+    };
     let agent = has(Role::Agent).then(|| Agent::start(context, link, peer)).transpose()?;
     let entry = has(Role::Entry).then(|| Entry::start(context, link, peer)).transpose()?;
-    Ok(Roles { agent, control, entry })
+    Ok(Roles { agent, archive, control, entry })
 }
 
 /// Serves the ports of each role.
@@ -164,8 +185,8 @@
     });
     let listen = |addr, handler| Server::start(TcpListener::bind(addr)?, HTTP_THREADS, handler);
     let mut servers = Vec::new();
-    if let Some(control) = &roles.control {
-        let operator = Operator::new(context, control.clone(), link.clone());
+    if let (Some(control), Some(archive)) = (&roles.control, &roles.archive) {
+        let operator = Operator::new(context, control.clone(), archive.clone(), link.clone());
         let local = operator.handler(Arc::clone(&dump));
         let handler = forward::handler(control.clone(), link.clone(), local);
         servers.push(("operator", listen(settings.operator, handler)?));
@@ -190,8 +211,9 @@
         clock: clock.clone(),
         incarnation: context.incarnation,
     });
-    let local = roles.control.as_ref().map(|control| {
-        Operator::new(context, control.clone(), link.clone()).handler(Arc::clone(&dump))
+    let local = roles.control.as_ref().zip(roles.archive.as_ref()).map(|(control, archive)| {
+        Operator::new(context, control.clone(), archive.clone(), link.clone())
+            .handler(Arc::clone(&dump))
     });
     Arc::new(move |call: Inbound| {
         let (now, roles, dump) = (clock.now(), roles.clone(), Arc::clone(&dump));
@@ -226,8 +248,18 @@
             (Request::Forward { admitted, patience }, Self { entry: Some(entry), .. }) => {
                 entry.forwarded(now, *admitted, patience).await
             },
-            (Request::Explain(key), Self { entry: Some(entry), .. }) => {
-                Reply::Explained(entry.explain(key).await)
+            (Request::Explain(key), Self { entry, archive, .. }) => {
+                let mut events = Vec::new();
+                if let Some(entry) = entry {
+                    events = entry.explain(key.clone()).await;
+                }
+                if let Some(archive) = archive {
+                    events.extend(archive.explain(key).await);
+                }
+                Reply::Explained(events)
+            },
+            (Request::Store(items), Self { archive: Some(archive), .. }) => {
+                archive.store(items).await
             },
             (Request::Operate(operation), Self { control: Some(control), .. }) => match local {
                 Some(local) => forward::answer(control, local, *operation).await,
@@ -287,6 +319,13 @@
         if !until(&handed, limit) {
             info!("no other entry took over the partitions, they are left to lapse");
         }
+        entry.history.push(history::Message::Drain { wall: wall_ms() });
+        let recorded = Arc::clone(&entry.recorded);
+        let recorded = move || recorded.load(std::sync::atomic::Ordering::Relaxed);
+        let limit = deadline.min(context.clock.now() + HANDOVER);
+        if !until(&recorded, limit) {
+            info!("control did not take the last outcomes, their history is lost");
+        }
         whole = roles.waiting() == 0;
     }
     if let Some(control) = &roles.control {
--- a/toucangrade/src/lib.rs
+++ b/toucangrade/src/lib.rs
@@ -14,6 +14,7 @@
 mod http;
 mod limits;
 mod membership;
+mod metrics;
 mod partitions;
 mod peer;
 mod resources;
--- a/toucangrade/src/peer/mod.rs
+++ b/toucangrade/src/peer/mod.rs
@@ -11,7 +11,7 @@
 use crate::claims;
 use crate::core::{Key, Name, Span};
 use crate::execution::Told;
-use crate::history::Event;
+use crate::history::{Event, Item};
 use crate::limits::Admitted;
 use crate::membership::{Beat, Beaten, Poll, View};
 
@@ -27,7 +27,7 @@
     Beat(Beat),
     /// A command on a claim, from an entry to control.
     Claim(claims::Command),
-    /// A question for the steps of a request, from control to an entry.
+    /// A question for the steps of a request, to an entry or a control instance.
     Explain(Key),
     /// A request whose key the other entry owns, and how long its caller still waits.
     Forward { admitted: Box<Admitted>, patience: Span },
@@ -39,6 +39,8 @@
     Query(Option<Question>),
     /// Start of an attempt, to an agent.
     Start(Box<Start>),
+    /// Durable outcomes and summaries, from an entry to control.
+    Store(Vec<Item>),
 }
 
 /// Reply to a request.
@@ -57,6 +59,8 @@
     },
     Operated(Box<Operated>),
     Reported(Reported),
+    /// The items are durable at this control instance.
+    Stored,
     Told(Told),
     Viewed(Box<View>),
 }
