--- a/toucangrade/src/admission/message.rs
+++ b/toucangrade/src/admission/message.rs
@@ -50,6 +50,8 @@
     pub(crate) fence: u64,
     /// Incarnation of the agent that the attempt was handed to.
     pub(crate) incarnation: u64,
+    /// Start-by time of the attempt on the agent's clock.
+    pub(crate) start_by: Moment,
 }
 
 /// Reply to a start or a query, with the agent's clock and load.
@@ -75,6 +77,9 @@
     /// The runner is leaving and takes no new work.
     #[serde(default)]
     pub(crate) leaving: bool,
+    /// Executions under way at the runner, whoever started them.
+    #[serde(default)]
+    pub(crate) busy: u32,
 }
 
 /// Message to the duty.
--- a/toucangrade/src/admission/mod.rs
+++ b/toucangrade/src/admission/mod.rs
@@ -40,6 +40,8 @@
     running: u32,
     /// Attempts that occupy a connection: those that run and those that wait for a slot.
     held: u32,
+    /// Executions that an earlier incarnation of this agent started and that may still go on.
+    foreign: u32,
     waiting: VecDeque<Key>,
 }
 
@@ -47,6 +49,11 @@
     fn available(&self, now: Moment) -> bool {
         !self.announce.leaving && now.since(self.seen) <= ANNOUNCE_LAPSE
     }
+
+    /// Connections in use.
+    fn used(&self) -> u32 {
+        self.held.saturating_add(self.foreign).min(ROOM_MAX)
+    }
 }
 
 /// State of an attempt.
@@ -84,6 +91,14 @@
     /// Ended attempts, oldest first.
     ended: VecDeque<(Moment, Key, u64)>,
     kept: usize,
+    /// Starts that were refused, by key with the largest fence. A copy of such a start that
+    /// arrives later must not run, since the owner was told that it will not.
+    declined: BTreeMap<Key, u64>,
+    /// Start-by times of the starts in `declined`, after which a copy is too late anyway.
+    lapses: VecDeque<(Moment, Key, u64)>,
+    /// Largest start-by time among the attempts whose outcomes were dropped. An unknown attempt
+    /// certainly never started only if its start-by time is later.
+    floor: Moment,
     epochs: BTreeMap<u32, u64>,
     until: Moment,
     draining: bool,
@@ -99,6 +114,9 @@
             attempts: BTreeMap::new(),
             ended: VecDeque::new(),
             kept: 0,
+            declined: BTreeMap::new(),
+            lapses: VecDeque::new(),
+            floor: Moment::START,
             epochs: BTreeMap::new(),
             until: Moment::START,
             draining: false,
@@ -149,13 +167,21 @@
         }
         let addr = announce.addr;
         match self.runners.get_mut(&addr) {
-            Some(runner) => (runner.announce, runner.seen) = (announce, now),
+            Some(runner) => {
+                runner.foreign = runner.foreign.min(announce.busy);
+                (runner.announce, runner.seen) = (announce, now);
+            },
             None => {
+                // Nothing of this incarnation runs there yet, so all that runs is foreign.
+                let foreign = announce.busy;
                 let (running, held, waiting) = (0, 0, VecDeque::new());
-                self.runners.insert(addr, Runner { announce, seen: now, running, held, waiting });
+                let runner = Runner { announce, seen: now, running, held, foreign, waiting };
+                self.runners.insert(addr, runner);
             },
         }
-        vec![Effect::Announced { ticket, error: None }, self.offers(now)]
+        let mut effects = vec![Effect::Announced { ticket, error: None }, self.offers(now)];
+        effects.extend(self.advance(now, addr));
+        effects
     }
 
     /// What the available runners offer.
@@ -189,15 +215,29 @@
             }
             if settled.is_none() {
                 let reason = "an earlier attempt for this key has not ended";
+                self.decline(start);
                 return vec![self.refuse(now, ticket, "earlier-attempt", reason)];
             }
         }
+        if self.declined.get(&start.key).is_some_and(|fence| *fence >= start.fence) {
+            return vec![self.refuse(now, ticket, "refused-before", "the attempt was refused")];
+        }
         match self.obstacle(now, &start) {
-            Err((code, reason)) => vec![self.refuse(now, ticket, code, reason)],
+            Err((code, reason)) => {
+                self.decline(start);
+                vec![self.refuse(now, ticket, code, reason)]
+            },
             Ok(addr) => self.admit(now, ticket, start, addr),
         }
     }
 
+    /// Keeps a copy of a refused start from running.
+    fn decline(&mut self, start: Start) {
+        let fence = self.declined.entry(start.key.clone()).or_default();
+        *fence = start.fence.max(*fence);
+        self.lapses.push_back((start.start_by, start.key, start.fence));
+    }
+
     /// The runner for an attempt, or why it can't be admitted.
     fn obstacle(
         &mut self,
@@ -212,7 +252,7 @@
             return Err(("stale-epoch", "the partition of the key has a newer owner"));
         }
         *epoch = start.epoch;
-        if now > start.start_by {
+        if now > start.start_by || start.start_by <= self.floor {
             return Err(("too-late", "the attempt arrived after its start-by time"));
         }
         if self.draining {
@@ -229,10 +269,11 @@
             *service == start.service && kinds.contains(&start.kind) && runner.available(now)
         };
         let runners = self.runners.values().filter(able);
-        let Some(runner) = runners.min_by_key(|r| r.held * 1_000 / r.announce.connections) else {
+        let used = |runner: &&Runner| runner.used() * 1_000 / runner.announce.connections;
+        let Some(runner) = runners.min_by_key(used) else {
             return Err(("no-runner", "no runner beside the agent offers the kind"));
         };
-        if runner.held >= runner.announce.connections {
+        if runner.used() >= runner.announce.connections {
             return Err(("full", "all connections of the runner are in use"));
         }
         Ok(runner.announce.addr)
@@ -256,8 +297,8 @@
     fn advance(&mut self, now: Moment, addr: SocketAddr) -> Vec<Effect> {
         let mut effects = Vec::new();
         let Some(runner) = self.runners.get_mut(&addr) else { return effects };
-        let Announce { slots, connections, .. } = runner.announce;
-        while runner.running < slots {
+        let slots = runner.announce.slots;
+        while runner.running.saturating_add(runner.foreign) < slots {
             let Some(key) = runner.waiting.pop_front() else { break };
             let Some(attempt) = self.attempts.get_mut(&key) else { continue };
             if attempt.phase != Phase::Waiting || now > attempt.start_by {
@@ -277,10 +318,10 @@
         }
         // A runner may announce fewer slots than it has in use, but nothing starts beyond them.
         invariant!(
-            effects.is_empty()
-                || (runner.running <= slots && runner.held <= connections.max(slots)),
-            "runner {addr} has {} of {slots} slots in use",
-            runner.running
+            effects.is_empty() || runner.running + runner.foreign <= slots,
+            "runner {addr} has {} and {} of {slots} slots in use",
+            runner.running,
+            runner.foreign
         );
         effects
     }
@@ -356,7 +397,7 @@
     }
 
     fn query(&mut self, now: Moment, ticket: u64, about: Option<Question>) -> Vec<Effect> {
-        let Some(Question { key, fence, incarnation }) = about else {
+        let Some(Question { key, fence, incarnation, start_by }) = about else {
             return vec![self.reply(ticket, now, Report::Running)];
         };
         if incarnation != self.incarnation {
@@ -376,6 +417,11 @@
         if known.is_some_and(|attempt| !matches!(attempt.phase, Phase::Done(_))) {
             return vec![self.reply(ticket, now, Report::Running)];
         }
+        if start_by <= self.floor {
+            // It ended or never came, but which of the two is no longer known.
+            let reason = "the agent no longer keeps the outcome of the attempt".to_owned();
+            return vec![self.reply(ticket, now, Report::Lost { reason })];
+        }
         // The attempt never came; remembering the refusal keeps a late start from running.
         let reason = "the attempt had not arrived when its outcome was asked for".to_owned();
         let report = Report::Refused { code: "never-started".to_owned(), reason, after: None };
@@ -385,7 +431,7 @@
             fence,
             kind: unknown_kind(),
             phase: Phase::Done(report.clone()),
-            start_by: now,
+            start_by,
             lease: Span::ZERO,
             body: Bytes::new(),
             tickets: Vec::new(),
@@ -448,10 +494,16 @@
             }
             let (key, fence) = (key.clone(), *fence);
             self.ended.pop_front();
-            if self.attempts.get(&key).is_some_and(|attempt| attempt.fence == fence) {
+            if let Some(attempt) = self.attempts.get(&key).filter(|a| a.fence == fence) {
+                self.floor = self.floor.max(attempt.start_by);
                 self.forget(&key);
             }
         }
+        while let Some((_, key, fence)) = self.lapses.pop_front_if(|(at, ..)| now > *at) {
+            if self.declined.get(&key) == Some(&fence) {
+                self.declined.remove(&key);
+            }
+        }
     }
 
     fn forget(&mut self, key: &Key) {
@@ -468,7 +520,7 @@
 
     fn reply(&self, ticket: u64, now: Moment, report: Report) -> Effect {
         let (incarnation, clock) = (self.incarnation, now);
-        let used = self.runners.values().map(|runner| runner.held).sum();
+        let used = self.runners.values().map(Runner::used).sum();
         let slots = self.runners.values().map(|runner| runner.announce.slots).sum();
         Effect::Reply { ticket, reported: Reported { report, incarnation, clock, used, slots } }
     }
--- a/toucangrade/src/admission/tests.rs
+++ b/toucangrade/src/admission/tests.rs
@@ -19,8 +19,15 @@
 
 fn announce(slots: u32, connections: u32, leaving: bool) -> Message {
     let kinds = vec![name("quote")];
-    let announce =
-        Announce { service: name("balcao"), kinds, slots, connections, addr: runner(), leaving };
+    let announce = Announce {
+        service: name("balcao"),
+        kinds,
+        slots,
+        connections,
+        addr: runner(),
+        leaving,
+        busy: 0,
+    };
     Message::Announce { ticket: 0, announce }
 }
 
@@ -54,7 +61,15 @@
 }
 
 fn ask(ticket: u64, k: &str, fence: u64) -> Message {
-    Message::Query { ticket, about: Some(Question { key: key(k), fence, incarnation: 5 }) }
+    Message::Query {
+        ticket,
+        about: Some(Question {
+            key: key(k),
+            fence,
+            incarnation: 5,
+            start_by: Moment::START + Span::millis(500),
+        }),
+    }
 }
 
 /// One word for each effect.
@@ -108,7 +123,7 @@
 #[case::restarted_agent_does_not_guess(Case {
     messages: vec![(0, Message::Query {
         ticket: 1,
-        about: Some(Question { key: key("a"), fence: 1, incarnation: 4 }),
+        about: Some(Question { key: key("a"), fence: 1, incarnation: 4, start_by: Moment::START + Span::millis(500) }),
     })],
     words: vec!["forgotten 1"],
 })]
--- a/toucangrade/src/claims/mod.rs
+++ b/toucangrade/src/claims/mod.rs
@@ -3,11 +3,11 @@
 #[cfg(test)]
 mod tests;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
-use crate::core::{Answer, Key, Name, Refusal, Span, invariant};
+use crate::core::{Answer, Class, Key, Name, Refusal, Span, invariant};
 use crate::routing::Target;
 
 /// Settled claims that are kept, so that a resent request gets its outcome.
@@ -35,11 +35,16 @@
     pub(crate) lease: Span,
 }
 
+/// Open claims in one answer to an owner that asks for them.
+pub(crate) const OPEN_LIMIT: usize = 256;
+
 /// Agreed state of one key.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) struct Claim {
     pub(crate) service: Name,
     pub(crate) kind: Name,
+    /// Whether a lost attempt may be followed by another.
+    pub(crate) class: Class,
     /// Digest of the request's body, so that a key reused with another body is refused.
     pub(crate) digest: String,
     /// Epoch of the partition's owner that made the last change.
@@ -55,7 +60,7 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) enum Action {
     /// Asks for leave to run an attempt at this agent.
-    Attempt { service: Name, kind: Name, digest: String, target: Target, lease: Span },
+    Attempt { service: Name, kind: Name, class: Class, digest: String, target: Target, lease: Span },
     /// Asks what stands, before a caller is told that its request did not run.
     Look,
     /// The attempt with this fence did not run and will not.
@@ -92,6 +97,8 @@
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub(crate) struct Claims {
     claims: BTreeMap<Key, Claim>,
+    /// Claims with a grant and no outcome, by partition.
+    open: BTreeMap<u32, BTreeSet<Key>>,
     /// Settled claims by the log index of their outcome.
     settled: BTreeMap<u64, Key>,
     /// Settled claims whose answers are kept.
@@ -102,15 +109,16 @@
 impl Claims {
     /// Applies a command at log position `index`; `owner` is the partition's present epoch.
     pub(crate) fn apply(&mut self, index: u64, owner: u64, command: Command) -> Reply {
-        let Command { key, epoch, action, .. } = command;
+        let Command { key, partition, epoch, action } = command;
         if epoch != owner {
             return Reply::Outdated;
         }
         match action {
-            Action::Attempt { service, kind, digest, target, lease } => {
-                let claim = self.claims.entry(key).or_insert_with(|| Claim {
+            Action::Attempt { service, kind, class, digest, target, lease } => {
+                let claim = self.claims.entry(key.clone()).or_insert_with(|| Claim {
                     service: service.clone(),
                     kind: kind.clone(),
+                    class,
                     digest: digest.clone(),
                     epoch,
                     grant: None,
@@ -125,6 +133,7 @@
                 }
                 claim.epoch = epoch;
                 claim.grant = Some(Grant { target, fence: index, lease });
+                self.open.entry(partition).or_default().insert(key);
                 Reply::Granted { fence: index }
             },
             Action::Look => match self.claims.get(&key) {
@@ -134,19 +143,29 @@
                 _ => Reply::Done,
             },
             Action::Release { fence } => {
-                let Some(claim) = self.claims.get_mut(&key) else { return Reply::Done };
+                let Some(claim) = self.claims.get(&key) else { return Reply::Done };
                 if claim.outcome.is_some() {
                     return Reply::Stands(Box::new(claim.clone()));
                 }
-                claim.grant.take_if(|grant| grant.fence == fence);
-                claim.epoch = epoch;
+                // A claim without an attempt says nothing, so it is not kept.
+                if claim.grant.as_ref().is_none_or(|grant| grant.fence == fence) {
+                    self.claims.remove(&key);
+                    self.close(partition, &key);
+                }
                 Reply::Done
             },
-            Action::Settle { fence, outcome } => self.settle(index, key, fence, outcome),
+            Action::Settle { fence, outcome } => self.settle(index, partition, key, fence, outcome),
         }
     }
 
-    fn settle(&mut self, index: u64, key: Key, fence: u64, outcome: Outcome) -> Reply {
+    fn settle(
+        &mut self,
+        index: u64,
+        partition: u32,
+        key: Key,
+        fence: u64,
+        outcome: Outcome,
+    ) -> Reply {
         let Some(claim) = self.claims.get_mut(&key) else { return Reply::Done };
         if claim.outcome.is_some() {
             return Reply::Stands(Box::new(claim.clone()));
@@ -159,12 +178,22 @@
         invariant!(!ran || granted.is_some(), "request {key} ran without a grant");
         self.bytes += size(&outcome);
         claim.outcome = Some(outcome);
+        self.close(partition, &key);
         self.settled.insert(index, key.clone());
         self.answers.insert(index, key);
         self.trim();
         Reply::Done
     }
 
+    fn close(&mut self, partition: u32, key: &Key) {
+        if let Some(open) = self.open.get_mut(&partition) {
+            open.remove(key);
+            if open.is_empty() {
+                self.open.remove(&partition);
+            }
+        }
+    }
+
     /// Drops the oldest answers, then the oldest settled claims.
     fn trim(&mut self) {
         while self.bytes > ANSWERS_KEPT {
@@ -185,6 +214,25 @@
         }
     }
 
+    /// Number of claims that permit an attempt and have no outcome.
+    pub(crate) fn open(&self) -> usize {
+        self.open.values().map(BTreeSet::len).sum()
+    }
+
+    /// Open claims of some partitions, in the order of partition and key, after the given one.
+    pub(crate) fn open_of(
+        &self,
+        partitions: &[u32],
+        after: Option<&(u32, Key)>,
+    ) -> Vec<(Key, Claim)> {
+        let keys = partitions.iter().filter_map(|p| Some((*p, self.open.get(p)?)));
+        let all = keys.flat_map(|(p, keys)| keys.iter().map(move |key| (p, key)));
+        let later = all.filter(|&(p, key)| after.is_none_or(|(q, last)| (p, key) > (*q, last)));
+        let claims =
+            later.filter_map(|(_, key)| Some((key.clone(), self.claims.get(key)?.clone())));
+        claims.take(OPEN_LIMIT).collect()
+    }
+
     /// The claim of a key.
     pub(crate) fn get(&self, key: &Key) -> Option<&Claim> {
         self.claims.get(key)
--- a/toucangrade/src/claims/tests.rs
+++ b/toucangrade/src/claims/tests.rs
@@ -19,7 +19,17 @@
         start_by: Moment::START,
     };
     let (service, kind, lease) = (name("balcao"), name("stock-order"), Span::secs(1));
-    command(epoch, Action::Attempt { service, kind, digest: digest.to_owned(), target, lease })
+    command(
+        epoch,
+        Action::Attempt {
+            service,
+            kind,
+            class: Class::Once,
+            digest: digest.to_owned(),
+            target,
+            lease,
+        },
+    )
 }
 
 fn command(epoch: u64, action: Action) -> Command {
--- a/toucangrade/src/daemon/control.rs
+++ b/toucangrade/src/daemon/control.rs
@@ -200,6 +200,12 @@
                 self.refuse()
             },
             Request::Claim(command) => self.claim(command).await,
+            Request::Open { partitions, after } => {
+                match self.query(Query::Open { partitions, after }).await {
+                    Some(state::Reply::Open(claims)) => Reply::Open(claims),
+                    _ => self.refuse(),
+                }
+            },
             Request::Poll(poll) => {
                 let (ticket, reply) = self.polls.open();
                 if self.membership.offer(membership::Message::Poll { ticket, poll }).is_ok()
--- a/toucangrade/src/daemon/entry.rs
+++ b/toucangrade/src/daemon/entry.rs
@@ -136,6 +136,15 @@
                     execution.push(execution::Message::Forwarded { key, ticket, told });
                 });
             },
+            execution::Effect::Open { partitions, after } => {
+                let execution = entry.execution.clone();
+                let request = Request::Open { partitions, after };
+                link.control(&request, CONTROL_TIMEOUT, move |reply| {
+                    if let Some(Reply::Open(claims)) = reply {
+                        execution.push(execution::Message::Open { claims });
+                    }
+                });
+            },
             execution::Effect::Pick(pick) => entry.routing.push(routing::Message::Pick(pick)),
             execution::Effect::Record { key, events } => {
                 // A full history loses explanations, not work; the ring counts it.
--- a/toucangrade/src/execution/attempt.rs
+++ b/toucangrade/src/execution/attempt.rs
@@ -2,11 +2,11 @@
 
 use rand::Rng;
 
-use super::message::{Effect, Told};
+use super::message::{Effect, Request, Told};
 use super::record::{Handed, Phase, Record};
 use super::{ANSWERS_KEPT, Execution, SETTLED_KEPT};
 use crate::admission::{Question, Report, Start};
-use crate::claims::{Action, Claim, Command, Outcome, Reply};
+use crate::claims::{Action, Claim, Command, OPEN_LIMIT, Outcome, Reply};
 use crate::core::{Answer, Class, Key, Moment, Refusal, Span, Verdict, invariant};
 use crate::http::CallError;
 use crate::partitions::PARTITIONS;
@@ -20,6 +20,10 @@
 const CLAIM_WAIT: Span = Span::millis(200);
 /// Time after which a command on a claim is sent again for lack of any reply.
 const CLAIM_TIMEOUT: Span = Span::millis(2_000);
+/// Bits of a quick attempt's fencing token that number the attempts of one owner; the bits above
+/// are the partition's epoch.
+const SERIAL_BITS: u32 = 40;
+const SERIAL_MASK: u64 = (1 << SERIAL_BITS) - 1;
 /// Time after the end of an attempt for which its agent keeps the outcome.
 const KEPT_AT_AGENT: Span = Span::secs(60);
 
@@ -32,13 +36,24 @@
 impl Execution {
     /// Asks routing for an agent for the next attempt.
     pub(super) fn pick(&mut self, now: Moment, key: Key, out: &mut Vec<Effect>) {
-        let owns = self.owns(now, key.partition(PARTITIONS));
+        let partition = key.partition(PARTITIONS);
+        let epoch = self.epoch(now, partition).filter(|_| self.owns(now, partition));
+        let Some(epoch) = epoch else { return self.fail(now, key, moved(), out) };
+        let attempt = self.number();
+        let lease = self.records.get(&key).map_or(Span::ZERO, |record| record.lease);
+        let before = self.predecessor(partition, lease).filter(|until| now < *until);
         let Some(record) = self.records.get_mut(&key) else { return };
-        if !owns {
-            let refusal = Refusal::not_run(503, "not-owner", "the key's partition moved away");
-            return self.fail(now, key, refusal.retry_after(1_000), out);
+        if record.epoch != epoch {
+            // The partition went away and came back, so an owner in between may have run it.
+            (record.epoch, record.looked) = (epoch, false);
+            if let Some(until) = before.filter(|_| !record.claims()) {
+                record.doubtful = true;
+                record.phase = Phase::Waiting { until };
+                self.timers.insert((until, key));
+                return;
+            }
         }
-        record.attempt += 1;
+        (record.attempt, record.tries) = (attempt, record.tries + 1);
         record.phase = Phase::Picking;
         let (service, kind) = (record.request.service.clone(), record.request.kind.clone());
         let (attempt, exclude) = (record.attempt, record.exclude.clone());
@@ -55,17 +70,22 @@
         out: &mut Vec<Effect>,
     ) {
         let entry = self.entry.clone();
+        let epoch = self.epoch(now, key.partition(PARTITIONS));
+        let serial = self.serial & SERIAL_MASK;
         let Some(record) = self.records.get_mut(&key) else { return };
         if record.attempt != attempt || !matches!(record.phase, Phase::Picking) {
             return;
         }
+        if epoch != Some(record.epoch) {
+            return self.fail(now, key, moved(), out);
+        }
         let text = format!("attempt {attempt} goes to {}; {}", target.agent, reasons(candidates));
         record.note(now, &entry, text);
         if record.claims() {
             record.phase = Phase::Claiming { target };
             self.claim(now, &key, out);
         } else {
-            let fence = (record.epoch << 20) | u64::from(attempt);
+            let fence = (record.epoch << SERIAL_BITS) | serial;
             self.call(now, key, target, fence, out);
         }
     }
@@ -124,6 +144,7 @@
             Phase::Claiming { target } => Action::Attempt {
                 service: request.service.clone(),
                 kind: request.kind.clone(),
+                class: record.class,
                 digest: request.digest.clone(),
                 target: target.clone(),
                 lease: record.lease,
@@ -151,6 +172,7 @@
         out: &mut Vec<Effect>,
     ) {
         let entry = self.entry.clone();
+        let epoch = self.epoch(now, key.partition(PARTITIONS));
         let Some(record) = self.records.get_mut(&key) else { return };
         if record.attempt != attempt {
             return;
@@ -166,6 +188,11 @@
                 let target = target.clone();
                 record.looked = true;
                 record.note(now, &entry, format!("the log grants the attempt under fence {fence}"));
+                if epoch != Some(record.epoch) {
+                    // Without its partition an entry starts nothing.
+                    record.phase = Phase::Releasing { fence, refusal: moved(), after: None };
+                    return self.claim(now, &key, out);
+                }
                 self.call(now, key, target, fence, out);
             },
             (
@@ -181,10 +208,24 @@
                 let (refusal, after) = (refusal.clone(), *after);
                 self.retry(now, key, refusal, after, out);
             },
-            (Phase::Settling { told, .. }, Reply::Done | Reply::Outdated | Reply::Stands(_)) => {
+            (Phase::Settling { .. }, Reply::Stands(claim)) if claim.outcome.is_some() => {
+                self.stands(now, key, *claim, out);
+            },
+            (Phase::Settling { told, .. }, Reply::Done | Reply::Stands(_)) => {
                 let told = told.clone();
                 self.finish(key, told, out);
             },
+            (_, Reply::Outdated) if epoch.is_some_and(|epoch| epoch > record.epoch) => {
+                // The partition came back under a newer epoch, so the command may be repeated.
+                record.epoch = epoch.unwrap_or_default();
+                record.looked = false;
+                self.claim(now, &key, out);
+            },
+            (Phase::Settling { told, .. }, Reply::Outdated) => {
+                // The newer owner finds out the outcome as well and keeps it.
+                let told = told.clone();
+                self.drop_record(now, key, &told, out);
+            },
             (_, Reply::Mismatch) => {
                 let reason = "the key was used for another request";
                 let refusal = Refusal::not_run(422, "key-reused", reason);
@@ -201,6 +242,32 @@
         }
     }
 
+    /// Finds out the outcomes of attempts that an earlier owner left open.
+    pub(super) fn adopt(&mut self, now: Moment, claims: Vec<(Key, Claim)>, out: &mut Vec<Effect>) {
+        let last = claims.last().map(|(key, _)| (key.partition(PARTITIONS), key.clone()));
+        self.swept = last.filter(|_| claims.len() == OPEN_LIMIT);
+        for (key, claim) in claims {
+            let partition = key.partition(PARTITIONS);
+            let Some(epoch) = self.epoch(now, partition) else { continue };
+            if self.records.contains_key(&key) {
+                continue;
+            }
+            let Claim { service, kind, class, digest, .. } = claim.clone();
+            let Some(grant) = claim.grant else { continue };
+            let request = Request { service, kind, digest, body: bytes::Bytes::new() };
+            let mut record = Record::new(request, class, grant.lease, epoch);
+            record.attempt = self.number();
+            record.looked = true;
+            let text = format!("an earlier owner left an attempt at {}", grant.target.agent);
+            record.note(now, &self.entry, text);
+            *self.open.entry(partition).or_default() += 1;
+            self.records.insert(key.clone(), record);
+            let end = now + bound(grant.lease);
+            let handed = Handed { target: grant.target, fence: grant.fence, end };
+            self.ask_later(now, key, handed, Span::ZERO, out);
+        }
+    }
+
     /// Follows a claim that an earlier attempt left.
     fn stands(&mut self, now: Moment, key: Key, claim: Claim, out: &mut Vec<Effect>) {
         let entry = self.entry.clone();
@@ -390,7 +457,7 @@
         let jitter = self.rng.random();
         let Some(record) = self.records.get_mut(&key) else { return };
         let deadline = record.patience();
-        match self.budget.next(now, record.attempt, after, jitter, deadline) {
+        match self.budget.next(now, record.tries, after, jitter, deadline) {
             Some(until) => {
                 record.refusal = Some(refusal);
                 record.phase = Phase::Waiting { until };
@@ -477,8 +544,8 @@
                 *next = now + again;
                 *pending = true;
                 self.timers.insert((now + again, key.clone()));
-                let Target { addr, incarnation, .. } = handed.target;
-                let question = Question { key, fence: handed.fence, incarnation };
+                let Target { addr, incarnation, start_by, .. } = handed.target;
+                let question = Question { key, fence: handed.fence, incarnation, start_by };
                 out.push(Effect::Ask { attempt: record.attempt, addr, question });
             },
             Phase::Claiming { .. }
@@ -523,6 +590,10 @@
     }
 }
 
+fn moved() -> Refusal {
+    Refusal::not_run(503, "not-owner", "the key's partition moved away").retry_after(1_000)
+}
+
 /// What a caller is told of an outcome in the log.
 fn told(outcome: Outcome) -> Told {
     match outcome {
--- a/toucangrade/src/execution/message.rs
+++ b/toucangrade/src/execution/message.rs
@@ -44,6 +44,8 @@
     Claimed { key: Key, attempt: u32, reply: Option<claims::Reply> },
     /// The other entry answered a forwarded request, or did not.
     Forwarded { key: Key, ticket: u64, told: Result<Told, CallError> },
+    /// Control listed open claims of partitions that this entry asked about.
+    Open { claims: Vec<(Key, claims::Claim)> },
     /// Another entry forwarded a request whose key belongs to this one.
     Owned { ticket: u64, admitted: Admitted },
     /// An agent reported on an attempt, or the report was lost.
@@ -69,6 +71,8 @@
     Call { attempt: u32, target: Target, start: Start },
     /// Forwards a request to the entry that owns its key.
     Forward { addr: SocketAddr, ticket: u64, patience: Span, admitted: Admitted },
+    /// Asks control for open claims of partitions, after the given partition and key.
+    Open { partitions: Vec<u32>, after: Option<(u32, Key)> },
     /// Asks routing for an agent.
     Pick(Pick),
     /// Hands the steps of a request to the history.
--- a/toucangrade/src/execution/mod.rs
+++ b/toucangrade/src/execution/mod.rs
@@ -28,6 +28,8 @@
 const SETTLED_KEPT: usize = 20_000;
 /// Bytes of kept answers.
 const ANSWERS_KEPT: usize = 32 * 1024 * 1024;
+/// Time between two questions for open claims that an earlier owner left.
+const SWEEP_EVERY: Span = Span::millis(2_000);
 /// Keys that are drawn to find one in a partition that this entry owns.
 const KEY_DRAWS: usize = 4_096;
 
@@ -51,6 +53,11 @@
     releasing: BTreeMap<u32, u64>,
     /// Unsettled requests by partition.
     open: BTreeMap<u32, usize>,
+    /// Attempts of all requests so far.
+    serial: u64,
+    /// When control is asked again for open claims, and after which one.
+    sweep: Moment,
+    swept: Option<(u32, Key)>,
     /// Requests forwarded to another entry, with the end of the caller's wait.
     forwarded: BTreeMap<u64, Moment>,
     budget: Budget,
@@ -73,6 +80,9 @@
             until: Moment::START,
             releasing: BTreeMap::new(),
             open: BTreeMap::new(),
+            serial: 0,
+            sweep: Moment::START,
+            swept: None,
             forwarded: BTreeMap::new(),
             budget: Budget::new(),
             rng: SmallRng::seed_from_u64(incarnation),
@@ -96,6 +106,7 @@
             Message::Outcome { key, attempt, report } => {
                 self.outcome(now, key, attempt, report, &mut out);
             },
+            Message::Open { claims } => self.adopt(now, claims, &mut out),
             Message::Owned { ticket, admitted } => {
                 self.owned(now, Waiter::Entry { ticket }, admitted, &mut out);
             },
@@ -171,6 +182,10 @@
                 let told = told.clone();
                 out.push(Effect::Answer { waiter, key, told });
             } else {
+                if record.request.body.is_empty() {
+                    // A claim in the log holds no body.
+                    record.request.body = request.body;
+                }
                 record.waiters.push((waiter, deadline));
                 record.note(
                     now,
@@ -201,7 +216,7 @@
             // Claims tell what an earlier owner did; quick requests have none.
             resent && class == Class::Quick && now < *until
         });
-        record.doubtful = resent && class == Class::Quick && !self.clean(partition);
+        record.doubtful = wait.is_some();
         match wait {
             Some(until) => {
                 let text = "an earlier owner's attempts may still run, so it waits".to_owned();
@@ -226,6 +241,11 @@
         Some(*granted + attempt::bound(lease))
     }
 
+    /// Epoch under which this entry may start attempts in a partition.
+    fn epoch(&self, now: Moment, partition: u32) -> Option<u64> {
+        self.holds(now, partition).then(|| self.owners.get(&partition).map(|o| o.epoch))?
+    }
+
     fn clean(&self, partition: u32) -> bool {
         self.owners.get(&partition).is_some_and(|owner| owner.clean)
     }
@@ -249,7 +269,11 @@
         until: Moment,
         surplus: &[u32],
     ) {
-        for (&partition, owner) in &owners {
+        for (partition, owner) in owners {
+            // A deposed leader may still answer with owners that were replaced since.
+            if self.owners.get(&partition).is_some_and(|known| known.epoch > owner.epoch) {
+                continue;
+            }
             let mine = owner.entry == self.entry && owner.incarnation == self.incarnation;
             let known = self.granted.get(&partition).is_some_and(|(e, _)| *e == owner.epoch);
             if mine && !known {
@@ -258,10 +282,11 @@
             if mine && surplus.contains(&partition) {
                 self.releasing.entry(partition).or_insert(owner.epoch);
             }
+            self.owners.insert(partition, owner);
         }
         // A partition that came back under a larger epoch may be used again.
+        let owners = &self.owners;
         self.releasing.retain(|p, epoch| owners.get(p).is_none_or(|o| o.epoch == *epoch));
-        self.owners = owners;
         self.until = until;
     }
 
@@ -318,6 +343,11 @@
         Key::new(&text).unwrap_or_else(|error| unreachable!("{error}"))
     }
 
+    /// Number of requests whose outcome is open.
+    pub(crate) fn unsettled(&self) -> usize {
+        self.open.values().sum()
+    }
+
     /// Handles everything that is due.
     fn tick(&mut self, now: Moment, out: &mut Vec<Effect>) {
         while let Some((at, key)) = self.timers.first().cloned() {
@@ -328,6 +358,26 @@
             self.due(now, key, out);
         }
         self.release(out);
+        if now >= self.sweep {
+            self.sweep = now + SWEEP_EVERY;
+            self.sweep(now, out);
+        }
+    }
+
+    /// Asks control which claims of this entry's partitions are open.
+    fn sweep(&self, now: Moment, out: &mut Vec<Effect>) {
+        let held = (0..PARTITIONS).filter(|&partition| self.holds(now, partition));
+        let partitions: Vec<u32> = held.collect();
+        if !partitions.is_empty() {
+            out.push(Effect::Open { partitions, after: self.swept.clone() });
+        }
+    }
+
+    /// Number of the next attempt.
+    fn number(&mut self) -> u32 {
+        self.serial += 1;
+        // Only late messages are told apart by it, so the upper half may be cut off.
+        (self.serial & u64::from(u32::MAX)) as u32
     }
 }
 
--- a/toucangrade/src/execution/record.rs
+++ b/toucangrade/src/execution/record.rs
@@ -49,7 +49,11 @@
     pub(crate) lease: Span,
     /// Epoch of the partition under which attempts are made.
     pub(crate) epoch: u64,
+    /// Number of the attempt, which this entry uses for no other attempt, so that a late message
+    /// about an earlier record of the same key is told apart.
     pub(crate) attempt: u32,
+    /// Attempts that were made for this request.
+    pub(crate) tries: u32,
     pub(crate) exclude: Agents,
     pub(crate) phase: Phase,
     /// Who waits, and until when.
@@ -74,6 +78,7 @@
             lease,
             epoch,
             attempt: 0,
+            tries: 0,
             exclude: Agents::new(),
             phase: Phase::Picking,
             waiters: Vec::new(),
--- a/toucangrade/src/execution/tests.rs
+++ b/toucangrade/src/execution/tests.rs
@@ -94,6 +94,7 @@
             claims::Action::Settle { fence, .. } => format!("settle {fence}"),
         }),
         Effect::Forward { .. } => Some("forward".to_owned()),
+        Effect::Open { .. } => None,
         Effect::Pick(pick) => Some(format!("pick {}", pick.attempt)),
         Effect::Record { .. } => None,
         Effect::Released(released) => Some(format!("released {}", released.len())),
--- a/toucangrade/src/lib.rs
+++ b/toucangrade/src/lib.rs
@@ -17,6 +17,8 @@
 mod resources;
 mod retry;
 mod routing;
+#[cfg_attr(not(test), expect(dead_code, reason = "run by tests; the command-line program follows"))]
+mod simulation;
 mod state;
 
 pub use crate::core::{Answer, BadName, Class, Clock, Key, Moment, Name, Refusal, Span, Verdict};
--- a/toucangrade/src/partitions/mod.rs
+++ b/toucangrade/src/partitions/mod.rs
@@ -52,8 +52,10 @@
     pub(crate) fn apply(&mut self, command: &Command) {
         for &(partition, epoch) in &command.grants {
             if self.epoch(partition) == epoch {
-                // The first owner has no one before it whose attempts could be left.
-                let clean = command.clean || epoch == 0;
+                // The first owner has no one before it whose attempts could be left. An owner that
+                // got the partition from a lost one can't vouch for the attempts of that one.
+                let before = self.owners.get(&partition).is_none_or(|owner| owner.clean);
+                let clean = epoch == 0 || (command.clean && before);
                 let (entry, incarnation) = (command.entry.clone(), command.incarnation);
                 let owner = Owner { entry, incarnation, epoch: epoch + 1, clean };
                 self.owners.insert(partition, owner);
@@ -142,6 +144,7 @@
         if live.is_empty() {
             return Vec::new();
         }
+        self.released.retain(|&(partition, epoch)| agreed.epoch(partition) <= epoch);
         let mut load = self.load(agreed, &live);
         let mut grants: BTreeMap<(Name, bool), Vec<(u32, u64)>> = BTreeMap::new();
         for partition in 0..PARTITIONS {
--- a/toucangrade/src/peer/mod.rs
+++ b/toucangrade/src/peer/mod.rs
@@ -28,6 +28,9 @@
     Explain(Key),
     /// A request whose key the other entry owns, and how long its caller still waits.
     Forward { admitted: Box<Admitted>, patience: Span },
+    /// A question for the open claims of partitions that the entry owns, to control, after the
+    /// given partition and key.
+    Open { partitions: Vec<u32>, after: Option<(u32, Key)> },
     /// An entry's poll, to control.
     Poll(Poll),
     /// A question for the outcome of an attempt, or only for clock and load, to an agent.
@@ -42,6 +45,7 @@
     Beaten(Beaten),
     Claimed(claims::Reply),
     Explained(Vec<Event>),
+    Open(Vec<(Key, claims::Claim)>),
     /// The process can't answer: it has another role, doesn't lead, or is overloaded. Nothing was
     /// done, except that a command on a claim may still be agreed.
     Refused {
--- a/toucangrade/src/peer/tests.rs
+++ b/toucangrade/src/peer/tests.rs
@@ -20,7 +20,12 @@
         revision: 3,
         body: Bytes::from(vec![0, 255, 7]),
     };
-    let question = Question { key: Key::new("k").unwrap(), fence: 1 << 40, incarnation: u64::MAX };
+    let question = Question {
+        key: Key::new("k").unwrap(),
+        fence: 1 << 40,
+        incarnation: u64::MAX,
+        start_by: Moment::micros(1),
+    };
     let requests = [
         Request::Forward { admitted: Box::new(admitted), patience: Span::millis(5) },
         Request::Query(Some(question)),
--- /dev/null
+++ b/toucangrade/src/simulation/mod.rs
@@ -0,0 +1,284 @@
+//! Randomised runs of entries, agents and control: the real decision code over a faulty link.
+
+mod agent;
+mod control;
+mod entry;
+mod link;
+mod truth;
+mod world;
+
+#[cfg(test)]
+mod tests;
+
+use std::fmt;
+use std::panic::{AssertUnwindSafe, catch_unwind};
+
+use rand::Rng;
+
+use self::link::{Node, Noise};
+use self::truth::Response;
+use self::world::{Habits, KINDS, World};
+use crate::core::{Class, Key, Verdict, invariant};
+
+/// Time between two actions of the driver, in microseconds.
+const BEAT: u64 = 20_000;
+/// Time in which everything must settle once faults stop, in microseconds: the longest lease, the
+/// time for which an owner asks about a lost attempt, and the leases of partitions.
+const SETTLE: u64 = 100_000_000;
+/// Requests that one run submits at most, so that its memory is bounded.
+const SUBMISSIONS: usize = 200_000;
+
+/// What a run did and saw.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(crate) struct Report {
+    pub(crate) seed: u64,
+    /// Messages handed to the duties.
+    pub(crate) steps: u64,
+    /// Time of the simulation in milliseconds.
+    pub(crate) millis: u64,
+    pub(crate) submissions: usize,
+    pub(crate) executions: usize,
+    pub(crate) crashes: u64,
+    pub(crate) isolations: u64,
+    pub(crate) drains: u64,
+    /// Responses by verdict: ran, not-run, may-have-run, and connections that broke.
+    pub(crate) ran: u64,
+    pub(crate) not_run: u64,
+    pub(crate) may_have_run: u64,
+    pub(crate) cut: u64,
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { seed, steps, millis, submissions, executions, crashes, .. } = self;
+        write!(
+            f,
+            "seed {seed}: {steps} steps in {millis} ms; {crashes} crashes, {} isolations, {} \
+             drains; {submissions} requests, {executions} executions; {} ran, {} not-run, {} \
+             may-have-run, {} connections broken",
+            self.isolations, self.drains, self.ran, self.not_run, self.may_have_run, self.cut
+        )
+    }
+}
+
+/// Runs one seed for about this many steps, then stops all faults and waits until all is settled.
+///
+/// A broken invariant panics with the trace of a second run of the same seed.
+pub(crate) fn run(seed: u64, steps: u64) -> Report {
+    let mut first = Driver::new(seed);
+    if let Ok(report) = catch_unwind(AssertUnwindSafe(|| first.run(steps))) {
+        return report;
+    }
+    let mut second = Driver::new(seed);
+    second.world.truth.record();
+    let broken = catch_unwind(AssertUnwindSafe(|| second.run(steps)));
+    let Err(reason) = broken else { panic!("seed {seed} broke an invariant only once") };
+    for line in second.world.truth.lines() {
+        eprintln!("{line}");
+    }
+    let text = reason.downcast_ref::<String>().cloned().unwrap_or_default();
+    panic!("{text}; replay with simulation::run({seed}, {steps})")
+}
+
+/// Draws the actions and faults of a run.
+struct Driver {
+    world: World,
+    report: Report,
+    /// Subjects that callers may ask for again.
+    recent: Vec<usize>,
+}
+
+impl Driver {
+    fn new(seed: u64) -> Self {
+        let world = World::new(seed, 3, 3, 2);
+        Self { world, report: Report { seed, ..Report::default() }, recent: Vec::new() }
+    }
+
+    fn run(&mut self, steps: u64) -> Report {
+        self.world.advance(5_000_000);
+        while self.world.steps < steps && self.world.truth.submissions.len() < SUBMISSIONS {
+            self.act();
+            self.world.advance(BEAT);
+        }
+        self.settle();
+        self.count()
+    }
+
+    fn act(&mut self) {
+        let draw = self.world.rng.random_range(0..1_000);
+        match draw {
+            0..400 => self.submit(),
+            400..700 => self.resend(),
+            700..703 => self.crash(),
+            703..720 => self.restart(),
+            720..723 => self.isolate(),
+            723..740 => self.world.link.isolated.clear(),
+            740..743 => self.drain(),
+            743..746 => self.world.configure(),
+            746..756 => self.runner(),
+            756..766 => self.noise(),
+            766..776 => self.habits(),
+            776..778 => self.world.restart(Node::Control),
+            778 => self.world.crash(Node::Control),
+            _ => {},
+        }
+    }
+
+    fn node(&mut self) -> Node {
+        let nodes: Vec<Node> = self.world.nodes().into_iter().collect();
+        nodes[self.world.rng.random_range(0..nodes.len())]
+    }
+
+    fn submit(&mut self) {
+        let kind = self.world.rng.random_range(0..KINDS.len());
+        let lease = KINDS[kind].2 * 1_000;
+        // Declared run times are inaccurate, so some work takes longer than its lease.
+        let work = self.world.rng.random_range(1_000..lease * 11 / 10);
+        let number = self.world.truth.subjects.len();
+        let own = self.world.rng.random_ratio(1, 2);
+        let key = Key::new(&format!("key-{number}")).ok().filter(|_| own);
+        let subject = self.world.subject(kind, key, work);
+        let entry = self.world.rng.random_range(0..3);
+        self.world.submit(subject, entry);
+        self.recent.push(subject);
+        if self.recent.len() > 12 {
+            self.recent.remove(0);
+        }
+    }
+
+    /// A caller asks again, perhaps through another entry.
+    fn resend(&mut self) {
+        if self.recent.is_empty() {
+            return;
+        }
+        let subject = self.recent[self.world.rng.random_range(0..self.recent.len())];
+        // A caller that sent no key can only ask again once it was told the key.
+        if self.world.truth.subjects[subject].key.is_none() {
+            return;
+        }
+        let entry = self.world.rng.random_range(0..3);
+        self.world.submit(subject, entry);
+    }
+
+    fn crash(&mut self) {
+        let node = self.node();
+        self.world.crash(node);
+        self.report.crashes += 1;
+    }
+
+    fn restart(&mut self) {
+        let nodes = self.world.nodes().into_iter().chain([Node::Control]);
+        let down: Vec<Node> = nodes.filter(|&node| !self.world.up(node)).collect();
+        for node in down.into_iter().chain(self.world.left()) {
+            self.world.restart(node);
+        }
+    }
+
+    fn isolate(&mut self) {
+        let node = self.node();
+        self.world.link.isolated.insert(node);
+        self.report.isolations += 1;
+    }
+
+    fn drain(&mut self) {
+        match self.node() {
+            Node::Agent(agent) => self.world.drain_agent(agent),
+            Node::Entry(entry) => self.world.drain_entry(entry),
+            Node::Control => {},
+        }
+        self.report.drains += 1;
+    }
+
+    /// Changes how one runner behaves.
+    fn runner(&mut self) {
+        let index = self.world.rng.random_range(0..self.world.runners.len());
+        match self.world.rng.random_range(0..6) {
+            0 => self.world.kill_runner(index),
+            1 | 2 => self.world.runners[index].up = true,
+            3 => {
+                let slots = self.world.rng.random_range(1..=3);
+                let connections = slots + self.world.rng.random_range(0..=6);
+                let runner = &mut self.world.runners[index];
+                (runner.slots, runner.connections) = (slots, connections);
+            },
+            4 => self.world.runners[index].stubborn ^= true,
+            _ => self.world.runners[index].leaving ^= true,
+        }
+    }
+
+    fn noise(&mut self) {
+        let rng = &mut self.world.rng;
+        let mut share =
+            |top: u32| if rng.random_ratio(1, 3) { rng.random_range(0..top) } else { 0 };
+        let noise = Noise {
+            lose: share(300),
+            duplicate: share(300),
+            hold: share(100),
+            jitter: u64::from(share(300_000)),
+        };
+        self.world.link.noise = noise;
+    }
+
+    fn habits(&mut self) {
+        let rng = &mut self.world.rng;
+        let mut share =
+            |top: u32| if rng.random_ratio(1, 3) { rng.random_range(0..top) } else { 0 };
+        self.world.habits = Habits { slow: share(300), cut: share(300), decline: share(200) };
+    }
+
+    /// Stops all faults and checks that everything comes to rest.
+    fn settle(&mut self) {
+        self.world.link = link::Link::default();
+        self.world.habits = Habits::default();
+        for runner in &mut self.world.runners {
+            (runner.up, runner.stubborn, runner.leaving) = (true, false, false);
+        }
+        self.restart();
+        self.world.tick = 100_000;
+        let until = self.world.now + SETTLE;
+        while self.world.unsettled().is_some() && self.world.now < until {
+            self.world.advance(1_000_000);
+        }
+        let unsettled = self.world.unsettled();
+        invariant!(unsettled.is_none(), "not settled after all faults stopped: {unsettled:?}");
+        self.ask_again();
+    }
+
+    /// Every `once` request that ran to its end is answered in full when it is asked for again.
+    fn ask_again(&mut self) {
+        self.world.advance(10_000_000);
+        let Some(entry) = (0..3).find(|&entry| self.world.up(Node::Entry(entry))) else { return };
+        let subjects = self.world.truth.subjects.iter().enumerate();
+        let once = subjects.filter(|(_, s)| s.class == Class::Once && s.key.is_some());
+        let asked: Vec<usize> = once.map(|(index, _)| index).collect();
+        for subject in asked.into_iter().rev().take(50) {
+            let submission = self.world.submit(subject, entry);
+            while self.world.truth.submissions[submission].response.is_none() {
+                self.world.advance(50_000);
+            }
+            let response = &self.world.truth.submissions[submission].response;
+            let verdict = response.as_ref().and_then(Response::verdict);
+            let ran = !self.world.truth.subjects[subject].runs.is_empty();
+            let denied = ran && verdict == Some(Verdict::NotRun);
+            invariant!(!denied, "subject {subject} ran, but is denied: {response:?}");
+        }
+    }
+
+    fn count(&mut self) -> Report {
+        let mut report = std::mem::take(&mut self.report);
+        let truth = &self.world.truth;
+        (report.steps, report.millis) = (self.world.steps, self.world.now / 1_000);
+        report.submissions = truth.submissions.len();
+        report.executions = truth.subjects.iter().map(|subject| subject.runs.len()).sum();
+        for submission in &truth.submissions {
+            let Some(response) = &submission.response else { continue };
+            match response.verdict() {
+                Some(Verdict::Ran) => report.ran += 1,
+                Some(Verdict::NotRun) => report.not_run += 1,
+                Some(Verdict::MayHaveRun) => report.may_have_run += 1,
+                None => report.cut += 1,
+            }
+        }
+        report
+    }
+}
--- /dev/null
+++ b/toucangrade/src/simulation/tests.rs
@@ -0,0 +1,33 @@
+//! Randomised runs over fixed seeds.
+
+use rstest::rstest;
+
+use super::*;
+
+/// Steps of one seed, without the time in which it settles.
+const STEPS: u64 = 40_000;
+/// Seeds of one case; `TOUCANGRADE_SEEDS` sets another number for longer runs.
+const SEEDS: u64 = 3;
+
+struct Case {
+    first: u64,
+}
+
+/// Guards against every broken invariant that random faults bring about.
+#[rstest]
+#[case::one(Case { first: 1 })]
+#[case::two(Case { first: 10_001 })]
+#[case::three(Case { first: 20_001 })]
+#[case::four(Case { first: 30_001 })]
+fn random_faults_break_no_invariant(#[case] case: Case) {
+    let count = std::env::var("TOUCANGRADE_SEEDS").map_or(SEEDS, |count| count.parse().unwrap());
+    for seed in case.first..case.first + count {
+        println!("{}", run(seed, STEPS));
+    }
+}
+
+/// Guards against a run that can't be replayed.
+#[test]
+fn a_seed_gives_the_same_run() {
+    assert_eq!(run(7, 20_000), run(7, 20_000));
+}
--- /dev/null
+++ b/toucangrade/src/simulation/truth.rs
@@ -0,0 +1,181 @@
+//! What really happened: which request ran where and when, and what its callers were told.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use super::link::Node;
+use crate::core::{Class, Key, Verdict, invariant};
+use crate::execution::Told;
+
+/// Time in which an agent that leaves may still start what it had admitted, in microseconds.
+const LEAVING: u64 = 3_000_000;
+/// Lines of the trace that are kept.
+const TRACE: usize = 200;
+
+/// An execution as the runner saw it.
+#[derive(Clone, Debug)]
+pub(crate) struct Ran {
+    pub(crate) runner: usize,
+    pub(crate) from: u64,
+    pub(crate) until: Option<u64>,
+    /// Whether it ended with its answer rather than by a stop, a crash or the end of its lease.
+    pub(crate) whole: bool,
+}
+
+/// Piece of work of one key that callers ask for.
+#[derive(Clone, Debug)]
+pub(crate) struct Subject {
+    pub(crate) class: Class,
+    pub(crate) key: Option<Key>,
+    /// Time that its execution takes, in microseconds.
+    pub(crate) work: u64,
+    pub(crate) runs: Vec<Ran>,
+}
+
+/// What a caller got.
+#[derive(Clone, Debug)]
+pub(crate) enum Response {
+    /// The entry ended, so the connection broke.
+    Cut,
+    /// The entry's response.
+    Told(Told),
+}
+
+impl Response {
+    /// The verdict that the caller read.
+    pub(crate) fn verdict(&self) -> Option<Verdict> {
+        match self {
+            Self::Cut => None,
+            Self::Told(Told::Answer(_)) => Some(Verdict::Ran),
+            Self::Told(Told::Refused(refusal)) => Some(refusal.verdict),
+        }
+    }
+}
+
+/// One request of a caller.
+#[derive(Clone, Debug)]
+pub(crate) struct Submission {
+    pub(crate) subject: usize,
+    pub(crate) response: Option<Response>,
+}
+
+/// Record of the truth, with the checks that span processes.
+#[derive(Debug, Default)]
+pub(crate) struct Truth {
+    pub(crate) subjects: Vec<Subject>,
+    pub(crate) submissions: Vec<Submission>,
+    /// Largest epoch under which an attempt was handed out, by partition.
+    epochs: BTreeMap<u32, u64>,
+    /// Configuration revision in force, by process and its life.
+    revisions: BTreeMap<(Node, u64), u64>,
+    trace: Option<VecDeque<String>>,
+}
+
+impl Truth {
+    /// Keeps the last lines of what happens.
+    pub(crate) fn record(&mut self) {
+        self.trace = Some(VecDeque::new());
+    }
+
+    /// Adds a line to the trace; the text is only made when a trace is kept.
+    pub(crate) fn note(&mut self, now: u64, text: impl FnOnce() -> String) {
+        if let Some(trace) = &mut self.trace {
+            if trace.len() == TRACE {
+                trace.pop_front();
+            }
+            trace.push_back(format!("{:>10.3} ms  {}", now as f64 / 1_000.0, text()));
+        }
+    }
+
+    /// The lines of the trace.
+    pub(crate) fn lines(&self) -> impl Iterator<Item = &String> {
+        self.trace.iter().flatten()
+    }
+
+    /// Body of the request for a subject.
+    pub(crate) fn body(subject: usize) -> String {
+        format!("subject {subject}")
+    }
+
+    /// Subject of a body.
+    pub(crate) fn subject(body: &[u8]) -> usize {
+        let text = std::str::from_utf8(body).unwrap_or_default();
+        let number = text.strip_prefix("subject ").and_then(|number| number.parse().ok());
+        invariant!(number.is_some(), "a runner got the body {text:?} that no caller sent");
+        number.unwrap_or_default()
+    }
+
+    /// Notes that an execution started; `left` is when its agent began to leave.
+    pub(crate) fn start(&mut self, now: u64, subject: usize, runner: usize, left: Option<u64>) {
+        let name = Self::body(subject);
+        if let Some(left) = left {
+            invariant!(now <= left + LEAVING, "{name} started at an agent that left at {left}");
+        }
+        let open = self.subjects[subject].runs.iter().find(|run| run.until.is_none());
+        if let Some(Ran { runner: other, from, .. }) = open {
+            invariant!(false, "{name} runs at runner {other} since {from} and at runner {runner}");
+        }
+        let Subject { class, runs, .. } = &self.subjects[subject];
+        let again = *class == Class::Once && !runs.is_empty();
+        invariant!(!again, "{name} of class once runs again");
+        // An execution needs a request that was not refused with the verdict that it did not run.
+        let wanted = self.submissions.iter().any(|submission| {
+            let verdict = submission.response.as_ref().and_then(Response::verdict);
+            submission.subject == subject && verdict != Some(Verdict::NotRun)
+        });
+        invariant!(wanted, "{name} runs although every caller was told not-run");
+        let run = Ran { runner, from: now, until: None, whole: false };
+        self.subjects[subject].runs.push(run);
+    }
+
+    /// Notes that the open execution of a subject ended.
+    pub(crate) fn end(&mut self, now: u64, subject: usize, whole: bool) {
+        let open = self.subjects[subject].runs.iter_mut().find(|run| run.until.is_none());
+        if let Some(run) = open {
+            (run.until, run.whole) = (Some(now), whole);
+        }
+    }
+
+    /// Notes what a caller got.
+    pub(crate) fn respond(&mut self, submission: usize, key: Option<Key>, response: Response) {
+        let Submission { subject, response: before, .. } = &mut self.submissions[submission];
+        invariant!(before.is_none(), "caller {submission} got two responses");
+        let subject = *subject;
+        let name = Self::body(subject);
+        let runs = &self.subjects[subject].runs;
+        if let Response::Told(Told::Answer(answer)) = &response {
+            let own = answer.body == format!("done {name}");
+            invariant!(own, "caller {submission} of {name} got the answer {:?}", answer.body);
+        }
+        if response.verdict() == Some(Verdict::NotRun) && !runs.is_empty() {
+            // Another request for the same key may be what ran.
+            let other = self.submissions.iter().enumerate().any(|(index, other)| {
+                let verdict = other.response.as_ref().and_then(Response::verdict);
+                index != submission && other.subject == subject && verdict != Some(Verdict::NotRun)
+            });
+            invariant!(other, "caller {submission} of {name} is told not-run, but it ran");
+        }
+        if response.verdict() == Some(Verdict::Ran) {
+            invariant!(runs.iter().any(|run| run.whole), "{name} is said to have run");
+        }
+        self.submissions[submission].response = Some(response);
+        let known = &mut self.subjects[subject].key;
+        *known = known.take().or(key);
+    }
+
+    /// Notes that an entry handed out an attempt in a partition.
+    pub(crate) fn dispatch(&mut self, partition: u32, epoch: u64) {
+        let newest = self.epochs.entry(partition).or_default();
+        invariant!(
+            epoch >= *newest,
+            "the owner of partition {partition} under epoch {epoch} starts work after epoch {newest}"
+        );
+        *newest = epoch;
+    }
+
+    /// Notes the configuration revision that is in force at a process.
+    pub(crate) fn revise(&mut self, node: Node, life: u64, revision: u64) {
+        let before = self.revisions.entry((node, life)).or_default();
+        invariant!(revision >= *before, "revision {revision} follows {before} at {node:?}");
+        *before = revision;
+    }
+}
--- a/toucangrade/src/state/message.rs
+++ b/toucangrade/src/state/message.rs
@@ -23,6 +23,8 @@
     Changes { since: u64 },
     /// The claim of a key.
     Claim { key: Key },
+    /// Open claims of some partitions, after the given partition and key.
+    Open { partitions: Vec<u32>, after: Option<(u32, Key)> },
     /// One resource.
     Get { collection: Collection, name: Name },
     /// All resources of a collection.
@@ -39,6 +41,7 @@
     Got(Option<Stored>),
     Granted,
     Listed(Vec<(Name, Stored)>),
+    Open(Vec<(Key, claims::Claim)>),
     Written(resources::Reply),
 }
 
--- a/toucangrade/src/state/mod.rs
+++ b/toucangrade/src/state/mod.rs
@@ -73,6 +73,9 @@
         match query {
             Query::Changes { since } => Reply::Changes(resources.since(since)),
             Query::Claim { key } => Reply::Claim(self.machine.claims.get(&key).cloned()),
+            Query::Open { partitions, after } => {
+                Reply::Open(self.machine.claims.open_of(&partitions, after.as_ref()))
+            },
             Query::Get { collection, name } => {
                 Reply::Got(resources.get(collection, &name).cloned())
             },
@@ -93,6 +96,11 @@
         }
     }
 
+    /// Number of claims without an outcome.
+    pub(crate) fn open_claims(&self) -> usize {
+        self.machine.claims.open()
+    }
+
     /// The agreed owners of partitions.
     pub(crate) fn partitions(&self) -> Partitions {
         self.machine.partitions.clone()
