Take a forwarded request only once at the key's owner

Change: a forwarded request names the incarnations of both entries, and the owner remembers the newest 65,536 of them. A copy joins the request while it is known and is otherwise answered with may-have-run. The simulation also uses keys again for other work, and the agent checks the connections of a runner when it admits an attempt.

Conclusion: a verdict of not-run is not taken back by a copy of the request.

--- a/toucangrade/src/admission/mod.rs
+++ b/toucangrade/src/admission/mod.rs
@@ -289,6 +289,8 @@
         self.attempts.insert(key.clone(), attempt);
         let Some(runner) = self.runners.get_mut(&addr) else { return Vec::new() };
         runner.held += 1;
+        let (used, connections) = (runner.used(), runner.announce.connections);
+        invariant!(used <= connections, "runner {addr} has {used} of {connections} connections");
         runner.waiting.push_back(key);
         self.advance(now, addr)
     }
--- a/toucangrade/src/daemon/entry.rs
+++ b/toucangrade/src/daemon/entry.rs
@@ -123,10 +123,10 @@
                     execution.push(execution::Message::Claimed { key, attempt, reply });
                 });
             },
-            execution::Effect::Forward { addr, ticket, patience, admitted } => {
+            execution::Effect::Forward { addr, ticket, patience, admitted, hop } => {
                 let execution = entry.execution.clone();
                 let Some(key) = admitted.key.clone() else { return };
-                let request = Request::Forward { admitted: Box::new(admitted), patience };
+                let request = Request::Forward { admitted: Box::new(admitted), patience, hop };
                 link.send(addr, &request, patience + REPORT_MARGIN, move |result| {
                     let told = result.and_then(|reply| match reply {
                         Reply::Told(told) => Ok(told),
@@ -297,10 +297,11 @@
         now: Moment,
         mut admitted: limits::Admitted,
         patience: Span,
+        hop: execution::Hop,
     ) -> Reply {
         let (ticket, reply) = self.forwards.open();
         admitted.deadline = now + patience;
-        let message = execution::Message::Owned { ticket, admitted };
+        let message = execution::Message::Owned { ticket, admitted, hop };
         if self.execution.offer(message).is_err() {
             let refusal = Refusal::not_run(503, "overloaded", "the key's owner sheds load");
             self.forwards.close(ticket, Told::Refused(refusal.retry_after(1_000)));
--- a/toucangrade/src/daemon/mod.rs
+++ b/toucangrade/src/daemon/mod.rs
@@ -216,8 +216,8 @@
             (Request::Query(about), Self { agent: Some(agent), .. }) => {
                 agent.report(|ticket| admission::Message::Query { ticket, about }).await
             },
-            (Request::Forward { admitted, patience }, Self { entry: Some(entry), .. }) => {
-                entry.forwarded(now, *admitted, patience).await
+            (Request::Forward { admitted, patience, hop }, Self { entry: Some(entry), .. }) => {
+                entry.forwarded(now, *admitted, patience, hop).await
             },
             (Request::Explain(key), Self { entry: Some(entry), .. }) => {
                 Reply::Explained(entry.explain(key).await)
--- a/toucangrade/src/execution/message.rs
+++ b/toucangrade/src/execution/message.rs
@@ -24,6 +24,15 @@
     Entry { ticket: u64 },
 }
 
+/// Way of a forwarded request, by incarnations, so that a copy that arrives again is told apart.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct Hop {
+    /// The entry that forwards.
+    pub(crate) origin: u64,
+    /// The entry that is meant.
+    pub(crate) owner: u64,
+}
+
 /// What a waiter is told.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) enum Told {
@@ -47,7 +56,7 @@
     /// Control listed open claims of partitions that this entry asked about.
     Open { claims: Vec<(Key, claims::Claim)> },
     /// Another entry forwarded a request whose key belongs to this one.
-    Owned { ticket: u64, admitted: Admitted },
+    Owned { ticket: u64, admitted: Admitted, hop: Hop },
     /// An agent reported on an attempt, or the report was lost.
     Outcome { key: Key, attempt: u32, report: Result<Report, CallError> },
     /// Owners of partitions; those of this entry may be used until `until`.
@@ -70,7 +79,7 @@
     /// Hands an attempt to an agent.
     Call { attempt: u32, target: Target, start: Start },
     /// Forwards a request to the entry that owns its key.
-    Forward { addr: SocketAddr, ticket: u64, patience: Span, admitted: Admitted },
+    Forward { addr: SocketAddr, ticket: u64, patience: Span, admitted: Admitted, hop: Hop },
     /// Asks control for open claims of partitions, after the given partition and key.
     Open { partitions: Vec<u32>, after: Option<(u32, Key)> },
     /// Asks routing for an agent.
--- a/toucangrade/src/execution/mod.rs
+++ b/toucangrade/src/execution/mod.rs
@@ -14,7 +14,7 @@
 use serde::Serialize;
 use sha2::{Digest, Sha256};
 
-pub(crate) use self::message::{Effect, Message, Request, Told, Waiter};
+pub(crate) use self::message::{Effect, Hop, Message, Request, Told, Waiter};
 use self::record::{Phase, Record};
 use crate::core::{Class, Key, Moment, Name, Refusal, Span};
 use crate::history::Event;
@@ -28,6 +28,8 @@
 const SETTLED_KEPT: usize = 20_000;
 /// Bytes of kept answers.
 const ANSWERS_KEPT: usize = 32 * 1024 * 1024;
+/// Forwarded requests that are remembered, so that a late copy of one runs nothing.
+const HOPS_KEPT: usize = 65_536;
 /// Time between two questions for open claims that an earlier owner left.
 const SWEEP_EVERY: Span = Span::millis(2_000);
 /// Keys that are drawn to find one in a partition that this entry owns.
@@ -58,6 +60,11 @@
     /// When control is asked again for open claims, and after which one.
     sweep: Moment,
     swept: Option<(u32, Key)>,
+    /// Requests that were forwarded to this entry, by origin and ticket, oldest first.
+    #[serde(skip)]
+    hops: BTreeSet<(u64, u64)>,
+    #[serde(skip)]
+    arrived: VecDeque<(u64, u64)>,
     /// Requests forwarded to another entry, with the end of the caller's wait.
     forwarded: BTreeMap<u64, Moment>,
     budget: Budget,
@@ -83,6 +90,8 @@
             serial: 0,
             sweep: Moment::START,
             swept: None,
+            hops: BTreeSet::new(),
+            arrived: VecDeque::new(),
             forwarded: BTreeMap::new(),
             budget: Budget::new(),
             rng: SmallRng::seed_from_u64(incarnation),
@@ -107,8 +116,8 @@
                 self.outcome(now, key, attempt, report, &mut out);
             },
             Message::Open { claims } => self.adopt(now, claims, &mut out),
-            Message::Owned { ticket, admitted } => {
-                self.owned(now, Waiter::Entry { ticket }, admitted, &mut out);
+            Message::Owned { ticket, admitted, hop } => {
+                self.forwarded(now, Waiter::Entry { ticket }, admitted, hop, &mut out);
             },
             Message::Owners { owners, until, surplus } => {
                 self.take_owners(now, owners, until, &surplus);
@@ -140,6 +149,7 @@
         }
         let owner = self.owners.get(&partition);
         let other = owner.filter(|o| o.entry != self.entry || o.incarnation != self.incarnation);
+        let owner = other.map_or(0, |owner| owner.incarnation);
         let Some(addr) = other.and_then(|owner| owner.addr) else {
             out.push(refuse(waiter, key, "no-owner", "the key's partition has no live owner"));
             return;
@@ -147,7 +157,35 @@
         let patience = admitted.deadline.since(now);
         self.forwarded.insert(ticket, admitted.deadline);
         admitted.key = Some(key);
-        out.push(Effect::Forward { addr, ticket, patience, admitted });
+        let hop = Hop { origin: self.incarnation, owner };
+        out.push(Effect::Forward { addr, ticket, patience, admitted, hop });
+    }
+
+    /// Takes a request that another entry forwarded, once.
+    fn forwarded(
+        &mut self,
+        now: Moment,
+        waiter: Waiter,
+        admitted: Admitted,
+        hop: Hop,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(key) = admitted.key.clone() else { return };
+        let id = (hop.origin, admitted.ticket);
+        let first = hop.owner == self.incarnation && self.hops.insert(id);
+        if first {
+            self.arrived.push_back(id);
+            if self.arrived.len() > HOPS_KEPT {
+                self.arrived.pop_front().map(|oldest| self.hops.remove(&oldest));
+            }
+        }
+        if !first && !self.records.contains_key(&key) {
+            // The caller may have been told the outcome of the first copy already.
+            let told = Told::Refused(Refusal::unknown("the request was forwarded twice"));
+            out.push(Effect::Answer { waiter, key, told });
+            return;
+        }
+        self.owned(now, waiter, admitted, out);
     }
 
     /// Takes a request whose key the caller or another entry gave.
--- a/toucangrade/src/peer/mod.rs
+++ b/toucangrade/src/peer/mod.rs
@@ -9,7 +9,7 @@
 use crate::admission::{Question, Reported, Start};
 use crate::claims;
 use crate::core::{Key, Name, Span};
-use crate::execution::Told;
+use crate::execution::{Hop, Told};
 use crate::history::Event;
 use crate::limits::Admitted;
 use crate::membership::{Beat, Beaten, Poll, View};
@@ -27,7 +27,7 @@
     /// A question for the steps of a request, from control to an entry.
     Explain(Key),
     /// A request whose key the other entry owns, and how long its caller still waits.
-    Forward { admitted: Box<Admitted>, patience: Span },
+    Forward { admitted: Box<Admitted>, patience: Span, hop: Hop },
     /// A question for the open claims of partitions that the entry owns, to control, after the
     /// given partition and key.
     Open { partitions: Vec<u32>, after: Option<(u32, Key)> },
--- a/toucangrade/src/peer/tests.rs
+++ b/toucangrade/src/peer/tests.rs
@@ -27,7 +27,11 @@
         start_by: Moment::micros(1),
     };
     let requests = [
-        Request::Forward { admitted: Box::new(admitted), patience: Span::millis(5) },
+        Request::Forward {
+            admitted: Box::new(admitted),
+            patience: Span::millis(5),
+            hop: Hop { origin: 1, owner: 2 },
+        },
         Request::Query(Some(question)),
         Request::Query(None),
     ];
--- a/toucangrade/src/simulation/entry.rs
+++ b/toucangrade/src/simulation/entry.rs
@@ -112,13 +112,16 @@
     }
 
     pub(super) fn entry_serve(&mut self, index: usize, call: u64, request: Request) {
-        let Request::Forward { admitted, patience } = request else { return };
+        let Request::Forward { admitted, patience, hop } = request else { return };
         let ticket = self.serial();
         let Some(entry) = &mut self.entries[index] else { return };
         entry.forwards.insert(ticket, call);
         let mut admitted = *admitted;
         admitted.deadline = entry.clock.read(self.now) + patience;
-        self.entry_step(index, Local::Execution(execution::Message::Owned { ticket, admitted }));
+        self.entry_step(
+            index,
+            Local::Execution(execution::Message::Owned { ticket, admitted, hop }),
+        );
     }
 
     /// Hands the result of a request to the duty that asked for it.
@@ -269,9 +272,9 @@
                 let done = Done::Claim { key: command.key.clone(), attempt };
                 self.send(node, Node::Control, Request::Claim(command), CONTROL_TIMEOUT, done);
             },
-            execution::Effect::Forward { addr, ticket, patience, admitted } => {
+            execution::Effect::Forward { addr, ticket, patience, admitted, hop } => {
                 let Some(key) = admitted.key.clone() else { return };
-                let request = Request::Forward { admitted: Box::new(admitted), patience };
+                let request = Request::Forward { admitted: Box::new(admitted), patience, hop };
                 let to = Node::Entry(usize::from(addr.port() - 300));
                 let done = Done::Forward { key, ticket };
                 self.send(node, to, request, patience + REPORT_MARGIN, done);
--- a/toucangrade/src/simulation/mod.rs
+++ b/toucangrade/src/simulation/mod.rs
@@ -137,7 +137,15 @@
         let number = self.world.truth.subjects.len();
         let own = self.world.rng.random_ratio(1, 2);
         let key = Key::new(&format!("key-{number}")).ok().filter(|_| own);
-        let subject = self.world.subject(kind, key, work);
+        // Some callers use a key again that other work has already.
+        let other = self.recent.last().copied().filter(|_| self.world.rng.random_ratio(1, 50));
+        let used = other.and_then(|other| self.world.truth.subjects[other].key.clone());
+        let shared = used.is_some();
+        let subject = self.world.subject(kind, used.or(key), work);
+        if let Some(other) = other.filter(|_| shared) {
+            self.world.truth.subjects[subject].shared = true;
+            self.world.truth.subjects[other].shared = true;
+        }
         let entry = self.world.rng.random_range(0..3);
         self.world.submit(subject, entry);
         self.recent.push(subject);
@@ -249,7 +257,7 @@
         self.world.advance(10_000_000);
         let Some(entry) = (0..3).find(|&entry| self.world.up(Node::Entry(entry))) else { return };
         let subjects = self.world.truth.subjects.iter().enumerate();
-        let once = subjects.filter(|(_, s)| s.class == Class::Once && s.key.is_some());
+        let once = subjects.filter(|(_, s)| s.class == Class::Once && s.key.is_some() && !s.shared);
         let asked: Vec<usize> = once.map(|(index, _)| index).collect();
         for subject in asked.into_iter().rev().take(50) {
             let submission = self.world.submit(subject, entry);
--- a/toucangrade/src/simulation/world.rs
+++ b/toucangrade/src/simulation/world.rs
@@ -324,7 +324,7 @@
     /// Adds work that callers may ask for.
     pub(crate) fn subject(&mut self, kind: usize, key: Option<Key>, work: u64) -> usize {
         let class = KINDS[kind].1;
-        self.truth.subjects.push(Subject { class, key, work, runs: Vec::new() });
+        self.truth.subjects.push(Subject { class, key, work, shared: false, runs: Vec::new() });
         self.truth.subjects.len() - 1
     }
 
