Add batch scheduling: placement, interference, eviction and quota slices

Cause: the control role had no decisions for batch work beside quick tasks. Change: placement::Planner with its messages and effects, an interference model with three ways to learn (independent means, empirical Bayes shrinkage, Kalman filter), choice and account of evictions, quotas with weighted dominant shares, a fake of workers with hidden interference, and the bench `policy`. Found by the randomised run and fixed before this commit, each with a scripted test: a replay scheduled urgent jobs by itself and then took its own places instead of those in the log; a new leader repeated the start of an execution that had ended before the replay, which overfilled a worker.

--- /dev/null
+++ b/toucangrade/benches/policy.rs
@@ -0,0 +1,183 @@
+//! Measures the policy against simpler ones on a fake of each company, and the cost of decisions.
+//!
+//! `--seeds A..B` chooses the seeds, `--secs N` the simulated time, `--methods` compares the ways
+//! to learn interference, and `--cost` measures decisions at growing sizes instead.
+
+#![allow(missing_docs)]
+
+mod cost;
+mod fake;
+
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use fake::truth::{ALBUQUERQUE, Company, KLOPCA};
+use fake::{Fake, Figures, TROUBLES, Trouble};
+use toucangrade::placement::{Method, Rank, Settings};
+
+/// Threads for the runs, under half of the machine.
+const THREADS: usize = 4;
+
+struct Policy {
+    name: &'static str,
+    settings: fn(Settings) -> Settings,
+}
+
+const POLICIES: [Policy; 4] = [
+    Policy {
+        name: "first-fit",
+        settings: |s| s.baseline(Rank::FirstFit),
+    },
+    Policy {
+        name: "least-loaded",
+        settings: |s| s.baseline(Rank::LeastLoaded),
+    },
+    Policy {
+        name: "ours-unlearned",
+        settings: |s| s.method(None),
+    },
+    Policy {
+        name: "ours",
+        settings: |s| s,
+    },
+];
+
+const METHODS: [Policy; 4] = [
+    Policy {
+        name: "one-slope",
+        settings: |s| s.method(None),
+    },
+    Policy {
+        name: "means",
+        settings: |s| s.method(Some(Method::Means)),
+    },
+    Policy {
+        name: "shrinkage",
+        settings: |s| s.method(Some(Method::Shrinkage)),
+    },
+    Policy {
+        name: "kalman",
+        settings: |s| s.method(Some(Method::Kalman)),
+    },
+];
+
+struct Options {
+    seeds: std::ops::Range<u64>,
+    secs: u64,
+    methods: bool,
+    cost: bool,
+}
+
+fn options() -> Options {
+    let mut options = Options {
+        seeds: 1..11,
+        secs: 7_200,
+        methods: false,
+        cost: false,
+    };
+    let mut args = std::env::args().skip(1);
+    while let Some(arg) = args.next() {
+        match arg.as_str() {
+            "--seeds" => {
+                let value = args.next().expect("--seeds needs A..B");
+                let (a, b) = value.split_once("..").expect("seeds are A..B");
+                options.seeds = a.parse().expect("a number")..b.parse().expect("a number");
+            }
+            "--secs" => {
+                let value = args.next().expect("--secs needs a number");
+                options.secs = value.parse().expect("a number");
+            }
+            "--methods" => options.methods = true,
+            "--cost" => options.cost = true,
+            _ => {}
+        }
+    }
+    options
+}
+
+fn settings(company: &Company) -> Settings {
+    if company.name == KLOPCA.name {
+        Settings::throughput()
+    } else {
+        Settings::latency()
+    }
+}
+
+fn main() {
+    let options = options();
+    if options.cost {
+        cost::run();
+        return;
+    }
+    let policies = if options.methods { &METHODS } else { &POLICIES };
+    println!(
+        "seeds {:?}, {} s simulated, demand 1.2 of the room left over",
+        options.seeds, options.secs
+    );
+    println!(
+        "{:17} {:11} {:15} {:>6} {:>6} {:>8} {:>8} {:>7} {:>6} {:>7} {:>6}",
+        "company",
+        "case",
+        "policy",
+        "p99",
+        "work",
+        "evict/k",
+        "guard/k",
+        "lost h",
+        "urgent",
+        "done",
+        "thr/k"
+    );
+    for company in [ALBUQUERQUE, KLOPCA] {
+        for trouble in TROUBLES {
+            for policy in policies {
+                let set = (policy.settings)(settings(&company));
+                let figures = measure(&options, &set, company, trouble);
+                print(&company, trouble, policy.name, &figures);
+            }
+        }
+    }
+}
+
+/// Runs all seeds and merges what they measured.
+fn measure(options: &Options, set: &Settings, company: Company, trouble: Trouble) -> Figures {
+    let seeds: Vec<u64> = options.seeds.clone().collect();
+    let next = AtomicUsize::new(0);
+    let results = Mutex::new(Vec::new());
+    std::thread::scope(|scope| {
+        for _ in 0..THREADS {
+            scope.spawn(|| {
+                while let Some(&seed) = seeds.get(next.fetch_add(1, Ordering::Relaxed)) {
+                    let fake = Fake::new(set.clone(), company, trouble, seed, options.secs);
+                    let figures = fake.run();
+                    results.lock().expect("a run failed").push(figures);
+                }
+            });
+        }
+    });
+    let mut results = results.into_inner().expect("a run failed").into_iter();
+    let mut sum = results.next().expect("one seed at least");
+    for figures in results {
+        sum.merge(&figures);
+    }
+    sum
+}
+
+fn print(company: &Company, trouble: Trouble, policy: &str, figures: &Figures) {
+    let done = figures.done.max(1) as f64;
+    let each = |count: u64| count as f64 * 1_000.0 / done;
+    println!(
+        "{:17} {:11} {:15} {:6.3} {:6.3} {:8.2} {:8.2} {:7.2} {:6.2} {:7} {:6.0}",
+        company.name,
+        format!("{trouble:?}"),
+        policy,
+        figures.p99(),
+        figures.work / figures.room,
+        each(figures.counts.evicted),
+        each(figures.counts.guarded),
+        figures.lost / 3_600.0,
+        figures.urgent.value_at_quantile(0.99) as f64 / 1_000.0,
+        figures.done,
+        each(figures.counts.throttled),
+    );
+}
--- a/toucangrade/src/lib.rs
+++ b/toucangrade/src/lib.rs
@@ -6,7 +6,11 @@
 #![allow(dead_code, unused_imports, unused_macros)]
 
 mod core;
+mod eviction;
 mod http;
+mod interference;
+pub mod placement;
+mod quota;
 
 pub use crate::core::{Answer, BadName, Class, Clock, Key, Moment, Name, Refusal, Span, Verdict};
 pub use crate::http::{
--- /dev/null
+++ b/toucangrade/src/placement/sizes.rs
@@ -0,0 +1,104 @@
+//! Sizes corrected by what tasks of a kind used.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+use crate::core::Name;
+use crate::quota::Size;
+
+/// Finished runs of a kind before its declared size is corrected.
+const MIN_RUNS: f64 = 4.0;
+/// Weight that remains of a run with each later run of the kind.
+const RUN_DECAY: f64 = 0.97;
+/// Standard deviations above the mean ratio that cores are granted.
+///
+/// Cores above the grant only slow a task down, so the usual need is enough.
+const CORES_MARGIN: f64 = 1.0;
+/// Standard deviations above the mean ratio that memory is granted.
+///
+/// Memory above the grant stops a task, so the margin covers nearly all runs.
+const MEMORY_MARGIN: f64 = 3.0;
+/// Factor on a ratio that was measured at the grant and may have been cut off there.
+const CENSORED: f64 = 1.2;
+
+/// Decayed mean and spread of used over declared.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+struct Ratio {
+    square: f64,
+    sum: f64,
+    weight: f64,
+}
+
+impl Ratio {
+    fn observe(&mut self, ratio: f64) {
+        self.weight = self.weight * RUN_DECAY + 1.0;
+        self.sum = self.sum * RUN_DECAY + ratio;
+        self.square = self.square * RUN_DECAY + ratio * ratio;
+    }
+
+    /// Mean plus `margin` deviations; the deviation is taken wider while runs are few.
+    fn upper(&self, margin: f64) -> f64 {
+        let mean = self.sum / self.weight;
+        let spread = (self.square / self.weight - mean * mean).max(0.0).sqrt();
+        mean + margin * (spread * (1.0 + 1.0 / self.weight.sqrt()) + 0.02 * mean)
+    }
+}
+
+/// Ratios of one kind.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+struct Kind {
+    cores: Ratio,
+    memory: Ratio,
+}
+
+/// Ratios of all kinds.
+#[derive(Clone, Debug, Default, Serialize)]
+pub(super) struct Sizes {
+    kinds: BTreeMap<Name, Kind>,
+}
+
+impl Sizes {
+    /// Takes in the peak of a finished run under `grant`.
+    pub(super) fn observe(&mut self, kind: &Name, declared: Size, grant: Size, peak: Size) {
+        if declared.cores == 0 || declared.memory == 0 || peak.cores == 0 {
+            return;
+        }
+        if !self.kinds.contains_key(kind) {
+            self.kinds.insert(kind.clone(), Kind::default());
+        }
+        let Some(ratios) = self.kinds.get_mut(kind) else {
+            return;
+        };
+        let cut = if peak.cores * 1_000 >= grant.cores * 995 {
+            CENSORED
+        } else {
+            1.0
+        };
+        let cores = peak.cores as f64 / declared.cores as f64;
+        ratios.cores.observe(cores * cut);
+        ratios
+            .memory
+            .observe(peak.memory as f64 / declared.memory as f64);
+    }
+
+    /// Grant for a job of a kind; `bump` multiplies the memory after guard stops.
+    ///
+    /// Accelerators are whole devices and keep their declared number.
+    pub(super) fn grant(&self, kind: &Name, declared: Size, bump: f64) -> Size {
+        let mut grant = declared;
+        if let Some(ratios) = self.kinds.get(kind).filter(|k| k.cores.weight >= MIN_RUNS) {
+            let cores = ratios.cores.upper(CORES_MARGIN).clamp(0.05, 4.0);
+            let memory = ratios.memory.upper(MEMORY_MARGIN).clamp(0.05, 6.0);
+            grant.cores = scale(declared.cores, cores).max(100);
+            grant.memory = scale(declared.memory, memory).max(64);
+        }
+        grant.memory = scale(grant.memory, bump);
+        grant
+    }
+}
+
+/// `value` times `factor`, rounded up.
+pub(super) fn scale(value: u64, factor: f64) -> u64 {
+    (value as f64 * factor).ceil() as u64
+}
--- /dev/null
+++ b/toucangrade/src/quota/mod.rs
@@ -0,0 +1,137 @@
+//! Quotas and weighted fair shares of teams, and the order in which waiting jobs are tried.
+
+mod message;
+
+#[cfg(test)]
+mod tests;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::Serialize;
+
+use crate::core::{Name, invariant};
+
+pub(crate) use self::message::Ticket;
+pub use self::message::{Quota, Size};
+
+/// One team's quota, use and waiting jobs.
+#[derive(Clone, Debug, Serialize)]
+struct Team {
+    limit: Option<Size>,
+    used: Size,
+    waiting: BTreeSet<Ticket>,
+    weight: u32,
+}
+
+impl Default for Team {
+    fn default() -> Self {
+        Self {
+            limit: None,
+            used: Size::default(),
+            waiting: BTreeSet::new(),
+            weight: 1,
+        }
+    }
+}
+
+/// Shares of all teams.
+#[derive(Clone, Debug, Default, Serialize)]
+pub(crate) struct Shares {
+    teams: BTreeMap<Name, Team>,
+    total: Size,
+}
+
+impl Shares {
+    /// Sets weight and limit of a team.
+    pub(crate) fn set(&mut self, quota: &Quota) {
+        let team = self.teams.entry(quota.team.clone()).or_default();
+        team.limit = quota.limit;
+        team.weight = quota.weight.max(1);
+    }
+
+    /// Sets the capacity of all workers, which shares are taken of.
+    pub(crate) fn resize(&mut self, total: Size) {
+        self.total = total;
+    }
+
+    /// Adds a waiting job.
+    pub(crate) fn enqueue(&mut self, team: &Name, ticket: Ticket) {
+        let team = self.teams.entry(team.clone()).or_default();
+        team.waiting.insert(ticket);
+    }
+
+    /// Removes a waiting job; false when it did not wait.
+    pub(crate) fn dequeue(&mut self, team: &Name, ticket: &Ticket) -> bool {
+        let team = self.teams.get_mut(team);
+        team.is_some_and(|team| team.waiting.remove(ticket))
+    }
+
+    /// Charges `size` to a team.
+    pub(crate) fn charge(&mut self, team: &Name, size: Size) {
+        self.teams.entry(team.clone()).or_default().used += size;
+    }
+
+    /// Takes back what was charged.
+    pub(crate) fn release(&mut self, team: &Name, size: Size) {
+        let team = self.teams.entry(team.clone()).or_default();
+        invariant!(
+            size.fits(team.used),
+            "release of {size:?} exceeds the use {:?}",
+            team.used
+        );
+        team.used = team.used - size;
+    }
+
+    /// Whether `size` fits into what is left of the team's quota.
+    pub(crate) fn admits(&self, team: &Name, size: Size) -> bool {
+        self.teams.get(team).is_none_or(|team| {
+            team.limit
+                .is_none_or(|limit| (team.used + size).fits(limit))
+        })
+    }
+
+    /// The quota that `size` could never fit into, if it is so.
+    pub(crate) fn exceeds(&self, team: &Name, size: Size) -> Option<Size> {
+        let limit = self.teams.get(team)?.limit?;
+        (!size.fits(limit)).then_some(limit)
+    }
+
+    /// Weighted dominant share of a team.
+    pub(crate) fn share(&self, team: &Name) -> f64 {
+        self.teams.get(team).map_or(0.0, |t| self.weighted(t))
+    }
+
+    fn weighted(&self, team: &Team) -> f64 {
+        team.used.dominant(self.total) / f64::from(team.weight)
+    }
+
+    /// The teams that have waiting jobs, smallest weighted share first.
+    ///
+    /// Dominant resource fairness, after Ghodsi et al., NSDI 2011.
+    pub(crate) fn order(&self) -> Vec<Name> {
+        let mut order: Vec<_> = self
+            .teams
+            .iter()
+            .filter(|(_, team)| !team.waiting.is_empty())
+            .map(|(name, team)| (self.weighted(team), name))
+            .collect();
+        order.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(b.1)));
+        order.into_iter().map(|(_, name)| name.clone()).collect()
+    }
+
+    /// The first `count` waiting jobs of a team.
+    pub(crate) fn first(&self, team: &Name, count: usize) -> Vec<Name> {
+        let waiting = self.teams.get(team).map(|team| &team.waiting);
+        waiting
+            .into_iter()
+            .flatten()
+            .take(count)
+            .map(|ticket| ticket.job.clone())
+            .collect()
+    }
+
+    /// Number of waiting jobs.
+    pub(crate) fn waiting(&self) -> usize {
+        self.teams.values().map(|team| team.waiting.len()).sum()
+    }
+}
