--- a/toucangrade/src/placement/job.rs
+++ b/toucangrade/src/placement/job.rs
@@ -50,8 +50,6 @@
 pub(super) struct Job {
     /// Since when it has been first in its team's order without room.
     pub(super) blocked: Option<Moment>,
-    /// Factor on memory after guard stops.
-    pub(super) bump: f64,
     pub(super) checkpoint: Checkpoint,
     /// Whether it was checked that some worker could ever hold it.
     pub(super) checked: bool,
@@ -68,6 +66,8 @@
     pub(super) kind: usize,
     /// When evictions were begun for it.
     pub(super) making: Option<Moment>,
+    /// Memory in MB that it is known to need after guard stops.
+    pub(super) memory: u64,
     /// Whether the final outcome is agreed.
     pub(super) over: bool,
     pub(super) spec: Spec,
@@ -80,7 +80,6 @@
     pub(super) fn new(spec: Spec, kind: usize, now: Moment) -> Self {
         Self {
             blocked: None,
-            bump: 1.0,
             checkpoint: Checkpoint::default(),
             checked: false,
             closing: None,
@@ -90,6 +89,7 @@
             guarded: 0,
             kind,
             making: None,
+            memory: 0,
             over: false,
             spec,
             state: State::Waiting,
--- a/toucangrade/src/placement/runs.rs
+++ b/toucangrade/src/placement/runs.rs
@@ -272,13 +272,11 @@
             Fault::Memory => {
                 self.counts.guarded += 1;
                 job.guarded += 1;
-                job.bump *= GUARD_GROWTH;
                 let grant = job.places().iter().find(|p| p.id == id).map(|p| p.grant);
                 if let Some(grant) = grant {
-                    // The need is above the grant; how far is not known yet.
-                    let peak = Size::new(grant.cores, scale(grant.memory, 1.25), 0);
+                    job.memory = scale(grant.memory, GUARD_GROWTH);
                     let spec = &job.spec;
-                    self.sizes.observe(&spec.kind, spec.size, grant, peak);
+                    self.sizes.outgrown(&spec.kind, spec.size, job.memory);
                 }
             }
             Fault::Error => {
--- a/toucangrade/src/placement/schedule.rs
+++ b/toucangrade/src/placement/schedule.rs
@@ -103,9 +103,9 @@
         let spec = &job.spec;
         let mut need = spec.size;
         if self.settings.correct {
-            need = self.sizes.grant(&spec.kind, spec.size, job.bump);
+            need = self.sizes.grant(&spec.kind, spec.size, job.memory);
         } else {
-            need.memory = super::sizes::scale(need.memory, job.bump);
+            need.memory = need.memory.max(job.memory);
         }
         let gang = spec.gang.max(1) as usize;
         if !self.shares.admits(&spec.team, need.times(gang as u64)) {
@@ -330,7 +330,7 @@
         if self.known.is_empty() || job.closing.is_some() {
             return false;
         }
-        let corrected = self.sizes.grant(&spec.kind, spec.size, 1.0);
+        let corrected = self.sizes.grant(&spec.kind, spec.size, job.memory);
         let least = Size::new(
             spec.size.cores.min(corrected.cores),
             spec.size.memory.min(corrected.memory),
--- a/toucangrade/src/placement/settings.rs
+++ b/toucangrade/src/placement/settings.rs
@@ -70,7 +70,7 @@
             reserve: Size::new(4_000, 8_000, 0),
             seed: 1,
             shops: BTreeMap::new(),
-            tolerance: 0.25,
+            tolerance: 0.33,
         }
     }
 
@@ -78,10 +78,11 @@
     pub fn throughput() -> Self {
         Self {
             caution: 0.0,
-            hold: 1.2,
+            hold: 1.0,
             relocate: 4.0,
-            patience: Span::secs(600),
-            tolerance: 0.5,
+            // With 600 s, evictions for jobs that waited too long doubled under wrong sizes.
+            patience: Span::secs(900),
+            tolerance: 0.8,
             ..Self::latency()
         }
     }
--- a/toucangrade/src/placement/sizes.rs
+++ b/toucangrade/src/placement/sizes.rs
@@ -13,14 +13,15 @@
 const RUN_DECAY: f64 = 0.97;
 /// Standard deviations above the mean ratio that cores are granted.
 ///
-/// Cores above the grant only slow a task down, so the usual need is enough.
-const CORES_MARGIN: f64 = 1.0;
+/// Cores above the grant only slow a task down, so little more than the mean is enough: with one
+/// deviation, work was 4% lower.
+const CORES_MARGIN: f64 = 0.25;
 /// Standard deviations above the mean ratio that memory is granted.
 ///
 /// Memory above the grant stops a task, so the margin covers nearly all runs.
 const MEMORY_MARGIN: f64 = 3.0;
 /// Factor on a ratio that was measured at the grant and may have been cut off there.
-const CENSORED: f64 = 1.2;
+const CENSORED: f64 = 1.1;
 
 /// Decayed mean and spread of used over declared.
 #[derive(Clone, Copy, Debug, Default, Serialize)]
@@ -49,6 +50,11 @@
 #[derive(Clone, Copy, Debug, Default, Serialize)]
 struct Kind {
     cores: Ratio,
+    /// Ratio of memory that a guard stop showed to be too small, raised by a growth step.
+    ///
+    /// Only used while finished runs are few: a stop says that the need is above the grant, not
+    /// by how much, so it would widen the spread of the finished runs.
+    floor: f64,
     memory: Ratio,
 }
 
@@ -82,18 +88,29 @@
             .observe(peak.memory as f64 / declared.memory as f64);
     }
 
-    /// Grant for a job of a kind; `bump` multiplies the memory after guard stops.
+    /// Takes in a guard stop after which a run of the kind is granted `memory` MB.
+    pub(super) fn outgrown(&mut self, kind: &Name, declared: Size, memory: u64) {
+        let kind = self.kinds.entry(kind.clone()).or_default();
+        let ratio = memory as f64 / declared.memory.max(1) as f64;
+        kind.floor = kind.floor.max(ratio);
+    }
+
+    /// Grant for a job of a kind; `least` is the memory that the job is known to need.
     ///
     /// Accelerators are whole devices and keep their declared number.
-    pub(super) fn grant(&self, kind: &Name, declared: Size, bump: f64) -> Size {
+    pub(super) fn grant(&self, kind: &Name, declared: Size, least: u64) -> Size {
         let mut grant = declared;
-        if let Some(ratios) = self.kinds.get(kind).filter(|k| k.cores.weight >= MIN_RUNS) {
-            let cores = ratios.cores.upper(CORES_MARGIN).clamp(0.05, 4.0);
-            let memory = ratios.memory.upper(MEMORY_MARGIN).clamp(0.05, 6.0);
-            grant.cores = scale(declared.cores, cores).max(100);
-            grant.memory = scale(declared.memory, memory).max(64);
+        if let Some(ratios) = self.kinds.get(kind) {
+            if ratios.cores.weight >= MIN_RUNS {
+                let cores = ratios.cores.upper(CORES_MARGIN).clamp(0.05, 4.0);
+                let memory = ratios.memory.upper(MEMORY_MARGIN).clamp(0.05, 6.0);
+                grant.cores = scale(declared.cores, cores).max(100);
+                grant.memory = scale(declared.memory, memory).max(64);
+            } else {
+                grant.memory = scale(declared.memory, ratios.floor.max(1.0));
+            }
         }
-        grant.memory = scale(grant.memory, bump);
+        grant.memory = grant.memory.max(least);
         grant
     }
 }
