--- a/toucangrade/src/agreement/disk.rs
+++ b/toucangrade/src/agreement/disk.rs
@@ -48,6 +48,10 @@
     /// `WouldBlock` when another process uses the directory, else what the system reports.
     pub(crate) fn directory(path: &Path) -> io::Result<Self> {
         fs::create_dir_all(path)?;
+        let path = path.canonicalize()?;
+        if let Some(parent) = path.parent() {
+            File::open(parent)?.sync_all()?;
+        }
         let guard = File::create(path.join(LOCK))?;
         guard.try_lock().map_err(|error| match error {
             TryLockError::Error(error) => error,
--- a/toucangrade/src/agreement/election.rs
+++ b/toucangrade/src/agreement/election.rs
@@ -174,6 +174,8 @@
         self.configs = BTreeMap::from([(snapshot.members_at, snapshot.members.clone())]);
         (self.commit, self.applied, self.verified) = (index, index, index);
         self.stored = index;
+        // What was durable belongs to the replaced log.
+        self.saved = 0;
         self.saving = None;
         self.snapshot = Arc::clone(&snapshot);
         let reset = true;
--- a/toucangrade/src/agreement/log.rs
+++ b/toucangrade/src/agreement/log.rs
@@ -82,9 +82,17 @@
         self.entries.truncate(kept);
     }
 
-    /// Removes the entries up to `index`.
-    pub(super) fn compact(&mut self, index: u64) {
-        while self.base < index {
+    /// Removes the entries up to `index`, but for the last ones within the limits.
+    pub(super) fn compact(&mut self, index: u64, count: u64, bytes: usize) {
+        let (mut kept, mut size) = (0, 0);
+        while kept < count {
+            size += self.get(index - kept).map_or(bytes, |e| e.payload.size());
+            if size >= bytes {
+                break;
+            }
+            kept += 1;
+        }
+        while self.base < index - kept {
             let Some(entry) = self.entries.pop_front() else {
                 return;
             };
@@ -101,17 +109,6 @@
         }
         first
     }
-
-    pub(super) fn size(&self, first: u64) -> usize {
-        let skipped = usize::try_from(first.saturating_sub(self.base + 1)).unwrap_or(usize::MAX);
-        let held = self.entries.iter().skip(skipped);
-        held.map(|entry| entry.payload.size()).sum()
-    }
-
-    pub(super) fn commands(&self) -> usize {
-        let command = |entry: &&Entry| matches!(entry.payload, Payload::Command(_));
-        self.entries.iter().filter(command).count()
-    }
 }
 
 /// The state dump shows the extent of the log, not the commands in it.
--- a/toucangrade/src/agreement/message.rs
+++ b/toucangrade/src/agreement/message.rs
@@ -174,6 +174,9 @@
         found: u64,
         recorded: u64,
     },
+    /// A member does not hold entries that it acknowledged.
+    #[error("{name} lost entries up to {index} that it had acknowledged; remove and add it")]
+    Loss { name: Name, index: u64 },
     /// Another instance addresses this one under an identity that it does not have.
     #[error(
         "{name} addresses this instance as identity {found:016x}; if its disk was lost, it has to \
--- a/toucangrade/src/agreement/mod.rs
+++ b/toucangrade/src/agreement/mod.rs
@@ -9,6 +9,7 @@
 mod election;
 mod fake_disk;
 mod log;
+pub mod measure;
 mod membership;
 mod message;
 mod random_run;
@@ -53,6 +54,9 @@
 pub(crate) const TICK: Span = Span::millis(20);
 /// Unanswered appends and chunks are sent again after this time.
 const RESEND: Span = Span::millis(200);
+/// A leader whose storage has not answered for this time gives up leadership, as nothing it takes
+/// can be acknowledged.
+const STORE_STALL: Span = Span::secs(3);
 /// Appends to one follower that may be unanswered.
 const WINDOW: usize = 4;
 /// Greatest number of entries and bytes in one append message; one entry may exceed the bytes.
@@ -66,9 +70,13 @@
 const WAITING_LIMIT: usize = 4_096;
 /// Bytes of the proposals that may wait at the leader.
 const WAITING_BYTES: usize = 16 * 1024 * 1024;
-/// Entries kept in memory after a snapshot, so that a follower that lags a little needs no
-/// snapshot.
+/// Entries and their bytes kept in memory after a snapshot, so that a follower that lags a little
+/// needs no snapshot.
 const KEPT_ENTRIES: u64 = 1_024;
+const KEPT_BYTES: usize = 16 * 1024 * 1024;
+/// Refusals of entries that a member acknowledged before, after which it is reported. Single ones
+/// may be late messages.
+const LOSS_REPORT: u32 = 5;
 
 /// What an instance is told at its start.
 #[derive(Clone, Debug)]
@@ -117,6 +125,15 @@
     size: usize,
 }
 
+/// An append that the storage has not answered.
+#[derive(Debug, Serialize)]
+struct Saving {
+    seq: u64,
+    /// Last index that counts as durable once it is answered.
+    upto: u64,
+    since: Moment,
+}
+
 /// Actions that wait until a `Store` effect is durable.
 #[derive(Debug, Serialize)]
 enum Held {
@@ -162,8 +179,8 @@
     saved: u64,
     /// The log was handed to the storage up to this index.
     stored: u64,
-    /// Sequence number and last index of the append that is not yet durable.
-    saving: Option<(u64, u64)>,
+    /// The append that is not yet durable.
+    saving: Option<Saving>,
     /// Last sequence number given to a `Store` effect.
     seq: u64,
     synced: u64,
@@ -356,21 +373,25 @@
             self.replicate_all(now);
             self.push_transfer();
         }
-        self.flush();
+        self.flush(now);
         self.apply(now);
         self.answer_reads(now);
     }
 
     /// Hands entries to the storage. One append is outstanding at a time; entries that arrive
     /// meanwhile share the next sync.
-    fn flush(&mut self) {
+    fn flush(&mut self, now: Moment) {
         if self.saving.is_some() || self.stored >= self.log.last() {
             return;
         }
         let entries = self.log.batch(self.stored + 1, self.batch, STORE_BYTES);
         self.stored += entries.len() as u64;
         let seq = self.store(Store::Append(entries));
-        self.saving = Some((seq, self.stored));
+        self.saving = Some(Saving {
+            seq,
+            upto: self.stored,
+            since: now,
+        });
     }
 
     fn store(&mut self, store: Store) -> u64 {
@@ -390,8 +411,8 @@
         }
         invariant!(upto <= self.seq, "synced {upto} of {}", self.seq);
         self.synced = self.synced.max(upto);
-        if let Some((_, index)) = self.saving.take_if(|(seq, _)| *seq <= upto) {
-            self.saved = self.saved.max(index);
+        if let Some(saving) = self.saving.take_if(|saving| saving.seq <= upto) {
+            self.saved = self.saved.max(saving.upto);
             self.acknowledge();
         }
         let later = self.held.split_off(&(upto + 1));
@@ -415,6 +436,13 @@
         if self.failed.is_some() {
             return;
         }
+        self.abdicate(now);
+        self.held.clear();
+        self.failed = Some(reason);
+    }
+
+    /// Gives up leadership and has the voter with the longest log start an election.
+    fn abdicate(&mut self, now: Moment) {
         if let Role::Leader(lead) = &self.role {
             let voters = lead.progress.iter().filter(|(name, _)| self.votes(name));
             let best = voters.max_by_key(|(_, progress)| progress.matched);
@@ -423,8 +451,6 @@
             }
         }
         self.follow(now, None);
-        self.held.clear();
-        self.failed = Some(reason);
     }
 
     /// Hands committed and durable entries to the state machine.
--- a/toucangrade/src/agreement/random_run.rs
+++ b/toucangrade/src/agreement/random_run/mod.rs
@@ -1,12 +1,15 @@
 //! Seeded randomised run of a group over a small fake network and fake disks.
 
+mod faults;
+mod machine;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use bytes::Bytes;
 
+use self::machine::{Durable, Machine};
 use super::fake_disk::FakeDisk;
-use super::message::{Change, Effect, Message, PeerMessage, Rejection, Replica, Store};
-use super::snapshots::CHUNK_BYTES;
+use super::message::{Change, Effect, Message, PeerMessage, Replica, Report, Store};
 use super::storage::Storage;
 use super::{Agreement, Members, Settings, next_random};
 use crate::core::{Moment, Name, Verdict, invariant};
@@ -19,7 +22,7 @@
 const SNAPSHOT_COMMANDS: u64 = 150;
 /// Simulated time without faults at the end, in which the group has to recover.
 const SETTLE: u64 = 20 * SECOND;
-const NAMES: [&str; 3] = ["a", "b", "c"];
+const NAMES: [&str; 5] = ["a", "b", "c", "d", "e"];
 
 /// Counts of what a run contained, which show that it tested something.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -36,55 +39,16 @@
     pub(crate) isolations: u64,
     pub(crate) pauses: u64,
     pub(crate) full_disks: u64,
+    pub(crate) stalls: u64,
     pub(crate) transfers: u64,
     pub(crate) replaced: u64,
 }
 
-/// Sequence of commands that a member has applied, as a checksum.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-struct Machine {
-    index: u64,
-    chain: u64,
-    count: u64,
-}
-
-impl Machine {
-    fn apply(&mut self, index: u64, command: &[u8]) {
-        invariant!(index > self.index, "{index} applied after {}", self.index);
-        let mut chain = self.chain ^ u64::from(crc32fast::hash(command)) ^ (index << 32);
-        self.chain = next_random(&mut chain);
-        self.index = index;
-        self.count += 1;
-    }
-
-    fn encode(self) -> Bytes {
-        let words = [self.index, self.chain, self.count];
-        let mut state: Vec<u8> = words.iter().flat_map(|word| word.to_le_bytes()).collect();
-        // Some states need more than one message; the same index gives the same state everywhere.
-        if self.chain.is_multiple_of(4) {
-            state.resize(2 * CHUNK_BYTES + 100, 0);
-        }
-        state.into()
-    }
-
-    fn decode(state: &[u8]) -> Self {
-        let word = |at: usize| {
-            let bytes = state.get(at * 8..at * 8 + 8)?.try_into().ok()?;
-            Some(u64::from_le_bytes(bytes))
-        };
-        let [index, chain, count] = [0, 1, 2].map(|at| word(at).unwrap_or(0));
-        Self {
-            index,
-            chain,
-            count,
-        }
-    }
-}
-
 /// A running process.
 struct Process {
     agreement: Agreement,
     storage: Storage,
+    durable: Durable,
     stores: Vec<(u64, Store)>,
     machine: Machine,
     /// Commands in the snapshot taken last.
@@ -101,6 +65,8 @@
     /// Clock rate in millionths; any two differ by less than 5%.
     rate: u64,
     paused: u64,
+    /// Until when writes to the disk hang.
+    stalled: u64,
     isolated: bool,
 }
 
@@ -138,6 +104,8 @@
     random: u64,
     sequence: u64,
     events: BTreeMap<(u64, u64), Event>,
+    /// Names of all instances, which found the group.
+    names: Vec<Name>,
     instances: BTreeMap<Name, Instance>,
     /// Loss and duplication of messages in thousandths, and the greatest delay.
     loss: u64,
@@ -159,7 +127,7 @@
     report: RunReport,
 }
 
-/// Runs a group of three for a number of steps with faults, then without until it has recovered.
+/// Runs a group of three, or of five for every fourth seed, for a number of steps with faults, then without until it has recovered.
 ///
 /// # Panics
 ///
@@ -190,13 +158,17 @@
             epoch: 0,
             rate,
             paused: 0,
+            stalled: 0,
             isolated: false,
         };
         let mut rate = || 976_500 + next_random(&mut random) % 47_000;
-        let instances = NAMES.iter().map(|n| (name(n), instance(rate())));
+        let size = if seed.is_multiple_of(4) { 5 } else { 3 };
+        let names: Vec<Name> = NAMES.iter().take(size).map(|n| name(n)).collect();
+        let instances = names.iter().map(|name| (name.clone(), instance(rate())));
         let mut world = Self {
             now: 0,
             instances: instances.collect(),
+            names: names.clone(),
             random,
             sequence: 0,
             events: BTreeMap::new(),
@@ -213,8 +185,8 @@
             replacing: None,
             report: RunReport::default(),
         };
-        for n in NAMES {
-            world.start(&name(n));
+        for name in &names {
+            world.start(name);
         }
         world.schedule(2 * SECOND, Event::Client);
         world.schedule(3 * SECOND, Event::Fault);
@@ -226,7 +198,8 @@
     }
 
     fn pick(&mut self) -> Name {
-        name(NAMES[self.draw(NAMES.len() as u64) as usize])
+        let position = self.draw(self.names.len() as u64);
+        self.names[position as usize].clone()
     }
 
     fn schedule(&mut self, after: u64, event: Event) {
@@ -301,6 +274,7 @@
     /// Starts the process of an instance on what its disk holds.
     fn start(&mut self, name: &Name) {
         let (now, seed) = (self.now, self.draw(u64::MAX));
+        let names = self.names.clone();
         let instance = self.instance(name);
         instance.disk.set_limit(None);
         instance.disk.set_fuse(u64::MAX);
@@ -317,13 +291,15 @@
         let torn = recovered.torn.is_some();
         let settings = Settings {
             name: name.clone(),
-            founders: NAMES.iter().map(|n| self::name(n)).collect(),
+            founders: names,
             seed,
         };
         let local = Moment::micros(now / 1_000 * instance.rate / 1_000);
+        let durable = Durable::new(&recovered);
         instance.process = Some(Process {
             agreement: Agreement::new(settings, recovered, local),
             storage,
+            durable,
             stores: Vec::new(),
             machine: Machine::default(),
             snapshot: 0,
@@ -378,6 +354,10 @@
             } => self.commit(name, index, ticket, &command),
             Effect::Install { state, .. } => {
                 let machine = Machine::decode(&state);
+                invariant!(
+                    state.is_empty() || machine.encode() == state,
+                    "{name} got a damaged snapshot"
+                );
                 self.check_chain(machine);
                 self.report.installs += 1;
                 if let Some(process) = &mut self.instance(name).process {
@@ -408,10 +388,17 @@
                     self.report.unknown += 1;
                 }
             }
-            Effect::Send { to, body } => self.transmit(to, body),
+            Effect::Send { to, body } => {
+                if let Some(process) = &self.instances[name].process {
+                    process.durable.check(&process.agreement, &body.body);
+                }
+                self.transmit(to, body);
+            }
             Effect::Store { seq, store } => {
                 let wait = 200 + self.draw(4 * MILLI);
+                let now = self.now;
                 let instance = self.instance(name);
+                let wait = wait + instance.stalled.saturating_sub(now);
                 let epoch = instance.epoch;
                 if let Some(process) = &mut instance.process {
                     process.stores.push((seq, store));
@@ -421,6 +408,14 @@
                     }
                 }
             }
+            // No disk loses what it synced in this run, but for those that are replaced.
+            Effect::Report(Report::Loss { name, index }) => {
+                let states = self.dump();
+                invariant!(
+                    false,
+                    "{name} is reported to have lost entry {index}: {states}"
+                );
+            }
             Effect::Members { .. } | Effect::Report(_) | Effect::Role { .. } => {}
         }
     }
@@ -507,7 +502,10 @@
                 return;
             }
             match process.storage.perform(&store) {
-                Ok(()) => self.step(name, Message::Synced { upto: seq }),
+                Ok(()) => {
+                    process.durable.perform(&store);
+                    self.step(name, Message::Synced { upto: seq });
+                }
                 Err(error) if error.kind() == std::io::ErrorKind::StorageFull => {
                     process.failed = true;
                     let reason = error.to_string();
@@ -520,174 +518,4 @@
             }
         }
     }
-
-    /// Proposes, reads or changes the membership at some instance.
-    fn client(&mut self) {
-        let wait = 500 + self.draw(10 * MILLI);
-        self.schedule(wait, Event::Client);
-        self.check_replaced();
-        self.ticket += 1;
-        let ticket = self.ticket;
-        let name = self.pick();
-        let leading = |i: &Instance| {
-            i.process
-                .as_ref()
-                .is_some_and(|p| p.agreement.leading().is_some())
-        };
-        let leaders: Vec<Name> = self
-            .instances
-            .iter()
-            .filter(|(_, i)| leading(i))
-            .map(|(n, _)| n.clone())
-            .collect();
-        // A client rarely knows better than to ask an instance that believes to lead.
-        let at = match leaders.len() as u64 {
-            0 => name,
-            n => leaders[self.draw(n) as usize].clone(),
-        };
-        if self.pause_left(&at).is_some() {
-            return;
-        }
-        self.floors.insert(ticket, self.floor);
-        let message = match self.draw(20) {
-            0..=9 => {
-                let length = self.draw(64) as usize;
-                let mut command = ticket.to_le_bytes().to_vec();
-                command.resize(8 + length, 7);
-                let command = command.into();
-                Message::Propose { ticket, command }
-            }
-            10 => match self.change() {
-                Some(change) => Message::Change { ticket, change },
-                None => return,
-            },
-            _ => Message::Read { ticket },
-        };
-        self.step(&at, message);
-    }
-
-    /// Ends a replacement once the new member votes.
-    fn check_replaced(&mut self) {
-        let (instances, members) = (&self.instances, &self.members.1);
-        let done = |name: &mut Name| {
-            let process = instances[name].process.as_ref();
-            process.is_some_and(|p| members.is_voter(p.agreement.me()))
-        };
-        self.report.replaced += u64::from(self.replacing.take_if(done).is_some());
-    }
-
-    /// Next step of the replacement of an instance that lost its disk.
-    fn change(&self) -> Option<Change> {
-        let name = self.replacing.as_ref()?;
-        let process = self.instances[name].process.as_ref()?;
-        let replica = process.agreement.me().clone();
-        match self.members.1.get(name) {
-            Some(member) if member.identity == replica.identity => None,
-            Some(_) => Some(Change::Remove(name.clone())),
-            None => Some(Change::Add(replica)),
-        }
-    }
-
-    fn fault(&mut self) {
-        let wait = 100 * MILLI + self.draw(1_500 * MILLI);
-        self.schedule(wait, Event::Fault);
-        let name = self.pick();
-        let down = 10 * MILLI + self.draw(3 * SECOND);
-        let running = self.instances[&name].process.is_some();
-        match self.draw(12) {
-            0 | 1 if running => self.crash(&name, down),
-            // Crashes between two operations on files, before or after a sync.
-            2 | 3 if running => {
-                let operations = self.draw(6);
-                self.instance(&name).disk.set_fuse(operations);
-            }
-            4 | 5 => {
-                self.instance(&name).isolated = true;
-                self.report.isolations += 1;
-                self.schedule(down * 2, Event::Heal { name });
-            }
-            6 => {
-                self.instance(&name).paused = self.now + down;
-                self.report.pauses += 1;
-            }
-            7 if running => {
-                let used: usize = self.instances[&name].disk.sizes().values().sum();
-                let limit = Some(used + self.draw(300) as usize);
-                let instance = self.instance(&name);
-                instance.disk.set_limit(limit);
-                let epoch = instance.epoch;
-                self.report.full_disks += 1;
-                // The process is started again once there is room.
-                self.schedule(down + SECOND, Event::Start { name, epoch });
-            }
-            8 => {
-                self.report.transfers += 1;
-                self.step(&name, Message::Transfer { to: None });
-            }
-            9 => {
-                self.loss = [0, 10, 200][self.draw(3) as usize];
-                self.repeat = [0, 10, 200][self.draw(3) as usize];
-                self.delay = [2, 10, 120][self.draw(3) as usize] * MILLI;
-            }
-            10 => self.lose_disk(&name),
-            _ => {}
-        }
-    }
-
-    /// Loses the disk of an instance, one at a time, also right after another was replaced.
-    fn lose_disk(&mut self, name: &Name) {
-        if self.replacing.is_none() && self.members.1.voters().count() == NAMES.len() {
-            self.replacing = Some(name.clone());
-            self.crash(name, SECOND);
-            self.instance(name).disk.wipe();
-        }
-    }
-
-    /// States of all processes as JSON.
-    fn dump(&self) -> String {
-        let processes = self.instances.values().filter_map(|i| i.process.as_ref());
-        let state = |p: &Process| serde_json::to_string(&p.agreement).unwrap_or_default();
-        processes.map(state).collect::<Vec<_>>().join("\n")
-    }
-
-    /// Ends all faults and checks that the group recovers with everything acknowledged.
-    fn settle(&mut self) {
-        (self.loss, self.repeat, self.delay) = (0, 0, 2 * MILLI);
-        self.events
-            .retain(|_, event| !matches!(event, Event::Fault));
-        for n in NAMES {
-            let name = name(n);
-            let instance = self.instance(&name);
-            (instance.isolated, instance.paused) = (false, 0);
-            // Also ends a pending failure of the disk.
-            self.crash(&name, MILLI);
-        }
-        let acknowledged = self.report.acknowledged;
-        let end = self.now + SETTLE;
-        while self.now < end {
-            self.advance();
-        }
-        // No further proposals, so that all members reach the same end.
-        self.events
-            .retain(|_, event| !matches!(event, Event::Client));
-        while self.now < end + 2 * SECOND {
-            self.advance();
-        }
-        invariant!(
-            self.report.acknowledged > acknowledged && self.replacing.is_none(),
-            "the group did not recover: {:?}, replacing {:?}, members {:?}, states {}",
-            self.report,
-            self.replacing,
-            self.members,
-            self.dump()
-        );
-        let ends: Vec<Machine> = NAMES.iter().map(|n| self.machine(&name(n))).collect();
-        for end in &ends {
-            invariant!(
-                *end == ends[0] && end.index >= self.floor,
-                "members end at {ends:?}, acknowledged was {}",
-                self.floor
-            );
-        }
-    }
 }
--- a/toucangrade/src/agreement/replication.rs
+++ b/toucangrade/src/agreement/replication.rs
@@ -5,9 +5,10 @@
 
 use serde::Serialize;
 
-use super::message::{Body, Effect, Entry, Replica, Snapshot};
+use super::message::{Body, Effect, Entry, Replica, Report, Snapshot};
 use super::{
-    APPEND_BYTES, APPEND_ENTRIES, Agreement, ELECTION_MAX, HEARTBEAT, Lead, RESEND, Role, WINDOW,
+    APPEND_BYTES, APPEND_ENTRIES, Agreement, ELECTION_MAX, HEARTBEAT, LOSS_REPORT, Lead, RESEND,
+    Role, STORE_STALL, Saving, WINDOW,
 };
 use crate::core::{Moment, Name, invariant};
 
@@ -40,6 +41,8 @@
     pub(super) sent: Moment,
     /// Latest own sending time of a heartbeat that the member answered.
     pub(super) confirmed: Option<Moment>,
+    /// Refusals in a row of entries that the member acknowledged before.
+    refused: u32,
 }
 
 impl Agreement {
@@ -61,6 +64,7 @@
                 unanswered: VecDeque::new(),
                 sent: Moment::START,
                 confirmed: None,
+                refused: 0,
             });
         }
     }
@@ -85,6 +89,10 @@
         if now.since(confirmed) >= ELECTION_MAX {
             return self.follow(now, None);
         }
+        let late = |saving: &Saving| now.since(saving.since) >= STORE_STALL;
+        if self.saving.as_ref().is_some_and(late) {
+            return self.abdicate(now);
+        }
         let beat_due = now.since(lead.beat) >= HEARTBEAT;
         let Role::Leader(lead) = &mut self.role else {
             return;
@@ -306,8 +314,8 @@
         self.configs.split_off(&index);
         self.stored = self.stored.min(index - 1);
         self.saved = self.saved.min(index - 1);
-        if let Some((_, upto)) = &mut self.saving {
-            *upto = (*upto).min(index - 1);
+        if let Some(saving) = &mut self.saving {
+            saving.upto = saving.upto.min(index - 1);
         }
     }
 
@@ -355,6 +363,9 @@
             progress.next = progress.matched + 1;
             return;
         }
+        if answer && matched == progress.matched {
+            progress.refused = 0;
+        }
         progress.unanswered.retain(|upto| *upto > matched);
         match &progress.mode {
             Mode::Snapshot { snapshot, .. } if matched < snapshot.index => {}
@@ -381,7 +392,14 @@
             Mode::Stream => prev_index < progress.next,
             Mode::Snapshot { .. } => false,
         };
-        if current && prev_index > progress.matched {
+        if current && prev_index == progress.matched {
+            // What is durable at a member cannot go back, unless its disk lost it.
+            progress.refused += 1;
+            if progress.refused == LOSS_REPORT {
+                let (name, index) = (name.clone(), prev_index);
+                self.out.push(Effect::Report(Report::Loss { name, index }));
+            }
+        } else if current && prev_index > progress.matched {
             progress.next = hint.min(prev_index).max(progress.matched + 1);
             progress.mode = Mode::Probe;
             progress.unanswered.clear();
--- a/toucangrade/src/agreement/snapshots.rs
+++ b/toucangrade/src/agreement/snapshots.rs
@@ -7,7 +7,7 @@
 
 use super::message::{Body, Replica, Snapshot, Store};
 use super::replication::Mode;
-use super::{Agreement, KEPT_ENTRIES, RESEND, Role};
+use super::{Agreement, KEPT_BYTES, KEPT_ENTRIES, RESEND, Role};
 use crate::core::{Moment, Name};
 
 /// Greatest number of bytes of a snapshot in one message.
@@ -43,7 +43,7 @@
         });
         self.snapshot = Arc::clone(&snapshot);
         self.configs = self.configs.split_off(&members_at);
-        self.log.compact(index.saturating_sub(KEPT_ENTRIES));
+        self.log.compact(index, KEPT_ENTRIES, KEPT_BYTES);
         let reset = false;
         self.store(Store::Snapshot { snapshot, reset });
     }
--- a/toucangrade/src/agreement/tests/group.rs
+++ b/toucangrade/src/agreement/tests/group.rs
@@ -42,6 +42,8 @@
     Start(&'static str),
     /// Ends the process; what it wrote stays.
     Stop(&'static str),
+    /// Removes bytes at the end of the last log file.
+    Tear(&'static str, usize),
     Transfer(&'static str, &'static str),
     /// Loses all files of the stopped instance.
     Wipe(&'static str),
@@ -52,12 +54,15 @@
     Installed(&'static str),
     Leads(&'static str, bool),
     NoLeader,
+    NoLossReported,
     OneLeader,
     Open(u64),
     ReadDone(u64, bool),
     Refused(u64, Verdict),
     /// Some instance reported a wrong identity.
     Reported,
+    /// The leader reported a member that lost acknowledged entries.
+    ReportedLoss,
     SameTerm,
     Torn(&'static str),
     Voter(&'static str, bool),
@@ -94,6 +99,7 @@
     wire: VecDeque<(Name, PeerMessage)>,
     outcomes: BTreeMap<u64, Outcome>,
     reported: bool,
+    lost: bool,
     noise: bool,
     random: u64,
     term: u64,
@@ -123,6 +129,7 @@
             wire: VecDeque::new(),
             outcomes: BTreeMap::new(),
             reported: false,
+            lost: false,
             noise: false,
             random: 7,
             term: 0,
@@ -194,6 +201,11 @@
             Do::Snapshot(n, padding) => self.snapshot(n, padding),
             Do::Start(n) => self.start(n),
             Do::Stop(n) => self.member(n).running = None,
+            Do::Tear(n, bytes) => {
+                let disk = self.member(n).disk.clone();
+                let mut names = disk.sizes().into_keys().filter(|f| f.starts_with("log-"));
+                disk.tear(&names.next_back().expect("a log file"), bytes);
+            }
             Do::Transfer(n, to) => self.step(&name(n), Message::Transfer { to: Some(name(to)) }),
             Do::Wipe(n) => self.member(n).disk.wipe(),
             check => self.check(check),
@@ -210,6 +222,7 @@
             Do::Installed(n) => self.running(n).installs > 0,
             Do::Leads(n, leads) => self.leaders().contains(&name(n)) == leads,
             Do::NoLeader => self.leaders().is_empty(),
+            Do::NoLossReported => !self.lost,
             Do::OneLeader => self.leaders().len() == 1,
             Do::Open(ticket) => matches!(self.outcomes[&ticket], Outcome::Open),
             Do::ReadDone(ticket, done) => matches!(self.outcomes[&ticket], Outcome::Read) == done,
@@ -217,6 +230,7 @@
                 matches!(&self.outcomes[&ticket], Outcome::Refused(r) if r.verdict() == verdict)
             }
             Do::Reported => self.reported,
+            Do::ReportedLoss => self.lost,
             Do::SameTerm => GROUP
                 .iter()
                 .all(|n| self.running(n).agreement.term == self.term),
@@ -383,6 +397,7 @@
             }
             Effect::Report(report) => {
                 self.reported |= matches!(report, Report::Identity { .. });
+                self.lost |= matches!(report, Report::Loss { .. });
             }
             Effect::Send { to, body } => self.wire.push_back((to, body)),
             Effect::Store { seq, store } => {
--- a/toucangrade/src/agreement/tests/scripted.rs
+++ b/toucangrade/src/agreement/tests/scripted.rs
@@ -76,6 +76,20 @@
     Propose("a", 1), Fail("c"), Propose("a", 2), Acknowledged(2), Stop("c"), Start("c"), Torn("c"),
     Run(1_000), Has("c", 1, true), Has("c", 2, true), Leads("a", true),
 ] })]
+// A member whose disk lost acknowledged entries is reported and gets no chance to hide it.
+#[case::acknowledged_entries_lost(Case { script: &[
+    Propose("a", 1), Acknowledged(1), Stop("c"), Tear("c", 3), Start("c"), Run(3_000), ReportedLoss,
+    Has("c", 1, false),
+] })]
+// A restart, or a late message, is no loss.
+#[case::restart_is_no_loss(Case { script: &[
+    Propose("a", 1), Stop("c"), Start("c"), Run(2_000), NoLossReported, Has("c", 1, true),
+] })]
+// A leader whose disk hangs could acknowledge nothing for ever.
+#[case::disk_hangs(Case { script: &[
+    Hold("a"), Propose("a", 1), Run(2_500), Leads("a", true), Run(1_500), Leads("a", false),
+    Refused(1, MayHaveRun), OneLeader, ProposeToLeader(2), Acknowledged(2),
+] })]
 // A leader with a full disk refuses with the reason and hands over; acknowledged commands stay.
 #[case::disk_full(Case { script: &[
     Propose("a", 1), Acknowledged(1), Full("a", 10), Propose("a", 2), Leads("a", false), Run(200),
@@ -127,6 +141,11 @@
     Propose("a", 1), Transfer("a", "b"), Run(50), Leads("b", true), Leads("a", false),
     Propose("a", 2), Refused(2, NotRun), Propose("b", 3), Acknowledged(3), Has("b", 1, true),
 ] })]
+// A transfer waits for the proposals in progress, so that a drain leaves no outcome unknown.
+#[case::transfer_waits(Case { script: &[
+    Hold("a"), Propose("a", 1), Transfer("a", "b"), Run(100), Open(1), Leads("a", true),
+    Release("a"), Acknowledged(1), Run(50), Leads("b", true),
+] })]
 // A transfer to an instance that does not answer is given up.
 #[case::transfer_fails(Case { script: &[
     Cut("b"), Transfer("a", "b"), Propose("a", 1), Refused(1, NotRun), Run(1_200), Leads("a", true),
--- a/toucangrade/src/agreement/tests/steps.rs
+++ b/toucangrade/src/agreement/tests/steps.rs
@@ -216,10 +216,17 @@
     assert_eq!(matched(&effects), [3]);
 }
 
+struct SnapshotCase {
+    /// Terms of the log that the snapshot replaces.
+    replaced: &'static [u64],
+}
+
 /// Guards against acknowledging a snapshot that a crash could lose.
-#[test]
-fn snapshots_count_once_durable() {
-    let mut a = instance(5, &[]);
+#[rstest]
+#[case::shorter_log(SnapshotCase { replaced: &[] })]
+#[case::longer_log(SnapshotCase { replaced: &[2, 2, 2, 2, 2, 2, 2, 2, 2, 2, 2] })]
+fn snapshots_count_once_durable(#[case] case: SnapshotCase) {
+    let mut a = instance(5, case.replaced);
     let part = Snapshot {
         index: 9,
         term: 4,
@@ -245,6 +252,57 @@
     assert_eq!(matched(&effects), [9]);
 }
 
+struct ChunkCase {
+    /// Offset and content of each chunk of the state `abcdef`.
+    chunks: &'static [(u64, &'static [u8])],
+    /// Offset that the last reply asks for.
+    offset: u64,
+    installed: bool,
+}
+
+/// Guards against a snapshot put together wrongly from repeated, late or lost chunks.
+#[rstest]
+#[case::in_order(ChunkCase { chunks: &[(0, b"abc"), (3, b"def")], offset: 6, installed: true })]
+#[case::repeated(ChunkCase { chunks: &[(0, b"abc"), (0, b"abc"), (3, b"def")], offset: 6, installed: true })]
+#[case::lost(ChunkCase { chunks: &[(3, b"def")], offset: 0, installed: false })]
+#[case::late(ChunkCase { chunks: &[(0, b"abc"), (3, b"d"), (0, b"abc")], offset: 4, installed: false })]
+fn chunks_make_the_whole_state(#[case] case: ChunkCase) {
+    let mut a = instance(5, &[]);
+    // The first step hands on the snapshot that the instance started from.
+    let mut effects = a.step(at(0), Message::Tick);
+    for (offset, data) in case.chunks {
+        let part = Snapshot {
+            index: 9,
+            term: 4,
+            members: a.members().clone(),
+            members_at: 1,
+            state: Bytes::from_static(data),
+        };
+        let chunk = Body::Chunk {
+            part,
+            offset: *offset,
+            total: 6,
+        };
+        effects = a.step(at(1), peer(replica("b", 2), 5, chunk));
+    }
+    let asked = effects.iter().find_map(|effect| match effect {
+        Effect::Send { body, .. } => match body.body {
+            Body::ChunkReply { offset, .. } => Some(offset),
+            _ => None,
+        },
+        _ => None,
+    });
+    assert_eq!(asked, Some(case.offset));
+    let installed = effects.iter().find_map(|effect| match effect {
+        Effect::Install { state, .. } => Some(state.clone()),
+        _ => None,
+    });
+    assert_eq!(
+        installed,
+        case.installed.then(|| Bytes::from_static(b"abcdef"))
+    );
+}
+
 struct BatchCase {
     limit: usize,
     syncs: usize,
--- a/toucangrade/src/lib.rs
+++ b/toucangrade/src/lib.rs
@@ -9,6 +9,7 @@
 mod core;
 mod http;
 
+pub use crate::agreement::measure;
 pub use crate::core::{Answer, BadName, Class, Clock, Key, Moment, Name, Refusal, Span, Verdict};
 pub use crate::http::{
     CallError, Client, Exchange, Handler, Inbound, Outbound, Payload, Response, Server,
