--- a/toucangrade/src/lib.rs
+++ b/toucangrade/src/lib.rs
@@ -28,7 +28,7 @@
 mod simulation;
 mod state;
 
-pub use crate::agreement::{RunReport, random_run};
+pub use crate::agreement::{RunReport, measure, random_run};
 pub use crate::core::{Answer, BadName, Class, Clock, Key, Moment, Name, Refusal, Span, Verdict};
 pub use crate::daemon::{BadSetting, Role, Settings, parser, run};
 pub use crate::http::{
