Add scripted scenarios over the simulation and a case for each mended fault

Cause: the faults that the simulation found had no scripted cases, and the failures of the fault model could only be read from random traces.

Table cases in execution, admission, claims and partitions guard each mended fault. The random runs get a quick kind that outlives the lease of a partition, and short holds of messages.

--- a/toucangrade/src/admission/tests.rs
+++ b/toucangrade/src/admission/tests.rs
@@ -166,6 +166,34 @@
     messages: vec![(9_000, announce(2, 3, false)), (9_000, begin(1, "a", 1))],
     words: vec!["too-late 1"],
 })]
+#[case::copy_of_a_refused_start(Case {
+    messages: vec![
+        (0, begin(1, "a", 1)), (0, begin(2, "b", 1)), (0, begin(3, "c", 1)), (0, begin(4, "d", 1)),
+        (1, ended("a", 1)), (2, begin(5, "d", 1)), (2, begin(6, "d", 2)),
+    ],
+    words: vec!["run a", "run b", "full 4", "ended 1", "run c", "refused-before 5"],
+})]
+#[case::fewer_connections_than_in_use(Case {
+    messages: vec![
+        (0, announce(1, 4, false)), (0, begin(1, "a", 1)), (0, begin(2, "b", 1)),
+        (0, begin(3, "c", 1)), (0, begin(4, "d", 1)), (1, announce(1, 1, false)), (2, ended("a", 1)),
+    ],
+    words: vec!["run a", "ended 1", "run b"],
+})]
+#[case::fewer_slots_than_in_use(Case {
+    messages: vec![
+        (0, begin(1, "a", 1)), (0, begin(2, "b", 1)), (0, begin(3, "c", 1)),
+        (1, announce(1, 3, false)), (2, ended("a", 1)), (3, ended("b", 1)),
+    ],
+    words: vec!["run a", "run b", "ended 1", "ended 2", "run c"],
+})]
+#[case::runner_restarts(Case {
+    messages: vec![
+        (0, begin(1, "a", 1)), (1, lost("a", 1)), (1, announce(2, 3, false)),
+        (2, Message::Stopped { key: key("a"), fence: 1, confirmed: true }), (3, begin(2, "a", 1)),
+    ],
+    words: vec!["run a", "stop a", "lost 1", "lost 2"],
+})]
 #[case::bad_announcement(Case {
     messages: vec![(0, announce(4, 3, false))],
     words: vec!["error connections is 3, allowed is 4 to 100000"],
@@ -182,6 +210,37 @@
     assert_eq!(seen, case.words);
 }
 
+/// Guards against a runner that is overfilled after its agent was restarted.
+#[test]
+fn executions_of_an_earlier_agent_count() {
+    let mut admission = Admission::new(5);
+    admission.step(Moment::START, Message::Confirmed { until: Moment::START + Span::secs(9) });
+    let announced = |busy, admission: &mut Admission| {
+        let Message::Announce { ticket, announce } = announce(2, 3, false) else { unreachable!() };
+        let message = Message::Announce { ticket, announce: Announce { busy, ..announce } };
+        words(admission.step(Moment::START, message))
+    };
+    announced(2, &mut admission);
+    assert_eq!(words(admission.step(Moment::START, begin(1, "a", 1))), [""; 0]);
+    assert_eq!(words(admission.step(Moment::START, begin(2, "b", 1))), ["full 2"]);
+    assert_eq!(announced(1, &mut admission), ["run a"]);
+    assert_eq!(announced(2, &mut admission), [""; 0], "own executions are not foreign");
+}
+
+/// Guards against a verdict of not-run for an attempt whose outcome the agent dropped.
+#[test]
+fn dropped_outcomes_are_not_denied() {
+    let mut admission = Admission::new(5);
+    admission.step(Moment::START, Message::Confirmed { until: Moment::START + Span::secs(99) });
+    admission.step(Moment::START, announce(2, 3, false));
+    admission.step(Moment::START, begin(1, "a", 1));
+    admission.step(Moment::START, ended("a", 1));
+    let later = Moment::START + KEEP + Span::millis(1);
+    admission.step(later, Message::Tick);
+    assert_eq!(words(admission.step(later, ask(2, "a", 1))), ["lost 2"]);
+    assert_eq!(words(admission.step(later, begin(3, "a", 1))), ["too-late 3"]);
+}
+
 struct Refused {
     start: Start,
     code: &'static str,
--- a/toucangrade/src/claims/tests.rs
+++ b/toucangrade/src/claims/tests.rs
@@ -47,6 +47,23 @@
     replies: Vec<&'static str>,
 }
 
+/// Guards against open claims that the next owner can't find, and refused ones that pile up.
+#[test]
+fn open_claims_are_listed_until_they_end() {
+    let mut claims = Claims::default();
+    let listed =
+        |claims: &Claims, after: Option<(u32, Key)>| claims.open_of(&[0, 1], after.as_ref()).len();
+    claims.apply(1, 1, attempt(1, "d"));
+    assert_eq!((claims.open(), listed(&claims, None)), (1, 1));
+    assert_eq!(listed(&claims, Some((0, Key::new("order-1").unwrap()))), 0);
+    assert_eq!(claims.open_of(&[1], None).len(), 0);
+    claims.apply(2, 1, command(1, Action::Release { fence: 1 }));
+    assert_eq!((claims.open(), claims.claims.len(), claims.open.len()), (0, 0, 0));
+    claims.apply(3, 1, attempt(1, "d"));
+    claims.apply(4, 1, settle(1, 3));
+    assert_eq!((claims.open(), claims.claims.len(), claims.open.len()), (0, 1, 0));
+}
+
 /// Guards against a second grant while an earlier attempt may run, and against lost outcomes.
 #[rstest]
 #[case::granted_once(Case {
--- a/toucangrade/src/execution/tests.rs
+++ b/toucangrade/src/execution/tests.rs
@@ -102,6 +102,23 @@
     effects.into_iter().filter_map(word).collect()
 }
 
+fn open(fence: u64) -> Message {
+    let Message::Chosen { target, .. } = chosen(1) else { unreachable!() };
+    let grant = Some(claims::Grant { target, fence, lease: Span::millis(1_000) });
+    Message::Open { claims: vec![(key(), claim(grant, None))] }
+}
+
+fn claim(grant: Option<claims::Grant>, outcome: Option<claims::Outcome>) -> claims::Claim {
+    let (service, kind, digest) = (name("balcao"), name("quote"), digest(b"q"));
+    let class = Class::Once;
+    claims::Claim { service, kind, class, digest, epoch: 1, grant, outcome, since: 1 }
+}
+
+fn forwarded(ticket: u64, origin_ticket: u64) -> Message {
+    let Message::Begin(admitted) = begin(Class::Quick, origin_ticket, "q") else { unreachable!() };
+    Message::Owned { ticket, admitted, hop: Hop { origin: 7, owner: 1 } }
+}
+
 struct Case {
     messages: Vec<(u64, Message)>,
     words: Vec<&'static str>,
@@ -232,6 +249,81 @@
     ],
     words: vec!["pick 1"],
 })]
+#[case::late_grant_of_an_earlier_record(Case {
+    messages: vec![
+        (0, begin(Class::Once, 1, "q")), (0, chosen(1)), (1, claimed(1, Some(Reply::Mismatch))),
+        (2, begin(Class::Once, 2, "q")), (2, chosen(2)), (3, claimed(1, Some(Reply::Granted { fence: 9 }))),
+    ],
+    words: vec!["pick 1", "claim", "key-reused not-run", "pick 2", "claim"],
+})]
+#[case::fences_are_not_used_again(Case {
+    messages: vec![
+        (0, begin(Class::Quick, 1, "q")), (0, chosen(1)), (1, report(1, Ok(refusal()))),
+        (5_000, Message::Tick), (5_000, begin(Class::Quick, 2, "q")), (5_000, chosen(2)),
+    ],
+    words: vec!["pick 1", "call 1", "deadline-passed not-run", "pick 2", "call 2"],
+})]
+#[case::grant_after_the_partition_lease(Case {
+    messages: vec![
+        (0, begin(Class::Once, 1, "q")), (0, chosen(1)), (0, owners("me", 1, true, 500, vec![])),
+        (600, claimed(1, Some(Reply::Granted { fence: 9 }))),
+    ],
+    words: vec!["pick 1", "claim", "release 9"],
+})]
+#[case::partition_comes_back(Case {
+    messages: vec![
+        (0, begin(Class::Quick, 1, "q")), (0, chosen(1)), (1, report(1, Ok(refusal()))),
+        (2, owners("other", 2, false, 9_000, vec![])), (3, owners("me", 3, false, 9_000, vec![])),
+        (100, Message::Tick), (1_592, Message::Tick), (1_593, Message::Tick),
+    ],
+    words: vec!["pick 1", "call 1", "pick 3"],
+})]
+#[case::older_owners_are_ignored(Case {
+    messages: vec![
+        (1, owners("other", 2, true, 9_000, vec![])), (2, owners("me", 1, true, 9_000, vec![])),
+        (3, begin(Class::Quick, 1, "q")),
+    ],
+    words: vec!["forward"],
+})]
+#[case::outdated_settle_is_repeated(Case {
+    messages: vec![
+        (0, begin(Class::Once, 1, "q")), (0, chosen(1)), (1, claimed(1, Some(Reply::Granted { fence: 9 }))),
+        (2, report(1, Ok(answer()))), (3, owners("me", 3, false, 9_000, vec![])),
+        (4, claimed(1, Some(Reply::Outdated))), (5, claimed(1, Some(Reply::Done))),
+    ],
+    words: vec!["pick 1", "claim", "call 9", "settle 9", "settle 9", "answer whole"],
+})]
+#[case::outcome_in_the_log_goes_first(Case {
+    messages: vec![
+        (0, begin(Class::Once, 1, "q")), (0, chosen(1)), (1, claimed(1, Some(Reply::Granted { fence: 9 }))),
+        (2, report(1, Ok(lost()))),
+        (3, claimed(1, Some(Reply::Stands(Box::new(claim(None, Some(
+            claims::Outcome::Dropped { status: 200 },
+        ))))))),
+    ],
+    words: vec!["pick 1", "claim", "call 9", "settle 9", "answer-dropped ran"],
+})]
+#[case::open_claim_is_settled_without_a_caller(Case {
+    messages: vec![
+        (0, open(9)), (1, report(1, Ok(answer()))), (2, claimed(1, Some(Reply::Done))), (3, open(9)),
+        (4, begin(Class::Once, 1, "q")),
+    ],
+    words: vec!["ask", "settle 9", "answer whole"],
+})]
+#[case::open_claim_that_never_started(Case {
+    messages: vec![
+        (0, open(9)), (1, report(1, Ok(refusal()))), (2, claimed(1, Some(Reply::Done))),
+        (3, begin(Class::Once, 1, "q")),
+    ],
+    words: vec!["ask", "release 9", "pick 2"],
+})]
+#[case::copy_of_a_forwarded_request(Case {
+    messages: vec![
+        (0, forwarded(1, 5)), (5_000, Message::Tick), (5_001, forwarded(2, 5)),
+        (5_002, forwarded(3, 6)),
+    ],
+    words: vec!["pick 1", "deadline-passed not-run", "outcome-unknown may-have-run", "pick 2"],
+})]
 #[case::surplus_is_released_when_idle(Case {
     messages: vec![
         (0, begin(Class::Quick, 1, "q")), (0, chosen(1)),
--- a/toucangrade/src/partitions/tests.rs
+++ b/toucangrade/src/partitions/tests.rs
@@ -54,6 +54,13 @@
     ],
     owners: vec![("one", 1, 64, true)],
 })]
+#[case::release_vouches_for_no_lost_owner(Case {
+    acts: vec![
+        Act::Lead, Act::Poll("one", 1), Act::Apply, Act::Wait(3_100), Act::Poll("two", 2), Act::Apply,
+        Act::Poll("three", 3), Act::Release("two"), Act::Apply,
+    ],
+    owners: vec![("two", 2, 32, false), ("three", 3, 32, false)],
+})]
 #[case::released_half(Case {
     acts: vec![
         Act::Lead, Act::Poll("one", 1), Act::Apply, Act::Poll("two", 2), Act::Release("one"), Act::Apply,
--- a/toucangrade/src/simulation/agent.rs
+++ b/toucangrade/src/simulation/agent.rs
@@ -243,6 +243,14 @@
         }
     }
 
+    /// The connections of all executions at a runner break.
+    pub(crate) fn cut_all(&mut self, runner: usize) {
+        let runs: Vec<u64> = self.runners[runner].runs.keys().copied().collect();
+        for run in runs {
+            self.cut(runner, run);
+        }
+    }
+
     /// An execution comes to its end.
     pub(super) fn end(&mut self, runner: usize, run: u64) {
         let Some(Run { subject, key, fence, agent, answers }) =
--- a/toucangrade/src/simulation/entry.rs
+++ b/toucangrade/src/simulation/entry.rs
@@ -102,8 +102,7 @@
         let ticket = self.serial();
         let subject = self.truth.submissions[submission].subject;
         let work = &self.truth.subjects[subject];
-        let kind = KINDS.iter().find(|(_, class, _)| *class == work.class);
-        let (service, kind) = (name(SERVICE), name(kind.map_or("quote", |(kind, ..)| kind)));
+        let (service, kind) = (name(SERVICE), name(KINDS[work.kind].0));
         let (key, body) = (work.key.clone(), Truth::body(subject).into());
         let Some(entry) = &mut self.entries[index] else { return };
         entry.callers.insert(ticket, submission);
--- a/toucangrade/src/simulation/link.rs
+++ b/toucangrade/src/simulation/link.rs
@@ -83,7 +83,9 @@
         let slow = self.slow.get(&(from, to)).copied().unwrap_or(0);
         let mut delay = || {
             let held = if hold > 0 && rng.random_ratio(hold, 1_000) {
-                rng.random_range(0..4_000_000)
+                // Some within the time in which an attempt may start, some beyond every lease.
+                let longest = if rng.random_bool(0.5) { 600_000 } else { 4_000_000 };
+                rng.random_range(0..longest)
             } else {
                 0
             };
--- a/toucangrade/src/simulation/tests.rs
+++ b/toucangrade/src/simulation/tests/mod.rs
@@ -1,5 +1,7 @@
 //! Randomised runs over fixed seeds.
 
+mod script;
+
 use rstest::rstest;
 
 use super::*;
--- /dev/null
+++ b/toucangrade/src/simulation/tests/script.rs
@@ -0,0 +1,148 @@
+//! The test language of the scenarios: one command a line, `expect` writes what is checked.
+
+use super::super::link::Node;
+use super::super::truth::Response;
+use super::super::world::{KINDS, World};
+use crate::core::{Key, Span, Verdict};
+
+/// A running scenario.
+#[derive(Default)]
+struct Script {
+    world: Option<World>,
+    /// Names of requests with their subjects.
+    names: Vec<(String, usize)>,
+}
+
+/// Runs the scenarios; `REWRITE=1` writes the results into the files.
+#[test]
+fn scenarios_go_as_written() {
+    let mut count = 0;
+    datadriven::walk("src/simulation/scenarios", |file| {
+        count += 1;
+        file.run(|test| {
+            assert_eq!(test.directive, "play");
+            let mut script = Script::default();
+            test.input.lines().filter_map(|line| script.line(line)).collect::<String>()
+        });
+    });
+    assert!(count > 0, "no scenario was found");
+}
+
+impl Script {
+    /// Carries out one command; `expect` gives a line of output.
+    fn line(&mut self, line: &str) -> Option<String> {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let option =
+            |name: &str| words.iter().find_map(|word| word.strip_prefix(name)?.strip_prefix('='));
+        let number = |name: &str, other: usize| option(name).map_or(other, |n| n.parse().unwrap());
+        let (&command, rest) = words.split_first()?;
+        if command == "declare" {
+            let slots = u32::try_from(number("slots", 2)).unwrap();
+            let mut world = World::new(1, number("entries", 2), number("agents", 1), slots);
+            world.advance(5_000_000);
+            self.world = Some(world);
+            return None;
+        }
+        let world = self.world.as_mut().expect("declare comes first");
+        let names = &mut self.names;
+        let subject = |names: &[(String, usize)]| {
+            names.iter().find(|(name, _)| name == rest[0]).expect("a known request").1
+        };
+        match command {
+            "advance" => world.advance(span(rest[0]).as_micros()),
+            "request" => {
+                let name = option("kind").expect("a kind");
+                let kind = KINDS.iter().position(|(kind, ..)| *kind == name).expect("a known kind");
+                let key = Key::new(option("key").unwrap_or(rest[0])).unwrap();
+                let work = option("work").map_or(Span::millis(100), span).as_micros();
+                let subject = world.subject(kind, Some(key), work);
+                names.push((rest[0].to_owned(), subject));
+                world.submit(subject, number("entry", 1) - 1);
+            },
+            "again" => {
+                world.submit(subject(names), number("entry", 1) - 1);
+            },
+            "lose" => _ = world.link.blocked.insert((node(rest[0]), node(rest[1]))),
+            "restore" => _ = world.link.blocked.remove(&(node(rest[0]), node(rest[1]))),
+            "slow" => {
+                let delay = span(rest[2]).as_micros();
+                world.link.slow.insert((node(rest[0]), node(rest[1])), delay);
+            },
+            "duplicate" => world.link.noise.duplicate = 1_000,
+            "isolate" => _ = world.link.isolated.insert(node(rest[0])),
+            "join" => _ = world.link.isolated.remove(&node(rest[0])),
+            "configure" => world.configure(),
+            "drain" => match node(rest[0]) {
+                Node::Agent(agent) => world.drain_agent(agent),
+                Node::Entry(entry) => world.drain_entry(entry),
+                Node::Control => panic!("control has no drain here"),
+            },
+            "crash" => match runner(rest[0]) {
+                Some(runner) => world.kill_runner(runner),
+                None => world.crash(node(rest[0])),
+            },
+            "restart" => match runner(rest[0]) {
+                Some(runner) => world.runners[runner].up = true,
+                None => world.restart(node(rest[0])),
+            },
+            "slots" => {
+                let runner = &mut world.runners[runner(rest[0]).expect("a runner")];
+                runner.slots = rest[1].parse().unwrap();
+                runner.connections = runner.slots * 4;
+            },
+            "cut" => world.cut_all(runner(rest[0]).expect("a runner")),
+            "stubborn" => world.runners[runner(rest[0]).expect("a runner")].stubborn = true,
+            "expect" if rest[0] == "settled" => {
+                return Some(match world.unsettled() {
+                    None => "settled\n".to_owned(),
+                    Some(reason) => format!("{reason}\n"),
+                });
+            },
+            "expect" if rest[0] == "revision" => {
+                let behind: Vec<String> =
+                    world.behind().iter().map(|node| format!(" {node:?}")).collect();
+                return Some(format!("behind:{}\n", behind.concat()));
+            },
+            "expect" => return Some(outcome(world, rest[0], subject(names))),
+            _ => panic!("unknown command {command}"),
+        }
+        None
+    }
+}
+
+/// What the callers of a request were told and where it ran.
+fn outcome(world: &World, name: &str, subject: usize) -> String {
+    let submissions = world.truth.submissions.iter().filter(|s| s.subject == subject);
+    let told = submissions.map(|submission| match &submission.response {
+        None => "waits",
+        Some(Response::Cut) => "connection broken",
+        Some(response) => response.verdict().map_or("none", Verdict::as_str),
+    });
+    let told: Vec<&str> = told.collect();
+    let runs = world.truth.subjects[subject].runs.iter();
+    let ran = runs.map(|run| match (run.until, run.whole) {
+        (None, _) => format!(", runs at runner-{}", run.runner + 1),
+        (_, true) => format!(", ran at runner-{}", run.runner + 1),
+        (_, false) => format!(", stopped at runner-{}", run.runner + 1),
+    });
+    format!("{name}: {}{}\n", told.join(", "), ran.collect::<String>())
+}
+
+fn node(word: &str) -> Node {
+    let index = |prefix| word.strip_prefix(prefix).map(|n| n.parse::<usize>().unwrap() - 1);
+    index("entry-")
+        .map(Node::Entry)
+        .or(index("agent-").map(Node::Agent))
+        .unwrap_or_else(|| if word == "control" { Node::Control } else { panic!("no node {word}") })
+}
+
+fn runner(word: &str) -> Option<usize> {
+    word.strip_prefix("runner-").map(|n| n.parse::<usize>().unwrap() - 1)
+}
+
+fn span(word: &str) -> Span {
+    match word.strip_suffix("ms") {
+        Some(millis) => Span::millis(millis.parse().unwrap()),
+        None => Span::secs(word.strip_suffix('s').expect("a time").parse().unwrap()),
+    }
+}
--- a/toucangrade/src/simulation/truth.rs
+++ b/toucangrade/src/simulation/truth.rs
@@ -24,6 +24,8 @@
 /// Piece of work of one key that callers ask for.
 #[derive(Clone, Debug)]
 pub(crate) struct Subject {
+    /// Index of its kind.
+    pub(crate) kind: usize,
     pub(crate) class: Class,
     pub(crate) key: Option<Key>,
     /// Time that its execution takes, in microseconds.
@@ -175,6 +177,11 @@
         *newest = epoch;
     }
 
+    /// Configuration revision in force at a process, zero when there is none.
+    pub(crate) fn revision(&self, node: Node, life: u64) -> u64 {
+        self.revisions.get(&(node, life)).copied().unwrap_or_default()
+    }
+
     /// Notes the configuration revision that is in force at a process.
     pub(crate) fn revise(&mut self, node: Node, life: u64, revision: u64) {
         let before = self.revisions.entry((node, life)).or_default();
--- a/toucangrade/src/simulation/world.rs
+++ b/toucangrade/src/simulation/world.rs
@@ -22,8 +22,10 @@
 /// Name of the service that all kinds belong to.
 pub(crate) const SERVICE: &str = "balcao";
 /// Kinds with their classes and timeouts in milliseconds.
-pub(crate) const KINDS: [(&str, Class, u64); 3] = [
+pub(crate) const KINDS: [(&str, Class, u64); 4] = [
     ("quote", Class::Quick, 300),
+    // Outlives the lease of a partition, so that an earlier owner's attempt may still run.
+    ("match", Class::Quick, 5_000),
     ("route-plan", Class::Batch, 2_000),
     ("stock-order", Class::Once, 1_000),
 ];
@@ -324,7 +326,14 @@
     /// Adds work that callers may ask for.
     pub(crate) fn subject(&mut self, kind: usize, key: Option<Key>, work: u64) -> usize {
         let class = KINDS[kind].1;
-        self.truth.subjects.push(Subject { class, key, work, shared: false, runs: Vec::new() });
+        self.truth.subjects.push(Subject {
+            kind,
+            class,
+            key,
+            work,
+            shared: false,
+            runs: Vec::new(),
+        });
         self.truth.subjects.len() - 1
     }
 
@@ -375,6 +384,13 @@
         ended.map(|(index, _)| Node::Agent(index)).collect()
     }
 
+    /// Processes that run and don't have the newest configuration in force.
+    pub(crate) fn behind(&self) -> Vec<Node> {
+        let newest = self.control.state.config().revision;
+        let current = |node: &Node| self.truth.revision(*node, self.life(*node)) == newest;
+        self.nodes().into_iter().filter(|node| self.up(*node) && !current(node)).collect()
+    }
+
     /// Entries and agents.
     pub(crate) fn nodes(&self) -> BTreeSet<Node> {
         let entries = (0..self.entries.len()).map(Node::Entry);
