Hand a partition over without waiting for a lost agent, and bound the agent's tick

Cause: an entry that leaves kept its partitions, and refused new work for them, while it asked a lost agent about an order: up to the lease and 60 s. While a released partition waited for its next owner, the entry polled control at every tick of 10 ms. The agent's tick looked at every ended attempt that it keeps, up to 65,536.

Change: an attempt under a claim for which no caller waits is left to the next owner, which finds it in the log. The list of released partitions is polled once, and then with the usual polls. The agent keeps a set of attempts that run or wait. Copies of refused starts are remembered within a bound.

Conclusion: a drain is bounded by its callers' timeouts, not by the agent's state.

--- a/toucangrade/src/admission/mod.rs
+++ b/toucangrade/src/admission/mod.rs
@@ -5,7 +5,7 @@
 #[cfg(test)]
 mod tests;
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
 use bytes::Bytes;
@@ -88,6 +88,8 @@
     incarnation: u64,
     runners: BTreeMap<SocketAddr, Runner>,
     attempts: BTreeMap<Key, Attempt>,
+    /// Attempts that run or wait, so that a tick does not look at every ended one.
+    active: BTreeSet<Key>,
     /// Ended attempts, oldest first.
     ended: VecDeque<(Moment, Key, u64)>,
     kept: usize,
@@ -112,6 +114,7 @@
             incarnation,
             runners: BTreeMap::new(),
             attempts: BTreeMap::new(),
+            active: BTreeSet::new(),
             ended: VecDeque::new(),
             kept: 0,
             declined: BTreeMap::new(),
@@ -236,6 +239,19 @@
         let fence = self.declined.entry(start.key.clone()).or_default();
         *fence = start.fence.max(*fence);
         self.lapses.push_back((start.start_by, start.key, start.fence));
+        if self.lapses.len() > KEEP_COUNT
+            && let Some((start_by, key, fence)) = self.lapses.pop_front()
+        {
+            // What is no longer remembered is too late from now on.
+            self.floor = self.floor.max(start_by);
+            self.allow(&key, fence);
+        }
+    }
+
+    fn allow(&mut self, key: &Key, fence: u64) {
+        if self.declined.get(key) == Some(&fence) {
+            self.declined.remove(key);
+        }
     }
 
     /// The runner for an attempt, or why it can't be admitted.
@@ -287,6 +303,7 @@
             Attempt { runner, fence, kind, phase, start_by, lease, body, tickets, ended: now };
         self.forget(&key);
         self.attempts.insert(key.clone(), attempt);
+        self.active.insert(key.clone());
         let Some(runner) = self.runners.get_mut(&addr) else { return Vec::new() };
         runner.held += 1;
         let (used, connections) = (runner.used(), runner.announce.connections);
@@ -375,6 +392,7 @@
             Phase::Waiting => false,
         };
         attempt.phase = Phase::Done(report.clone());
+        self.active.remove(key);
         attempt.ended = now;
         attempt.body = Bytes::new();
         let tickets = std::mem::take(&mut attempt.tickets);
@@ -447,12 +465,9 @@
 
     fn tick(&mut self, now: Moment) -> Vec<Effect> {
         let late = |attempt: &Attempt| attempt.phase == Phase::Waiting && now > attempt.start_by;
-        let late: Vec<(Key, u64)> = self
-            .attempts
-            .iter()
-            .filter(|(_, a)| late(a))
-            .map(|(k, a)| (k.clone(), a.fence))
-            .collect();
+        let active = self.active.iter().filter_map(|key| Some((key, self.attempts.get(key)?)));
+        let late: Vec<(Key, u64)> =
+            active.filter(|(_, a)| late(a)).map(|(k, a)| (k.clone(), a.fence)).collect();
         let mut effects = Vec::new();
         for (key, fence) in late {
             let reason = "no slot was free before the start-by time".to_owned();
@@ -473,7 +488,8 @@
     /// Asks runners to stop executions that outlived their lease or whose answer was lost.
     fn stops(&mut self, now: Moment) -> Vec<Effect> {
         let mut effects = Vec::new();
-        for (key, attempt) in &mut self.attempts {
+        for key in &self.active {
+            let Some(attempt) = self.attempts.get_mut(key) else { continue };
             let Phase::Running { end, stop } = &mut attempt.phase else { continue };
             let due = if now >= *end { Some(stop.unwrap_or(now)) } else { *stop };
             if let (Some(at), Some(addr)) = (due, attempt.runner)
@@ -502,9 +518,7 @@
             }
         }
         while let Some((_, key, fence)) = self.lapses.pop_front_if(|(at, ..)| now > *at) {
-            if self.declined.get(&key) == Some(&fence) {
-                self.declined.remove(&key);
-            }
+            self.allow(&key, fence);
         }
     }
 
--- a/toucangrade/src/execution/attempt.rs
+++ b/toucangrade/src/execution/attempt.rs
@@ -249,7 +249,7 @@
         for (key, claim) in claims {
             let partition = key.partition(PARTITIONS);
             let Some(epoch) = self.epoch(now, partition) else { continue };
-            if self.records.contains_key(&key) {
+            if self.records.contains_key(&key) || !self.owns(now, partition) {
                 continue;
             }
             let Claim { service, kind, class, digest, .. } = claim.clone();
--- a/toucangrade/src/execution/mod.rs
+++ b/toucangrade/src/execution/mod.rs
@@ -328,9 +328,20 @@
         self.until = until;
     }
 
-    /// Reports the partitions that are given up and have no unsettled request left.
+    /// Reports the partitions that are given up and have no request left that needs this entry.
+    ///
+    /// An attempt under a claim for which no caller waits is left to the next owner, which finds
+    /// it in the log; asking a lost agent for its outcome may take a minute.
     fn release(&self, out: &mut Vec<Effect>) {
-        let idle = |p: &u32| self.open.get(p).is_none_or(|count| *count == 0);
+        let needed = |(key, record): (&Key, &Record), p: u32| {
+            let open = !matches!(record.phase, Phase::Settled(_));
+            let held = !record.claims() || !record.waiters.is_empty();
+            open && held && key.partition(PARTITIONS) == p
+        };
+        let idle = |p: &u32| {
+            self.open.get(p).is_none_or(|count| *count == 0)
+                || !self.records.iter().any(|record| needed(record, *p))
+        };
         let released: Vec<(u32, u64)> =
             self.releasing.iter().filter(|(p, _)| idle(p)).map(|(&p, &epoch)| (p, epoch)).collect();
         if !released.is_empty() {
@@ -404,7 +415,7 @@
 
     /// Asks control which claims of this entry's partitions are open.
     fn sweep(&self, now: Moment, out: &mut Vec<Effect>) {
-        let held = (0..PARTITIONS).filter(|&partition| self.holds(now, partition));
+        let held = (0..PARTITIONS).filter(|&partition| self.owns(now, partition));
         let partitions: Vec<u32> = held.collect();
         if !partitions.is_empty() {
             out.push(Effect::Open { partitions, after: self.swept.clone() });
--- a/toucangrade/src/execution/tests.rs
+++ b/toucangrade/src/execution/tests.rs
@@ -324,6 +324,13 @@
     ],
     words: vec!["pick 1", "deadline-passed not-run", "outcome-unknown may-have-run", "pick 2"],
 })]
+#[case::claims_without_callers_hold_no_partition(Case {
+    messages: vec![
+        (0, begin(Class::Once, 1, "q")), (0, chosen(1)), (1, claimed(1, Some(Reply::Granted { fence: 9 }))),
+        (1, owners("me", 1, true, 9_000, vec![key().partition(PARTITIONS)])), (5_000, Message::Tick),
+    ],
+    words: vec!["pick 1", "claim", "call 9", "outcome-unknown may-have-run", "released 1"],
+})]
 #[case::surplus_is_released_when_idle(Case {
     messages: vec![
         (0, begin(Class::Quick, 1, "q")), (0, chosen(1)),
--- a/toucangrade/src/membership/entry.rs
+++ b/toucangrade/src/membership/entry.rs
@@ -89,6 +89,8 @@
                 vec![self.poll(now)]
             },
             Message::Polled { sent, view } => view.map_or(Vec::new(), |v| self.polled(sent, v)),
+            // The list comes with every tick until control grants the partitions to others.
+            Message::Released(released) if released == self.released => Vec::new(),
             Message::Released(released) => {
                 self.released = released;
                 vec![self.poll(now)]
--- a/toucangrade/src/membership/tests.rs
+++ b/toucangrade/src/membership/tests.rs
@@ -124,6 +124,18 @@
     confirmed: u64,
 }
 
+/// Guards against a poll at every tick while a released partition waits for its next owner.
+#[test]
+fn released_partitions_are_reported_once() {
+    let identity =
+        entry::Identity { name: name("one"), incarnation: 1, addr: addr(), centre: name("olinda") };
+    let mut membership = entry::Membership::new(identity);
+    let mut polls = |released: Vec<(u32, u64)>| {
+        membership.step(Moment::START, entry::Message::Released(released)).len()
+    };
+    assert_eq!([polls(vec![(1, 1)]), polls(vec![(1, 1)]), polls(vec![(1, 1), (2, 1)])], [1, 0, 1]);
+}
+
 /// Guards against a configuration that reverts and against leases from outdated answers.
 #[rstest]
 #[case::newer(Applied { answers: vec![(100, 3), (200, 5)], revision: 5, confirmed: 9_200 })]
--- a/toucangrade/src/simulation/agent.rs
+++ b/toucangrade/src/simulation/agent.rs
@@ -52,6 +52,8 @@
     pub(crate) connections: u32,
     /// Slots and connections that its agent was last told.
     announced: (u32, u32),
+    /// When its agent was first told that it leaves.
+    left: Option<u64>,
     pub(crate) up: bool,
     /// Ignores requests to stop an execution.
     pub(crate) stubborn: bool,
@@ -65,7 +67,7 @@
         let announced = (slots, connections);
         let (up, stubborn, leaving) = (true, false, false);
         let runs = BTreeMap::new();
-        Self { agent, slots, connections, announced, up, stubborn, leaving, runs }
+        Self { agent, slots, connections, announced, left: None, up, stubborn, leaving, runs }
     }
 }
 
@@ -185,7 +187,7 @@
     /// A runner gets a request from its agent.
     fn run(&mut self, index: usize, subject: usize, key: Key, fence: u64, lease: Span) {
         let Some(Agent { life, clock, left, .. }) = &self.agents[index] else { return };
-        let (life, clock, left) = (*life, *clock, *left);
+        let (life, clock, left) = (*life, *clock, left.or(self.runners[index].left));
         let decline = self.chance(self.habits.decline);
         if !self.runners[index].up || decline {
             let answer = Answer { status: 503, media: String::new(), body: "busy".into() };
@@ -310,6 +312,7 @@
             return;
         }
         runner.announced = (runner.slots, runner.connections);
+        runner.left = runner.left.or(Some(self.now)).filter(|_| runner.leaving);
         let announce = Announce {
             service: name(SERVICE),
             kinds: KINDS.iter().map(|(kind, ..)| name(kind)).collect(),
