Don't pass a runner's error at a stop or a lease's end on as the answer

Cause: a runner answers an error when it is asked to stop or its lease ends, as the stand-in does. The agent took that for the runner's answer, so callers were told that the request ran, and a route plan that was cut short was never run again.

Change: an answer other than 2xx that comes after a stop was asked for, or within 6% of the end of the lease, counts as lost. The fake runner of the simulation answers such errors, and the stand-in announces how many executions it has.

Conclusion: a caller that is told ran gets an answer to its own request, never a note that it was cut short.

--- a/toucangrade/src/admission/mod.rs
+++ b/toucangrade/src/admission/mod.rs
@@ -358,6 +358,9 @@
                 reason: "the runner declined the request".to_owned(),
                 after: None,
             },
+            Ok(outcome) if self.aborted(now, key, fence, &outcome) => {
+                Report::Lost { reason: "the execution was stopped or its lease ended".to_owned() }
+            },
             Ok(outcome) => Report::Ended(outcome.answer),
             Err(CallError::Connect | CallError::Shed) => Report::Refused {
                 code: "runner-unreachable".to_owned(),
@@ -370,6 +373,19 @@
         self.settle(now, key, fence, report)
     }
 
+    /// Whether an answer only says that the execution was cut short.
+    ///
+    /// A runner answers an error when it is asked to stop or its lease ends. That is no answer to
+    /// the request, so it must not be passed on as one. The runner's clock may be 5% faster.
+    fn aborted(&self, now: Moment, key: &Key, fence: u64, outcome: &Outcome) -> bool {
+        let attempt = self.attempts.get(key).filter(|attempt| attempt.fence == fence);
+        let Some(Attempt { phase: Phase::Running { end, stop }, lease, .. }) = attempt else {
+            return false;
+        };
+        let over = stop.is_some() || now + lease.percent(6) >= *end;
+        over && !(200..300).contains(&outcome.answer.status)
+    }
+
     /// Asks the runner to stop an execution whose answer was lost.
     fn doubt(&mut self, now: Moment, key: &Key, fence: u64) -> Vec<Effect> {
         let Some(attempt) = self.attempts.get_mut(key).filter(|a| a.fence == fence) else {
--- a/toucangrade/src/admission/tests.rs
+++ b/toucangrade/src/admission/tests.rs
@@ -56,6 +56,11 @@
     Message::Ended { key: key(k), fence, result: Ok(Outcome { answer, declined: false }) }
 }
 
+fn failed(k: &str, fence: u64) -> Message {
+    let answer = Answer { status: 409, media: String::new(), body: Bytes::from("stopped") };
+    Message::Ended { key: key(k), fence, result: Ok(Outcome { answer, declined: false }) }
+}
+
 fn lost(k: &str, fence: u64) -> Message {
     Message::Ended { key: key(k), fence, result: Err(CallError::Lost) }
 }
@@ -194,6 +199,18 @@
     ],
     words: vec!["run a", "stop a", "lost 1", "lost 2"],
 })]
+#[case::error_at_the_end_of_the_lease_is_no_answer(Case {
+    messages: vec![(0, begin(1, "a", 1)), (1_950, failed("a", 1))],
+    words: vec!["run a", "lost 1"],
+})]
+#[case::error_within_the_lease_is_an_answer(Case {
+    messages: vec![(0, begin(1, "a", 1)), (1_000, failed("a", 1))],
+    words: vec!["run a", "ended 1"],
+})]
+#[case::answer_after_a_stop(Case {
+    messages: vec![(0, begin(1, "a", 1)), (2_000, Message::Tick), (2_001, ended("a", 1))],
+    words: vec!["run a", "stop a", "ended 1"],
+})]
 #[case::bad_announcement(Case {
     messages: vec![(0, announce(4, 3, false))],
     words: vec!["error connections is 3, allowed is 4 to 100000"],
--- a/toucangrade/src/simulation/agent.rs
+++ b/toucangrade/src/simulation/agent.rs
@@ -76,6 +76,12 @@
     (Ipv4Addr::LOCALHOST, port + u16::try_from(agent).unwrap_or_default()).into()
 }
 
+/// Answer of a runner whose execution was stopped or reached the end of its lease.
+fn cut_short() -> Outcome {
+    let answer = Answer { status: 409, media: String::new(), body: "stopped".into() };
+    Outcome { answer, declined: false }
+}
+
 /// Agent with this peer address.
 pub(super) fn agent_at(addr: SocketAddr) -> Node {
     Node::Agent(usize::from(addr.port() - 100))
@@ -265,7 +271,7 @@
         let body = format!("done {}", Truth::body(subject)).into();
         let answer = Answer { status: 200, media: String::new(), body };
         let whole = Ok(Outcome { answer, declined: false });
-        let result = if answers { whole } else { Err(CallError::Timeout) };
+        let result = if answers { whole } else { Ok(cut_short()) };
         if let Some(life) = agent {
             self.ended(runner, life, key, fence, result);
         }
@@ -282,6 +288,9 @@
         {
             self.truth.note(self.now, || format!("runner {index} stops {key}"));
             self.truth.end(self.now, run.subject, false);
+            if let Some(life) = run.agent {
+                self.ended(index, life, run.key, run.fence, Ok(cut_short()));
+            }
         }
         let message = Box::new(admission::Message::Stopped { key, fence, confirmed });
         self.schedule(LOCAL, Event::Ended { agent: index, life, message });
--- a/toucangrade_standin/src/main.rs
+++ b/toucangrade_standin/src/main.rs
@@ -26,22 +26,23 @@
         std::fs::write(&draft, format!("backend={}\n", server.addr))?;
         std::fs::rename(draft, path)?;
     }
-    announce(&options, server.addr)
+    announce(&options, &runner, server.addr)
 }
 
 /// Announces the runner to its agent until the process is ended.
-fn announce(options: &Options, addr: std::net::SocketAddr) -> io::Result<()> {
+fn announce(options: &Options, runner: &Runner, addr: std::net::SocketAddr) -> io::Result<()> {
     let client = Client::start()?;
-    let body = json!({
-        "service": options.service,
-        "kinds": options.kinds.split(',').collect::<Vec<_>>(),
-        "slots": options.slots,
-        "connections": options.connections,
-        "addr": addr,
-    });
-    let body = Bytes::from(body.to_string());
     loop {
-        let exchange = Exchange::post(options.agent, "/v1/announce", body.clone(), ANNOUNCE_EVERY);
+        let body = json!({
+            "service": options.service,
+            "kinds": options.kinds.split(',').collect::<Vec<_>>(),
+            "slots": options.slots,
+            "connections": options.connections,
+            "addr": addr,
+            "busy": runner.busy(),
+        });
+        let body = Bytes::from(body.to_string());
+        let exchange = Exchange::post(options.agent, "/v1/announce", body, ANNOUNCE_EVERY);
         match client.call(exchange) {
             Ok(response) if response.status == 200 => {},
             Ok(response) => {
--- a/toucangrade_standin/src/runner.rs
+++ b/toucangrade_standin/src/runner.rs
@@ -76,6 +76,11 @@
         }
     }
 
+    /// Executions under way.
+    pub(crate) fn busy(&self) -> usize {
+        self.shared.lock().unwrap_or_else(PoisonError::into_inner).running.len()
+    }
+
     fn stop(&self, key: &str) -> Outbound {
         let mut shared = self.shared.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some(sender) = shared.running.remove(key) {
