--- a/toucangrade/src/simulation/agent.rs
+++ b/toucangrade/src/simulation/agent.rs
@@ -52,6 +52,8 @@
     pub(crate) connections: u32,
     /// Slots and connections that its agent was last told.
     announced: (u32, u32),
+    /// When its agent was first told that it leaves.
+    left: Option<u64>,
     pub(crate) up: bool,
     /// Ignores requests to stop an execution.
     pub(crate) stubborn: bool,
@@ -65,7 +67,7 @@
         let announced = (slots, connections);
         let (up, stubborn, leaving) = (true, false, false);
         let runs = BTreeMap::new();
-        Self { agent, slots, connections, announced, up, stubborn, leaving, runs }
+        Self { agent, slots, connections, announced, left: None, up, stubborn, leaving, runs }
     }
 }
 
@@ -74,6 +76,12 @@
     (Ipv4Addr::LOCALHOST, port + u16::try_from(agent).unwrap_or_default()).into()
 }
 
+/// Answer of a runner whose execution was stopped or reached the end of its lease.
+fn cut_short() -> Outcome {
+    let answer = Answer { status: 409, media: String::new(), body: "stopped".into() };
+    Outcome { answer, declined: false }
+}
+
 /// Agent with this peer address.
 pub(super) fn agent_at(addr: SocketAddr) -> Node {
     Node::Agent(usize::from(addr.port() - 100))
@@ -185,7 +193,7 @@
     /// A runner gets a request from its agent.
     fn run(&mut self, index: usize, subject: usize, key: Key, fence: u64, lease: Span) {
         let Some(Agent { life, clock, left, .. }) = &self.agents[index] else { return };
-        let (life, clock, left) = (*life, *clock, *left);
+        let (life, clock, left) = (*life, *clock, left.or(self.runners[index].left));
         let decline = self.chance(self.habits.decline);
         if !self.runners[index].up || decline {
             let answer = Answer { status: 503, media: String::new(), body: "busy".into() };
@@ -243,6 +251,14 @@
         }
     }
 
+    /// The connections of all executions at a runner break.
+    pub(crate) fn cut_all(&mut self, runner: usize) {
+        let runs: Vec<u64> = self.runners[runner].runs.keys().copied().collect();
+        for run in runs {
+            self.cut(runner, run);
+        }
+    }
+
     /// An execution comes to its end.
     pub(super) fn end(&mut self, runner: usize, run: u64) {
         let Some(Run { subject, key, fence, agent, answers }) =
@@ -255,7 +271,7 @@
         let body = format!("done {}", Truth::body(subject)).into();
         let answer = Answer { status: 200, media: String::new(), body };
         let whole = Ok(Outcome { answer, declined: false });
-        let result = if answers { whole } else { Err(CallError::Timeout) };
+        let result = if answers { whole } else { Ok(cut_short()) };
         if let Some(life) = agent {
             self.ended(runner, life, key, fence, result);
         }
@@ -272,6 +288,9 @@
         {
             self.truth.note(self.now, || format!("runner {index} stops {key}"));
             self.truth.end(self.now, run.subject, false);
+            if let Some(life) = run.agent {
+                self.ended(index, life, run.key, run.fence, Ok(cut_short()));
+            }
         }
         let message = Box::new(admission::Message::Stopped { key, fence, confirmed });
         self.schedule(LOCAL, Event::Ended { agent: index, life, message });
@@ -302,6 +321,7 @@
             return;
         }
         runner.announced = (runner.slots, runner.connections);
+        runner.left = runner.left.or(Some(self.now)).filter(|_| runner.leaving);
         let announce = Announce {
             service: name(SERVICE),
             kinds: KINDS.iter().map(|(kind, ..)| name(kind)).collect(),
