--- /dev/null
+++ b/toucangrade/src/bench/report.rs
@@ -0,0 +1,190 @@
+//! Runs the variants side by side and prints the figures.
+
+use std::thread;
+
+use super::model::{Model, WARM_UP, mean_service};
+use super::{Chooser, Company, Fault, Outcome, RUNNERS, Run, SLOTS, Variant};
+use crate::core::Span;
+
+const COMPANIES: [Company; 2] = [
+    Company {
+        name: "albuquerque-neto",
+        centres: 3,
+        link: Span::millis(4),
+        client: Span::millis(1),
+    },
+    Company { name: "klopca", centres: 4, link: Span::millis(3), client: Span::millis(3) },
+];
+
+const OURS: Variant =
+    Variant { name: "toucangrade", chooser: Chooser::Routing, limits: true, budget: true };
+
+const VARIANTS: [Variant; 5] = [
+    OURS,
+    Variant { name: "random choice", chooser: Chooser::Random, ..OURS },
+    Variant { name: "least loaded", chooser: Chooser::LeastLoaded, ..OURS },
+    Variant { name: "retry at once", budget: false, ..OURS },
+    Variant { name: "no early refusal", limits: false, ..OURS },
+];
+
+const LOADS: [u64; 6] = [50, 80, 100, 150, 200, 300];
+
+const FAULTS: [Fault; 6] = [
+    Fault::AgentCrash,
+    Fault::AgentIsolated,
+    Fault::Leaving,
+    Fault::RunnerCrash,
+    Fault::RunnerErrors,
+    Fault::RunnerSlow,
+];
+
+/// Extent of a benchmark.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    /// Seeds of each run, counted from one.
+    pub seeds: u64,
+    /// Simulated seconds of each run.
+    pub seconds: u64,
+    /// Whether the simple baselines run as well.
+    pub baselines: bool,
+}
+
+/// Runs everything and prints one table for each company.
+pub fn run(plan: Plan) {
+    let variants = if plan.baselines { &VARIANTS[..] } else { &VARIANTS[..1] };
+    println!("mean service time {:.1} ms", mean_service() / 1_000.0);
+    for company in COMPANIES {
+        let base = |variant| Run {
+            company,
+            variant,
+            load: 100,
+            batch: 0,
+            fault: Fault::None,
+            seed: 1,
+            length: Span::secs(plan.seconds),
+        };
+        println!("\n## {} (quick only; ms; useful in answers a second)", company.name);
+        println!(
+            "{:17} {:>5} {:>7} {:>7} {:>7} {:>7} {:>6} {:>6} {:>8} {:>7}",
+            "variant",
+            "load",
+            "p50",
+            "p99",
+            "p99.9",
+            "useful",
+            "peak%",
+            "spread",
+            "refused%",
+            "retries"
+        );
+        for &variant in variants {
+            let runs = LOADS.map(|load| seeds(plan, Run { load, ..base(variant) }));
+            let useful = |o: &[Outcome]| mean(o.iter().map(|o| rate(plan, o)));
+            let peak = runs.iter().map(|o| useful(o)).fold(0.0, f64::max);
+            for (load, outcomes) in LOADS.iter().zip(&runs) {
+                let rates: Vec<f64> = outcomes.iter().map(|o| rate(plan, o)).collect();
+                let low = rates.iter().copied().fold(f64::MAX, f64::min);
+                let high = rates.iter().copied().fold(0.0, f64::max);
+                print!("{:17} {:>4}% ", variant.name, load);
+                print_latencies(outcomes);
+                println!(
+                    " {:>7.0} {:>6.1} {:>6.0} {:>8.1} {:>7.3}",
+                    useful(outcomes),
+                    useful(outcomes) / peak * 100.0,
+                    high - low,
+                    mean(outcomes.iter().map(|o| share(o.refused, o.offered))),
+                    mean(outcomes.iter().map(retries)),
+                );
+            }
+        }
+        println!("\n## {}: 3% batch requests of 2 s beside quick ones", company.name);
+        println!(
+            "{:17} {:>5} {:>7} {:>7} {:>7} {:>7} {:>9}",
+            "variant", "load", "p50", "p99", "p99.9", "in time%", "batch%"
+        );
+        for &variant in &variants[..1] {
+            // Batch requests take about as much of the runners as twice the quick ones.
+            for load in [20, 40, 80, 150] {
+                let outcomes = seeds(plan, Run { load, batch: 30, ..base(variant) });
+                print!("{:17} {:>4}% ", variant.name, load);
+                print_latencies(&outcomes);
+                println!(
+                    " {:>7.1} {:>9.1}",
+                    mean(outcomes.iter().map(|o| share(o.useful, o.offered))),
+                    mean(outcomes.iter().map(|o| share(o.batch_done, o.batch_offered))),
+                );
+            }
+        }
+        println!("\n## {}: one of 11 runners fails at 60% load", company.name);
+        println!(
+            "{:17} {:15} {:>10} {:>10} {:>9} {:>8} {:>8}",
+            "variant", "fault", "last start", "last call", "in time%", "unknown", "bad for"
+        );
+        for &variant in variants {
+            for fault in FAULTS {
+                let outcomes = seeds(plan, Run { load: 60, fault, ..base(variant) });
+                let worst = |get: fn(&Outcome) -> Span| {
+                    outcomes.iter().map(|o| get(o).as_millis()).max().unwrap_or(0)
+                };
+                println!(
+                    "{:17} {:15} {:>7} ms {:>7} ms {:>9.2} {:>8} {:>5} ms",
+                    variant.name,
+                    format!("{fault:?}"),
+                    worst(|o| o.last_start),
+                    worst(|o| o.last_call),
+                    mean(outcomes.iter().map(|o| share(o.useful, o.offered))),
+                    outcomes.iter().map(|o| o.unknown).sum::<u64>() / plan.seeds,
+                    outcomes.iter().map(bad_for).max().unwrap_or(0),
+                );
+            }
+        }
+    }
+}
+
+/// Milliseconds from the fault to the last interval of 100 ms in which more than one in twenty
+/// requests was not answered in time.
+fn bad_for(outcome: &Outcome) -> u64 {
+    let fault = super::model::FAULT_AT.as_micros() / 100_000;
+    let bad = outcome.series.iter().enumerate().skip(fault as usize);
+    let last =
+        bad.filter(|(_, (offered, useful))| useful * 20 < offered * 19).map(|(n, _)| n).next_back();
+    last.map_or(0, |n| (n as u64 + 1 - fault) * 100)
+}
+
+fn seeds(plan: Plan, run: Run) -> Vec<Outcome> {
+    let runs = (1..=plan.seeds).map(|seed| Run { seed, ..run });
+    let threads: Vec<_> = runs.map(|run| thread::spawn(move || Model::new(run).run())).collect();
+    threads.into_iter().filter_map(|thread| thread.join().ok()).collect()
+}
+
+fn print_latencies(outcomes: &[Outcome]) {
+    let mut all: Vec<u64> = outcomes.iter().flat_map(|o| o.latencies.iter().copied()).collect();
+    all.sort_unstable();
+    for permille in [500, 990, 999] {
+        let micros = all.get(all.len() * permille / 1_000).copied().unwrap_or(0);
+        print!(" {:>7.1}", micros as f64 / 1_000.0);
+    }
+}
+
+fn rate(plan: Plan, outcome: &Outcome) -> f64 {
+    outcome.useful as f64 / (plan.seconds as f64 - WARM_UP.as_micros() as f64 / 1e6)
+}
+
+fn retries(outcome: &Outcome) -> f64 {
+    outcome.calls as f64 / outcome.begun.max(1) as f64 - 1.0
+}
+
+fn share(part: u64, whole: u64) -> f64 {
+    part as f64 * 100.0 / whole.max(1) as f64
+}
+
+fn mean(values: impl Iterator<Item = f64>) -> f64 {
+    let values: Vec<f64> = values.collect();
+    values.iter().sum::<f64>() / values.len().max(1) as f64
+}
+
+/// Capacity that the loads refer to, in quick requests a second.
+#[must_use]
+pub fn capacity() -> f64 {
+    (RUNNERS * u64::from(SLOTS)) as f64 / mean_service() * 1e6
+}
--- a/toucangrade/src/lib.rs
+++ b/toucangrade/src/lib.rs
@@ -3,6 +3,8 @@
 //! Every duty is a folder with its own state, messages and tests, and runs on its own thread.
 
 mod admission;
+#[cfg(feature = "bench")]
+pub mod bench;
 mod claims;
 mod core;
 mod daemon;
