Count a runner's own faults against it in routing

Cause: an answer with status 500 counted as a success with a short latency, so a runner that failed at once drew more work than the others. An unreachable runner counted as a busy one.

Change: answers from status 500 on and unreachable runners count as failures; routing judges reports in one place that the daemon and the benchmark share.

A probe every 2 s still reaches the failing runner.

--- a/toucangrade/src/bench/model.rs
+++ b/toucangrade/src/bench/model.rs
@@ -649,13 +649,7 @@
             return self.routing(entry, routing::Message::Sampled { agent, reading });
         };
         if call.start {
-            let signal = match &result {
-                Ok(Reported { report: Report::Ended(_), .. }) => {
-                    Signal::Answered { took: now.since(call.sent) }
-                },
-                Ok(Reported { report: Report::Refused { .. }, .. }) => Signal::Refused,
-                _ => Signal::Failed,
-            };
+            let signal = Signal::of(&result, now.since(call.sent));
             let feedback = Feedback { agent: agent.clone(), signal, reading };
             self.routing(entry, routing::Message::Feedback(feedback));
         }
--- a/toucangrade/src/daemon/entry.rs
+++ b/toucangrade/src/daemon/entry.rs
@@ -9,7 +9,7 @@
 
 use super::link::Link;
 use super::{Context, caller};
-use crate::admission::{Report, Reported};
+use crate::admission::Reported;
 use crate::core::{Duty, Handle, Key, Moment, Refusal, Span};
 use crate::execution::{self, Execution, Told, Waiter};
 use crate::history::{self, Event, History};
@@ -165,13 +165,7 @@
         link.send(target.addr, &request, timeout, move |result| {
             let result = result.and_then(reported);
             let taken = clock.now();
-            let signal = match &result {
-                Ok(Reported { report: Report::Ended(_), .. }) => {
-                    Signal::Answered { took: taken.since(now) }
-                },
-                Ok(Reported { report: Report::Refused { .. }, .. }) => Signal::Refused,
-                _ => Signal::Failed,
-            };
+            let signal = Signal::of(&result, taken.since(now));
             let reading = result.as_ref().ok().map(|reported| reading(reported, taken));
             let agent = target.agent;
             routing.push(routing::Message::Feedback(Feedback { agent, signal, reading }));
--- a/toucangrade/src/routing/message.rs
+++ b/toucangrade/src/routing/message.rs
@@ -6,7 +6,9 @@
 use serde::{Deserialize, Serialize};
 
 use super::Agents;
+use crate::admission::{Report, Reported};
 use crate::core::{Key, Moment, Name, Span};
+use crate::http::CallError;
 use crate::membership::Agent;
 
 /// Message to the duty.
@@ -94,12 +96,26 @@
 }
 
 /// Kind of feedback.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Signal {
     /// A whole answer came after this time.
     Answered { took: Span },
-    /// The attempt failed or the agent could not be reached.
+    /// The attempt failed, the runner reported a fault of its own, or could not be reached.
     Failed,
     /// The agent refused for lack of room.
     Refused,
 }
+
+impl Signal {
+    /// What the report on an attempt says about the agent and its runner.
+    pub(crate) fn of(report: &Result<Reported, CallError>, took: Span) -> Self {
+        match report.as_ref().map(|reported| &reported.report) {
+            // A runner that fails at once looks fast, and would get more work for it.
+            Ok(Report::Ended(answer)) if answer.status >= 500 => Self::Failed,
+            Ok(Report::Ended(_)) => Self::Answered { took },
+            Ok(Report::Refused { code, .. }) if code == "runner-unreachable" => Self::Failed,
+            Ok(Report::Refused { .. }) => Self::Refused,
+            _ => Self::Failed,
+        }
+    }
+}
--- a/toucangrade/src/routing/tests.rs
+++ b/toucangrade/src/routing/tests.rs
@@ -3,7 +3,9 @@
 use rstest::rstest;
 
 use super::*;
-use crate::core::Key;
+use crate::admission::{Report, Reported};
+use crate::core::{Answer, Key};
+use crate::http::CallError;
 use crate::membership::Offer;
 
 fn name(value: &str) -> Name {
@@ -149,3 +151,36 @@
     let Some(Effect::Chosen { target, .. }) = effects.into_iter().next() else { panic!() };
     assert!(target.start_by <= now + START_WITHIN);
 }
+
+struct SignalCase {
+    report: Result<Report, CallError>,
+    signal: Signal,
+}
+
+fn ended(status: u16) -> Report {
+    Report::Ended(Answer { status, media: String::new(), body: bytes::Bytes::new() })
+}
+
+fn refused(code: &str) -> Report {
+    Report::Refused { code: code.to_owned(), reason: String::new(), after: None }
+}
+
+const TOOK: Span = Span::millis(7);
+
+/// Guards against a failing runner that looks fast, and against a busy one that looks broken.
+#[rstest]
+#[case::answer(SignalCase { report: Ok(ended(200)), signal: Signal::Answered { took: TOOK } })]
+#[case::bad_request(SignalCase { report: Ok(ended(422)), signal: Signal::Answered { took: TOOK } })]
+#[case::fault(SignalCase { report: Ok(ended(500)), signal: Signal::Failed })]
+#[case::unreachable(SignalCase { report: Ok(refused("runner-unreachable")), signal: Signal::Failed })]
+#[case::full(SignalCase { report: Ok(refused("full")), signal: Signal::Refused })]
+#[case::lost(SignalCase {
+    report: Ok(Report::Lost { reason: String::new() }), signal: Signal::Failed,
+})]
+#[case::no_report(SignalCase { report: Err(CallError::Timeout), signal: Signal::Failed })]
+fn reports_tell_about_the_agent(#[case] case: SignalCase) {
+    let clock = Moment::START;
+    let reported =
+        case.report.map(|report| Reported { report, incarnation: 1, clock, used: 0, slots: 8 });
+    assert_eq!(Signal::of(&reported, TOOK), case.signal);
+}
