Keep a part of each runner for quick work, and a part for other work

Cause: an agent gave its slots and connections in the order of arrival, so batch work of seconds held all of them and quick work waited behind it until its callers gave up.

Change: once a quick attempt has come to a runner, batch and once attempts hold 75% of its slots and connections at most; quick attempts get freed slots first, but for one slot in eight, which others get first. Starts carry the class for it.

A runner with fewer than eight slots has no part for batch work.

--- a/toucangrade/src/admission/message.rs
+++ b/toucangrade/src/admission/message.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::core::{Answer, Key, Moment, Name, Span};
+use crate::core::{Answer, Class, Key, Moment, Name, Span};
 use crate::http::CallError;
 use crate::membership::Offer;
 
@@ -16,6 +16,7 @@
     pub(crate) fence: u64,
     pub(crate) service: Name,
     pub(crate) kind: Name,
+    pub(crate) class: Class,
     /// Partition of the key and the epoch under which its owner dispatches.
     pub(crate) partition: u32,
     pub(crate) epoch: u64,
--- a/toucangrade/src/admission/mod.rs
+++ b/toucangrade/src/admission/mod.rs
@@ -14,7 +14,7 @@
 pub(crate) use self::message::{
     Announce, Effect, Message, Outcome, Question, Report, Reported, Start,
 };
-use crate::core::{Key, Moment, Name, Span, invariant};
+use crate::core::{Class, Key, Moment, Name, Span, invariant};
 use crate::http::CallError;
 use crate::membership::Offer;
 
@@ -30,6 +30,12 @@
 const STOP_EVERY: Span = Span::millis(500);
 /// Slots and connections that a runner may announce.
 const ROOM_MAX: u32 = 100_000;
+/// Share of a runner's slots and connections that is kept for quick attempts, in percent. Without
+/// it, batch work of 2 s beside quick work of 40 ms held all slots (`docs/notes/requests.md`).
+const QUICK_SHARE: u32 = 25;
+/// One slot in this many goes to batch and once attempts before quick ones. With quick work at one
+/// and a half times the capacity, 2% of batch requests ran without it.
+const HEAVY_PART: u32 = 8;
 
 /// A runner that announced itself.
 #[derive(Debug, Serialize)]
@@ -40,10 +46,55 @@
     running: u32,
     /// Attempts that occupy a connection: those that run and those that wait for a slot.
     held: u32,
+    /// Of those that occupy a slot or a connection, the ones that aren't quick.
+    heavy_running: u32,
+    heavy_held: u32,
+    /// Whether a quick attempt ever came, so that runners without quick work keep nothing free.
+    quick: bool,
     waiting: VecDeque<Key>,
+    heavy_waiting: VecDeque<Key>,
 }
 
 impl Runner {
+    fn new(announce: Announce, seen: Moment) -> Self {
+        Self {
+            announce,
+            seen,
+            running: 0,
+            held: 0,
+            heavy_running: 0,
+            heavy_held: 0,
+            quick: false,
+            waiting: VecDeque::new(),
+            heavy_waiting: VecDeque::new(),
+        }
+    }
+
+    /// Slots or connections that attempts other than quick ones may hold, at least one.
+    fn heavy_share(&self, all: u32) -> u32 {
+        let kept = if self.quick { (all * QUICK_SHARE).div_ceil(100) } else { 0 };
+        (all - kept).max(1)
+    }
+
+    /// Whether an attempt of this class may take a connection.
+    fn has_room(&self, class: Class) -> bool {
+        let Announce { connections, .. } = self.announce;
+        self.held < connections
+            && (class == Class::Quick || self.heavy_held < self.heavy_share(connections))
+    }
+
+    /// The attempt that gets the next free slot: quick ones first, but for the part that others
+    /// always get.
+    fn pop(&mut self) -> Option<Key> {
+        if self.heavy_running < self.announce.slots / HEAVY_PART
+            && let Some(key) = self.heavy_waiting.pop_front()
+        {
+            return Some(key);
+        }
+        let heavy = self.heavy_running < self.heavy_share(self.announce.slots);
+        self.waiting.pop_front().or_else(|| self.heavy_waiting.pop_front_if(|_| heavy))
+    }
+
     fn available(&self, now: Moment) -> bool {
         !self.announce.leaving && now.since(self.seen) <= ANNOUNCE_LAPSE
     }
@@ -65,6 +116,7 @@
     runner: Option<SocketAddr>,
     fence: u64,
     kind: Name,
+    class: Class,
     phase: Phase,
     start_by: Moment,
     lease: Span,
@@ -151,8 +203,7 @@
         match self.runners.get_mut(&addr) {
             Some(runner) => (runner.announce, runner.seen) = (announce, now),
             None => {
-                let (running, held, waiting) = (0, 0, VecDeque::new());
-                self.runners.insert(addr, Runner { announce, seen: now, running, held, waiting });
+                self.runners.insert(addr, Runner::new(announce, now));
             },
         }
         vec![Effect::Announced { ticket, error: None }, self.offers(now)]
@@ -232,23 +283,39 @@
         let Some(runner) = runners.min_by_key(|r| r.held * 1_000 / r.announce.connections) else {
             return Err(("no-runner", "no runner beside the agent offers the kind"));
         };
-        if runner.held >= runner.announce.connections {
-            return Err(("full", "all connections of the runner are in use"));
+        if !runner.has_room(start.class) {
+            return Err(("full", "all connections of the runner for the class are in use"));
         }
         Ok(runner.announce.addr)
     }
 
     fn admit(&mut self, now: Moment, ticket: u64, start: Start, addr: SocketAddr) -> Vec<Effect> {
-        let Start { key, fence, kind, start_by, lease, body, .. } = start;
+        let Start { key, fence, kind, class, start_by, lease, body, .. } = start;
         let tickets = vec![ticket];
         let (runner, phase) = (Some(addr), Phase::Waiting);
-        let attempt =
-            Attempt { runner, fence, kind, phase, start_by, lease, body, tickets, ended: now };
+        let attempt = Attempt {
+            runner,
+            fence,
+            kind,
+            class,
+            phase,
+            start_by,
+            lease,
+            body,
+            tickets,
+            ended: now,
+        };
         self.forget(&key);
         self.attempts.insert(key.clone(), attempt);
         let Some(runner) = self.runners.get_mut(&addr) else { return Vec::new() };
         runner.held += 1;
-        runner.waiting.push_back(key);
+        if class == Class::Quick {
+            runner.quick = true;
+            runner.waiting.push_back(key);
+        } else {
+            runner.heavy_held += 1;
+            runner.heavy_waiting.push_back(key);
+        }
         self.advance(now, addr)
     }
 
@@ -258,13 +325,14 @@
         let Some(runner) = self.runners.get_mut(&addr) else { return effects };
         let Announce { slots, connections, .. } = runner.announce;
         while runner.running < slots {
-            let Some(key) = runner.waiting.pop_front() else { break };
+            let Some(key) = runner.pop() else { break };
             let Some(attempt) = self.attempts.get_mut(&key) else { continue };
             if attempt.phase != Phase::Waiting || now > attempt.start_by {
                 // The tick refuses what waits beyond its start-by time.
                 continue;
             }
             runner.running += 1;
+            runner.heavy_running += u32::from(attempt.class != Class::Quick);
             attempt.phase = Phase::Running { end: now + attempt.lease, stop: None };
             effects.push(Effect::Run {
                 addr,
@@ -335,7 +403,7 @@
         attempt.ended = now;
         attempt.body = Bytes::new();
         let tickets = std::mem::take(&mut attempt.tickets);
-        let addr = attempt.runner;
+        let (addr, heavy) = (attempt.runner, attempt.class != Class::Quick);
         self.kept += size(&report);
         self.ended.push_back((now, key.clone(), fence));
         let mut effects = Vec::new();
@@ -343,8 +411,11 @@
             invariant!(runner.held > 0, "an attempt was released twice");
             runner.held -= 1;
             runner.running -= u32::from(running);
+            runner.heavy_held -= u32::from(heavy);
+            runner.heavy_running -= u32::from(heavy && running);
             if !running {
-                runner.waiting.retain(|waiting| waiting != key);
+                let waiting = if heavy { &mut runner.heavy_waiting } else { &mut runner.waiting };
+                waiting.retain(|waiting| waiting != key);
             }
         }
         for ticket in tickets {
@@ -384,6 +455,7 @@
             runner: None,
             fence,
             kind: unknown_kind(),
+            class: Class::Quick,
             phase: Phase::Done(report.clone()),
             start_by: now,
             lease: Span::ZERO,
--- a/toucangrade/src/admission/tests.rs
+++ b/toucangrade/src/admission/tests.rs
@@ -31,6 +31,7 @@
         fence,
         service: name("balcao"),
         kind: name("quote"),
+        class: Class::Quick,
         partition: 1,
         epoch: 1,
         incarnation: 5,
@@ -211,3 +212,92 @@
     admission.step(now + KEEP + Span::millis(1), Message::Tick);
     assert_eq!((admission.attempts.len(), admission.ended.len(), admission.kept), (0, 0, 0));
 }
+
+struct Shared {
+    /// Classes of the attempts in the order in which they come; the runner has 4 slots and 8
+    /// connections.
+    starts: Vec<Class>,
+    /// Numbers of the attempts that run, and of those that were refused.
+    running: Vec<usize>,
+    refused: usize,
+}
+
+/// Guards against batch work that holds every slot or connection while quick work waits, and
+/// against slots that stay free where no quick work ever comes.
+#[rstest]
+#[case::batch_alone(Shared {
+    starts: vec![Class::Batch; 9], running: vec![0, 1, 2, 3], refused: 1,
+})]
+#[case::a_quarter_is_kept(Shared {
+    starts: [vec![Class::Quick], vec![Class::Batch; 8]].concat(),
+    running: vec![0, 1, 2, 3],
+    refused: 2,
+})]
+#[case::quick_goes_first(Shared {
+    starts: [vec![Class::Quick; 3], vec![Class::Once; 3], vec![Class::Quick]].concat(),
+    running: vec![0, 1, 2, 3],
+    refused: 0,
+})]
+#[case::quick_takes_the_kept_slot(Shared {
+    starts: [vec![Class::Quick], vec![Class::Batch; 5], vec![Class::Quick; 2]].concat(),
+    running: vec![0, 1, 2, 3],
+    refused: 0,
+})]
+fn quick_attempts_keep_room(#[case] case: Shared) {
+    let mut admission = Admission::new(5);
+    let now = Moment::START;
+    admission.step(now, Message::Confirmed { until: now + Span::secs(9) });
+    admission.step(now, announce(4, 8, false));
+    let (mut running, mut refused) = (Vec::new(), 0);
+    let mut apply = |effects: Vec<Effect>| {
+        for effect in effects {
+            match effect {
+                Effect::Run { key, .. } => running.push(key.as_str().parse().unwrap()),
+                Effect::Reply { .. } => refused += 1,
+                _ => {},
+            }
+        }
+    };
+    for (n, &class) in case.starts.iter().enumerate() {
+        let start = Start { class, ..start(1, &n.to_string(), 1) };
+        apply(admission.step(now, Message::Start { ticket: n as u64, start }));
+    }
+    assert_eq!((running, refused), (case.running, case.refused));
+}
+
+/// Guards against a freed slot that goes to batch work while a quick attempt waits for it.
+#[test]
+fn freed_slot_goes_to_quick_work() {
+    let mut admission = Admission::new(5);
+    let now = Moment::START;
+    admission.step(now, Message::Confirmed { until: now + Span::secs(9) });
+    admission.step(now, announce(1, 8, false));
+    for (n, class) in [Class::Quick, Class::Batch, Class::Quick].into_iter().enumerate() {
+        let start = Start { class, ..start(1, &n.to_string(), 1) };
+        admission.step(now, Message::Start { ticket: n as u64, start });
+    }
+    for (done, next) in [("0", "2"), ("2", "1")] {
+        let effects = admission.step(now, ended(done, 1));
+        let started =
+            |effect: &Effect| matches!(effect, Effect::Run { key, .. } if key.as_str() == next);
+        assert!(effects.iter().any(started), "{next} follows {done}: {effects:?}");
+    }
+}
+
+/// Guards against quick work that keeps batch work waiting for ever.
+#[test]
+fn batch_work_gets_its_part() {
+    let mut admission = Admission::new(5);
+    let now = Moment::START;
+    admission.step(now, Message::Confirmed { until: now + Span::secs(9) });
+    admission.step(now, announce(8, 64, false));
+    let starts = [vec![Class::Quick; 20], vec![Class::Batch]].concat();
+    for (n, class) in starts.into_iter().enumerate() {
+        let start = Start { class, ..start(1, &n.to_string(), 1) };
+        admission.step(now, Message::Start { ticket: n as u64, start });
+    }
+    let effects = admission.step(now, ended("0", 1));
+    let started =
+        |effect: &Effect| matches!(effect, Effect::Run { key, .. } if key.as_str() == "20");
+    assert!(effects.iter().any(started), "{effects:?}");
+}
--- a/toucangrade/src/bench/model.rs
+++ b/toucangrade/src/bench/model.rs
@@ -529,6 +529,7 @@
                     fence: u64::from(attempt),
                     service: admitted.service,
                     kind: admitted.kind,
+                    class: admitted.class,
                     epoch: 1,
                     incarnation: target.incarnation,
                     start_by: target.start_by,
--- a/toucangrade/src/execution/attempt.rs
+++ b/toucangrade/src/execution/attempt.rs
@@ -100,6 +100,7 @@
             fence,
             service: record.request.service.clone(),
             kind: record.request.kind.clone(),
+            class: record.class,
             partition: key.partition(PARTITIONS),
             epoch: record.epoch,
             incarnation: target.incarnation,
