--- a/toucangrade/src/lib.rs
+++ b/toucangrade/src/lib.rs
@@ -6,6 +6,8 @@
 // The measuring programs and the tests use all of it, the daemon a part.
 #[allow(dead_code)]
 mod agreement;
+#[cfg(feature = "bench")]
+pub mod bench;
 mod claims;
 mod core;
 mod daemon;
