Complete the command line, drain over HTTP, resume watch streams

Cause: the tool knew one control instance, could not follow changes, submit jobs, review a period or drain a process. A watch stream could also hold a change back until the next one: the stream marked the newest revision as seen after its question, so a change in between woke nobody.

--- a/toucangrade/src/daemon/link.rs
+++ b/toucangrade/src/daemon/link.rs
@@ -28,6 +28,11 @@
         self.members.values().copied().collect()
     }
 
+    /// Names and peer addresses of the control instances.
+    pub(crate) fn group(&self) -> BTreeMap<Name, SocketAddr> {
+        self.members.as_ref().clone()
+    }
+
     /// Sends a request to one process.
     pub(crate) fn send(
         &self,
--- a/toucangrade/src/daemon/mod.rs
+++ b/toucangrade/src/daemon/mod.rs
@@ -6,6 +6,7 @@
 mod control;
 mod entry;
 mod link;
+mod members;
 mod operator;
 mod settings;
 mod telemetry;
@@ -17,6 +18,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -57,6 +59,8 @@
     pub(crate) clock: Clock,
     pub(crate) client: Client,
     pub(crate) telemetry: Telemetry,
+    /// Whether the process was told to end.
+    pub(crate) draining: Arc<AtomicBool>,
     /// Tells this run of the process from others; random, since clocks may step.
     pub(crate) incarnation: u64,
 }
@@ -116,6 +120,23 @@
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
 
+/// Answers `POST /v1/drain`: ends the process as SIGTERM does.
+///
+/// A second request changes nothing, while a second signal would cut requests off.
+pub(crate) fn drain(settings: &Settings, draining: &AtomicBool, call: &Inbound) -> Outbound {
+    if let Err(refused) = operator::authorise(settings.token.as_deref(), call) {
+        return refused;
+    }
+    if !draining.swap(true, Ordering::Relaxed)
+        && let Err(error) = signal_hook::low_level::raise(SIGTERM)
+    {
+        error!(%error, "the process can't signal itself to drain");
+        draining.store(false, Ordering::Relaxed);
+        return Outbound::json(500, &json!({ "error": "no-signal", "reason": error.to_string() }));
+    }
+    Outbound::json(202, &json!({ "name": settings.name, "draining": true }))
+}
+
 pub(crate) fn not_found() -> Outbound {
     Outbound::json(404, &json!({ "error": "not-found", "reason": "no such path or method" }))
 }
@@ -130,6 +151,7 @@
     let clock = Clock::system();
     let context = Context {
         telemetry: Telemetry::start(&settings, &clock)?,
+        draining: Arc::new(AtomicBool::new(false)),
         settings,
         clock,
         client: Client::start()?,
@@ -202,6 +224,7 @@
 /// Handler of the port for other processes.
 fn peer_handler(context: &Context, roles: &Roles) -> Handler {
     let (clock, roles) = (context.clock.clone(), roles.clone());
+    let (settings, draining) = (context.settings.clone(), Arc::clone(&context.draining));
     let dump = Arc::new(Dump {
         roles: roles.clone(),
         settings: context.settings.clone(),
@@ -210,6 +233,10 @@
     });
     Arc::new(move |call: Inbound| {
         let (now, roles, dump) = (clock.now(), roles.clone(), Arc::clone(&dump));
+        if (&call.method, call.path.as_str()) == (&Method::POST, "/v1/drain") {
+            let drained = drain(&settings, &draining, &call);
+            return Box::pin(async move { drained });
+        }
         Box::pin(async move {
             match (&call.method, call.path.as_str()) {
                 (&Method::GET, "/dump") => dump.serve().await,
@@ -276,6 +303,7 @@
     servers: Vec<(&'static str, Server)>,
 ) -> i32 {
     signals.forever().next();
+    context.draining.store(true, Ordering::Relaxed);
     let timeout = Span::millis(context.settings.drain_ms);
     info!(waiting = roles.waiting(), "draining");
     let deadline = context.clock.now() + timeout;
@@ -299,14 +327,14 @@
     if whole && let Some(entry) = &roles.entry {
         entry.membership.push(membership::entry::Message::Drain);
         let owned = Arc::clone(&entry.owned);
-        let handed = move || owned.load(std::sync::atomic::Ordering::Relaxed) == 0;
+        let handed = move || owned.load(Ordering::Relaxed) == 0;
         let limit = deadline.min(context.clock.now() + HANDOVER);
         if !until(&handed, limit) {
             info!("no other entry took over the partitions, they are left to lapse");
         }
         entry.history.push(history::Message::Drain { wall: wall_ms() });
         let recorded = Arc::clone(&entry.recorded);
-        let recorded = move || recorded.load(std::sync::atomic::Ordering::Relaxed);
+        let recorded = move || recorded.load(Ordering::Relaxed);
         let limit = deadline.min(context.clock.now() + HANDOVER);
         if !until(&recorded, limit) {
             info!("control did not take the last outcomes, their history is lost");
--- a/toucangrade/src/daemon/operator.rs
+++ b/toucangrade/src/daemon/operator.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::future::{Either, join_all, select};
@@ -16,7 +18,8 @@
 use super::archive::Archive;
 use super::control::Control;
 use super::link::Link;
-use super::{Context, wall_ms};
+use super::members::Members;
+use super::{Context, Settings, wall_ms};
 use crate::claims::{Claim, Outcome};
 use crate::core::{Key, Name, Span};
 use crate::history::Event;
@@ -27,6 +30,8 @@
 
 /// Changes that wait for a slow reader of a watch stream.
 const WATCH_QUEUE: usize = 64;
+/// Time after which a quiet watch stream sends an empty line, when asked to.
+const WATCH_BEAT: Duration = Duration::from_secs(5);
 /// Period of a review that names none, in milliseconds.
 const DAY_MS: u64 = 86_400_000;
 /// Time that an entry's explanation may take.
@@ -38,13 +43,17 @@
     control: Control,
     archive: Archive,
     link: Link,
-    token: Option<Arc<str>>,
+    members: Members,
+    settings: Arc<Settings>,
+    draining: Arc<AtomicBool>,
 }
 
 impl Operator {
     pub(crate) fn new(context: &Context, control: Control, archive: Archive, link: Link) -> Self {
-        let token = context.settings.token.as_deref().map(Arc::from);
-        Self { control, archive, link, token }
+        let (settings, draining) =
+            (Arc::new(context.settings.clone()), Arc::clone(&context.draining));
+        let members = Members::fixed(link.group());
+        Self { control, archive, link, members, settings, draining }
     }
 
     /// Handler of the operator port.
@@ -68,7 +77,7 @@
                 self.get(parse(collection)?, parse(name)?).await
             },
             ("PUT" | "DELETE", ["v1", "resources", collection, name]) => {
-                self.authorise(&call)?;
+                authorise(self.settings.token.as_deref(), &call)?;
                 let (collection, name) = (parse(collection)?, parse(name)?);
                 let spec = match call.method {
                     Method::DELETE => None,
@@ -78,6 +87,12 @@
             },
             ("GET", ["v1", "watch"]) => self.watch(&call).await,
             ("GET", ["v1", "explain", key]) => self.explain(parse(key)?).await,
+            ("POST", ["v1", "drain"]) => Ok(super::drain(&self.settings, &self.draining, &call)),
+            ("GET", ["v1", "members"]) => Ok(self.members.listed()),
+            ("PUT" | "DELETE", ["v1", "members", name]) => {
+                authorise(self.settings.token.as_deref(), &call)?;
+                self.members.change(&call, name).await
+            },
             ("GET", ["v1", "review"]) => self.review(&call).await,
             ("GET", ["v1", "status"]) => {
                 let status = self.control.status().await.ok_or_else(unavailable)?;
@@ -87,17 +102,6 @@
         }
     }
 
-    /// Checks the token of a write, in constant time so that its length of agreement is not told.
-    fn authorise(&self, call: &Inbound) -> Result<(), Outbound> {
-        let Some(token) = &self.token else { return Ok(()) };
-        let given = call.header("authorization").and_then(|v| v.strip_prefix("Bearer "));
-        if given.is_some_and(|given| given.as_bytes().ct_eq(token.as_bytes()).into()) {
-            return Ok(());
-        }
-        let reason = "writes need the header Authorization: Bearer TOKEN with the right token";
-        Err(problem(401, "unauthorised", reason))
-    }
-
     async fn list(&self, collection: Collection) -> Result<Outbound, Outbound> {
         match self.control.query(Query::List { collection }).await {
             Some(state::Reply::Listed(list)) => {
@@ -150,20 +154,23 @@
         }
     }
 
-    /// Streams changes after a revision, one JSON object a line.
+    /// Streams changes after a revision, one JSON object a line; with `beat` also an empty line
+    /// now and then, so that a reader can tell a quiet stream from a lost connection.
     async fn watch(&self, call: &Inbound) -> Result<Outbound, Outbound> {
         let since = call.param("since").unwrap_or("0");
         let Ok(mut since) = since.parse::<u64>() else {
             let reason = format!("since is {since:?}, allowed is a revision");
             return Err(problem(400, "bad-request", &reason));
         };
-        let mut changes = self.changes(since).await?;
+        let beat = call.param("beat").is_some();
+        // Marked before the question, so that a change in between wakes the stream.
         let mut newest = self.control.revision.clone();
+        newest.mark_unchanged();
+        let mut changes = self.changes(since).await?;
         let (sender, receiver) = mpsc::channel(WATCH_QUEUE);
         let operator = self.clone();
         tokio::task::spawn_local(async move {
             loop {
-                newest.mark_unchanged();
                 for change in changes {
                     since = change.revision;
                     if sender.send(line(&change)).await.is_err() {
@@ -171,9 +178,15 @@
                     }
                 }
                 let (changed, closed) = (pin!(newest.changed()), pin!(sender.closed()));
-                match select(changed, closed).await {
-                    Either::Left((Ok(()), _)) => {},
-                    Either::Left((Err(_), _)) | Either::Right(_) => return,
+                match tokio::time::timeout(WATCH_BEAT, select(changed, closed)).await {
+                    Ok(Either::Left((Ok(()), _))) => {},
+                    Ok(Either::Left((Err(_), _)) | Either::Right(_)) => return,
+                    Err(_) if beat => {
+                        if sender.send(Bytes::from_static(b"\n")).await.is_err() {
+                            return;
+                        }
+                    },
+                    Err(_) => {},
                 }
                 // A stream that fell behind the compaction ends, and its reader resumes with 410.
                 let Ok(next) = operator.changes(since).await else { return };
@@ -249,6 +262,17 @@
     }
 }
 
+/// Checks the token of a write, in constant time so that its length of agreement is not told.
+pub(crate) fn authorise(token: Option<&str>, call: &Inbound) -> Result<(), Outbound> {
+    let Some(token) = token else { return Ok(()) };
+    let given = call.header("authorization").and_then(|v| v.strip_prefix("Bearer "));
+    if given.is_some_and(|given| given.as_bytes().ct_eq(token.as_bytes()).into()) {
+        return Ok(());
+    }
+    let reason = "writes need the header Authorization: Bearer TOKEN with the right token";
+    Err(problem(401, "unauthorised", reason))
+}
+
 /// A point in time as unix seconds or RFC 3339, in milliseconds since 1970.
 fn period(name: &str, value: Option<&str>, missing: u64) -> Result<u64, Outbound> {
     let Some(value) = value else { return Ok(missing) };
@@ -280,15 +304,17 @@
     }
 }
 
-fn parse<T: std::str::FromStr<Err: std::fmt::Display>>(value: &str) -> Result<T, Outbound> {
+pub(crate) fn parse<T: std::str::FromStr<Err: std::fmt::Display>>(
+    value: &str,
+) -> Result<T, Outbound> {
     value.parse().map_err(bad_request)
 }
 
-fn bad_request(error: impl std::fmt::Display) -> Outbound {
+pub(crate) fn bad_request(error: impl std::fmt::Display) -> Outbound {
     problem(400, "bad-request", &error.to_string())
 }
 
-fn problem(status: u16, code: &str, reason: &str) -> Outbound {
+pub(crate) fn problem(status: u16, code: &str, reason: &str) -> Outbound {
     Outbound::json(status, &json!({ "error": code, "reason": reason }))
 }
 
--- a/toucangrade_cli/src/commands.rs
+++ b/toucangrade_cli/src/commands.rs
@@ -1,163 +1,180 @@
-//! Runs a command against a control instance.
+//! Runs a command against the control instances.
 
-use std::fmt;
-use std::fmt::Write as _;
+use std::fs;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
 
-use bytes::Bytes;
 use http::Method;
-use serde_json::Value;
-use toucangrade::{CallError, Client, Exchange, Response, Span};
+use serde_json::{Value, json};
 
-use crate::options::{Action, Options};
+use crate::failure::Failure;
+use crate::link::{Link, Request};
+use crate::options::{Action, Members, Options};
+use crate::watch::Watch;
+use crate::{plot, shown};
 
-/// Time that a response may take.
-const TIMEOUT: Span = Span::secs(10);
+/// States in which a job changes no more.
+const FINAL: [&str; 4] = ["cancelled", "failed", "finished", "refused"];
 
-/// Why a command failed.
-#[derive(Debug)]
-pub(crate) enum Failure {
-    /// The file could not be read.
-    File(std::io::Error),
-    /// The process refused.
-    Refused { status: u16, body: String },
-    /// No response came.
-    Unreachable(CallError),
-}
-
-impl Failure {
-    /// Exit status: 2 for a refusal, 3 for a lost race, 4 for a missing resource, 5 when the
-    /// process can't be reached, 6 for a file that can't be read.
-    pub(crate) fn code(&self) -> u8 {
-        match self {
-            Self::Refused { status: 412, .. } => 3,
-            Self::Refused { status: 404, .. } => 4,
-            Self::Refused { .. } => 2,
-            Self::Unreachable(_) => 5,
-            Self::File(_) => 6,
-        }
-    }
-}
-
-impl fmt::Display for Failure {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::File(error) => write!(f, "the file can't be read: {error}"),
-            Self::Refused { status, body } => write!(f, "refused with status {status}: {body}"),
-            Self::Unreachable(error) => {
-                write!(f, "{error}; check --control, or ask another control instance")
-            },
-        }
-    }
-}
-
-/// Runs the command and gives what to print.
-pub(crate) fn run(options: &Options) -> Result<String, Failure> {
-    let client = Client::start().map_err(Failure::File)?;
-    let call = |method: Method, path: String, body: Bytes, revision: Option<u64>| {
-        let mut exchange = Exchange::post(options.control, path, body, TIMEOUT).method(method);
-        exchange = match revision {
-            Some(0) => exchange.header("if-none-match", "*"),
-            Some(revision) => exchange.header("if-match", &format!("\"{revision}\"")),
-            None => exchange,
-        };
-        if let Some(token) = &options.token {
-            exchange = exchange.header("authorization", &format!("Bearer {token}"));
-        }
-        client.call(exchange).map_err(Failure::Unreachable).and_then(accepted)
-    };
-    let get = |path: String| call(Method::GET, path, Bytes::new(), None);
-    let response = match &options.action {
-        Action::Apply { collection, name, file, revision } => {
-            let body = std::fs::read(file).map_err(Failure::File)?;
-            let path = format!("/v1/resources/{collection}/{name}");
-            call(Method::PUT, path, Bytes::from(body), *revision)?
+/// Runs the command; results go to `out`, progress to `notes`.
+pub(crate) fn run(
+    options: &Options,
+    out: &mut dyn Write,
+    notes: &mut dyn Write,
+) -> Result<(), Failure> {
+    let link = Link::new(&options.control, options.token.as_deref())?;
+    let resource = |collection: &str, name: &str| format!("/v1/resources/{collection}/{name}");
+    let (value, show): (Value, fn(&Value) -> String) = match &options.action {
+        Action::Apply { revision, file, collection, name } => {
+            let request = Request::write(Method::PUT, resource(collection, name), read(file)?);
+            (link.call(&request.expect(*revision))?, shown::written)
+        },
+        Action::Cancel { name } => {
+            let request = Request::write(Method::DELETE, resource("jobs", name), "");
+            (link.call(&request)?, shown::written)
+        },
+        Action::Delete { revision, collection, name } => {
+            let request = Request::write(Method::DELETE, resource(collection, name), "");
+            (link.call(&request.expect(*revision))?, shown::written)
+        },
+        Action::Drain { process } => {
+            let link = at(options, *process)?;
+            (link.call(&Request::write(Method::POST, "/v1/drain", ""))?, shown::drained)
+        },
+        Action::Dump { process } => {
+            let link = at(options, *process)?;
+            (link.call(&Request::get("/dump"))?, shown::json)
         },
-        Action::Delete { collection, name, revision } => {
-            let path = format!("/v1/resources/{collection}/{name}");
-            call(Method::DELETE, path, Bytes::new(), *revision)?
+        Action::Explain { key } => {
+            (link.call(&Request::get(format!("/v1/explain/{key}")))?, shown::explained)
+        },
+        Action::Get { collection, name } => {
+            (link.call(&Request::get(resource(collection, name)))?, shown::json)
+        },
+        Action::List { collection } => {
+            (link.call(&Request::get(format!("/v1/resources/{collection}")))?, shown::listed)
+        },
+        Action::Members(members) => (link.call(&member_request(members)?)?, shown::members),
+        Action::Review { from, to, plot: file } => {
+            let value = link.call(&Request::get(review_path(from.as_deref(), to.as_deref())))?;
+            if let Some(file) = file {
+                plot::draw(&value, file)?;
+                note(notes, &format!("plot written to {}", file.display()))?;
+            }
+            (value, shown::review)
+        },
+        Action::Status => (link.call(&Request::get("/v1/status"))?, shown::status),
+        Action::Submit { wait, limit, file, name } => {
+            let request = Request::write(Method::PUT, resource("jobs", name), read(file)?);
+            let value = link.call(&request.expect(Some(0)))?;
+            if !wait {
+                (value, shown::written)
+            } else {
+                let limit = Duration::from_secs(*limit);
+                (await_job(&link, notes, name, &value, limit)?, shown::job)
+            }
+        },
+        Action::Watch { since, count } => {
+            return watch(&link, options.json, *since, *count, out, notes);
         },
-        Action::Dump => get("/dump".to_owned())?,
-        Action::Explain { key } => get(format!("/v1/explain/{key}"))?,
-        Action::Get { collection, name } => get(format!("/v1/resources/{collection}/{name}"))?,
-        Action::List { collection } => get(format!("/v1/resources/{collection}"))?,
-        Action::Status => get("/v1/status".to_owned())?,
     };
-    let value: Value = serde_json::from_slice(&response.body).unwrap_or(Value::Null);
-    if options.json || matches!(options.action, Action::Dump | Action::Get { .. }) {
-        return Ok(format!("{value:#}\n"));
-    }
-    Ok(match &options.action {
-        Action::Explain { .. } => explained(&value),
-        Action::List { .. } => listed(&value),
-        Action::Status => status(&value),
-        _ => format!("revision {}\n", value["revision"]),
-    })
+    let text = if options.json { shown::json(&value) } else { show(&value) };
+    out.write_all(text.as_bytes()).map_err(Failure::Local)
 }
 
-fn accepted(response: Response) -> Result<Response, Failure> {
-    if (200..300).contains(&response.status) {
-        return Ok(response);
-    }
-    let body = String::from_utf8_lossy(&response.body).into_owned();
-    Err(Failure::Refused { status: response.status, body })
+/// A link to one process instead of the control instances.
+fn at(options: &Options, process: Option<SocketAddr>) -> Result<Link, Failure> {
+    let process = process.or(options.control.first().copied());
+    Link::new(process.as_slice(), options.token.as_deref())
 }
 
-fn text(value: &Value) -> String {
-    value.as_str().map_or_else(|| value.to_string(), str::to_owned)
+fn read(file: &Path) -> Result<Vec<u8>, Failure> {
+    fs::read(file).map_err(|error| Failure::File { path: file.to_owned(), error })
 }
 
-fn rows<'a>(value: &'a Value, field: &str) -> impl Iterator<Item = &'a Value> {
-    value[field].as_array().into_iter().flatten()
+fn note(notes: &mut dyn Write, text: &str) -> Result<(), Failure> {
+    writeln!(notes, "toucangrade: {text}").map_err(Failure::Local)
 }
 
-fn explained(value: &Value) -> String {
-    let mut out = format!("request {}\n", text(&value["key"]));
-    let claim = &value["claim"];
-    if !claim.is_null() {
-        let verdict =
-            if claim["verdict"].is_null() { "none yet".into() } else { text(&claim["verdict"]) };
-        let (agent, fence) = (text(&claim["agent"]), text(&claim["fence"]));
-        let _ = writeln!(out, "  in the log: agent {agent}, fence {fence}, verdict {verdict}");
-    }
-    for step in rows(value, "steps") {
-        let millis = step["at_us"].as_u64().unwrap_or_default() as f64 / 1_000.0;
-        let _ =
-            writeln!(out, "  {millis:>12.3} ms  {}: {}", text(&step["by"]), text(&step["text"]));
+fn member_request(members: &Members) -> Result<Request, Failure> {
+    match members {
+        Members::Add { member } => {
+            let Some((name, addr)) = member.split_once('=') else {
+                let reason = format!("member is {member:?}, allowed is NAME=IP:PORT");
+                let body = json!({ "error": "bad-request", "reason": reason });
+                return Err(Failure::Refused { status: 400, body });
+            };
+            let body = json!({ "addr": addr }).to_string();
+            Ok(Request::write(Method::PUT, format!("/v1/members/{name}"), body))
+        },
+        Members::List => Ok(Request::get("/v1/members")),
+        Members::Remove { name } => {
+            Ok(Request::write(Method::DELETE, format!("/v1/members/{name}"), ""))
+        },
     }
-    out
 }
 
-fn listed(value: &Value) -> String {
-    let mut out = format!("{:<24} REVISION\n", "NAME");
-    for item in rows(value, "items") {
-        let _ = writeln!(out, "{:<24} {}", text(&item["name"]), item["revision"]);
+fn review_path(from: Option<&str>, to: Option<&str>) -> String {
+    // A plus sign in a query would be read as a space.
+    let param = |name: &str, value: &str| format!("{name}={}", value.replace('+', "%2B"));
+    let from = from.map(|value| param("from", value));
+    let params: Vec<String> = from.into_iter().chain(to.map(|value| param("to", value))).collect();
+    if params.is_empty() {
+        "/v1/review".to_owned()
+    } else {
+        format!("/v1/review?{}", params.join("&"))
     }
-    out
 }
 
-fn status(value: &Value) -> String {
-    let mut out = format!(
-        "revision {} is in force at {} of {} processes\n{:<8} {:<16} {:<16} {:<9} {:<8} LIVE\n",
-        value["revision"],
-        value["in_force"],
-        value["known"],
-        "ROLE",
-        "NAME",
-        "CENTRE",
-        "REVISION",
-        "CURRENT",
-    );
-    for process in rows(value, "processes") {
-        let _ = writeln!(
-            out,
-            "{:<8} {:<16} {:<16} {:<9} {:<8} {}",
-            text(&process["role"]),
-            text(&process["name"]),
-            text(&process["centre"]),
-            process["revision"],
-            process["current"],
-            process["live"],
-        );
+fn watch(
+    link: &Link,
+    json: bool,
+    since: Option<u64>,
+    count: Option<u64>,
+    out: &mut dyn Write,
+    notes: &mut dyn Write,
+) -> Result<(), Failure> {
+    let mut left = count.unwrap_or(u64::MAX);
+    Watch { since, limit: None }.follow(link, notes, |change| {
+        let line = if json { format!("{change}\n") } else { shown::change(change) };
+        // A reader must see each change as it happens.
+        out.write_all(line.as_bytes()).and_then(|()| out.flush()).map_err(Failure::Local)?;
+        left -= 1;
+        Ok(left == 0)
+    })
+}
+
+/// Follows a job from the revision that wrote it until it changes no more.
+fn await_job(
+    link: &Link,
+    notes: &mut dyn Write,
+    name: &str,
+    written: &Value,
+    limit: Duration,
+) -> Result<Value, Failure> {
+    let since = written["revision"].as_u64();
+    note(notes, &format!("job {name} is written at revision {}, waiting", since.unwrap_or(0)))?;
+    let (mut ended, mut states) = (Value::Null, Vec::new());
+    let watch = Watch { since, limit: Some(limit) };
+    watch.follow(link, notes, |change| {
+        if change["collection"] != "jobs" || change["name"] != name {
+            return Ok(false);
+        }
+        let state =
+            if change["action"] == "delete" { "cancelled".into() } else { change["state"].clone() };
+        let Some(state) = state.as_str() else { return Ok(false) };
+        states.push(state.to_owned());
+        ended = json!({ "name": name, "state": state, "revision": change["revision"] });
+        Ok(FINAL.contains(&state))
+    })?;
+    note(notes, &format!("job {name}: {}", states.join(", ")))?;
+    match ended["state"].as_str() {
+        Some("finished") => Ok(ended),
+        state => {
+            let (name, state) = (name.to_owned(), state.unwrap_or("unknown").to_owned());
+            Err(Failure::Job { name, state })
+        },
     }
-    out
 }
--- /dev/null
+++ b/toucangrade_cli/src/plot.rs
@@ -0,0 +1,110 @@
+//! Draws a review into one SVG file that opens in a browser.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+
+use jiff::Timestamp;
+use plotters::prelude::*;
+use serde_json::Value;
+
+use crate::failure::Failure;
+
+/// Size of the picture in pixels.
+const SIZE: (u32, u32) = (1_200, 900);
+/// Height of the upper chart in pixels.
+const UPPER: u32 = 520;
+/// Causes that are drawn, the most frequent first.
+const CAUSES: usize = 12;
+
+/// One line: its name and points as milliseconds since 1970 and latency in milliseconds.
+type Curves = BTreeMap<String, Vec<(i64, f64)>>;
+
+/// Draws the 99th percentile of each service and kind over time, and the most frequent causes.
+pub(crate) fn draw(review: &Value, file: &Path) -> Result<(), Failure> {
+    let root = SVGBackend::new(file, SIZE).into_drawing_area();
+    let failed = |error: &dyn std::fmt::Display| Failure::Plot(error.to_string());
+    root.fill(&WHITE).map_err(|e| failed(&e))?;
+    let (upper, lower) = root.split_vertically(UPPER);
+    latencies(review, &upper).map_err(|e| failed(&e))?;
+    causes(review, &lower).map_err(|e| failed(&e))?;
+    root.present().map_err(|e| failed(&e))
+}
+
+type Area<'a> = DrawingArea<SVGBackend<'a>, plotters::coord::Shift>;
+type Drawn<'a> = Result<(), DrawingAreaErrorKind<<SVGBackend<'a> as DrawingBackend>::ErrorType>>;
+
+fn latencies<'a>(review: &Value, area: &Area<'a>) -> Drawn<'a> {
+    let mut curves = Curves::new();
+    for point in review["curves"].as_array().into_iter().flatten() {
+        let at = point["at_ms"].as_i64().unwrap_or_default();
+        let name = point["name"].as_str().unwrap_or_default();
+        for (field, word) in [("p99_us", "p99"), ("p999_us", "p99.9")] {
+            let micros = point[field].as_f64().unwrap_or_default();
+            curves.entry(format!("{name} {word}")).or_default().push((at, micros / 1_000.0));
+        }
+    }
+    let from = review["from_ms"].as_i64().unwrap_or_default();
+    let to = review["to_ms"].as_i64().unwrap_or_default().max(from + 1);
+    let points = curves.values().flatten();
+    let most = points.clone().map(|(_, millis)| *millis).fold(1.0, f64::max) * 1.5;
+    let least = points.map(|(_, millis)| *millis).fold(most, f64::min).max(0.001) / 1.5;
+    let mut chart = ChartBuilder::on(area)
+        .caption("Tail latency of answers", ("sans-serif", 22))
+        .margin(12)
+        .x_label_area_size(36)
+        .y_label_area_size(72)
+        .build_cartesian_2d(from..to, (least..most).log_scale())?;
+    let label = |at: &i64| match Timestamp::from_millisecond(*at) {
+        Ok(time) => time.strftime("%d %b %H:%M").to_string(),
+        Err(_) => String::new(),
+    };
+    chart
+        .configure_mesh()
+        .x_labels(10)
+        .x_label_formatter(&label)
+        .x_desc("UTC")
+        .y_desc("milliseconds")
+        .draw()?;
+    for (index, (name, points)) in curves.into_iter().enumerate() {
+        let colour = Palette99::pick(index).to_rgba();
+        let dots = points.iter().map(|point| Circle::new(*point, 2, colour.filled()));
+        chart.draw_series(dots)?;
+        chart
+            .draw_series(LineSeries::new(points.iter().copied(), colour))?
+            .label(name)
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], colour));
+    }
+    chart.configure_series_labels().background_style(WHITE.mix(0.8)).border_style(BLACK).draw()?;
+    Ok(())
+}
+
+fn causes<'a>(review: &Value, area: &Area<'a>) -> Drawn<'a> {
+    let causes = review["causes"].as_array().into_iter().flatten().take(CAUSES);
+    let bars: Vec<(String, i32)> = causes
+        .map(|cause| {
+            let part = |field: &str| cause[field].as_str().unwrap_or_default();
+            let (service, kind) = (part("service"), part("kind"));
+            let name = format!("{service}/{kind} {} {}", part("verdict"), part("code"));
+            (name, i32::try_from(cause["count"].as_u64().unwrap_or(0)).unwrap_or(i32::MAX))
+        })
+        .collect();
+    let most = bars.iter().map(|(_, count)| *count).max().unwrap_or(0).saturating_add(1);
+    let rows = i32::try_from(bars.len()).unwrap_or(0).max(1);
+    let mut chart = ChartBuilder::on(area)
+        .caption("What went wrong, by count", ("sans-serif", 22))
+        .margin(12)
+        .x_label_area_size(36)
+        .y_label_area_size(12)
+        .build_cartesian_2d(0..most, 0..rows)?;
+    chart.configure_mesh().disable_y_mesh().disable_y_axis().draw()?;
+    for (row, (name, count)) in (0..).zip(&bars) {
+        // The most frequent cause is at the top.
+        let (low, high) = (rows - row - 1, rows - row);
+        let colour = Palette99::pick(usize::try_from(row).unwrap_or(0)).to_rgba().mix(0.5);
+        let bar = Rectangle::new([(0, low), (*count, high)], colour.filled());
+        chart.draw_series([bar])?;
+        let label = Text::new(format!("{count}  {name}"), (0, high), ("sans-serif", 14));
+        chart.draw_series([label])?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/toucangrade_cli/src/tests.rs
@@ -0,0 +1,390 @@
+//! Tests of the commands against a stand-in control instance.
+
+use std::collections::VecDeque;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex};
+
+use bytes::Bytes;
+use rstest::rstest;
+use serde_json::{Value, json};
+use tokio::sync::mpsc;
+use toucangrade::{Inbound, Outbound, Payload, Server};
+
+use crate::{commands, options};
+
+/// A response that the stand-in gives to one request.
+#[derive(Clone)]
+enum Given {
+    /// A status and a body.
+    Body(u16, Value),
+    /// Lines of a stream, which then ends.
+    Lines(Vec<Value>),
+}
+
+/// A control instance that gives fixed responses and notes what it was asked.
+struct Standin {
+    server: Server,
+    asked: Arc<Mutex<Vec<String>>>,
+}
+
+fn noted(call: &Inbound) -> String {
+    let query = if call.query.is_empty() { String::new() } else { format!("?{}", call.query) };
+    let headers = ["if-match", "if-none-match", "authorization"];
+    let headers = headers.into_iter().filter_map(|name| Some(format!(" {}", call.header(name)?)));
+    format!("{} {}{query}{}", call.method, call.path, headers.collect::<String>())
+}
+
+impl Standin {
+    fn start(given: Vec<Given>) -> Self {
+        let (asked, given) = (Arc::default(), Mutex::new(VecDeque::from(given)));
+        let notes: Arc<Mutex<Vec<String>>> = Arc::clone(&asked);
+        let handler = Arc::new(move |call: Inbound| {
+            notes.lock().unwrap().push(noted(&call));
+            let given = given.lock().unwrap().pop_front();
+            let reply: futures_reply::Reply = Box::pin(async move { outbound(given) });
+            reply
+        });
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        Self { server: Server::start(listener, 1, handler).unwrap(), asked }
+    }
+
+    fn addr(&self) -> SocketAddr {
+        self.server.addr
+    }
+
+    fn asked(&self) -> Vec<String> {
+        self.asked.lock().unwrap().clone()
+    }
+}
+
+/// The future that a handler gives, without a further crate for its name.
+mod futures_reply {
+    use std::pin::Pin;
+
+    use toucangrade::Outbound;
+
+    pub(super) type Reply = Pin<Box<dyn Future<Output = Outbound>>>;
+}
+
+fn outbound(given: Option<Given>) -> Outbound {
+    match given {
+        Some(Given::Body(status, body)) => Outbound::json(status, &body),
+        Some(Given::Lines(lines)) => {
+            let (sender, receiver) = mpsc::channel(64);
+            for line in lines {
+                sender.try_send(Bytes::from(format!("{line}\n"))).unwrap();
+            }
+            Outbound { status: 200, headers: Vec::new(), body: Payload::Stream(receiver) }
+        },
+        None => Outbound::json(500, &json!({ "error": "unexpected", "reason": "no more" })),
+    }
+}
+
+/// Runs a command line; gives its exit status, its output and its notes.
+fn run(control: &str, args: &[&str]) -> (u8, String, String) {
+    let args = [&["--control", control], args].concat();
+    let options = options::parser().run_inner(&args[..]).unwrap_or_else(|e| panic!("{e:?}"));
+    let (mut out, mut notes) = (Vec::new(), Vec::new());
+    let code = match commands::run(&options, &mut out, &mut notes) {
+        Ok(()) => 0,
+        Err(failure) => {
+            notes.extend(failure.to_string().into_bytes());
+            failure.code()
+        },
+    };
+    (code, String::from_utf8(out).unwrap(), String::from_utf8(notes).unwrap())
+}
+
+struct Case {
+    args: Vec<&'static str>,
+    given: Vec<Given>,
+    /// What the control instance is asked.
+    asked: Vec<&'static str>,
+    code: u8,
+    /// Parts of the output, or of the error when the command fails.
+    shows: Vec<&'static str>,
+}
+
+fn change(revision: u64, action: &str, collection: &str, name: &str) -> Value {
+    json!({ "revision": revision, "action": action, "collection": collection, "name": name })
+}
+
+fn job(revision: u64, state: &str) -> Value {
+    let mut change = change(revision, "state", "jobs", "scan");
+    change["state"] = state.into();
+    change
+}
+
+fn refused(status: u16, error: &str, rest: Value) -> Given {
+    let mut body = json!({ "error": error, "reason": "for a reason" });
+    if let Value::Object(rest) = rest {
+        body.as_object_mut().unwrap().extend(rest);
+    }
+    Given::Body(status, body)
+}
+
+const FILE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/Cargo.toml");
+
+/// Guards against commands that ask for something else than what was typed, hide why they failed,
+/// or end with a status that programs can't tell apart.
+#[rstest]
+#[case::apply(Case {
+    args: vec!["--token", "t", "apply", "services", "balcao", "--file", FILE, "--if-revision", "4"],
+    given: vec![Given::Body(201, json!({ "revision": 5 }))],
+    asked: vec!["PUT /v1/resources/services/balcao \"4\" Bearer t"],
+    code: 0,
+    shows: vec!["revision 5"],
+})]
+#[case::apply_new(Case {
+    args: vec!["apply", "services", "balcao", "--file", FILE, "--if-revision", "0"],
+    given: vec![refused(412, "lost-race", json!({ "current": { "revision": 9 } }))],
+    asked: vec!["PUT /v1/resources/services/balcao *"],
+    code: 3,
+    shows: vec!["for a reason", "apply --if-revision 9"],
+})]
+#[case::no_token(Case {
+    args: vec!["delete", "services", "balcao"],
+    given: vec![refused(401, "unauthorised", json!({}))],
+    asked: vec!["DELETE /v1/resources/services/balcao"],
+    code: 2,
+    shows: vec!["TOUCANGRADE_TOKEN"],
+})]
+#[case::missing(Case {
+    args: vec!["get", "jobs", "scan"],
+    given: vec![refused(404, "not-found", json!({}))],
+    asked: vec!["GET /v1/resources/jobs/scan"],
+    code: 4,
+    shows: vec!["(not-found)", "list"],
+})]
+#[case::no_file(Case {
+    args: vec!["apply", "services", "balcao", "--file", "/nonexistent/file"],
+    given: vec![],
+    asked: vec![],
+    code: 6,
+    shows: vec!["/nonexistent/file", "check the path"],
+})]
+#[case::list(Case {
+    args: vec!["list", "services"],
+    given: vec![Given::Body(200, json!({ "items": [
+        { "name": "balcao", "revision": 7 }, { "name": "pew-atelier", "revision": 123 },
+    ] }))],
+    asked: vec!["GET /v1/resources/services"],
+    code: 0,
+    shows: vec!["NAME         REVISION\nbalcao              7\npew-atelier       123\n"],
+})]
+#[case::status_as_json(Case {
+    args: vec!["--json", "status"],
+    given: vec![Given::Body(200, json!({ "revision": 3, "processes": [] }))],
+    asked: vec!["GET /v1/status"],
+    code: 0,
+    shows: vec!["{\n  \"processes\": [],\n  \"revision\": 3\n}\n"],
+})]
+#[case::status(Case {
+    args: vec!["status"],
+    given: vec![Given::Body(200, json!({ "revision": 3, "in_force": 1, "known": 1, "processes": [
+        { "role": "entry", "name": "e1", "centre": "olinda", "revision": 3, "current": true,
+          "live": true },
+    ] }))],
+    asked: vec!["GET /v1/status"],
+    code: 0,
+    shows: vec!["in force at 1 of 1", "entry  e1    olinda         3  true     true"],
+})]
+#[case::explain(Case {
+    args: vec!["explain", "order-7"],
+    given: vec![Given::Body(200, json!({ "key": "order-7", "claim": null, "steps": [
+        { "by": "e1", "wall_ms": 1_796_296_132_903_u64, "at_us": 5, "text": "refused" },
+    ] }))],
+    asked: vec!["GET /v1/explain/order-7"],
+    code: 0,
+    shows: vec!["2026-12-03T", ".903Z  e1: refused"],
+})]
+#[case::review(Case {
+    args: vec!["review", "--from", "2026-12-01T00:00:00+01:00", "--to", "1796296132"],
+    given: vec![Given::Body(200, json!({
+        "from_ms": 0, "to_ms": 1, "not_sent": 3,
+        "services": [{ "service": "balcao", "kind": "quote", "answers": 10, "p99_us": 12_340 }],
+        "causes": [{ "count": 2, "code": "over-quota", "verdict": "not-run" }],
+    }))],
+    asked: vec!["GET /v1/review?from=2026-12-01T00:00:00%2B01:00&to=1796296132"],
+    code: 0,
+    shows: vec!["incomplete: 3 outcomes", "12.3", "over-quota"],
+})]
+#[case::drain(Case {
+    args: vec!["--token", "t", "drain"],
+    given: vec![Given::Body(202, json!({ "name": "c1", "draining": true }))],
+    asked: vec!["POST /v1/drain Bearer t"],
+    code: 0,
+    shows: vec!["c1 drains"],
+})]
+#[case::cancel(Case {
+    args: vec!["cancel", "scan"],
+    given: vec![Given::Body(200, json!({ "revision": 8 }))],
+    asked: vec!["DELETE /v1/resources/jobs/scan"],
+    code: 0,
+    shows: vec!["revision 8"],
+})]
+#[case::submit_twice(Case {
+    args: vec!["submit", "scan", "--file", FILE],
+    given: vec![refused(412, "lost-race", json!({ "current": { "revision": 9 } }))],
+    asked: vec!["PUT /v1/resources/jobs/scan *"],
+    code: 3,
+    shows: vec!["for a reason"],
+})]
+#[case::submit_and_wait(Case {
+    args: vec!["submit", "scan", "--file", FILE, "--wait"],
+    given: vec![
+        Given::Body(201, json!({ "revision": 8 })),
+        Given::Lines(vec![job(9, "running"), change(10, "put", "jobs", "other")]),
+        Given::Lines(vec![job(11, "finished")]),
+    ],
+    asked: vec![
+        "PUT /v1/resources/jobs/scan *",
+        "GET /v1/watch?since=8&beat=1",
+        "GET /v1/watch?since=10&beat=1",
+    ],
+    code: 0,
+    shows: vec!["finished at revision 11"],
+})]
+#[case::job_failed(Case {
+    args: vec!["submit", "scan", "--file", FILE, "--wait"],
+    given: vec![Given::Body(201, json!({ "revision": 8 })), Given::Lines(vec![job(9, "failed")])],
+    asked: vec!["PUT /v1/resources/jobs/scan *", "GET /v1/watch?since=8&beat=1"],
+    code: 7,
+    shows: vec!["ended as failed", "explain scan"],
+})]
+#[case::watch_resumes(Case {
+    args: vec!["watch", "--since", "3", "--count", "3"],
+    given: vec![
+        Given::Lines(vec![change(4, "put", "services", "a"), change(5, "put", "services", "b")]),
+        refused(503, "unavailable", json!({})),
+        // A line that came before the connection was lost is not shown again.
+        Given::Lines(vec![change(5, "put", "services", "b"), change(6, "delete", "jobs", "c")]),
+    ],
+    asked: vec![
+        "GET /v1/watch?since=3&beat=1",
+        "GET /v1/watch?since=5&beat=1",
+        "GET /v1/watch?since=5&beat=1",
+    ],
+    code: 0,
+    shows: vec![
+        "       4 put    services/a\n       5 put    services/b\n       6 delete jobs/c\n",
+    ],
+})]
+#[case::watch_gap(Case {
+    args: vec!["watch", "--since", "3"],
+    given: vec![refused(410, "compacted", json!({ "oldest": 40 }))],
+    asked: vec!["GET /v1/watch?since=3&beat=1"],
+    code: 8,
+    shows: vec!["after revision 3", "--since 40"],
+})]
+#[case::watch_from_oldest(Case {
+    args: vec!["watch", "--count", "1"],
+    given: vec![
+        refused(410, "compacted", json!({ "oldest": 40 })),
+        Given::Lines(vec![change(41, "put", "services", "a")]),
+    ],
+    asked: vec!["GET /v1/watch?since=0&beat=1", "GET /v1/watch?since=40&beat=1"],
+    code: 0,
+    shows: vec!["41 put"],
+})]
+fn commands_ask_and_show(#[case] case: Case) {
+    let standin = Standin::start(case.given);
+    let (code, out, notes) = run(&standin.addr().to_string(), &case.args);
+    assert_eq!(standin.asked(), case.asked);
+    assert_eq!(code, case.code, "{out}{notes}");
+    let shown = if code == 0 { out } else { notes };
+    for part in case.shows {
+        assert!(shown.contains(part), "{part:?} is missing in {shown:?}");
+    }
+}
+
+/// An address that no process listens on.
+fn nowhere() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+struct Turn {
+    args: Vec<&'static str>,
+    /// What the first control instance says, or nothing if it is gone.
+    first: Option<Given>,
+    second: Option<Given>,
+    code: u8,
+}
+
+/// Guards against a command that fails although another control instance could answer it.
+#[rstest]
+#[case::first_is_gone(Turn {
+    args: vec!["status"],
+    first: None,
+    second: Some(Given::Body(200, json!({}))),
+    code: 0,
+})]
+#[case::first_has_no_quorum(Turn {
+    args: vec!["status"],
+    first: Some(refused(503, "unavailable", json!({}))),
+    second: Some(Given::Body(200, json!({}))),
+    code: 0,
+})]
+#[case::watch_of_the_second(Turn {
+    args: vec!["watch", "--count", "1"],
+    first: None,
+    second: Some(Given::Lines(vec![change(1, "put", "services", "a")])),
+    code: 0,
+})]
+#[case::all_are_gone(Turn { args: vec!["status"], first: None, second: None, code: 5 })]
+#[case::watch_of_none(Turn { args: vec!["watch"], first: None, second: None, code: 5 })]
+fn control_is_tried_in_turn(#[case] turn: Turn) {
+    let start = |given: Option<Given>| given.map(|given| Standin::start(vec![given]));
+    let standins = [start(turn.first), start(turn.second)];
+    let addrs = standins.each_ref().map(|s| s.as_ref().map_or_else(nowhere, Standin::addr));
+    let (code, _, notes) = run(&format!("{},{}", addrs[0], addrs[1]), &turn.args);
+    assert_eq!(code, turn.code, "{notes}");
+}
+
+/// Guards against a write that takes effect twice when its first response is lost.
+#[test]
+fn write_is_resent_under_the_same_key() {
+    let keys: Arc<Mutex<Vec<String>>> = Arc::default();
+    let start = |status: u16| {
+        let keys = Arc::clone(&keys);
+        let handler = Arc::new(move |call: Inbound| {
+            keys.lock().unwrap().push(call.header("idempotency-key").unwrap().to_owned());
+            let reply: futures_reply::Reply =
+                Box::pin(async move { Outbound::json(status, &json!({ "revision": 1 })) });
+            reply
+        });
+        Server::start(TcpListener::bind("127.0.0.1:0").unwrap(), 1, handler).unwrap()
+    };
+    let servers = [start(503), start(200)];
+    let control = format!("{},{}", servers[0].addr, servers[1].addr);
+    assert_eq!(run(&control, &["delete", "services", "balcao"]).0, 0);
+    let keys = keys.lock().unwrap();
+    assert_eq!((keys.len(), &keys[0]), (2, &keys[1]));
+}
+
+/// Guards against a plot that needs a server or shows no curve, and against reviews without any
+/// outcome that can't be drawn.
+#[rstest]
+#[case::curves(json!({
+    "from_ms": 0, "to_ms": 120_000,
+    "curves": [
+        { "name": "balcao/quote", "at_ms": 0, "p99_us": 4_000, "p999_us": 9_000 },
+        { "name": "balcao/quote", "at_ms": 60_000, "p99_us": 5_000, "p999_us": 90_000 },
+    ],
+    "causes": [{ "service": "balcao", "kind": "quote", "code": "over-quota", "verdict": "not-run", "count": 4 }],
+}), vec!["balcao/quote p99.9", "4  balcao/quote not-run over-quota"])]
+#[case::nothing(json!({ "from_ms": 0, "to_ms": 1, "curves": [], "causes": [] }), vec!["Tail latency"])]
+fn plot_is_one_file(#[case] review: Value, #[case] shows: Vec<&str>) {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("review.svg");
+    let standin = Standin::start(vec![Given::Body(200, review)]);
+    let args = ["review", "--plot", file.to_str().unwrap()];
+    let (code, _, notes) = run(&standin.addr().to_string(), &args);
+    assert_eq!(code, 0, "{notes}");
+    let svg = std::fs::read_to_string(file).unwrap();
+    assert!(svg.starts_with("<svg") && !svg.contains("href") && !svg.contains("<script"));
+    for part in shows {
+        assert!(svg.contains(part), "{part:?} is missing");
+    }
+}
