Name every refused setting, refuse contradictory ones

Cause: a number or address that can't be parsed was reported by the option parser without the setting's name, range or unit, and settings that can't work together passed, such as one address for two ports or a peer address that no other process can reach.

Change: settings are parsed after the command line, each with its name, value, range and unit. A drain over HTTP needs a token where other instances reach the process.

--- a/toucangrade/src/daemon/mod.rs
+++ b/toucangrade/src/daemon/mod.rs
@@ -124,6 +124,10 @@
 ///
 /// A second request changes nothing, while a second signal would cut requests off.
 pub(crate) fn drain(settings: &Settings, draining: &AtomicBool, call: &Inbound) -> Outbound {
+    if settings.token.is_none() && !settings.peer.ip().is_loopback() {
+        let reason = "a process that other instances reach drains only with a token set";
+        return Outbound::json(403, &json!({ "error": "no-token", "reason": reason }));
+    }
     if let Err(refused) = operator::authorise(settings.token.as_deref(), call) {
         return refused;
     }
--- a/toucangrade/src/daemon/settings.rs
+++ b/toucangrade/src/daemon/settings.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::path::PathBuf;
 
 use bpaf::{OptionParser, Parser, construct, long};
@@ -11,11 +12,14 @@
 use crate::core::Name;
 
 /// Drain timeouts that may be set, in milliseconds.
-const DRAIN_MS: std::ops::RangeInclusive<u64> = 100..=600_000;
+const DRAIN_MS: RangeInclusive<u64> = 100..=600_000;
 
 /// Sizes of the durable history that may be set, in megabytes. A segment has 4 MB, and two are the
 /// least that can rotate.
-const HISTORY_MB: std::ops::RangeInclusive<u64> = 10..=100_000;
+const HISTORY_MB: RangeInclusive<u64> = 10..=100_000;
+
+/// Lengths of a token in bytes.
+const TOKEN_BYTES: RangeInclusive<usize> = 1..=256;
 
 /// Role of a process.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize)]
@@ -71,7 +75,7 @@
     /// Folder for the files of control.
     pub data: Option<PathBuf>,
     /// Token that operators' writes need.
-    #[serde(skip)]
+    #[serde(serialize_with = "hidden")]
     pub token: Option<String>,
     /// Longest time that a drain may take, in milliseconds.
     pub drain_ms: u64,
@@ -87,22 +91,23 @@
     pub check: bool,
 }
 
-/// Settings as they stand on the command line.
+/// Settings as they stand on the command line, not yet parsed, so that every message about one
+/// names it.
 struct Raw {
     roles: Vec<String>,
     name: String,
     centre: String,
     rack: String,
-    caller: SocketAddr,
-    peer: SocketAddr,
-    operator: SocketAddr,
-    announce: SocketAddr,
+    caller: Option<String>,
+    peer: Option<String>,
+    operator: Option<String>,
+    announce: Option<String>,
     control: Vec<String>,
     data: Option<PathBuf>,
     token: Option<String>,
-    drain_ms: u64,
-    history_mb: u64,
-    statsd: Option<SocketAddr>,
+    drain_ms: Option<String>,
+    history_mb: Option<String>,
+    statsd: Option<String>,
     ports: Option<PathBuf>,
     caller_dump: bool,
     check: bool,
@@ -115,7 +120,7 @@
 /// Parser of the daemon's command line and environment.
 pub fn parser() -> OptionParser<Result<Settings, BadSetting>> {
     let addr = |flag: &'static str, env: &'static str, help: &'static str| {
-        long(flag).env(env).help(help).argument::<SocketAddr>("ADDR").fallback(any_port())
+        long(flag).env(env).help(help).argument::<String>("ADDR").optional()
     };
     let roles = long("role")
         .env("TOUCANGRADE_ROLE")
@@ -158,18 +163,18 @@
         .optional();
     let drain_ms = long("drain-timeout-ms")
         .env("TOUCANGRADE_DRAIN_TIMEOUT_MS")
-        .help("Longest time that a drain may take, in milliseconds")
-        .argument::<u64>("MS")
-        .fallback(30_000);
+        .help("Longest time that a drain may take, in milliseconds; 30000 if not set")
+        .argument::<String>("MS")
+        .optional();
     let history_mb = long("history-mb")
         .env("TOUCANGRADE_HISTORY_MB")
-        .help("Size of the durable history of outcomes at control, in megabytes")
-        .argument::<u64>("MB")
-        .fallback(1_000);
+        .help("Size of the durable history of outcomes at control, in megabytes; 1000 if not set")
+        .argument::<String>("MB")
+        .optional();
     let statsd = long("statsd-addr")
         .env("TOUCANGRADE_STATSD_ADDR")
         .help("StatsD server that metrics are sent to over UDP")
-        .argument::<SocketAddr>("ADDR")
+        .argument::<String>("ADDR")
         .optional();
     let ports = long("ports-file")
         .env("TOUCANGRADE_PORTS_FILE")
@@ -206,57 +211,119 @@
 
 impl Settings {
     fn check(raw: Raw) -> Result<Self, BadSetting> {
+        let settings = Self::parse(raw)?;
+        settings.check_roles()?;
+        settings.check_addrs()?;
+        settings.check_files()?;
+        Ok(settings)
+    }
+
+    /// Parses each setting by itself.
+    fn parse(raw: Raw) -> Result<Self, BadSetting> {
         let name = |flag, value: &str| {
             Name::new(value).map_err(|error| BadSetting::new(flag, value, error))
         };
-        let roles = parse_roles(&raw.roles)?;
-        let control = parse_control(&raw.control)?;
-        if roles.contains(&Role::Control) && raw.data.is_none() {
-            return Err(BadSetting::new("--data", "", "a folder, since the role control is set"));
-        }
-        if !roles.contains(&Role::Control) && control.is_empty() {
-            let allowed = "one NAME=ADDR or more, unless this process has the role control";
-            return Err(BadSetting::new("--control", "", allowed));
-        }
-        if !DRAIN_MS.contains(&raw.drain_ms) {
-            let allowed = format!("{} to {} milliseconds", DRAIN_MS.start(), DRAIN_MS.end());
-            return Err(BadSetting::new("--drain-timeout-ms", raw.drain_ms, allowed));
-        }
-        if !HISTORY_MB.contains(&raw.history_mb) {
-            let allowed = format!("{} to {} megabytes", HISTORY_MB.start(), HISTORY_MB.end());
-            return Err(BadSetting::new("--history-mb", raw.history_mb, allowed));
-        }
-        if raw.token.as_ref().is_some_and(String::is_empty) {
-            return Err(BadSetting::new("--token", "", "one character or more"));
-        }
-        let settings = Self {
-            roles,
+        let addr = |flag, value: Option<String>| parse_addr(flag, value.as_deref());
+        let or_any = |addr: Option<SocketAddr>| addr.unwrap_or(any_port());
+        Ok(Self {
+            roles: parse_roles(&raw.roles)?,
             name: name("--name", &raw.name)?,
             centre: name("--centre", &raw.centre)?,
             rack: name("--rack", &raw.rack)?,
-            caller: raw.caller,
-            peer: raw.peer,
-            operator: raw.operator,
-            announce: raw.announce,
-            control,
+            caller: or_any(addr("--caller-addr", raw.caller)?),
+            peer: or_any(addr("--peer-addr", raw.peer)?),
+            operator: or_any(addr("--operator-addr", raw.operator)?),
+            announce: or_any(addr("--announce-addr", raw.announce)?),
+            control: parse_control(&raw.control)?,
             data: raw.data,
-            token: raw.token,
-            drain_ms: raw.drain_ms,
-            history_mb: raw.history_mb,
-            statsd: raw.statsd,
+            token: parse_token(raw.token)?,
+            drain_ms: parse_number("--drain-timeout-ms", raw.drain_ms, 30_000, &DRAIN_MS, "ms")?,
+            history_mb: parse_number("--history-mb", raw.history_mb, 1_000, &HISTORY_MB, "MB")?,
+            statsd: addr("--statsd-addr", raw.statsd)?,
             ports: raw.ports,
             caller_dump: raw.caller_dump,
             check: raw.check,
-        };
-        let own = settings.control.get(&settings.name);
-        if settings.roles.contains(&Role::Control)
-            && !settings.control.is_empty()
-            && own != Some(&settings.peer)
-        {
-            let allowed = format!("a list with {}={}", settings.name, settings.peer);
-            return Err(BadSetting::new("--control", raw.control.join(","), allowed));
+        })
+    }
+
+    /// Refuses settings that contradict the roles.
+    fn check_roles(&self) -> Result<(), BadSetting> {
+        let control = self.has(Role::Control);
+        match &self.data {
+            None if control => {
+                let allowed = "a folder, since the role control is set";
+                return Err(BadSetting::new("--data", "", allowed));
+            },
+            Some(data) if !control => {
+                let allowed = "not to be set without the role control";
+                return Err(BadSetting::new("--data", data.display(), allowed));
+            },
+            _ => {},
         }
-        Ok(settings)
+        if !control && self.control.is_empty() {
+            let allowed = "one NAME=ADDR or more, unless this process has the role control";
+            return Err(BadSetting::new("--control", "", allowed));
+        }
+        if self.caller_dump && !self.has(Role::Entry) {
+            let allowed = "not to be set without the role entry";
+            return Err(BadSetting::new("--caller-dump", "set", allowed));
+        }
+        let own = self.control.get(&self.name);
+        if control && !self.control.is_empty() && own != Some(&self.peer) {
+            let list: Vec<String> = self.control.iter().map(|(n, a)| format!("{n}={a}")).collect();
+            let allowed = format!("a list with {}={}", self.name, self.peer);
+            return Err(BadSetting::new("--control", list.join(","), allowed));
+        }
+        Ok(())
+    }
+
+    /// Refuses addresses that other processes can't use, that are used twice, or that open
+    /// operators' writes to other instances without a token.
+    fn check_addrs(&self) -> Result<(), BadSetting> {
+        if self.peer.ip().is_unspecified() {
+            let allowed = "an IP address at which other processes reach this one";
+            return Err(BadSetting::new("--peer-addr", self.peer, allowed));
+        }
+        let mut used = BTreeMap::from([(self.peer, "--peer-addr")]);
+        for (role, flag, addr) in [
+            (Role::Agent, "--announce-addr", self.announce),
+            (Role::Control, "--operator-addr", self.operator),
+            (Role::Entry, "--caller-addr", self.caller),
+        ] {
+            if !self.has(role) || addr.port() == 0 {
+                continue;
+            }
+            if let Some(other) = used.insert(addr, flag) {
+                let allowed = format!("another address than that of {other}");
+                return Err(BadSetting::new(flag, addr, allowed));
+            }
+        }
+        let open = self.has(Role::Control) && !self.operator.ip().is_loopback();
+        if open && self.token.is_none() {
+            let allowed = "a loopback address, unless --token is set";
+            return Err(BadSetting::new("--operator-addr", self.operator, allowed));
+        }
+        match self.statsd {
+            Some(addr) if addr.port() == 0 || addr.ip().is_unspecified() => {
+                let allowed = "the IP address and port of a server";
+                Err(BadSetting::new("--statsd-addr", addr, allowed))
+            },
+            _ => Ok(()),
+        }
+    }
+
+    /// Refuses paths that can't be what the setting needs.
+    fn check_files(&self) -> Result<(), BadSetting> {
+        if let Some(data) = self.data.as_ref().filter(|data| data.exists() && !data.is_dir()) {
+            return Err(BadSetting::new("--data", data.display(), "a folder, not a file"));
+        }
+        let Some(ports) = &self.ports else { return Ok(()) };
+        let folder = ports.parent().filter(|folder| !folder.as_os_str().is_empty());
+        if ports.is_dir() || folder.is_some_and(|folder| !folder.is_dir()) {
+            let allowed = "a file in a folder that exists";
+            return Err(BadSetting::new("--ports-file", ports.display(), allowed));
+        }
+        Ok(())
     }
 
     /// Whether the process has a role.
@@ -265,6 +332,47 @@
     }
 }
 
+/// Shows whether a secret is set, but not which.
+fn hidden<S: serde::Serializer>(token: &Option<String>, serializer: S) -> Result<S::Ok, S::Error> {
+    serializer.serialize_str(if token.is_some() { "(hidden)" } else { "(not set)" })
+}
+
+fn parse_addr(flag: &'static str, value: Option<&str>) -> Result<Option<SocketAddr>, BadSetting> {
+    let Some(value) = value else { return Ok(None) };
+    match value.parse() {
+        Ok(addr) => Ok(Some(addr)),
+        Err(_) => Err(BadSetting::new(flag, value, "IP:PORT, such as 127.0.0.1:7000")),
+    }
+}
+
+fn parse_number(
+    flag: &'static str,
+    value: Option<String>,
+    missing: u64,
+    range: &RangeInclusive<u64>,
+    unit: &str,
+) -> Result<u64, BadSetting> {
+    let Some(value) = value else { return Ok(missing) };
+    match value.parse::<u64>().ok().filter(|number| range.contains(number)) {
+        Some(number) => Ok(number),
+        None => {
+            let allowed = format!("{} to {} {unit}", range.start(), range.end());
+            Err(BadSetting::new(flag, value, allowed))
+        },
+    }
+}
+
+/// Checks a token without showing it.
+fn parse_token(token: Option<String>) -> Result<Option<String>, BadSetting> {
+    let Some(token) = token else { return Ok(None) };
+    if !TOKEN_BYTES.contains(&token.len()) || !token.bytes().all(|byte| byte.is_ascii_graphic()) {
+        let (least, most) = (TOKEN_BYTES.start(), TOKEN_BYTES.end());
+        let allowed = format!("{least} to {most} visible ASCII characters");
+        return Err(BadSetting::new("--token", "(hidden)", allowed));
+    }
+    Ok(Some(token))
+}
+
 fn parse_roles(values: &[String]) -> Result<BTreeSet<Role>, BadSetting> {
     let mut roles = BTreeSet::new();
     for value in values.iter().flat_map(|value| value.split(',')) {
@@ -293,6 +401,12 @@
         let Some((name, addr)) = member else {
             return Err(BadSetting::new("--control", value, "NAME=IP:PORT"));
         };
+        if addr.port() == 0 || addr.ip().is_unspecified() {
+            return Err(BadSetting::new("--control", value, "NAME=IP:PORT of a known port"));
+        }
+        if control.values().any(|other| *other == addr) {
+            return Err(BadSetting::new("--control", value, "each address once"));
+        }
         if control.insert(name, addr).is_some() {
             return Err(BadSetting::new("--control", value, "each name once"));
         }
