Let the stand-in be slow, decline, cut off and respect stops

Cause: the stand-in only failed by status 500, and its stops were not fenced: a stop of an old attempt ended its successor, and a start that came after its own stop ran.

Executions are known by key and fencing token; a stop ends attempts up to its token, all of a key without one, and is remembered for 10,000 keys. A second start of a running attempt gets 409.

Figures: 10 tests, none before.

--- a/toucangrade_standin/src/main.rs
+++ b/toucangrade_standin/src/main.rs
@@ -3,6 +3,9 @@
 mod options;
 mod runner;
 
+#[cfg(test)]
+mod tests;
+
 use std::io;
 use std::net::TcpListener;
 use std::thread;
--- a/toucangrade_standin/src/options.rs
+++ b/toucangrade_standin/src/options.rs
@@ -16,6 +16,10 @@
     pub(crate) connections: u32,
     pub(crate) delay: u64,
     pub(crate) fail: u64,
+    pub(crate) slow: u64,
+    pub(crate) slow_ms: u64,
+    pub(crate) decline: u64,
+    pub(crate) cut: u64,
     pub(crate) journal: Option<PathBuf>,
     pub(crate) ports: Option<PathBuf>,
 }
@@ -36,10 +40,24 @@
         .help("Time that an execution takes, in milliseconds")
         .argument::<u64>("MS")
         .fallback(5);
-    let fail = long("fail-percent")
-        .help("Share of executions that answer with status 500, in percent")
-        .argument::<u64>("PERCENT")
-        .fallback(0);
+    let share = |flag: &'static str, help: &'static str| {
+        long(flag)
+            .help(help)
+            .argument::<u64>("PERCENT")
+            .guard(|percent| *percent <= 100, "allowed is 0 to 100 percent")
+            .fallback(0)
+    };
+    let fail = share("fail-percent", "Share of executions that answer with status 500, in percent");
+    let slow = share("slow-percent", "Share of executions that take longer, in percent");
+    let slow_ms = long("slow-ms")
+        .help("Further time that a slow execution takes, in milliseconds")
+        .argument::<u64>("MS")
+        .fallback(100);
+    let decline = share(
+        "decline-percent",
+        "Share of requests that are refused as not run, with status 503, in percent",
+    );
+    let cut = share("cut-percent", "Share of answers whose connection is cut, in percent");
     let journal = long("journal")
         .help("File that every execution is appended to")
         .argument::<PathBuf>("FILE")
@@ -57,6 +75,10 @@
         connections,
         delay,
         fail,
+        slow,
+        slow_ms,
+        decline,
+        cut,
         journal,
         ports
     })
--- a/toucangrade_standin/src/runner.rs
+++ b/toucangrade_standin/src/runner.rs
@@ -11,20 +11,58 @@
 
 use crate::options::Options;
 
-/// Time that the journal is behind at most: none, each line is written at once.
+/// Stopped keys that are remembered.
+const STOPPED_KEPT: usize = 10_000;
+
 struct Shared {
+    /// Each line is written at once.
     journal: Option<File>,
-    /// Executions under way, with the sender that stops each.
-    running: BTreeMap<String, oneshot::Sender<()>>,
+    /// Executions under way by key and fencing token, with the sender that stops each.
+    running: BTreeMap<(String, u64), oneshot::Sender<()>>,
+    /// Largest fencing token that was stopped for each key, so that a start that arrives after
+    /// its stop does not run.
+    stopped: BTreeMap<String, u64>,
     count: u64,
 }
 
+/// What the options tell one execution to do.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Orders {
+    pub(crate) cut: bool,
+    pub(crate) decline: bool,
+    pub(crate) fail: bool,
+    pub(crate) slow: bool,
+}
+
+impl Orders {
+    /// Spreads each share evenly over the executions, so that runs can be repeated.
+    pub(crate) fn of(number: u64, options: &Options) -> Self {
+        // Shares begin at different places, so that they meet as if they were independent.
+        let due = |percent: u64, offset: u64| {
+            let number = number + offset;
+            number * percent / 100 != (number + 1) * percent / 100
+        };
+        Self {
+            cut: due(options.cut, 17),
+            decline: due(options.decline, 41),
+            fail: due(options.fail, 0),
+            slow: due(options.slow, 73),
+        }
+    }
+}
+
+/// How an execution ended.
+enum Ended {
+    Done,
+    LeaseOver,
+    Stopped,
+}
+
 /// The back end.
 #[derive(Clone)]
 pub(crate) struct Runner {
     shared: Arc<Mutex<Shared>>,
-    delay: Duration,
-    fail: u64,
+    options: Arc<Options>,
 }
 
 impl Runner {
@@ -32,9 +70,9 @@
     pub(crate) fn open(options: &Options) -> io::Result<Self> {
         let open = |path| OpenOptions::new().append(true).create(true).open(path);
         let journal = options.journal.as_ref().map(open).transpose()?;
-        let shared = Shared { journal, running: BTreeMap::new(), count: 0 };
-        let (delay, fail) = (Duration::from_millis(options.delay), options.fail);
-        Ok(Self { shared: Arc::new(Mutex::new(shared)), delay, fail })
+        let shared =
+            Shared { journal, running: BTreeMap::new(), stopped: BTreeMap::new(), count: 0 };
+        Ok(Self { shared: Arc::new(Mutex::new(shared)), options: Arc::new(options.clone()) })
     }
 
     /// Answers `POST /{kind}` with an execution and `DELETE /{kind}` with its stop.
@@ -44,62 +82,126 @@
             let runner = runner.clone();
             Box::pin(async move {
                 let key = call.header("idempotency-key").unwrap_or("none").to_owned();
+                let fence = call.header("toucangrade-fence").and_then(|value| value.parse().ok());
                 match call.method.as_str() {
-                    "POST" => runner.execute(call, key).await,
-                    "DELETE" => runner.stop(&key),
+                    "POST" => runner.execute(call, key, fence.unwrap_or(0)).await,
+                    "DELETE" => runner.stop(&key, fence),
                     _ => Outbound::new(405, "only POST and DELETE"),
                 }
             })
         })
     }
 
-    async fn execute(&self, call: Inbound, key: String) -> Outbound {
+    async fn execute(&self, call: Inbound, key: String, fence: u64) -> Outbound {
         let lease = call.header("toucangrade-lease-ms").and_then(|value| value.parse().ok());
-        let (sender, stopped) = oneshot::channel();
-        let number = self.start(&key, sender);
-        // An execution gives up by itself when its lease ends.
-        let limit = Duration::from_millis(lease.unwrap_or(u64::MAX));
-        let work = async { tokio::time::timeout(self.delay, stopped).await.is_ok() };
-        match tokio::time::timeout(limit, work).await {
-            Ok(false) => {
-                self.end("end", &key);
-                if number * self.fail / 100 != (number + 1) * self.fail / 100 {
+        let number = self.next();
+        let orders = Orders::of(number, &self.options);
+        if orders.decline {
+            return declined("declined as told");
+        }
+        let stopped = match self.start(&key, fence) {
+            Ok(stopped) => stopped,
+            Err(refused) => return refused,
+        };
+        let extra = if orders.slow { self.options.slow_ms } else { 0 };
+        let delay = Duration::from_millis(self.options.delay + extra);
+        match run(delay, lease.map(Duration::from_millis), stopped).await {
+            Ended::Done => {
+                self.end("end", &key, fence);
+                if orders.cut {
+                    return cut(&call.body);
+                }
+                if orders.fail {
                     return Outbound::new(500, "failed as told");
                 }
                 Outbound::new(200, [b"done ".as_slice(), &call.body].concat())
             },
-            Ok(true) => Outbound::new(409, "stopped"),
-            Err(_) => {
-                self.end("stop", &key);
+            Ended::LeaseOver => {
+                self.end("stop", &key, fence);
                 Outbound::new(409, "lease ended")
             },
+            Ended::Stopped => Outbound::new(409, "stopped"),
         }
     }
 
-    fn stop(&self, key: &str) -> Outbound {
-        let mut shared = self.shared.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(sender) = shared.running.remove(key) {
-            shared.write("stop", key);
-            // The execution may have ended in between, which is as good as stopped.
-            let _ = sender.send(());
-        }
-        Outbound::new(200, "stopped")
+    fn next(&self) -> u64 {
+        let mut shared = self.lock();
+        shared.count += 1;
+        shared.count
     }
 
-    fn start(&self, key: &str, sender: oneshot::Sender<()>) -> u64 {
-        let mut shared = self.shared.lock().unwrap_or_else(PoisonError::into_inner);
+    /// Begins an execution, unless it was stopped before it came or runs already.
+    fn start(&self, key: &str, fence: u64) -> Result<oneshot::Receiver<()>, Outbound> {
+        let mut shared = self.lock();
+        if shared.stopped.get(key).is_some_and(|stopped| fence <= *stopped) {
+            return Err(declined("stopped before it started"));
+        }
+        let id = (key.to_owned(), fence);
+        if shared.running.contains_key(&id) {
+            return Err(Outbound::new(409, "this attempt runs already"));
+        }
+        let (sender, stopped) = oneshot::channel();
         shared.write("start", key);
-        shared.running.insert(key.to_owned(), sender);
-        shared.count += 1;
-        shared.count
+        shared.running.insert(id, sender);
+        Ok(stopped)
     }
 
-    fn end(&self, word: &str, key: &str) {
-        let mut shared = self.shared.lock().unwrap_or_else(PoisonError::into_inner);
-        if shared.running.remove(key).is_some() {
+    /// Stops the attempts of a key up to a fencing token, or all of them without one.
+    fn stop(&self, key: &str, fence: Option<u64>) -> Outbound {
+        let mut shared = self.lock();
+        if let Some(fence) = fence {
+            let stopped = shared.stopped.entry(key.to_owned()).or_default();
+            *stopped = fence.max(*stopped);
+            if shared.stopped.len() > STOPPED_KEPT {
+                shared.stopped.pop_first();
+            }
+        }
+        let last = fence.unwrap_or(u64::MAX);
+        let ids = (key.to_owned(), 0)..=(key.to_owned(), last);
+        let ids: Vec<(String, u64)> = shared.running.range(ids).map(|(id, _)| id.clone()).collect();
+        for id in ids {
+            if let Some(sender) = shared.running.remove(&id) {
+                shared.write("stop", key);
+                // The execution may have ended in between, which is as good as stopped.
+                let _ = sender.send(());
+            }
+        }
+        Outbound::new(200, "stopped")
+    }
+
+    fn end(&self, word: &str, key: &str, fence: u64) {
+        let mut shared = self.lock();
+        if shared.running.remove(&(key.to_owned(), fence)).is_some() {
             shared.write(word, key);
         }
     }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Shared> {
+        self.shared.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Works for `delay`, but not beyond the lease or a stop.
+async fn run(delay: Duration, lease: Option<Duration>, stopped: oneshot::Receiver<()>) -> Ended {
+    let work = async {
+        let stopped = tokio::time::timeout(delay, stopped).await.is_ok();
+        if stopped { Ended::Stopped } else { Ended::Done }
+    };
+    match lease {
+        Some(lease) => tokio::time::timeout(lease, work).await.unwrap_or(Ended::LeaseOver),
+        None => work.await,
+    }
+}
+
+/// A refusal by which the agent knows that the request did not run.
+fn declined(reason: &'static str) -> Outbound {
+    Outbound::new(503, reason).with_text("toucangrade-verdict", "not-run")
+}
+
+/// A response whose body ends before its declared length, so that the connection is cut.
+fn cut(body: &[u8]) -> Outbound {
+    let whole = b"done ".len() + body.len();
+    Outbound::new(200, "do").with_text("content-length", &whole.to_string())
 }
 
 impl Shared {
--- /dev/null
+++ b/toucangrade_standin/src/tests.rs
@@ -0,0 +1,172 @@
+//! Tests of how the stand-in behaves towards its agent.
+
+use std::net::TcpListener;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::Method;
+use rstest::rstest;
+use toucangrade::{CallError, Client, Exchange, Server, Span};
+
+use crate::options::{self, Options};
+use crate::runner::{Orders, Runner};
+
+/// Generous limit of a wait.
+const LIMIT: Duration = Duration::from_secs(30);
+
+fn options(args: &[&str]) -> Options {
+    let fixed = ["--agent", "127.0.0.1:1", "--service", "s", "--kinds", "k"];
+    let args = [&fixed[..], args].concat();
+    options::parser().run_inner(&args[..]).unwrap_or_else(|error| panic!("{error:?}"))
+}
+
+struct Standin {
+    server: Server,
+    client: Client,
+    journal: std::path::PathBuf,
+    _folder: tempfile::TempDir,
+}
+
+impl Standin {
+    fn start(args: &[&str]) -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        let journal = folder.path().join("journal");
+        let options = Options { journal: Some(journal.clone()), ..options(args) };
+        let runner = Runner::open(&options).unwrap();
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let server = Server::start(listener, 1, runner.handler()).unwrap();
+        Self { server, client: Client::start().unwrap(), journal, _folder: folder }
+    }
+
+    fn exchange(&self, method: Method, key: &str, fence: Option<u64>, lease: u64) -> Exchange {
+        let body = Bytes::from_static(b"cord");
+        let exchange = Exchange::post(self.server.addr, "/k", body, Span::secs(30)).method(method);
+        let exchange = exchange.header("idempotency-key", key);
+        let exchange = exchange.header("toucangrade-lease-ms", &lease.to_string());
+        match fence {
+            Some(fence) => exchange.header("toucangrade-fence", &fence.to_string()),
+            None => exchange,
+        }
+    }
+
+    fn post(&self, key: &str, fence: u64, lease: u64) -> Result<(u16, String), CallError> {
+        let response = self.client.call(self.exchange(Method::POST, key, Some(fence), lease))?;
+        let verdict = response.headers.get("toucangrade-verdict");
+        let body = match verdict {
+            Some(verdict) => verdict.to_str().unwrap().to_owned(),
+            None => String::from_utf8(response.body.to_vec()).unwrap(),
+        };
+        Ok((response.status, body))
+    }
+
+    fn journal(&self) -> Vec<String> {
+        let text = std::fs::read_to_string(&self.journal).unwrap();
+        text.lines().map(str::to_owned).collect()
+    }
+
+    fn await_journal(&self, lines: usize) {
+        let began = Instant::now();
+        while self.journal().len() < lines {
+            assert!(began.elapsed() < LIMIT, "{:?}", self.journal());
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+}
+
+struct Case {
+    args: &'static [&'static str],
+    lease: u64,
+    answer: Result<(u16, &'static str), CallError>,
+    journal: &'static [&'static str],
+}
+
+/// Guards against a stand-in that runs beyond its lease, or that says of an execution that ran
+/// that it did not.
+#[rstest]
+#[case::answers(Case {
+    args: &[],
+    lease: 10_000,
+    answer: Ok((200, "done cord")),
+    journal: &["start a", "end a"],
+})]
+#[case::fails(Case {
+    args: &["--fail-percent", "100"],
+    lease: 10_000,
+    answer: Ok((500, "failed as told")),
+    journal: &["start a", "end a"],
+})]
+#[case::declines(Case {
+    args: &["--decline-percent", "100"],
+    lease: 10_000,
+    answer: Ok((503, "not-run")),
+    journal: &[],
+})]
+#[case::cuts(Case {
+    args: &["--cut-percent", "100"],
+    lease: 10_000,
+    answer: Err(CallError::Lost),
+    journal: &["start a", "end a"],
+})]
+#[case::lease_ends(Case {
+    args: &["--slow-percent", "100", "--slow-ms", "20000"],
+    lease: 30,
+    answer: Ok((409, "lease ended")),
+    journal: &["start a", "stop a"],
+})]
+fn executions_end_as_told(#[case] case: Case) {
+    let standin = Standin::start(case.args);
+    let answer = standin.post("a", 1, case.lease);
+    assert_eq!(answer, case.answer.map(|(status, body)| (status, body.to_owned())));
+    assert_eq!(standin.journal(), case.journal);
+}
+
+struct Stop {
+    /// Fencing token of the stop, none for any.
+    stop: Option<u64>,
+    /// Whether the attempt with fencing token 5 is stopped by it.
+    stopped: bool,
+}
+
+/// Guards against stops that miss their attempt, and against a late stop of an old attempt that
+/// ends its successor.
+#[rstest]
+#[case::same(Stop { stop: Some(5), stopped: true })]
+#[case::any(Stop { stop: None, stopped: true })]
+#[case::older(Stop { stop: Some(4), stopped: false })]
+fn stops_are_fenced(#[case] case: Stop) {
+    let standin = Standin::start(&["--delay-ms", if case.stopped { "20000" } else { "1000" }]);
+    thread::scope(|scope| {
+        let answer = scope.spawn(|| standin.post("a", 5, 25_000).unwrap().0);
+        standin.await_journal(1);
+        let stop = standin.exchange(Method::DELETE, "a", case.stop, 0);
+        assert_eq!(standin.client.call(stop).unwrap().status, 200);
+        assert_eq!(answer.join().unwrap(), if case.stopped { 409 } else { 200 });
+    });
+    let last = if case.stopped { "stop a" } else { "end a" };
+    assert_eq!(standin.journal(), ["start a", last]);
+}
+
+/// Guards against a start that is delayed behind its own stop and then runs.
+#[test]
+fn start_after_its_stop_does_not_run() {
+    let standin = Standin::start(&[]);
+    let stop = standin.exchange(Method::DELETE, "a", Some(5), 0);
+    assert_eq!(standin.client.call(stop).unwrap().status, 200);
+    assert_eq!(standin.post("a", 5, 10_000), Ok((503, "not-run".to_owned())));
+    assert_eq!(standin.post("a", 6, 10_000), Ok((200, "done cord".to_owned())));
+    assert_eq!(standin.journal(), ["start a", "end a"]);
+}
+
+/// Guards against shares that are not those of the options.
+#[test]
+fn shares_are_exact() {
+    let options =
+        options(&["--slow-percent", "7", "--decline-percent", "30", "--cut-percent", "1"]);
+    let orders: Vec<Orders> = (0..1_000).map(|n| Orders::of(n, &options)).collect();
+    let count = |given: fn(&Orders) -> bool| orders.iter().filter(|orders| given(orders)).count();
+    assert_eq!(
+        [count(|o| o.slow), count(|o| o.decline), count(|o| o.cut), count(|o| o.fail)],
+        [70, 300, 10, 0]
+    );
+}
