Report the log's sync latency, leadership and revision as metrics

Cause: the metrics duty takes gauges and timers, but control sent none.

Change: the performer of the log times each append and sync, and control sets the gauges leading and revision and reports its rings' loads.

Conclusion: the replicated log needs the same calls at its sync and its changes of role.

--- a/toucangrade/src/daemon/control.rs
+++ b/toucangrade/src/daemon/control.rs
@@ -70,11 +70,16 @@
         control.spawn_journal(context, log, count)?;
         control.spawn_state(context, recovered, sender)?;
         control.spawn_membership(context)?;
+        context.telemetry.gauge("leading", 1);
+        context.telemetry.watch(&control.journal);
+        context.telemetry.watch(&control.state);
+        context.telemetry.watch(&control.membership);
         Ok(control)
     }
 
     fn spawn_journal(&self, context: &Context, mut log: Log, count: u64) -> io::Result<()> {
         let state = self.state.clone();
+        let (clock, telemetry) = (context.clock.clone(), context.telemetry.clone());
         let duty = Duty {
             state: Journal::new(count),
             step: Journal::step,
@@ -83,7 +88,10 @@
         };
         duty.spawn(&self.journal, context.clock.clone(), move |_, effect| match effect {
             journal::Effect::Append { command } => {
-                if let Err(error) = log.append(&command) {
+                let began = clock.now();
+                let appended = log.append(&command);
+                telemetry.timer("log_sync", clock.now().since(began));
+                if let Err(error) = appended {
                     // What can't be synced must not be acknowledged.
                     tracing::error!(%error, "the log can't be written, stopping");
                     std::process::exit(1);
@@ -105,11 +113,14 @@
         revision: watch::Sender<u64>,
     ) -> io::Result<()> {
         let (membership, replies) = (self.membership.clone(), Arc::clone(&self.replies));
+        let telemetry = context.telemetry.clone();
+        telemetry.gauge("revision", state.config().revision);
         let tick = || state::Message::Tick;
         let duty = Duty { state, step: State::step, tick, period: TICK };
         duty.spawn(&self.state, context.clock.clone(), move |_, effect| match effect {
             state::Effect::Configure(config) => {
                 revision.send_replace(config.revision);
+                telemetry.gauge("revision", config.revision);
                 membership.push(membership::Message::Configure(config));
             },
             state::Effect::Partitions(partitions) => {
