Count late requests once in a review, send timers as histograms

Cause: a request that is open at the caller's timeout is recorded twice, then and when its outcome is known, and a review counted both. Timers of the log were whole milliseconds, mostly zero.

Change: the final outcome replaces the open one in a review. Timers are gathered in histograms like answers, with quantile gauges in microseconds beside the StatsD timers.

Figures: the case of a late order counts 1 instead of 2; periods are parsed by 7 cases.

Conclusion: counts of a review are requests, not records.

--- a/toucangrade/src/daemon/operator.rs
+++ b/toucangrade/src/daemon/operator.rs
@@ -274,7 +274,7 @@
 }
 
 /// A point in time as unix seconds or RFC 3339, in milliseconds since 1970.
-fn period(name: &str, value: Option<&str>, missing: u64) -> Result<u64, Outbound> {
+pub(crate) fn period(name: &str, value: Option<&str>, missing: u64) -> Result<u64, Outbound> {
     let Some(value) = value else { return Ok(missing) };
     let seconds = value.parse::<u64>().ok().and_then(|seconds| seconds.checked_mul(1_000));
     // Colons of a time may come encoded, and a plus sign always does.
--- a/toucangrade/src/daemon/tests.rs
+++ b/toucangrade/src/daemon/tests.rs
@@ -254,3 +254,19 @@
     let status = reply.unwrap_or_else(|refused| refused).status;
     assert_eq!((status, asked.lock().unwrap().clone()), (case.status, case.asked));
 }
+
+/// Guards against reviews of another period than the one asked for.
+#[rstest]
+#[case::seconds("1796296132", Some(1_796_296_132_000))]
+#[case::utc("2026-12-03T10:28:52Z", Some(1_796_293_732_000))]
+#[case::offset("2026-12-03T11:28:52%2B01:00", Some(1_796_293_732_000))]
+#[case::encoded("2026-12-03T10%3A28%3A52Z", Some(1_796_293_732_000))]
+#[case::no_time("yesterday", None)]
+#[case::no_zone("2026-12-03T10:28:52", None)]
+#[case::too_large("99999999999999999999", None)]
+fn periods_are_parsed(#[case] value: &str, #[case] millis: Option<u64>) {
+    let parsed = operator::period("from", Some(value), 7);
+    assert_eq!(parsed.as_ref().ok(), millis.as_ref());
+    assert_eq!(parsed.err().map(|refused| refused.status), millis.is_none().then_some(400));
+    assert_eq!(operator::period("from", None, 7).ok(), Some(7));
+}
--- a/toucangrade/src/history/review.rs
+++ b/toucangrade/src/history/review.rs
@@ -6,7 +6,7 @@
 use serde_json::{Value, json};
 
 use super::{Body, Item, Outcome, Tally};
-use crate::core::Verdict;
+use crate::core::{Key, Verdict};
 
 /// Causes that a review lists; the rarest are left out.
 const CAUSES_SHOWN: usize = 200;
@@ -53,10 +53,15 @@
     dropped: u64,
     items: u64,
     rows: BTreeMap<(String, String), Row>,
-    causes: BTreeMap<(String, String, String, String), Cause>,
+    causes: BTreeMap<Reason, Cause>,
+    /// Requests counted while their outcome was open, with the reason they were counted under.
+    open: BTreeMap<Key, Reason>,
     curves: BTreeMap<(String, u64), Point>,
 }
 
+/// Service, kind, code and verdict.
+type Reason = (String, String, String, String);
+
 impl Report {
     /// A review of the time from `from` to `to`, in milliseconds since 1970.
     pub(crate) fn new(from: u64, to: u64, missed: u64, removed: u64) -> Self {
@@ -70,6 +75,7 @@
             items: 0,
             rows: BTreeMap::new(),
             causes: BTreeMap::new(),
+            open: BTreeMap::new(),
             curves: BTreeMap::new(),
         }
     }
@@ -97,6 +103,11 @@
         let course = &outcome.course;
         let names = (course.service.to_string(), course.kind.to_string());
         let row = self.rows.entry(names.clone()).or_default();
+        // An outcome that was open at the caller's timeout comes again once it is final.
+        if let Some(cause) = self.open.remove(&outcome.key).and_then(|r| self.causes.get_mut(&r)) {
+            cause.count -= 1;
+            row.late = row.late.saturating_sub(1);
+        }
         row.late += u64::from(course.late);
         let whole = course.verdict == Verdict::Ran && course.code.is_none();
         row.finished += u64::from(course.finished_batch());
@@ -105,7 +116,11 @@
         }
         let code = course.code.clone().unwrap_or_else(|| "late".to_owned());
         let verdict = course.verdict.to_string();
-        let cause = self.causes.entry((names.0, names.1, code, verdict)).or_default();
+        let reason = (names.0, names.1, code, verdict);
+        if course.late && course.verdict == Verdict::MayHaveRun {
+            self.open.insert(outcome.key.clone(), reason.clone());
+        }
+        let cause = self.causes.entry(reason).or_default();
         cause.count += 1;
         cause.example = outcome.key.to_string();
         cause.reason = outcome.events.last().map(|e| e.text.clone()).unwrap_or_default();
@@ -116,7 +131,7 @@
         let hours = (self.to.saturating_sub(self.from)) as f64 / 3_600_000.0;
         let services: Vec<Value> =
             self.rows.iter().map(|(names, row)| shown(names, row, hours)).collect();
-        let mut causes: Vec<_> = self.causes.iter().collect();
+        let mut causes: Vec<_> = self.causes.iter().filter(|(_, c)| c.count > 0).collect();
         causes.sort_by_key(|(_, cause)| std::cmp::Reverse(cause.count));
         let causes: Vec<Value> = causes
             .into_iter()
--- a/toucangrade/src/history/tally.rs
+++ b/toucangrade/src/history/tally.rs
@@ -27,9 +27,14 @@
 }
 
 impl Tally {
+    /// Adds a time without a result.
+    pub(crate) fn time(&mut self, micros: u64) {
+        self.latencies.saturating_record(micros);
+    }
+
     /// Counts one answer after `micros`.
     pub(crate) fn add(&mut self, micros: u64, result: &str) {
-        self.latencies.saturating_record(micros);
+        self.time(micros);
         match self.counts.get_mut(result) {
             Some(count) => *count += 1,
             None => drop(self.counts.insert(result.to_owned(), 1)),
--- a/toucangrade/src/history/tests.rs
+++ b/toucangrade/src/history/tests.rs
@@ -385,6 +385,9 @@
         item(4, 60_999, 4, refused),
         item(5, 61_000, 5, failed()),
         item(6, 2_000, 6, batch),
+        // Open at the caller's timeout, then known: one late request.
+        item(7, 3_000, 7, failed()),
+        item(8, 4_000, 7, course(Some(Class::Once), Verdict::Ran, None, true)),
     ];
     items.push(Item { wall: 2_000, body: summary, ..items[0].clone() });
     items.push(Item { wall: 2_000, body: Body::Dropped { count: 3 }, ..items[0].clone() });
@@ -394,13 +397,13 @@
     let numbers = ["answers", "late", "p50_us", "p99_us", "batch_finished", "evictions"];
     let numbers = numbers.map(|field| row[field].as_u64().unwrap());
     // Latencies keep two digits, as the upper end of their bucket.
-    assert_eq!(numbers, [1_000, 1, 1_003, 50_175, 1, 0]);
+    assert_eq!(numbers, [1_000, 2, 1_003, 50_175, 1, 0]);
     let causes: Vec<_> = value["causes"].as_array().unwrap().iter().collect();
     let shown: Vec<_> = causes
         .iter()
         .map(|c| (c["code"].as_str().unwrap(), c["count"].as_u64().unwrap()))
         .collect();
-    assert_eq!(shown, [("over-quota", 2), ("outcome-unknown", 1)]);
+    assert_eq!(shown, [("over-quota", 2), ("late", 1), ("outcome-unknown", 1)]);
     assert_eq!(causes[0]["example"], "k4");
     let rest = ["not_sent", "missed_by_this_instance", "removed_for_size"];
     assert_eq!(rest.map(|field| value[field].as_u64().unwrap()), [3, 4, 5]);
--- a/toucangrade/src/metrics/mod.rs
+++ b/toucangrade/src/metrics/mod.rs
@@ -13,13 +13,10 @@
 pub(crate) use self::answers::Answers;
 pub(crate) use self::message::{Effect, Load, Message, Stat};
 use crate::core::{Moment, Name, Span};
-use crate::history::{Summary, Tally};
+use crate::history::Tally;
 
 /// Time between two sendings; the common flush interval of StatsD servers.
 const SEND_EVERY: Span = Span::secs(10);
-/// Timers of one name that are sent as single values between two sendings; more are dropped and
-/// counted, so that a fast disk can't fill the buffer.
-const TIMERS_KEPT: usize = 1_000;
 
 /// State of the duty.
 #[derive(Debug, Default, Serialize)]
@@ -28,7 +25,8 @@
     answers: BTreeMap<(Name, Name), Tally>,
     counts: BTreeMap<String, u64>,
     gauges: BTreeMap<&'static str, u64>,
-    timers: BTreeMap<&'static str, Vec<Span>>,
+    #[serde(skip)]
+    timers: BTreeMap<&'static str, Tally>,
     /// Messages each duty had shed when its load was last sent.
     shed: BTreeMap<&'static str, u64>,
     next: Moment,
@@ -63,12 +61,7 @@
             },
             Message::Tick => {},
             Message::Timer { name, span } => {
-                let timers = self.timers.entry(name).or_default();
-                if timers.len() < TIMERS_KEPT {
-                    timers.push(span);
-                } else {
-                    *self.counts.entry(format!("{name}_not_sent")).or_default() += 1;
-                }
+                self.timers.entry(name).or_default().time(span.as_micros());
             },
         }
         Vec::new()
@@ -96,15 +89,17 @@
         for (&name, &value) in &self.gauges {
             stats.push(Stat::Gauge { name: name.to_owned(), value });
         }
-        for (&name, spans) in &mut self.timers {
-            for span in spans.drain(..) {
-                let micros = span.as_micros();
-                stats.push(Stat::Timer { name: name.to_owned(), micros, count: 1 });
-            }
+        for (name, tally) in std::mem::take(&mut self.timers) {
+            timers(name, &format!("{name}_us"), &tally, &mut stats);
         }
         for ((service, kind), tally) in std::mem::take(&mut self.answers) {
             let path = format!("{}.{}", flat(&service), flat(&kind));
-            latencies(&path, &tally, &mut stats);
+            for (result, &value) in tally.counts() {
+                let name = format!("answers.{path}.{}", result.replace(' ', "."));
+                stats.push(Stat::Count { name, value });
+            }
+            let (name, micros) = (format!("latency.{path}"), format!("latency_us.{path}"));
+            timers(&name, &micros, &tally, &mut stats);
         }
         let mut effects: Vec<Effect> = stats.into_iter().map(Effect::Send).collect();
         effects.push(Effect::Sample);
@@ -112,17 +107,13 @@
     }
 }
 
-fn latencies(path: &str, tally: &Tally, stats: &mut Vec<Stat>) {
-    let Summary { latencies, counts } = tally.summary();
-    for (result, value) in counts {
-        let name = format!("answers.{path}.{}", result.replace(' ', "."));
-        stats.push(Stat::Count { name, value });
-    }
-    for (micros, count) in latencies {
-        stats.push(Stat::Timer { name: format!("latency.{path}"), micros, count });
+/// Timers, whose lines have whole milliseconds, and gauges of quantiles in microseconds.
+fn timers(name: &str, quantiles: &str, tally: &Tally, stats: &mut Vec<Stat>) {
+    for (micros, count) in tally.summary().latencies {
+        stats.push(Stat::Timer { name: name.to_owned(), micros, count });
     }
     for (quantile, word) in [(0.5, "p50"), (0.99, "p99"), (0.999, "p999")] {
-        let name = format!("latency_us.{path}.{word}");
+        let name = format!("{quantiles}.{word}");
         stats.push(Stat::Gauge { name, value: tally.quantile(quantile) });
     }
 }
--- a/toucangrade/src/metrics/tests.rs
+++ b/toucangrade/src/metrics/tests.rs
@@ -5,6 +5,7 @@
 use rstest::rstest;
 
 use super::*;
+use crate::history::Summary;
 
 struct Case {
     messages: Vec<Message>,
@@ -50,8 +51,20 @@
     sent: vec!["evictions 0c", "revision 4g", "sample"],
 })]
 #[case::timers(Case {
-    messages: vec![Message::Timer { name: "sync", span: Span::micros(1_500) }],
-    sent: vec!["evictions 0c", "sync 1500us x1", "sample"],
+    messages: vec![
+        Message::Timer { name: "sync", span: Span::micros(200) },
+        Message::Timer { name: "sync", span: Span::micros(200) },
+        Message::Timer { name: "sync", span: Span::micros(100) },
+    ],
+    sent: vec![
+        "evictions 0c",
+        "sync 100us x1",
+        "sync 200us x2",
+        "sync_us.p50 200g",
+        "sync_us.p99 200g",
+        "sync_us.p999 200g",
+        "sample",
+    ],
 })]
 #[case::answers(Case {
     messages: vec![answers(&[("ran", 2), ("not-run over-quota", 1)], &[(1_000, 2), (4_000, 1)])],
