--- a/toucangrade/src/daemon/operator.rs
+++ b/toucangrade/src/daemon/operator.rs
@@ -223,7 +223,8 @@
             // Several processes hold the same step.
             steps.extend(events);
         }
-        if steps.is_empty() && claim.is_none() {
+        let job = self.job(&key).await?;
+        if steps.is_empty() && claim.is_none() && job.is_none() {
             return Err(problem(404, "unknown-key", "nothing is kept about this key"));
         }
         let steps: Vec<Value> = steps
@@ -233,10 +234,23 @@
                 json!({ "by": e.by, "wall_ms": e.wall, "at_us": at, "text": e.text })
             })
             .collect();
-        let body = json!({ "key": key, "claim": claim.as_ref().map(claimed), "steps": steps });
+        let claim = claim.as_ref().map(claimed);
+        let body = json!({ "key": key, "claim": claim, "job": job, "steps": steps });
         Ok(Outbound::json(200, &body))
     }
 
+    /// The job of this name, if one is declared.
+    async fn job(&self, key: &Key) -> Result<Option<Value>, Outbound> {
+        let Ok(name) = Name::new(key.as_str()) else { return Ok(None) };
+        let query = Query::Get { collection: Collection::Jobs, name: name.clone() };
+        match self.control.query(query).await {
+            Some(state::Reply::Got(stored)) => {
+                Ok(stored.map(|stored| shown(Collection::Jobs, &name, &stored)))
+            },
+            _ => Err(unavailable()),
+        }
+    }
+
     /// What went wrong in a period; without `from` the last day, without `to` until now.
     async fn review(&self, call: &Inbound) -> Result<Outbound, Outbound> {
         let now = wall_ms();
--- a/toucangrade/src/daemon/settings.rs
+++ b/toucangrade/src/daemon/settings.rs
@@ -156,11 +156,12 @@
         .help("Folder for the files of control")
         .argument::<PathBuf>("DIR")
         .optional();
+    // Read here and not by the parser, whose help would show the value.
     let token = long("token")
-        .env("TOUCANGRADE_TOKEN")
-        .help("Token that operators' writes need")
+        .help("Token that operators' writes need; from TOUCANGRADE_TOKEN if not set")
         .argument::<String>("TOKEN")
-        .optional();
+        .optional()
+        .map(|token| token.or_else(|| std::env::var("TOUCANGRADE_TOKEN").ok()));
     let drain_ms = long("drain-timeout-ms")
         .env("TOUCANGRADE_DRAIN_TIMEOUT_MS")
         .help("Longest time that a drain may take, in milliseconds; 30000 if not set")
--- a/toucangrade_cli/src/options.rs
+++ b/toucangrade_cli/src/options.rs
@@ -60,11 +60,12 @@
         .help("Operator addresses of control instances, with commas; tried in turn")
         .argument::<String>("ADDR,..")
         .parse(|list| list.split(',').map(str::parse).collect::<Result<Vec<SocketAddr>, _>>());
+    // Read here and not by the parser, whose help would show the value.
     let token = long("token")
-        .env("TOUCANGRADE_TOKEN")
-        .help("Token for writes and drains")
+        .help("Token for writes and drains; from TOUCANGRADE_TOKEN if not set")
         .argument::<String>("TOKEN")
-        .optional();
+        .optional()
+        .map(|token| token.or_else(|| std::env::var("TOUCANGRADE_TOKEN").ok()));
     let json = long("json").help("Print JSON for programs").switch();
     let action = action();
     construct!(Options { control, token, json, action })
--- a/toucangrade_cli/src/shown.rs
+++ b/toucangrade_cli/src/shown.rs
@@ -112,6 +112,10 @@
         let (agent, fence) = (text(&claim["agent"]), text(&claim["fence"]));
         let _ = writeln!(out, "  in the log: agent {agent}, fence {fence}, verdict {verdict}");
     }
+    let job = &value["job"];
+    if !job.is_null() {
+        let _ = writeln!(out, "  declared job at revision {}: {}", job["revision"], job["spec"]);
+    }
     for step in rows(value, "steps") {
         let (time, by) = (time(&step["wall_ms"]), text(&step["by"]));
         let _ = writeln!(out, "  {time}  {by}: {}", text(&step["text"]));
