--- a/toucangrade/src/agreement/log.rs
+++ b/toucangrade/src/agreement/log.rs
@@ -4,7 +4,7 @@
 
 use serde::{Serialize, Serializer};
 
-use super::message::{Entry, Payload};
+use super::message::Entry;
 use crate::core::invariant;
 
 /// Consecutive entries after a base, whose index and term are known.
--- a/toucangrade/src/agreement/mod.rs
+++ b/toucangrade/src/agreement/mod.rs
@@ -37,7 +37,7 @@
 pub(crate) use self::driver::{Driver, Outlets};
 pub(crate) use self::membership::Members;
 pub(crate) use self::message::{
-    Body, Effect, Entry, Message, Payload, PeerMessage, Rejection, Replica, Snapshot, Store,
+    Body, Change, Effect, Entry, Message, Payload, PeerMessage, Rejection, Replica, Snapshot, Store,
 };
 pub use self::random_run::{RunReport, random_run};
 pub(crate) use self::storage::Recovered;
--- a/toucangrade/src/agreement/random_run/mod.rs
+++ b/toucangrade/src/agreement/random_run/mod.rs
@@ -9,7 +9,7 @@
 
 use self::machine::{Durable, Machine};
 use super::fake_disk::FakeDisk;
-use super::message::{Change, Effect, Message, PeerMessage, Replica, Report, Store};
+use super::message::{Effect, Message, PeerMessage, Replica, Report, Store};
 use super::storage::Storage;
 use super::{Agreement, Members, Settings, next_random};
 use crate::core::{Moment, Name, Verdict, invariant};
--- a/toucangrade/src/agreement/replication.rs
+++ b/toucangrade/src/agreement/replication.rs
@@ -1,6 +1,6 @@
 //! Replication of the log from the leader to the others.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::VecDeque;
 use std::sync::Arc;
 
 use serde::Serialize;
--- a/toucangrade/src/daemon/control.rs
+++ b/toucangrade/src/daemon/control.rs
@@ -31,6 +31,8 @@
 /// What a handler gets for a proposal, a read or a question.
 #[derive(Debug)]
 enum Agreed {
+    /// The change of the group is in force at this log index.
+    Member { index: u64 },
     /// The log refused the proposal or the read.
     Rejected(Rejection),
     /// The reply of the agreed state.
@@ -89,6 +91,9 @@
         control.spawn_state(context, sender)?;
         control.spawn_membership(context)?;
         control.spawn_agreement(context, link, data)?;
+        context.telemetry.watch(&control.agreement);
+        context.telemetry.watch(&control.state);
+        context.telemetry.watch(&control.membership);
         Ok(control)
     }
 
@@ -105,7 +110,13 @@
             link.member(&to, &Request::Agree(body), AGREE_TIMEOUT, |_| {});
         };
         let control = self.clone();
-        let deliver = move |_, effect| control.deliver(effect);
+        let telemetry = context.telemetry.clone();
+        let deliver = move |_, effect| {
+            if let agreement::Effect::Role { leading, .. } = &effect {
+                telemetry.gauge("leading", u64::from(*leading));
+            }
+            control.deliver(effect);
+        };
         let outlets = Outlets { send: Box::new(send), deliver: Box::new(deliver) };
         let clock = context.clock.clone();
         let driver = Driver::start(&self.agreement, settings, clock, disk, outlets)
@@ -141,7 +152,7 @@
             agreement::Effect::Members { index, ticket, members } => {
                 info!(index, members = members.len(), "members of the control group changed");
                 if let Some(ticket) = ticket {
-                    self.replies.close(ticket, Agreed::Ready);
+                    self.replies.close(ticket, Agreed::Member { index });
                 }
             },
             agreement::Effect::ReadReady { ticket, .. } => {
@@ -165,11 +176,13 @@
     fn spawn_state(&self, context: &Context, revision: watch::Sender<u64>) -> io::Result<()> {
         let (agreement, membership) = (self.agreement.clone(), self.membership.clone());
         let replies = Arc::clone(&self.replies);
+        let telemetry = context.telemetry.clone();
         let tick = || state::Message::Tick;
         let duty = Duty { state: State::default(), step: State::step, tick, period: TICK };
         duty.spawn(&self.state, context.clock.clone(), move |_, effect| match effect {
             state::Effect::Configure(config) => {
                 revision.send_replace(config.revision);
+                telemetry.gauge("revision", config.revision);
                 membership.push(membership::Message::Configure(config));
             },
             state::Effect::Partitions(partitions) => {
@@ -231,7 +244,7 @@
         match reply.await {
             Ok(Agreed::Replied(reply)) => Ok(*reply),
             Ok(Agreed::Rejected(reason)) => Err(Unanswered::Rejected(reason)),
-            Ok(Agreed::Ready) | Err(_) => Err(Unanswered::Overloaded),
+            Ok(_) | Err(_) => Err(Unanswered::Overloaded),
         }
     }
 
@@ -243,7 +256,19 @@
         match reply.await {
             Ok(Agreed::Ready) => Ok(()),
             Ok(Agreed::Rejected(reason)) => Err(Unanswered::Rejected(reason)),
-            Ok(Agreed::Replied(_)) | Err(_) => Err(Unanswered::Overloaded),
+            Ok(_) | Err(_) => Err(Unanswered::Overloaded),
+        }
+    }
+
+    /// Changes the members of the group and waits until that is in force.
+    pub(crate) async fn change(&self, change: agreement::Change) -> Result<u64, Unanswered> {
+        let (ticket, reply) = self.replies.open();
+        let message = agreement::Message::Change { ticket, change };
+        self.agreement.offer(message).map_err(|_| Unanswered::Overloaded)?;
+        match reply.await {
+            Ok(Agreed::Member { index }) => Ok(index),
+            Ok(Agreed::Rejected(reason)) => Err(Unanswered::Rejected(reason)),
+            Ok(_) | Err(_) => Err(Unanswered::Overloaded),
         }
     }
 
@@ -314,6 +339,12 @@
                 self.refuse()
             },
             Request::Claim(command) => self.claim(command).await,
+            Request::Identify => {
+                let driver = self.driver.lock().unwrap_or_else(PoisonError::into_inner);
+                let me = driver.as_ref().map(|driver| driver.me().clone());
+                drop(driver);
+                me.map_or_else(|| self.refuse(), Reply::Identity)
+            },
             Request::Open { partitions, after } => {
                 match self.query(Query::Open { partitions, after }).await {
                     Some(state::Reply::Open(claims)) => Reply::Open(claims),
--- a/toucangrade/src/eviction/mod.rs
+++ b/toucangrade/src/eviction/mod.rs
@@ -116,6 +116,7 @@
     }
 
     /// Evictions for a cause.
+    #[cfg(test)]
     pub(crate) fn count(&self, cause: Cause) -> u64 {
         self.causes.get(&cause).copied().unwrap_or(0)
     }
--- a/toucangrade/src/interference/mod.rs
+++ b/toucangrade/src/interference/mod.rs
@@ -153,6 +153,7 @@
     }
 
     /// Number of samples taken in.
+    #[cfg(test)]
     pub(crate) const fn samples(&self) -> u64 {
         self.samples
     }
--- a/toucangrade/src/peer/mod.rs
+++ b/toucangrade/src/peer/mod.rs
@@ -11,7 +11,7 @@
 use crate::claims;
 use crate::core::{Key, Name, Span};
 use crate::execution::{Hop, Told};
-use crate::history::{Event, Item};
+use crate::history::{Event, Held, Item};
 use crate::limits::Admitted;
 use crate::membership::{Beat, Beaten, Poll, View};
 
@@ -31,6 +31,10 @@
     Explain(Key),
     /// A request whose key the other entry owns, and how long its caller still waits.
     Forward { admitted: Box<Admitted>, patience: Span, hop: Hop },
+    /// A question for the name and identity of a control instance's data directory.
+    Identify,
+    /// A question for durable items that the asking control instance lacks.
+    Missing(Vec<Held>),
     /// An operator's request, from a control instance to the leader.
     Operate(Box<Operation>),
     /// A question for the open claims of partitions that the entry owns, to control, after the
@@ -54,6 +58,9 @@
     Beaten(Beaten),
     Claimed(claims::Reply),
     Explained(Vec<Event>),
+    Identity(agreement::Replica),
+    /// Durable items, as many as one message may carry.
+    Items(Vec<Item>),
     Open(Vec<(Key, claims::Claim)>),
     /// The process can't answer: it has another role, doesn't lead, or is overloaded. Nothing was
     /// done, except that a command on a claim may still be agreed.
--- a/toucangrade/src/placement/commits.rs
+++ b/toucangrade/src/placement/commits.rs
@@ -19,13 +19,13 @@
     pub(super) fn committed(&mut self, now: Moment, decision: Decision, out: &mut Vec<Effect>) {
         match decision {
             Decision::Assign { fence, from, job, members } => {
-                self.assigned(now, &job, fence, from, &members, out)
+                self.assigned(now, &job, fence, from, &members, out);
             },
             Decision::Evict { cause, fence, from, job } => {
-                self.evicted(now, &job, fence, cause, from, out)
+                self.evicted(now, &job, fence, cause, from, out);
             },
             Decision::Finish { fence, job, outcome } => {
-                self.finished(now, &job, fence, outcome, out)
+                self.finished(now, &job, fence, outcome, out);
             },
             Decision::Refuse { job, .. } => {
                 let fence = self.jobs.get(&job).map_or(0, |job| job.fence);
--- a/toucangrade/src/placement/mod.rs
+++ b/toucangrade/src/placement/mod.rs
@@ -21,7 +21,7 @@
 use rand::rngs::SmallRng;
 use serde::Serialize;
 
-use self::job::{Evicting, Job, Place, State};
+use self::job::{Evicting, Job, State};
 use self::sizes::Sizes;
 use self::worker::{Running, Worker};
 use crate::core::{Moment, Name, Span};
--- a/toucangrade/src/quota/mod.rs
+++ b/toucangrade/src/quota/mod.rs
@@ -116,6 +116,7 @@
     }
 
     /// Number of waiting jobs.
+    #[cfg(test)]
     pub(crate) fn waiting(&self) -> usize {
         self.teams.values().map(|team| team.waiting.len()).sum()
     }
