Follow a changed membership once instead of at every step of the leader

Cause: the leader copied the membership at every step, which a batch of proposals pays for each of them. Change: the progress records follow the membership only when it changed.

--- a/toucangrade/src/agreement/driver.rs
+++ b/toucangrade/src/agreement/driver.rs
@@ -15,6 +15,8 @@
 /// `Store` effects that may wait. One append is outstanding at a time, and votes and snapshots are
 /// rare.
 const STORE_LIMIT: usize = 1_024;
+/// Exit status when the bound above is broken, `EX_SOFTWARE` of sysexits.
+const EXIT_STALLED: i32 = 70;
 /// The storage thread has nothing to do without a message; this only bounds its sleep.
 const STORE_WAIT: Duration = Duration::from_secs(3_600);
 
@@ -98,7 +100,7 @@
                     // The ring only closes after this thread ended.
                     if stores.push((seq, store)).is_err() {
                         error!(seq, "storage falls behind, stopping the process");
-                        std::process::exit(70);
+                        std::process::exit(EXIT_STALLED);
                     }
                 }
                 effect => deliver(now, effect),
--- a/toucangrade/src/agreement/election.rs
+++ b/toucangrade/src/agreement/election.rs
@@ -339,6 +339,7 @@
         self.verified = self.log.last();
         self.role = Role::Leader(Box::new(Lead {
             progress: BTreeMap::new(),
+            tracked: 0,
             reads: std::collections::VecDeque::new(),
             transfer: None,
             lease_void: false,
--- a/toucangrade/src/agreement/mod.rs
+++ b/toucangrade/src/agreement/mod.rs
@@ -102,6 +102,8 @@
 #[derive(Debug, Serialize)]
 struct Lead {
     progress: BTreeMap<Name, Progress>,
+    /// Index of the membership that `progress` follows.
+    tracked: u64,
     reads: VecDeque<PendingRead>,
     transfer: Option<Transfer>,
     /// A `TimeoutNow` was sent, which may take effect at any later time.
--- a/toucangrade/src/agreement/replication.rs
+++ b/toucangrade/src/agreement/replication.rs
@@ -48,12 +48,16 @@
 impl Agreement {
     /// Keeps one progress record for each other member.
     pub(super) fn track_members(&mut self) {
-        let next = self.log.last() + 1;
+        let (next, at) = (self.log.last() + 1, self.members_at());
+        if !matches!(&self.role, Role::Leader(lead) if lead.tracked != at) {
+            return;
+        }
         let members = self.members().clone();
         let me = self.me.name.clone();
         let Role::Leader(lead) = &mut self.role else {
             return;
         };
+        lead.tracked = at;
         let progress = &mut lead.progress;
         progress.retain(|name, _| members.get(name).is_some());
         for (name, _) in members.iter().filter(|(name, _)| **name != me) {
