Let the whole crate call the randomised run of the replicated log

Cause: the function was visible in its slice only, and a program for longer runs needs it. Change: re-export it with its report.

--- a/toucangrade/src/agreement/mod.rs
+++ b/toucangrade/src/agreement/mod.rs
@@ -40,6 +40,7 @@
     Body, Change, Effect, Entry, Message, Payload, PeerMessage, Rejection, Replica, Report,
     Snapshot, Store,
 };
+pub(crate) use self::random_run::{RunReport, random_run};
 pub(crate) use self::storage::{OpenError, Recovered, Storage};
 
 /// Time between two heartbeats of a leader.
