--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -5,7 +5,7 @@
 #   scripts/cluster.sh restart DIR NAME   start one process again on the same data and ports
 #   scripts/cluster.sh stop DIR           end exactly the processes that were started
 #
-# NAME is control_1, entry_1, agent_1, backend_1 and so on.
+# NAME is control_1, entry_1, agent_1, backend_1, worker_1 and so on.
 set -euo pipefail
 
 root=$(cd "$(dirname "$0")/.." && pwd)
@@ -75,7 +75,7 @@
     mkdir -p "$dir"
     dir=$(cd "$dir" && pwd)
     (cd "$root" && cargo build --release --locked --quiet)
-    read -r -a ports <<<"$(free_ports $((controls * 2 + entries * 2 + agents * 3)))"
+    read -r -a ports <<<"$(free_ports $((controls * 2 + entries * 2 + agents * 4)))"
     next() { addr="127.0.0.1:${ports[$p]}"; p=$((p + 1)); }
     : >"$dir/addrs"
     local centres=(recife-centro boa-viagem olinda) peers=() operators=()
@@ -105,13 +105,18 @@
     for n in $(seq $agents); do
         next && local peer=$addr
         next && local announce=$addr
+        next && local worker=$addr
         next
         echo "AGENT_$n=$announce" >>"$dir/addrs"
         echo "BACKEND_$n=$addr" >>"$dir/addrs"
         command_of "$dir" "agent_$n" "$bin/toucangraded" --role agent --name "a$n" \
             --centre "${centres[n - 1]}" --control "$list" --peer-addr "$peer" \
-            --announce-addr "$announce"
+            --announce-addr "$announce" --worker "$worker" --worker-millicores 4000
         launch "$dir" "agent_$n"
+        echo "WORKER_$n=$worker" >>"$dir/addrs"
+        command_of "$dir" "worker_$n" "$bin/toucangrade_worker" --addr "$worker" \
+            --journal "$dir/worker_$n.journal" ${WORKER_ARGS:-}
+        launch "$dir" "worker_$n"
         # The last back end serves the second service.
         local service=balcao kinds=quote,route-plan,stock-order
         if [ "$n" = "$agents" ]; then
@@ -178,7 +183,7 @@
 
 stop() {
     local dir=$1 kind pid
-    for kind in backend entry agent control; do
+    for kind in backend entry agent worker control; do
         for pid in "$dir/$kind"_*.pid; do
             [ -e "$pid" ] || continue
             end_one "$(cat "$pid")"
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -30,5 +30,33 @@
 [ "$starts" = 1 ]
 "${tool[@]}" explain order-7
 
+echo "# A batch job runs on a worker, loses it, and is resumed once on another."
+cat >"$dir/job.json" <<'JSON'
+{"shop": "klopca", "team": "nave", "kind": "finish-layer", "millicores": 2000, "memory_mb": 4000, "runtime_s": 5}
+JSON
+"${tool[@]}" apply jobs oak-17 --file "$dir/job.json"
+
+# Waits until the journals of the workers hold a line.
+await_line() {
+    local limit=$((SECONDS + 60))
+    until grep -qs "$1" "$dir"/worker_*.journal; do
+        if [ $SECONDS -ge $limit ]; then
+            "${tool[@]}" --json explain oak-17
+            exit 1
+        fi
+        sleep 0.1
+    done
+}
+await_line '^start oak-17 1 '
+sleep 2
+victim=$(grep -ls '^start oak-17 1 ' "$dir"/worker_*.journal | sed 's/.*worker_\([0-9]*\).*/\1/')
+kill -9 "$(cat "$dir/agent_$victim.pid")" "$(cat "$dir/worker_$victim.pid")"
+await_line '^end oak-17 '
+cat "$dir"/worker_*.journal
+[ "$(cat "$dir"/worker_*.journal | grep -c '^start oak-17 ')" = 2 ]
+[ "$(cat "$dir"/worker_*.journal | grep -c '^end oak-17 ')" = 1 ]
+sleep 1
+"${tool[@]}" explain oak-17
+
 echo "# Which processes have the configuration in force."
 "${tool[@]}" status
--- a/toucangrade/src/admission/message.rs
+++ b/toucangrade/src/admission/message.rs
@@ -122,7 +122,15 @@
     /// Replies to a start or a query.
     Reply { ticket: u64, reported: Reported },
     /// Starts an execution at a runner.
-    Run { addr: SocketAddr, key: Key, fence: u64, kind: Name, lease: Span, body: Bytes },
+    Run {
+        addr: SocketAddr,
+        key: Key,
+        fence: u64,
+        kind: Name,
+        class: Class,
+        lease: Span,
+        body: Bytes,
+    },
     /// Tells a runner to stop an execution.
     Stop { addr: SocketAddr, key: Key, fence: u64, kind: Name },
 }
--- a/toucangrade/src/admission/mod.rs
+++ b/toucangrade/src/admission/mod.rs
@@ -399,6 +399,7 @@
                 key,
                 fence: attempt.fence,
                 kind: attempt.kind.clone(),
+                class: attempt.class,
                 lease: attempt.lease,
                 body: std::mem::take(&mut attempt.body),
             });
--- a/toucangrade/src/daemon/agent.rs
+++ b/toucangrade/src/daemon/agent.rs
@@ -11,11 +11,13 @@
 
 use super::Context;
 use super::link::Link;
+use super::worker;
 use crate::admission::{self, Admission, Announce, Outcome, Reported};
-use crate::core::{Answer, Duty, Handle, Span};
+use crate::core::{Answer, Class, Duty, Handle, Span};
 use crate::http::{CallError, Exchange, Handler, Inbound, Outbound, Replies, Response};
 use crate::membership::agent::{self as membership, Identity, Membership};
 use crate::peer::{Reply, Request};
+use crate::platform;
 
 /// Longest time between two ticks of the ledger.
 const TICK: Span = Span::millis(10);
@@ -31,8 +33,11 @@
 pub(crate) struct Agent {
     pub(crate) admission: Handle<admission::Message>,
     pub(crate) membership: Handle<membership::Message>,
+    pub(crate) platform: Handle<platform::Message>,
     reports: Arc<Replies<Reported>>,
     announced: Arc<Replies<Option<String>>>,
+    /// Whether a worker is beside this agent.
+    worker: bool,
     /// Executions under way at runners.
     running: Arc<AtomicUsize>,
 }
@@ -43,12 +48,18 @@
         let agent = Self {
             admission: Handle::new("admission"),
             membership: Handle::new("membership"),
+            platform: Handle::new("platform"),
             reports: Arc::new(Replies::new()),
             announced: Arc::new(Replies::new()),
+            worker: context.settings.worker.is_some(),
             running: Arc::new(AtomicUsize::new(0)),
         };
         agent.spawn_admission(context)?;
         agent.spawn_membership(context, link, peer)?;
+        if let Some(worker) = context.settings.worker {
+            worker::spawn(&agent.platform, context, link, worker)?;
+            context.telemetry.watch(&agent.platform);
+        }
         context.telemetry.watch(&agent.admission);
         context.telemetry.watch(&agent.membership);
         Ok(agent)
@@ -56,29 +67,38 @@
 
     fn spawn_admission(&self, context: &Context) -> io::Result<()> {
         let (agent, client) = (self.clone(), context.client.clone());
+        let (clock, worker) = (context.clock.clone(), context.settings.worker.is_some());
         let state = Admission::new(context.incarnation);
         let tick = || admission::Message::Tick;
         let duty = Duty { state, step: Admission::step, tick, period: TICK };
-        duty.spawn(&self.admission, context.clock.clone(), move |_, effect| match effect {
+        duty.spawn(&self.admission, context.clock.clone(), move |now, effect| match effect {
             admission::Effect::Announced { ticket, error } => {
                 agent.announced.close(ticket, error);
             },
             admission::Effect::Offers(offers) => {
+                if worker {
+                    agent.platform.push(platform::Message::Offers(offers.clone()));
+                }
                 agent.membership.push(membership::Message::Offers(offers));
             },
             admission::Effect::Reply { ticket, reported } => {
                 agent.reports.close(ticket, reported);
             },
-            admission::Effect::Run { addr, key, fence, kind, lease, body } => {
+            admission::Effect::Run { addr, key, fence, kind, class, lease, body } => {
                 let exchange =
                     Exchange::post(addr, format!("/{kind}"), body, lease + ANSWER_MARGIN)
                         .header("idempotency-key", key.as_str())
                         .header("toucangrade-fence", &fence.to_string())
                         .header("toucangrade-lease-ms", &lease.as_millis().to_string());
                 agent.running.fetch_add(1, Ordering::Relaxed);
-                let agent = agent.clone();
+                let (agent, clock) = (agent.clone(), clock.clone());
                 client.send(exchange, move |result| {
                     agent.running.fetch_sub(1, Ordering::Relaxed);
+                    if worker && class == Class::Quick && result.is_ok() {
+                        let took = clock.now().since(now);
+                        // A full ring loses a measurement, not work.
+                        let _ = agent.platform.offer(platform::Message::Served { kind, took });
+                    }
                     let result = result.map(outcome);
                     agent.admission.push(admission::Message::Ended { key, fence, result });
                 });
@@ -171,11 +191,17 @@
         self.running.load(Ordering::Relaxed) + self.reports.len()
     }
 
+    /// The state of the platform duty, which only runs beside a worker.
+    fn platform_dump(&self) -> Option<tokio::sync::oneshot::Receiver<serde_json::Value>> {
+        if self.worker { self.platform.dump() } else { None }
+    }
+
     /// The state of all duties.
     pub(crate) async fn dump(&self) -> serde_json::Value {
         json!({
             "admission": super::dumped(self.admission.dump()).await,
             "membership": super::dumped(self.membership.dump()).await,
+            "platform": super::dumped(self.platform_dump()).await,
             "running": self.running.load(Ordering::Relaxed),
         })
     }
--- a/toucangrade/src/daemon/control.rs
+++ b/toucangrade/src/daemon/control.rs
@@ -1,9 +1,10 @@
 //! The control role: the replicated log, the agreed state, membership and their replies.
 
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use serde_json::{Value, json};
 use thiserror::Error;
@@ -18,8 +19,9 @@
 use crate::membership::control::{self as membership, Membership};
 use crate::membership::{Beaten, View};
 use crate::peer::{self, Reply, Request};
+use crate::scheduling::{self, Order, Scheduling};
 use crate::state::{self, Command, Machine, Query, State};
-use crate::{claims, partitions};
+use crate::{claims, partitions, placement};
 
 /// Longest time between two ticks.
 const TICK: Span = Span::millis(100);
@@ -58,11 +60,16 @@
     pub(crate) agreement: Handle<agreement::Message>,
     pub(crate) state: Handle<state::Message>,
     pub(crate) membership: Handle<membership::Message>,
+    pub(crate) scheduling: Handle<scheduling::Message>,
     replies: Arc<Replies<Agreed>>,
     beats: Arc<Replies<Option<Beaten>>>,
     polls: Arc<Replies<Option<View>>>,
     statuses: Arc<Replies<Value>>,
     entries: Arc<Replies<Vec<SocketAddr>>>,
+    /// Decisions on jobs that are proposed and not yet agreed, by ticket.
+    decisions: Arc<Mutex<BTreeMap<u64, placement::Decision>>>,
+    orders: Arc<Replies<Option<Vec<Order>>>>,
+    reasons: Arc<Replies<Vec<String>>>,
     leader: Arc<Mutex<Option<Name>>>,
     driver: Arc<Mutex<Option<Driver>>>,
     name: Name,
@@ -78,11 +85,15 @@
             agreement: Handle::new("agreement"),
             state: Handle::new("state"),
             membership: Handle::new("membership"),
+            scheduling: Handle::new("scheduling"),
             replies: Arc::new(Replies::new()),
             beats: Arc::new(Replies::new()),
             polls: Arc::new(Replies::new()),
             statuses: Arc::new(Replies::new()),
             entries: Arc::new(Replies::new()),
+            decisions: Arc::new(Mutex::new(BTreeMap::new())),
+            orders: Arc::new(Replies::new()),
+            reasons: Arc::new(Replies::new()),
             leader: Arc::new(Mutex::new(None)),
             driver: Arc::new(Mutex::new(None)),
             name: context.settings.name.clone(),
@@ -90,6 +101,7 @@
         };
         control.spawn_state(context, sender)?;
         control.spawn_membership(context)?;
+        control.spawn_scheduling(context)?;
         control.spawn_agreement(context, link, data)?;
         context.telemetry.watch(&control.agreement);
         context.telemetry.watch(&control.state);
@@ -130,6 +142,9 @@
     fn deliver(&self, effect: agreement::Effect) {
         match effect {
             agreement::Effect::Commit { index, ticket, command } => {
+                if let Some(ticket) = ticket {
+                    self.lock_decisions().remove(&ticket);
+                }
                 let Some(command) = peer::decode::<Command>(&command) else {
                     error!(index, "a command of the log can't be read, stopping the process");
                     std::process::exit(EXIT_DATA);
@@ -159,11 +174,13 @@
                 self.replies.close(ticket, Agreed::Ready);
             },
             agreement::Effect::Reject { ticket, reason } => {
+                self.dropped(ticket);
                 self.replies.close(ticket, Agreed::Rejected(reason));
             },
             agreement::Effect::Role { term, leader, leading } => {
                 info!(term, leading, leader = leader.as_ref().map(Name::as_str), "role changed");
                 *self.leader.lock().unwrap_or_else(PoisonError::into_inner) = leader;
+                self.state.push(state::Message::Lead { leading });
                 self.membership.push(membership::Message::Lead { leading });
             },
             // The driver performs these itself.
@@ -175,12 +192,18 @@
 
     fn spawn_state(&self, context: &Context, revision: watch::Sender<u64>) -> io::Result<()> {
         let (agreement, membership) = (self.agreement.clone(), self.membership.clone());
+        let scheduling = self.scheduling.clone();
         let replies = Arc::clone(&self.replies);
         let telemetry = context.telemetry.clone();
         let tick = || state::Message::Tick;
         let duty = Duty { state: State::default(), step: State::step, tick, period: TICK };
         duty.spawn(&self.state, context.clock.clone(), move |_, effect| match effect {
+            state::Effect::Schedule(message) => scheduling.push(message),
             state::Effect::Configure(config) => {
+                let services = config.services.iter();
+                let shops =
+                    services.map(|(name, spec)| (name.clone(), spec.shop.clone())).collect();
+                scheduling.push(scheduling::Message::Configure(shops));
                 revision.send_replace(config.revision);
                 telemetry.gauge("revision", config.revision);
                 membership.push(membership::Message::Configure(config));
@@ -226,6 +249,50 @@
         Ok(())
     }
 
+    fn spawn_scheduling(&self, context: &Context) -> io::Result<()> {
+        let control = self.clone();
+        let state = Scheduling::new(placement::Settings::latency());
+        let tick = || scheduling::Message::Tick;
+        let duty = Duty { state, step: Scheduling::step, tick, period: Span::millis(250) };
+        duty.spawn(&self.scheduling, context.clock.clone(), move |_, effect| match effect {
+            scheduling::Effect::Explained { ticket, text } => {
+                control.reasons.close(ticket, text);
+            },
+            scheduling::Effect::Orders { ticket, orders } => {
+                control.orders.close(ticket, Some(orders));
+            },
+            scheduling::Effect::Propose(decision) => control.decide(decision),
+            scheduling::Effect::Refuse { ticket } => {
+                control.orders.close(ticket, None);
+            },
+        })?;
+        Ok(())
+    }
+
+    /// Proposes a decision on a job; one that is not agreed is handed back to the planner.
+    fn decide(&self, decision: placement::Decision) {
+        // Nobody waits for the reply; the state tells the scheduling duty itself.
+        let (ticket, _) = self.replies.open();
+        let command = peer::encode(&Command::Run(decision.clone()));
+        let message = agreement::Message::Propose { ticket, command };
+        self.lock_decisions().insert(ticket, decision);
+        if self.agreement.offer(message).is_err() {
+            self.dropped(ticket);
+        }
+    }
+
+    /// Hands a decision back that the log did not take.
+    fn dropped(&self, ticket: u64) {
+        let decision = self.lock_decisions().remove(&ticket);
+        if let Some(decision) = decision {
+            self.scheduling.push(scheduling::Message::Dropped(decision));
+        }
+    }
+
+    fn lock_decisions(&self) -> MutexGuard<'_, BTreeMap<u64, placement::Decision>> {
+        self.decisions.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn grant(&self, command: partitions::Command) {
         // Nobody waits for the reply; the next tick proposes again what was not agreed.
         let (ticket, _) = self.replies.open();
@@ -282,6 +349,15 @@
         }
     }
 
+    /// The planner's newest reasons about a job.
+    pub(crate) async fn reasons(&self, job: Name) -> Vec<String> {
+        let (ticket, reply) = self.reasons.open();
+        if self.scheduling.offer(scheduling::Message::Explain { ticket, job }).is_err() {
+            return Vec::new();
+        }
+        reply.await.unwrap_or_default()
+    }
+
     /// Which processes are live and which revision each has in force.
     pub(crate) async fn status(&self) -> Option<Value> {
         let (ticket, reply) = self.statuses.open();
@@ -351,6 +427,16 @@
                     _ => self.refuse(),
                 }
             },
+            Request::Work(work) => {
+                let (ticket, reply) = self.orders.open();
+                let message = scheduling::Message::Work { ticket, work: *work };
+                if self.scheduling.offer(message).is_ok()
+                    && let Ok(Some(orders)) = reply.await
+                {
+                    return Reply::Orders(orders);
+                }
+                self.refuse()
+            },
             Request::Poll(poll) => {
                 // A deposed leader must not extend the leases of partitions that its successor
                 // may grant to others.
@@ -388,6 +474,7 @@
             "agreement": super::dumped(self.agreement.dump()).await,
             "state": super::dumped(self.state.dump()).await,
             "membership": super::dumped(self.membership.dump()).await,
+            "scheduling": super::dumped(self.scheduling.dump()).await,
         })
     }
 }
--- a/toucangrade/src/daemon/mod.rs
+++ b/toucangrade/src/daemon/mod.rs
@@ -11,6 +11,7 @@
 mod operator;
 mod settings;
 mod telemetry;
+mod worker;
 
 #[cfg(test)]
 mod tests;
--- a/toucangrade/src/daemon/operator.rs
+++ b/toucangrade/src/daemon/operator.rs
@@ -26,6 +26,7 @@
 use crate::http::{Handler, Inbound, Outbound, Payload};
 use crate::peer::{Reply, Request};
 use crate::resources::{self, Change, Collection, Expect, Spec, Stored};
+use crate::runs::Run;
 use crate::state::{self, Command, Query};
 
 /// Changes that wait for a slow reader of a watch stream.
@@ -124,8 +125,12 @@
         let query = Query::Get { collection, name: name.clone() };
         match self.control.query(query).await {
             Some(state::Reply::Got(Some(stored))) => {
-                let body = shown(collection, &name, &stored);
-                Ok(Outbound::json(200, &body).with_text("etag", &etag(stored.revision)))
+                let mut body = Some(shown(collection, &name, &stored));
+                if matches!(collection, Collection::Jobs | Collection::Watches) {
+                    body = self.with_run(name, body).await?;
+                }
+                Ok(Outbound::json(200, &body.unwrap_or_default())
+                    .with_text("etag", &etag(stored.revision)))
             },
             Some(state::Reply::Got(None)) => Err(missing(collection, &name)),
             _ => Err(unavailable()),
@@ -251,12 +256,31 @@
         let query = Query::Get { collection: Collection::Jobs, name: name.clone() };
         match self.control.query(query).await {
             Some(state::Reply::Got(stored)) => {
-                Ok(stored.map(|stored| shown(Collection::Jobs, &name, &stored)))
+                let declared = stored.map(|stored| shown(Collection::Jobs, &name, &stored));
+                self.with_run(name, declared).await
             },
             _ => Err(unavailable()),
         }
     }
 
+    /// Adds the executions and the outcome of a job, and why it stands where it does.
+    async fn with_run(
+        &self,
+        name: Name,
+        declared: Option<Value>,
+    ) -> Result<Option<Value>, Outbound> {
+        let Some(state::Reply::Run(run)) =
+            self.control.query(Query::Run { name: name.clone() }).await
+        else {
+            return Err(unavailable());
+        };
+        let Some(run) = run else { return Ok(declared) };
+        let mut shown = declared.unwrap_or_else(|| json!({ "name": name }));
+        shown["run"] = ran(&run);
+        shown["reasons"] = json!(self.control.reasons(name).await);
+        Ok(Some(shown))
+    }
+
     /// What went wrong in a period; without `from` the last day, without `to` until now.
     async fn review(&self, call: &Inbound) -> Result<Outbound, Outbound> {
         let now = wall_ms();
@@ -373,6 +397,23 @@
     Bytes::from(format!("{line}\n"))
 }
 
+/// Executions and outcome of a job.
+fn ran(run: &Run) -> Value {
+    let steps: Vec<Value> =
+        run.steps.iter().map(|(index, text)| json!({ "at": index, "text": text })).collect();
+    json!({
+        "fence": run.fence,
+        "workers": run.members.as_ref().map(|members| {
+            members.iter().map(|member| member.worker.clone()).collect::<Vec<_>>()
+        }),
+        "checkpoint": run.from.number,
+        "evicted": run.evicted,
+        "cancelled": run.cancelled,
+        "outcome": run.outcome,
+        "steps": steps,
+    })
+}
+
 fn claimed(claim: &Claim) -> Value {
     let verdict = match &claim.outcome {
         Some(Outcome::Ran(_) | Outcome::Dropped { .. }) => json!("ran"),
--- a/toucangrade/src/daemon/settings.rs
+++ b/toucangrade/src/daemon/settings.rs
@@ -11,6 +11,12 @@
 
 use crate::core::Name;
 
+/// Processor share that may be set, in thousandths of a core.
+const MILLICORES: std::ops::RangeInclusive<u64> = 100..=1_024_000;
+/// Memory that may be set, in megabytes.
+const MEMORY_MB: std::ops::RangeInclusive<u64> = 1..=16_000_000;
+/// Accelerators that may be set.
+const ACCELERATORS: std::ops::RangeInclusive<u64> = 0..=64;
 /// Drain timeouts that may be set, in milliseconds.
 const DRAIN_MS: RangeInclusive<u64> = 100..=600_000;
 
@@ -77,6 +83,14 @@
     /// Token that operators' writes need.
     #[serde(serialize_with = "hidden")]
     pub token: Option<String>,
+    /// Where the agent's worker listens.
+    pub worker: Option<SocketAddr>,
+    /// Processor share of the worker that jobs may use, in thousandths of a core.
+    pub millicores: u64,
+    /// Memory of the worker that jobs may use, in megabytes.
+    pub memory_mb: u64,
+    /// Accelerators of the worker.
+    pub accelerators: u64,
     /// Longest time that a drain may take, in milliseconds.
     pub drain_ms: u64,
     /// Size of the durable history of outcomes, in megabytes.
@@ -105,6 +119,10 @@
     control: Vec<String>,
     data: Option<PathBuf>,
     token: Option<String>,
+    worker: Option<SocketAddr>,
+    millicores: Option<String>,
+    memory_mb: Option<String>,
+    accelerators: Option<String>,
     drain_ms: Option<String>,
     history_mb: Option<String>,
     statsd: Option<String>,
@@ -162,6 +180,26 @@
         .argument::<String>("TOKEN")
         .optional()
         .map(|token| token.or_else(|| std::env::var("TOUCANGRADE_TOKEN").ok()));
+    let worker = long("worker")
+        .env("TOUCANGRADE_WORKER")
+        .help("Where the agent's worker listens")
+        .argument::<SocketAddr>("ADDR")
+        .optional();
+    let millicores = long("worker-millicores")
+        .env("TOUCANGRADE_WORKER_MILLICORES")
+        .help("Processor share of the worker that jobs may use, in thousandths of a core")
+        .argument::<String>("N")
+        .optional();
+    let memory_mb = long("worker-memory-mb")
+        .env("TOUCANGRADE_WORKER_MEMORY_MB")
+        .help("Memory of the worker that jobs may use, in megabytes")
+        .argument::<String>("MB")
+        .optional();
+    let accelerators = long("worker-accelerators")
+        .env("TOUCANGRADE_WORKER_ACCELERATORS")
+        .help("Accelerators of the worker")
+        .argument::<String>("N")
+        .optional();
     let drain_ms = long("drain-timeout-ms")
         .env("TOUCANGRADE_DRAIN_TIMEOUT_MS")
         .help("Longest time that a drain may take, in milliseconds; 30000 if not set")
@@ -197,6 +235,10 @@
         control,
         data,
         token,
+        worker,
+        millicores,
+        memory_mb,
+        accelerators,
         drain_ms,
         history_mb,
         statsd,
@@ -238,6 +280,28 @@
             control: parse_control(&raw.control)?,
             data: raw.data,
             token: parse_token(raw.token)?,
+            worker: raw.worker,
+            millicores: parse_number(
+                "--worker-millicores",
+                raw.millicores,
+                32_000,
+                &MILLICORES,
+                "thousandths of a core",
+            )?,
+            memory_mb: parse_number(
+                "--worker-memory-mb",
+                raw.memory_mb,
+                125_000,
+                &MEMORY_MB,
+                "MB",
+            )?,
+            accelerators: parse_number(
+                "--worker-accelerators",
+                raw.accelerators,
+                0,
+                &ACCELERATORS,
+                "accelerators",
+            )?,
             drain_ms: parse_number("--drain-timeout-ms", raw.drain_ms, 30_000, &DRAIN_MS, "ms")?,
             history_mb: parse_number("--history-mb", raw.history_mb, 1_000, &HISTORY_MB, "MB")?,
             statsd: addr("--statsd-addr", raw.statsd)?,
--- /dev/null
+++ b/toucangrade/src/daemon/worker.rs
@@ -0,0 +1,104 @@
+//! Joins the platform duty of an agent with control and, over HTTP, with its worker.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::Method;
+use serde_json::{Value, json};
+
+use super::Context;
+use super::link::Link;
+use crate::core::{Duty, Handle, Span};
+use crate::http::{Client, Exchange};
+use crate::peer::{Reply, Request};
+use crate::placement::{Instance, Size, Target};
+use crate::platform::{self, Effect, Message, Platform, Tasks};
+
+/// Longest time between two ticks.
+const TICK: Span = Span::millis(100);
+/// Time that a call to the worker may take.
+const WORKER_TIMEOUT: Span = Span::millis(1_000);
+/// Time that a reply of control may take.
+const CONTROL_TIMEOUT: Span = Span::millis(1_500);
+
+/// Starts the platform duty.
+pub(crate) fn spawn(
+    handle: &Handle<Message>,
+    context: &Context,
+    link: &Link,
+    worker: SocketAddr,
+) -> io::Result<()> {
+    let settings = &context.settings;
+    let instance = Instance {
+        centre: settings.centre.clone(),
+        name: settings.name.clone(),
+        rack: settings.rack.clone(),
+        size: Size::new(settings.millicores, settings.memory_mb, settings.accelerators),
+    };
+    let (link, tasks) = (link.clone(), handle.clone());
+    let platform = over_http(&context.client, worker);
+    let state = Tasks::new(instance, context.incarnation);
+    let duty = Duty { state, step: Tasks::step, tick: || Message::Tick, period: TICK };
+    duty.spawn(handle, context.clock.clone(), move |_, effect| match effect {
+        Effect::Begin(begin) => (platform.begin)(begin),
+        Effect::Checkpoint(target) => (platform.checkpoint)(target),
+        Effect::Poll => {
+            let tasks = tasks.clone();
+            (platform.list)(Box::new(move |listed| tasks.push(Message::Polled(listed))));
+        },
+        Effect::Stop(target) => (platform.stop)(target),
+        Effect::Throttle { share, target } => (platform.throttle)((share, target)),
+        Effect::Work { number, work } => {
+            let tasks = tasks.clone();
+            link.control(&Request::Work(Box::new(work)), CONTROL_TIMEOUT, move |reply| {
+                let orders = match reply {
+                    Some(Reply::Orders(orders)) => Some(orders),
+                    _ => None,
+                };
+                tasks.push(Message::Ordered { number, orders });
+            });
+        },
+    })?;
+    Ok(())
+}
+
+/// The functions of a worker that listens on `addr`.
+///
+/// `PUT /tasks/{job}` starts a task, `POST /tasks/{job}/checkpoint`, `/throttle` and `/stop` act on
+/// one, `GET /tasks` lists all. A call that gets lost is repeated on a later order or poll.
+fn over_http(client: &Client, addr: SocketAddr) -> Platform {
+    let call = {
+        let client = client.clone();
+        move |method: Method, path: String, body: &Value| {
+            let body = Bytes::from(body.to_string());
+            let exchange = Exchange::post(addr, path, body, WORKER_TIMEOUT).method(method);
+            client.send(exchange, |_| {});
+        }
+    };
+    let act = move |call: &dyn Fn(Method, String, &Value), action: &str, target: &Target| {
+        let path = format!("/tasks/{}/{action}", target.job);
+        call(Method::POST, path, &json!({ "fence": target.fence }));
+    };
+    let (begin, checkpoint, stop, throttle) = (call.clone(), call.clone(), call.clone(), call);
+    let client = client.clone();
+    Platform {
+        begin: Arc::new(move |task: platform::Begin| {
+            begin(Method::PUT, format!("/tasks/{}", task.job), &json!(task));
+        }),
+        checkpoint: Arc::new(move |target| act(&checkpoint, "checkpoint", &target)),
+        list: Arc::new(move |done| {
+            let exchange = Exchange::post(addr, "/tasks", Bytes::new(), WORKER_TIMEOUT);
+            client.send(exchange.method(Method::GET), move |result| {
+                let response = result.ok().filter(|response| response.status == 200);
+                done(response.and_then(|r| serde_json::from_slice(&r.body).ok()));
+            });
+        }),
+        stop: Arc::new(move |target| act(&stop, "stop", &target)),
+        throttle: Arc::new(move |(share, target)| {
+            let path = format!("/tasks/{}/throttle", target.job);
+            throttle(Method::POST, path, &json!({ "fence": target.fence, "share": share }));
+        }),
+    }
+}
--- a/toucangrade/src/lib.rs
+++ b/toucangrade/src/lib.rs
@@ -22,10 +22,13 @@
 mod partitions;
 mod peer;
 pub mod placement;
+mod platform;
 mod quota;
 mod resources;
 mod retry;
 mod routing;
+mod runs;
+mod scheduling;
 #[cfg_attr(not(test), expect(dead_code, reason = "run by tests; the command-line program follows"))]
 mod simulation;
 mod state;
--- a/toucangrade/src/peer/mod.rs
+++ b/toucangrade/src/peer/mod.rs
@@ -14,6 +14,7 @@
 use crate::history::{Event, Held, Item};
 use crate::limits::Admitted;
 use crate::membership::{Beat, Beaten, Poll, View};
+use crate::scheduling::{Order, Work};
 
 /// Path of the endpoint that takes all of these.
 pub(crate) const PATH: &str = "/peer";
@@ -46,6 +47,8 @@
     Query(Option<Question>),
     /// Start of an attempt, to an agent.
     Start(Box<Start>),
+    /// An agent's heartbeat about its worker, to control.
+    Work(Box<Work>),
     /// Durable outcomes and summaries, from an entry to control.
     Store(Vec<Item>),
 }
@@ -69,6 +72,7 @@
         leader: Option<Name>,
     },
     Operated(Box<Operated>),
+    Orders(Vec<Order>),
     Reported(Reported),
     /// The items are durable at this control instance.
     Stored,
--- a/toucangrade/src/placement/commits.rs
+++ b/toucangrade/src/placement/commits.rs
@@ -1,7 +1,7 @@
 //! Decisions that the log holds, and the starts that follow from them.
 
 use super::job::{Place, State};
-use super::message::{Checkpoint, Decision, Effect, Member, Outcome};
+use super::message::{Checkpoint, Decision, Effect, Member, Outcome, Spec};
 use super::{OUTCOMES_KEPT, Planner};
 use crate::core::{Moment, Name, Span, invariant};
 use crate::eviction::Cause;
@@ -34,6 +34,30 @@
         }
     }
 
+    /// Takes in a job of the log with the execution that stands there.
+    pub(super) fn restore(
+        &mut self,
+        now: Moment,
+        spec: Spec,
+        fence: u64,
+        from: Checkpoint,
+        members: Option<&[Member]>,
+        out: &mut Vec<Effect>,
+    ) {
+        let name = spec.name.clone();
+        self.submit(now, spec, out);
+        let Some(job) = self.jobs.get_mut(&name) else { return };
+        job.keep(from);
+        job.done = job.checkpoint.done;
+        match members {
+            Some(members) => {
+                job.fence = fence.saturating_sub(1);
+                self.assigned(now, &name, fence, from, members, out);
+            },
+            None => job.fence = fence,
+        }
+    }
+
     fn assigned(
         &mut self,
         now: Moment,
--- a/toucangrade/src/placement/message.rs
+++ b/toucangrade/src/placement/message.rs
@@ -47,6 +47,17 @@
     Rejected(Decision),
     /// A worker reports on one execution.
     Report(Report),
+    /// A job that the log holds, part of the replay; `members` is set while it has an execution.
+    Restore {
+        /// Fencing token of the newest execution, 0 when there was none.
+        fence: u64,
+        /// Newest synced checkpoint that the log holds.
+        from: Checkpoint,
+        /// Where the execution runs.
+        members: Option<Vec<Member>>,
+        /// The job.
+        spec: Spec,
+    },
     /// An operator submitted a job.
     Submit(Spec),
     /// Time has passed; expected every 250 ms.
--- a/toucangrade/src/placement/mod.rs
+++ b/toucangrade/src/placement/mod.rs
@@ -149,6 +149,9 @@
             Message::Quota(quota) => self.shares.set(&quota),
             Message::Rejected(decision) => self.rejected(now, &decision),
             Message::Report(report) => self.report(now, &report, &mut out),
+            Message::Restore { fence, from, members, spec } => {
+                self.restore(now, spec, fence, from, members.as_deref(), &mut out);
+            },
             Message::Submit(spec) => self.submit(now, spec, &mut out),
             Message::Tick if self.leading => self.tick(now, &mut out),
             Message::Tick => {},
--- a/toucangrade/src/resources/spec.rs
+++ b/toucangrade/src/resources/spec.rs
@@ -10,6 +10,7 @@
 use thiserror::Error;
 
 use crate::core::{Class, Name, Span};
+use crate::placement::{self, Size};
 
 /// Timeouts that a kind may declare, in milliseconds.
 const TIMEOUT_MS: RangeInclusive<u64> = 10..=3_600_000;
@@ -143,6 +144,40 @@
         body.unwrap_or_else(|error| Value::String(error.to_string()))
     }
 
+    /// What the planner is told of a job or watch; `None` for other resources.
+    pub(crate) fn planned(&self, name: &Name) -> Option<placement::Spec> {
+        match self {
+            Self::Job(job) => Some(placement::Spec {
+                estimate: Span::secs(job.runtime_s),
+                gang: u32::try_from(job.tasks).unwrap_or(u32::MAX),
+                home: None,
+                kind: job.kind.clone(),
+                name: name.clone(),
+                priority: u8::try_from(job.priority).unwrap_or(u8::MAX),
+                shop: job.shop.clone(),
+                size: Size::new(job.millicores, job.memory_mb, job.accelerators),
+                standing: false,
+                team: job.team.clone(),
+                urgent: job.urgent,
+            }),
+            Self::Watch(watch) => Some(placement::Spec {
+                estimate: Span::secs(1),
+                gang: 1,
+                home: None,
+                kind: watch.kind.clone(),
+                name: name.clone(),
+                // A watch has no end to wait for, so it goes before all jobs.
+                priority: u8::MAX,
+                shop: watch.shop.clone(),
+                size: Size::new(watch.millicores, watch.memory_mb, 0),
+                standing: true,
+                team: watch.shop.clone(),
+                urgent: false,
+            }),
+            Self::Quota(_) | Self::Service(_) => None,
+        }
+    }
+
     pub(crate) fn service(&self) -> Option<&ServiceSpec> {
         if let Self::Service(service) = self { Some(service) } else { None }
     }
--- /dev/null
+++ b/toucangrade/src/runs/mod.rs
@@ -0,0 +1,163 @@
+//! Agreed state of batch jobs and standing watches: executions, checkpoints and final outcomes.
+
+#[cfg(test)]
+mod tests;
+
+use std::collections::{BTreeMap, VecDeque};
+
+use serde::{Deserialize, Serialize};
+
+use crate::core::{Name, invariant};
+use crate::placement::{Cause, Checkpoint, Decision, Member, Outcome, Spec};
+
+/// Jobs with a final outcome that are kept: more than two days at 44,000 jobs a day.
+const ENDED_KEPT: usize = 100_000;
+/// Steps of one job that are kept for explanations.
+const STEPS_KEPT: usize = 64;
+
+/// Agreed state of one job.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) struct Run {
+    pub(crate) spec: Spec,
+    /// Fencing token of the newest execution.
+    pub(crate) fence: u64,
+    /// Newest synced checkpoint that the log holds.
+    pub(crate) from: Checkpoint,
+    /// Where the present execution runs; `None` while the job waits.
+    pub(crate) members: Option<Vec<Member>>,
+    pub(crate) outcome: Option<Outcome>,
+    /// Evictions of this job.
+    pub(crate) evicted: u64,
+    /// An operator deleted the job.
+    pub(crate) cancelled: bool,
+    /// Log index and sentence of each step.
+    pub(crate) steps: VecDeque<(u64, String)>,
+}
+
+/// Agreed state of all jobs.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub(crate) struct Runs {
+    runs: BTreeMap<Name, Run>,
+    ended: VecDeque<Name>,
+}
+
+impl Runs {
+    /// Takes in a declared job; a name that was used before is not run again.
+    pub(crate) fn submit(&mut self, index: u64, spec: Spec) -> bool {
+        let name = spec.name.clone();
+        if self.runs.contains_key(&name) {
+            return false;
+        }
+        let mut run = Run {
+            spec,
+            fence: 0,
+            from: Checkpoint::default(),
+            members: None,
+            outcome: None,
+            evicted: 0,
+            cancelled: false,
+            steps: VecDeque::new(),
+        };
+        run.note(index, "declared".to_owned());
+        self.runs.insert(name, run);
+        true
+    }
+
+    /// Notes that an operator deleted a job; true when it has no outcome yet.
+    pub(crate) fn cancel(&mut self, index: u64, name: &Name) -> bool {
+        let Some(run) = self.runs.get_mut(name).filter(|run| run.outcome.is_none()) else {
+            return false;
+        };
+        run.cancelled = true;
+        run.note(index, "an operator deleted it".to_owned());
+        true
+    }
+
+    /// Applies a decision of a leader; false when it came too late and has no effect.
+    ///
+    /// Leaders may propose on outdated state, so each decision has to follow from what is agreed.
+    pub(crate) fn apply(&mut self, index: u64, decision: &Decision) -> bool {
+        let name = decision.job();
+        let Some(run) = self.runs.get_mut(name).filter(|run| run.outcome.is_none()) else {
+            return false;
+        };
+        match decision {
+            Decision::Assign { fence, from, members, .. } => {
+                // The leader knows from reports or leases that the execution before has ended.
+                if *fence != run.fence + 1 || run.cancelled {
+                    return false;
+                }
+                if from.number < run.from.number {
+                    return false;
+                }
+                run.fence = *fence;
+                run.members = Some(members.clone());
+                let workers: Vec<&str> = members.iter().map(|m| m.worker.as_str()).collect();
+                let (done, at) = (from.done, workers.join(", "));
+                run.note(index, format!("execution {fence} at {at} from {done} core seconds"));
+            },
+            Decision::Evict { cause, fence, from, .. } => {
+                if run.members.is_none() || *fence != run.fence {
+                    return false;
+                }
+                run.members = None;
+                run.from = run.from.max_by_number(*from);
+                run.evicted += u64::from(evicts(*cause));
+                run.note(index, format!("execution {fence} ends, cause {cause:?}"));
+            },
+            Decision::Finish { fence, outcome, .. } => {
+                if *fence != run.fence && *outcome != Outcome::Cancelled {
+                    return false;
+                }
+                run.note(index, format!("outcome {outcome:?}"));
+                self.end(&name.clone(), outcome.clone());
+            },
+            Decision::Refuse { reason, change, .. } => {
+                if run.fence != 0 {
+                    return false;
+                }
+                run.note(index, format!("refused: {reason}; {change}"));
+                self.end(&name.clone(), Outcome::Refused);
+            },
+        }
+        true
+    }
+
+    fn end(&mut self, name: &Name, outcome: Outcome) {
+        let Some(run) = self.runs.get_mut(name) else { return };
+        invariant!(run.outcome.is_none(), "{name} has a second outcome");
+        run.outcome = Some(outcome);
+        run.members = None;
+        self.ended.push_back(name.clone());
+        if self.ended.len() > ENDED_KEPT
+            && let Some(oldest) = self.ended.pop_front()
+        {
+            self.runs.remove(&oldest);
+        }
+    }
+
+    /// The agreed state of a job.
+    pub(crate) fn get(&self, name: &Name) -> Option<&Run> {
+        self.runs.get(name)
+    }
+
+    /// Jobs that have no final outcome.
+    pub(crate) fn open(&self) -> impl Iterator<Item = &Run> {
+        self.runs.values().filter(|run| run.outcome.is_none())
+    }
+}
+
+/// Whether an execution that ended for this cause was evicted, and not lost with its worker.
+fn evicts(cause: Cause) -> bool {
+    !matches!(cause, Cause::Lost)
+}
+
+impl Run {
+    fn note(&mut self, index: u64, text: String) {
+        self.steps.push_back((index, text));
+        if self.steps.len() > STEPS_KEPT {
+            // The first step says when the job was declared.
+            self.steps.remove(1);
+        }
+    }
+}
--- /dev/null
+++ b/toucangrade/src/runs/tests.rs
@@ -0,0 +1,91 @@
+//! Tests of the agreed state of jobs.
+
+use rstest::rstest;
+
+use super::*;
+use crate::core::Span;
+use crate::placement::Size;
+
+fn name(value: &str) -> Name {
+    Name::new(value).unwrap()
+}
+
+fn spec() -> Spec {
+    Spec {
+        estimate: Span::secs(60),
+        gang: 1,
+        home: None,
+        kind: name("finish-layer"),
+        name: name("oak"),
+        priority: 1,
+        shop: name("klopca"),
+        size: Size::new(1_000, 1_000, 0),
+        standing: false,
+        team: name("nave"),
+        urgent: false,
+    }
+}
+
+fn assign(fence: u64, number: u64) -> Decision {
+    let members = vec![Member { grant: Size::new(1_000, 1_000, 0), worker: name("w1") }];
+    Decision::Assign { fence, from: Checkpoint { done: number, number }, job: name("oak"), members }
+}
+
+fn evict(fence: u64, number: u64) -> Decision {
+    let from = Checkpoint { done: number, number };
+    Decision::Evict { cause: Cause::Quick, fence, from, job: name("oak") }
+}
+
+fn finish(fence: u64, outcome: Outcome) -> Decision {
+    Decision::Finish { fence, job: name("oak"), outcome }
+}
+
+struct Case {
+    decisions: Vec<Decision>,
+    accepted: Vec<bool>,
+    fence: u64,
+    outcome: Option<Outcome>,
+}
+
+/// Guards against jobs that resume twice, lose a checkpoint or get two outcomes.
+#[rstest]
+#[case::evicted_job_resumes_once(Case {
+    decisions: vec![assign(1, 0), evict(1, 3), assign(2, 3), assign(2, 3)],
+    accepted: vec![true, true, true, false],
+    fence: 2,
+    outcome: None,
+})]
+#[case::stale_eviction(Case {
+    decisions: vec![assign(1, 0), evict(1, 3), assign(2, 3), evict(1, 3)],
+    accepted: vec![true, true, true, false],
+    fence: 2,
+    outcome: None,
+})]
+#[case::one_outcome(Case {
+    decisions: vec![assign(1, 0), finish(1, Outcome::Done), finish(1, Outcome::Cancelled)],
+    accepted: vec![true, true, false],
+    fence: 1,
+    outcome: Some(Outcome::Done),
+})]
+#[case::stale_result(Case {
+    decisions: vec![assign(1, 0), evict(1, 0), assign(2, 0), finish(1, Outcome::Done)],
+    accepted: vec![true, true, true, false],
+    fence: 2,
+    outcome: None,
+})]
+#[case::cancelled_while_waiting(Case {
+    decisions: vec![finish(0, Outcome::Cancelled), assign(1, 0)],
+    accepted: vec![true, false],
+    fence: 0,
+    outcome: Some(Outcome::Cancelled),
+})]
+fn decisions_follow_from_what_is_agreed(#[case] case: Case) {
+    let mut runs = Runs::default();
+    assert!(runs.submit(1, spec()));
+    assert!(!runs.submit(2, spec()), "a name runs once");
+    let accepted: Vec<bool> =
+        (3..).zip(&case.decisions).map(|(index, decision)| runs.apply(index, decision)).collect();
+    let run = runs.get(&name("oak")).unwrap();
+    assert_eq!(accepted, case.accepted);
+    assert_eq!((run.fence, run.outcome.clone()), (case.fence, case.outcome));
+}
--- /dev/null
+++ b/toucangrade/src/scheduling/mod.rs
@@ -0,0 +1,216 @@
+//! The leader's duty for batch jobs: joins the planner with the log and the agents of workers.
+
+mod message;
+
+#[cfg(test)]
+mod tests;
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+pub(crate) use self::message::{Effect, Message, Order, Work};
+use crate::core::{Moment, Name, Span};
+use crate::placement::{self, Instance, Planner, Settings};
+use crate::runs::Run;
+
+/// Time after its last heartbeat when a worker counts as silent.
+const SILENT: Span = Span::millis(3_000);
+/// Jobs whose newest reasons are kept.
+const REASONS_KEPT: usize = 10_000;
+
+/// A worker that an agent reports on.
+#[derive(Debug, Serialize)]
+struct Worker {
+    instance: Instance,
+    incarnation: u64,
+    seen: Moment,
+    lost: bool,
+    /// What the agent gets with its next heartbeat.
+    #[serde(skip)]
+    orders: Vec<Order>,
+}
+
+/// State of the duty. All of it is soft; the log holds what must survive.
+#[derive(Debug, Serialize)]
+pub(crate) struct Scheduling {
+    settings: Settings,
+    /// The planner, while this instance leads.
+    planner: Option<Planner>,
+    kinds: BTreeMap<Name, Name>,
+    /// Shop of each service, whose weights apply to its quick tasks.
+    shops: BTreeMap<Name, Name>,
+    workers: BTreeMap<Name, Worker>,
+    /// Newest reasons of each job.
+    reasons: BTreeMap<Name, Vec<String>>,
+}
+
+impl Scheduling {
+    /// State of an instance that doesn't lead.
+    pub(crate) fn new(settings: Settings) -> Self {
+        let (kinds, workers, reasons) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
+        let shops = BTreeMap::new();
+        Self { settings, planner: None, kinds, shops, workers, reasons }
+    }
+
+    /// Handles one message.
+    pub(crate) fn step(&mut self, now: Moment, message: Message) -> Vec<Effect> {
+        match message {
+            Message::Cancel(job) => self.plan(now, placement::Message::Cancel { job }),
+            Message::Configure(shops) => {
+                self.shops = shops;
+                Vec::new()
+            },
+            Message::Decided { decision, accepted: true } => {
+                self.plan(now, placement::Message::Committed(decision))
+            },
+            Message::Decided { decision, .. } | Message::Dropped(decision) => {
+                self.plan(now, placement::Message::Rejected(decision))
+            },
+            Message::Explain { ticket, job } => {
+                let text = self.reasons.get(&job).cloned().unwrap_or_default();
+                vec![Effect::Explained { ticket, text }]
+            },
+            Message::Follow => {
+                self.planner = None;
+                self.workers.clear();
+                Vec::new()
+            },
+            Message::Lead(runs) => self.lead(now, runs),
+            Message::Submit(run) => {
+                self.kinds.insert(run.spec.name.clone(), run.spec.kind.clone());
+                self.plan(now, placement::Message::Submit(run.spec))
+            },
+            Message::Tick => self.tick(now),
+            Message::Work { ticket, work } => self.work(now, ticket, work),
+        }
+    }
+
+    /// Rebuilds the planner from what the log holds.
+    fn lead(&mut self, now: Moment, runs: Vec<Run>) -> Vec<Effect> {
+        self.workers.clear();
+        self.kinds.clear();
+        self.planner = Some(Planner::new(self.settings.clone()));
+        let cancelled: Vec<Name> =
+            runs.iter().filter(|run| run.cancelled).map(|run| run.spec.name.clone()).collect();
+        let mut effects = Vec::new();
+        for Run { spec, fence, from, members, .. } in runs {
+            self.kinds.insert(spec.name.clone(), spec.kind.clone());
+            let restore = placement::Message::Restore { fence, from, members, spec };
+            effects.extend(self.plan(now, restore));
+        }
+        effects.extend(self.plan(now, placement::Message::Lead));
+        for job in cancelled {
+            effects.extend(self.plan(now, placement::Message::Cancel { job }));
+        }
+        effects
+    }
+
+    fn work(&mut self, now: Moment, ticket: u64, work: Work) -> Vec<Effect> {
+        if self.planner.is_none() {
+            return vec![Effect::Refuse { ticket }];
+        }
+        let Work { instance, incarnation, mut quick, reports, usage, latency, probed } = work;
+        let name = instance.name.clone();
+        let known = self.workers.get(&name);
+        let same = known.is_some_and(|worker| {
+            !worker.lost && worker.instance == instance && worker.incarnation == incarnation
+        });
+        let orders = self.workers.remove(&name).map(|worker| worker.orders).unwrap_or_default();
+        let worker =
+            Worker { instance: instance.clone(), incarnation, seen: now, lost: false, orders };
+        self.workers.insert(name.clone(), worker);
+        for task in &mut quick {
+            if let Some(shop) = self.shops.get(&task.service) {
+                task.shop = shop.clone();
+            }
+        }
+        let mut effects = Vec::new();
+        if !same {
+            effects.extend(self.plan(now, placement::Message::Worker(instance)));
+        }
+        let tasks = placement::Message::Quick { tasks: quick, worker: name.clone() };
+        effects.extend(self.plan(now, tasks));
+        for report in reports {
+            effects.extend(self.plan(now, placement::Message::Report(report)));
+        }
+        for report in latency {
+            effects.extend(self.plan(now, placement::Message::Latency(report)));
+        }
+        if let Some(usage) = usage {
+            effects.extend(self.plan(now, placement::Message::Usage(usage)));
+        }
+        if let Some(healthy) = probed {
+            let message = placement::Message::Probed { healthy, worker: name.clone() };
+            effects.extend(self.plan(now, message));
+        }
+        let worker = self.workers.get_mut(&name);
+        let orders = worker.map(|w| std::mem::take(&mut w.orders)).unwrap_or_default();
+        effects.push(Effect::Orders { ticket, orders });
+        effects
+    }
+
+    fn tick(&mut self, now: Moment) -> Vec<Effect> {
+        let mut silent = Vec::new();
+        for (name, worker) in &mut self.workers {
+            if !worker.lost && now.since(worker.seen) > SILENT {
+                worker.lost = true;
+                worker.orders.clear();
+                silent.push((name.clone(), now.since(worker.seen)));
+            }
+        }
+        let mut effects = Vec::new();
+        for (worker, silent) in silent {
+            effects.extend(self.plan(now, placement::Message::Lost { silent, worker }));
+        }
+        effects.extend(self.plan(now, placement::Message::Tick));
+        effects
+    }
+
+    /// Has the planner decide, and sorts what it asks for.
+    fn plan(&mut self, now: Moment, message: placement::Message) -> Vec<Effect> {
+        let Some(planner) = &mut self.planner else { return Vec::new() };
+        let mut effects = Vec::new();
+        for effect in planner.step(now, message) {
+            match effect {
+                placement::Effect::Propose(decision) => effects.push(Effect::Propose(decision)),
+                placement::Effect::Explain(record) => self.note(&record),
+                placement::Effect::Checkpoint(target) => {
+                    self.order(&target.worker.clone(), Order::Checkpoint(target));
+                },
+                placement::Effect::Probe { worker } => self.order(&worker, Order::Probe),
+                placement::Effect::Quarantine { wait, worker } => {
+                    tracing::warn!(%worker, wait_ms = wait.as_millis(), "worker quarantined");
+                },
+                placement::Effect::Start { from, grant, lease, target } => {
+                    let Some(kind) = self.kinds.get(&target.job).cloned() else { continue };
+                    let worker = target.worker.clone();
+                    self.order(&worker, Order::Start { kind, from, grant, lease, target });
+                },
+                placement::Effect::Stop(target) => {
+                    self.order(&target.worker.clone(), Order::Stop(target));
+                },
+                placement::Effect::Throttle { share, target } => {
+                    self.order(&target.worker.clone(), Order::Throttle { share, target });
+                },
+            }
+        }
+        effects
+    }
+
+    /// Keeps an order for the worker's next heartbeat; the planner repeats what gets lost.
+    fn order(&mut self, worker: &Name, order: Order) {
+        if let Some(worker) = self.workers.get_mut(worker)
+            && !worker.orders.contains(&order)
+        {
+            worker.orders.push(order);
+        }
+    }
+
+    fn note(&mut self, record: &placement::Record) {
+        if self.reasons.len() >= REASONS_KEPT {
+            self.reasons.pop_first();
+        }
+        self.reasons.insert(record.job.clone(), message::sentences(record));
+    }
+}
--- a/toucangrade/src/simulation/control.rs
+++ b/toucangrade/src/simulation/control.rs
@@ -146,7 +146,9 @@
                         self.reply(Node::Control, ticket, Ok(Reply::Claimed(reply)));
                     }
                 },
-                state::Effect::Reply { .. } | state::Effect::Snapshot { .. } => {},
+                state::Effect::Reply { .. }
+                | state::Effect::Schedule(_)
+                | state::Effect::Snapshot { .. } => {},
             }
         }
     }
--- a/toucangrade/src/state/message.rs
+++ b/toucangrade/src/state/message.rs
@@ -7,7 +7,8 @@
 use crate::membership::Config;
 use crate::partitions::Partitions;
 use crate::resources::{Change, Collection, Stored};
-use crate::{claims, partitions, resources};
+use crate::runs::Run;
+use crate::{claims, partitions, placement, resources, scheduling};
 
 /// Command in the log.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -15,6 +16,7 @@
     Claim(claims::Command),
     Partition(partitions::Command),
     Resource(resources::Command),
+    Run(placement::Decision),
 }
 
 /// Question about the agreed state.
@@ -28,6 +30,8 @@
     Open { partitions: Vec<u32>, after: Option<(u32, Key)> },
     /// One resource.
     Get { collection: Collection, name: Name },
+    /// The agreed state of a job.
+    Run { name: Name },
     /// All resources of a collection.
     List { collection: Collection },
 }
@@ -41,6 +45,9 @@
     Claimed(claims::Reply),
     Got(Option<Stored>),
     Granted,
+    /// A decision of the leader was looked at; scheduling is told whether it is in force.
+    Decided,
+    Run(Option<Box<Run>>),
     Listed(Vec<(Name, Stored)>),
     Open(Vec<(Key, claims::Claim)>),
     Written(resources::Reply),
@@ -53,6 +60,8 @@
     Apply { index: u64, ticket: Option<u64>, command: Command },
     /// A snapshot of another replica replaces the state.
     Install { index: u64, machine: Box<Machine> },
+    /// This instance began or ceased to lead.
+    Lead { leading: bool },
     /// Someone asks about the agreed state.
     Query { ticket: u64, query: Query },
     /// Time passed.
@@ -68,6 +77,8 @@
     Partitions(Partitions),
     /// The log up to this index can be replaced by this state.
     Snapshot { index: u64, machine: Box<Machine> },
+    /// A message for the scheduling duty.
+    Schedule(scheduling::Message),
     /// Replies to who proposed the command or asked.
     Reply { ticket: u64, reply: Reply },
 }
--- a/toucangrade/src/state/mod.rs
+++ b/toucangrade/src/state/mod.rs
@@ -9,10 +9,12 @@
 
 pub(crate) use self::message::{Command, Effect, Message, Query, Reply};
 use crate::claims::Claims;
-use crate::core::Moment;
+use crate::core::{Moment, Name};
 use crate::membership::Config;
 use crate::partitions::Partitions;
-use crate::resources::Resources;
+use crate::resources::{Collection, Resources, Spec};
+use crate::runs::Runs;
+use crate::scheduling;
 
 /// Commands between two snapshots.
 const SNAPSHOT_EVERY: u64 = 5_000;
@@ -24,6 +26,32 @@
     resources: Resources,
     partitions: Partitions,
     claims: Claims,
+    runs: Runs,
+}
+
+impl Machine {
+    /// What a change of a job or watch means for scheduling.
+    fn schedule(
+        &mut self,
+        index: u64,
+        collection: Collection,
+        name: &Name,
+        spec: Option<&Spec>,
+    ) -> Option<scheduling::Message> {
+        if !matches!(collection, Collection::Jobs | Collection::Watches) {
+            return None;
+        }
+        let Some(spec) = spec else {
+            return self
+                .runs
+                .cancel(index, name)
+                .then(|| scheduling::Message::Cancel(name.clone()));
+        };
+        let spec = spec.planned(name)?;
+        self.runs.submit(index, spec);
+        let run = self.runs.get(name).filter(|run| run.outcome.is_none())?;
+        Some(scheduling::Message::Submit(run.clone()))
+    }
 }
 
 /// State of the duty.
@@ -32,6 +60,7 @@
     machine: Machine,
     /// Log index of the newest snapshot.
     snapshot: u64,
+    leading: bool,
 }
 
 impl State {
@@ -40,6 +69,7 @@
         match message {
             Message::Apply { index, ticket, command } => self.apply(index, ticket, command),
             Message::Install { index, machine } => self.install(index, *machine),
+            Message::Lead { leading } => self.lead(leading),
             Message::Query { ticket, query } => {
                 vec![Effect::Reply { ticket, reply: self.query(query) }]
             },
@@ -61,10 +91,22 @@
                 effects.push(Effect::Partitions(machine.partitions.clone()));
                 Reply::Granted
             },
+            Command::Run(decision) => {
+                let accepted = machine.runs.apply(index, &decision);
+                if self.leading {
+                    let decided = scheduling::Message::Decided { decision, accepted };
+                    effects.push(Effect::Schedule(decided));
+                }
+                Reply::Decided
+            },
             Command::Resource(command) => {
                 let before = machine.resources.revision();
+                let (collection, name) = (command.collection, command.name.clone());
+                let spec = command.spec.clone();
                 let reply = machine.resources.apply(index, command);
                 if machine.resources.revision() != before {
+                    let message = machine.schedule(index, collection, &name, spec.as_ref());
+                    effects.extend(message.filter(|_| self.leading).map(Effect::Schedule));
                     effects.push(Effect::Configure(self.config()));
                 }
                 Reply::Written(reply)
@@ -79,6 +121,20 @@
         effects
     }
 
+    /// Tells the scheduling duty what the log holds when this instance begins to lead.
+    fn lead(&mut self, leading: bool) -> Vec<Effect> {
+        if leading == self.leading {
+            return Vec::new();
+        }
+        self.leading = leading;
+        let message = if leading {
+            scheduling::Message::Lead(self.machine.runs.open().cloned().collect())
+        } else {
+            scheduling::Message::Follow
+        };
+        vec![Effect::Schedule(message)]
+    }
+
     fn install(&mut self, index: u64, machine: Machine) -> Vec<Effect> {
         self.machine = machine;
         self.snapshot = index;
@@ -93,6 +149,7 @@
             Query::Open { partitions, after } => {
                 Reply::Open(self.machine.claims.open_of(&partitions, after.as_ref()))
             },
+            Query::Run { name } => Reply::Run(self.machine.runs.get(&name).cloned().map(Box::new)),
             Query::Get { collection, name } => {
                 Reply::Got(resources.get(collection, &name).cloned())
             },
