--- a/toucangrade/benches/fake/mod.rs
+++ b/toucangrade/benches/fake/mod.rs
@@ -318,18 +318,6 @@
                 assert!(!double, "{} runs in two places", target.job);
                 let lease = lease.as_micros() as f64 / 1e6;
                 let job = self.jobs.get_mut(&target.job).unwrap();
-                if i == 7 {
-                    eprintln!(
-                        "{} START {target:?} {grant:?} free {}",
-                        self.step,
-                        serde_json::to_value(&self.planner).unwrap()["workers"]
-                            .as_array()
-                            .unwrap()
-                            .iter()
-                            .find(|w| w["info"]["name"] == "worker-7")
-                            .unwrap()["tasks"]
-                    );
-                }
                 let report = self.workers[i].start(&target, &job.hidden, from, grant, lease);
                 if !job.started {
                     job.started = true;
--- a/toucangrade/src/placement/commits.rs
+++ b/toucangrade/src/placement/commits.rs
@@ -116,7 +116,6 @@
             if let Some(task) = worker.task(name.as_str())
                 && alive
                 && !task.confirmed
-                && !task.replayed
                 && task.sent.is_none_or(|at| at + RESEND <= now)
             {
                 task.sent = Some(now);
--- a/toucangrade/src/placement/tests.rs
+++ b/toucangrade/src/placement/tests.rs
@@ -478,6 +478,23 @@
     assert!(free, "room is still held");
 }
 
+/// Guards against a completion that was proposed before a cancellation and overrides it.
+#[test]
+fn an_outcome_in_the_log_is_final_while_the_execution_still_ends() {
+    let mut world = World::new(2);
+    world.submit(spec("j", 4));
+    let target = world.run("j", 1);
+    world.tell(Message::Cancel { job: name("j") });
+    let (fence, job, outcome) = (target.fence, name("j"), Outcome::Done);
+    world.tell(Message::Committed(Decision::Finish {
+        fence,
+        job,
+        outcome,
+    }));
+    assert_eq!(world.outcome("j"), Some(Outcome::Cancelled));
+    assert_eq!(world.planner.counts().ended, 1);
+}
+
 /// Guards against a late completion of a silent worker that meets the resumption of its job.
 #[test]
 fn a_completion_during_the_wait_for_a_lease_ends_the_job() {
--- a/toucangrade/src/placement/tests/order.rs
+++ b/toucangrade/src/placement/tests/order.rs
@@ -200,6 +200,50 @@
     }
 }
 
+/// Guards against a late report that is blamed on what runs when it arrives.
+#[test]
+fn a_late_report_is_joined_with_what_ran_when_it_was_measured() {
+    let mut world = World::new(1);
+    suffer(&mut world, 1.0, 1);
+    world.submit(Spec {
+        kind: name("early"),
+        ..spec("a", 6)
+    });
+    world.ticks(40);
+    let target = world.run("a", 1);
+    world.report(&target, Event::Finished);
+    world.submit(Spec {
+        kind: name("late"),
+        ..spec("b", 6)
+    });
+    world.run("b", 1);
+    world.ticks(8);
+    // All reports were measured while only the early kind ran.
+    for _ in 0..30 {
+        world.tell(Message::Latency(Latency {
+            from: Span::secs(7),
+            kind: name("quote"),
+            ratio: 2.0,
+            service: name("balcao"),
+            until: Span::millis(2_500),
+            worker: worker(0),
+        }));
+    }
+    let (early, late) = (name("early"), name("late"));
+    let model = &mut world.planner.model;
+    let (early, late) = (model.kind(&early), model.kind(&late));
+    assert!(
+        model.slope(0, early).mean > 2.0,
+        "{:?}",
+        model.slope(0, early)
+    );
+    assert!(
+        model.slope(0, late).error >= 1.0,
+        "{:?}",
+        model.slope(0, late)
+    );
+}
+
 struct Sizing {
     used: Size,
     grant: Size,
