--- a/toucangrade/src/placement/runs.rs
+++ b/toucangrade/src/placement/runs.rs
@@ -110,7 +110,7 @@
             if proposal {
                 invariant!(
                     member.grant.fits(worker.free())
-                        && (worker.reserved() + member.grant).fits(worker.info.size),
+                        && member.grant.fits(worker.info.size - worker.reserved()),
                     "{name} needs {:?} on {}, free are {:?}",
                     member.grant,
                     member.worker,
--- a/toucangrade/src/placement/tests.rs
+++ b/toucangrade/src/placement/tests.rs
@@ -364,6 +364,30 @@
     assert!(effects.iter().any(cancelled), "the cancellation is lost");
 }
 
+/// Guards against a stop of the process when a replay holds executions that ended and whose
+/// accelerators were given out again.
+#[test]
+fn a_job_without_accelerators_starts_beside_a_replay_that_overfills_them() {
+    let mut world = World::new(1);
+    world.planner.leading = false;
+    for job in ["a", "b", "c"] {
+        world.tell(Message::Submit(spec(job, 1)));
+        let grant = Size::new(1_000, 1_000, 1);
+        world.tell(Message::Committed(Decision::Assign {
+            fence: 1,
+            from: Checkpoint::default(),
+            job: name(job),
+            members: vec![Member {
+                grant,
+                worker: worker(0),
+            }],
+        }));
+    }
+    world.tell(Message::Lead);
+    world.submit(spec("j", 4));
+    assert_eq!(world.starts("j").len(), 1);
+}
+
 struct Failing {
     /// Workers that fail all tasks.
     rotten: usize,
