--- a/toucangrade/src/placement/tests.rs
+++ b/toucangrade/src/placement/tests.rs
@@ -327,6 +327,30 @@
     assert!(effects.iter().any(cancelled), "the cancellation is lost");
 }
 
+/// Guards against a stop of the process when a replay holds executions that ended and whose
+/// accelerators were given out again.
+#[test]
+fn a_job_without_accelerators_starts_beside_a_replay_that_overfills_them() {
+    let mut world = World::new(1);
+    world.planner.leading = false;
+    for job in ["a", "b", "c"] {
+        world.tell(Message::Submit(spec(job, 1)));
+        let grant = Size::new(1_000, 1_000, 1);
+        world.tell(Message::Committed(Decision::Assign {
+            fence: 1,
+            from: Checkpoint::default(),
+            job: name(job),
+            members: vec![Member {
+                grant,
+                worker: worker(0),
+            }],
+        }));
+    }
+    world.tell(Message::Lead);
+    world.submit(spec("j", 4));
+    assert_eq!(world.starts("j").len(), 1);
+}
+
 struct Failing {
     /// Workers that fail all tasks.
     rotten: usize,
@@ -421,6 +445,23 @@
     assert!(free, "room is still held");
 }
 
+/// Guards against a completion that was proposed before a cancellation and overrides it.
+#[test]
+fn an_outcome_in_the_log_is_final_while_the_execution_still_ends() {
+    let mut world = World::new(2);
+    world.submit(spec("j", 4));
+    let target = world.run("j", 1);
+    world.tell(Message::Cancel { job: name("j") });
+    let (fence, job, outcome) = (target.fence, name("j"), Outcome::Done);
+    world.tell(Message::Committed(Decision::Finish {
+        fence,
+        job,
+        outcome,
+    }));
+    assert_eq!(world.outcome("j"), Some(Outcome::Cancelled));
+    assert_eq!(world.planner.counts().ended, 1);
+}
+
 /// Guards against a late completion of a silent worker that meets the resumption of its job.
 #[test]
 fn a_completion_during_the_wait_for_a_lease_ends_the_job() {
