Close peers' connections while a process drains

Cause: a server stops once its connections end, and entries send outcomes and polls to control so often that theirs never became idle, so a control instance took long to drain and a start on its ports failed until then.

Change: responses on the peer port carry Connection: close once the process was told to end.

--- a/toucangrade/src/daemon/mod.rs
+++ b/toucangrade/src/daemon/mod.rs
@@ -241,8 +241,9 @@
             let drained = drain(&settings, &draining, &call);
             return Box::pin(async move { drained });
         }
+        let leaving = draining.load(Ordering::Relaxed);
         Box::pin(async move {
-            match (&call.method, call.path.as_str()) {
+            let outbound = match (&call.method, call.path.as_str()) {
                 (&Method::GET, "/dump") => dump.serve().await,
                 (&Method::POST, peer::PATH) => match peer::decode(&call.body) {
                     Some(request) => {
@@ -252,7 +253,10 @@
                     None => Outbound::new(400, "not a message of this protocol"),
                 },
                 _ => not_found(),
-            }
+            };
+            // The server stops once its connections end, and peers send too often for them to
+            // become idle.
+            if leaving { outbound.with_text("connection", "close") } else { outbound }
         })
     })
 }
