End watch streams when control drains

Cause: a server waits for its open streams, and a watch stream ends only with its reader, so one open watch held a drain up until the server's own limit of 30 s.

Change: a quiet watch stream looks once a second at whether the process drains and then ends; its reader resumes at another instance. A test counts answers from the HTTP workers to their handover.

--- a/toucangrade/src/daemon/operator.rs
+++ b/toucangrade/src/daemon/operator.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -30,8 +30,10 @@
 
 /// Changes that wait for a slow reader of a watch stream.
 const WATCH_QUEUE: usize = 64;
-/// Time after which a quiet watch stream sends an empty line, when asked to.
-const WATCH_BEAT: Duration = Duration::from_secs(5);
+/// Time between two looks of a quiet watch stream at whether the process drains.
+const WATCH_LOOK: Duration = Duration::from_secs(1);
+/// Looks after which a quiet watch stream sends an empty line, when asked to.
+const WATCH_BEAT: u32 = 5;
 /// Period of a review that names none, in milliseconds.
 const DAY_MS: u64 = 86_400_000;
 /// Time that an entry's explanation may take.
@@ -170,6 +172,7 @@
         let (sender, receiver) = mpsc::channel(WATCH_QUEUE);
         let operator = self.clone();
         tokio::task::spawn_local(async move {
+            let mut quiet = 0;
             loop {
                 for change in changes {
                     since = change.revision;
@@ -178,15 +181,20 @@
                     }
                 }
                 let (changed, closed) = (pin!(newest.changed()), pin!(sender.closed()));
-                match tokio::time::timeout(WATCH_BEAT, select(changed, closed)).await {
+                match tokio::time::timeout(WATCH_LOOK, select(changed, closed)).await {
                     Ok(Either::Left((Ok(()), _))) => {},
                     Ok(Either::Left((Err(_), _)) | Either::Right(_)) => return,
-                    Err(_) if beat => {
-                        if sender.send(Bytes::from_static(b"\n")).await.is_err() {
+                    // The reader resumes at another instance; the server waits for open streams.
+                    Err(_) if operator.draining.load(Ordering::Relaxed) => return,
+                    Err(_) => {
+                        quiet += 1;
+                        let line = Bytes::from_static(b"\n");
+                        if beat && quiet % WATCH_BEAT == 0 && sender.send(line).await.is_err() {
                             return;
                         }
+                        changes = Vec::new();
+                        continue;
                     },
-                    Err(_) => {},
                 }
                 // A stream that fell behind the compaction ends, and its reader resumes with 410.
                 let Ok(next) = operator.changes(since).await else { return };
--- a/toucangrade/src/metrics/tests.rs
+++ b/toucangrade/src/metrics/tests.rs
@@ -103,3 +103,42 @@
     assert_eq!(loads(5), ["duty.limits.waiting 1g", "duty.limits.shed 5c", "flush"]);
     assert_eq!(loads(7), ["duty.limits.waiting 1g", "duty.limits.shed 2c", "flush"]);
 }
+
+/// Guards against answers that are lost or counted twice on their way from the HTTP workers.
+#[test]
+fn workers_hand_over_what_they_counted() {
+    use std::net::TcpListener;
+    use std::sync::{Arc, mpsc};
+    use std::time::Duration;
+
+    use bytes::Bytes;
+
+    use crate::core::Clock;
+    use crate::http::{Client, Exchange, Outbound, Server};
+
+    let (sender, counted) = mpsc::channel();
+    let answers = Answers::new(Clock::system(), move |counted| sender.send(counted).unwrap());
+    let handler: crate::http::Handler = Arc::new(move |call| {
+        let answers = answers.clone();
+        Box::pin(async move {
+            let began = answers.begin();
+            let result = if call.body.is_empty() { "not-run queue-full" } else { "ran" };
+            answers.end(began, &name("balcao"), &name("quote"), result);
+            Outbound::new(200, "")
+        })
+    });
+    let server = Server::start(TcpListener::bind("127.0.0.1:0").unwrap(), 2, handler).unwrap();
+    let client = Client::start().unwrap();
+    for n in 0..300 {
+        let body = if n % 3 == 0 { Bytes::new() } else { Bytes::from_static(b"x") };
+        client.call(Exchange::post(server.addr, "/quote", body, Span::secs(30))).unwrap();
+    }
+    let mut total = Tally::default();
+    while total.len() < 300 {
+        for (_, _, summary) in counted.recv_timeout(Duration::from_secs(30)).unwrap() {
+            total.merge(&summary);
+        }
+    }
+    let counts: Vec<_> = total.counts().iter().map(|(r, n)| (r.as_str(), *n)).collect();
+    assert_eq!(counts, [("not-run queue-full", 100), ("ran", 200)]);
+}
