--- a/toucangrade/src/claims/tests.rs
+++ b/toucangrade/src/claims/tests.rs
@@ -90,6 +90,10 @@
     commands: vec![(1, attempt(1, "d")), (1, settle(1, 1)), (1, attempt(1, "d")), (1, settle(1, 1))],
     replies: vec!["granted 1", "done", "stands settled", "stands settled"],
 })]
+#[case::settled_under_its_own_fence_only(Case {
+    commands: vec![(1, attempt(1, "d")), (1, settle(1, 9)), (1, settle(1, 1))],
+    replies: vec!["granted 1", "stands granted", "done"],
+})]
 #[case::old_owner_is_refused(Case {
     commands: vec![(2, attempt(1, "d")), (2, attempt(2, "d")), (2, settle(1, 2))],
     replies: vec!["outdated", "granted 2", "outdated"],
--- a/toucangrade/src/simulation/mod.rs
+++ b/toucangrade/src/simulation/mod.rs
@@ -25,6 +25,9 @@
 /// Time in which everything must settle once faults stop, in microseconds: the longest lease, the
 /// time for which an owner asks about a lost attempt, and the leases of partitions.
 const SETTLE: u64 = 100_000_000;
+/// Subjects that callers ask for again: those of the last 10 s, in which a partition passes to a
+/// new owner while an execution of the old one still runs.
+const RECENT: usize = 200;
 /// Requests that one run submits at most, so that its memory is bounded.
 const SUBMISSIONS: usize = 200_000;
 
@@ -90,7 +93,7 @@
 
 impl Driver {
     fn new(seed: u64) -> Self {
-        let world = World::new(seed, 3, 3, 2);
+        let world = World::new(seed, 3, 3, 5);
         Self { world, report: Report { seed, ..Report::default() }, recent: Vec::new() }
     }
 
@@ -149,7 +152,7 @@
         let entry = self.world.rng.random_range(0..3);
         self.world.submit(subject, entry);
         self.recent.push(subject);
-        if self.recent.len() > 12 {
+        if self.recent.len() > RECENT {
             self.recent.remove(0);
         }
     }
@@ -159,7 +162,16 @@
         if self.recent.is_empty() {
             return;
         }
-        let subject = self.recent[self.world.rng.random_range(0..self.recent.len())];
+        // Callers ask most for what still runs, and those faults are the ones to find.
+        let subjects = &self.world.truth.subjects;
+        let open = |subject: &&usize| subjects[**subject].runs.iter().any(|r| r.until.is_none());
+        let running: Vec<usize> = self.recent.iter().filter(open).copied().collect();
+        let among = match self.world.rng.random_range(0..3) {
+            0 if !running.is_empty() => &running[..],
+            1 => &self.recent[self.recent.len().saturating_sub(12)..],
+            _ => &self.recent[..],
+        };
+        let subject = among[self.world.rng.random_range(0..among.len())];
         // A caller that sent no key can only ask again once it was told the key.
         if self.world.truth.subjects[subject].key.is_none() {
             return;
@@ -204,7 +216,7 @@
             0 => self.world.kill_runner(index),
             1 | 2 => self.world.runners[index].up = true,
             3 => {
-                let slots = self.world.rng.random_range(1..=3);
+                let slots = self.world.rng.random_range(1..=5);
                 let connections = slots + self.world.rng.random_range(0..=6);
                 let runner = &mut self.world.runners[index];
                 (runner.slots, runner.connections) = (slots, connections);
