Record that a copy of a start may be denied by a restarted agent

An agent that answered Forgotten instead would be certain, but every order that reaches a freshly restarted agent would end as may-have-run.

--- a/toucangrade/src/simulation/tests/mod.rs
+++ b/toucangrade/src/simulation/tests/mod.rs
@@ -33,3 +33,10 @@
 fn a_seed_gives_the_same_run() {
     assert_eq!(run(7, 20_000), run(7, 20_000));
 }
+
+/// Guards against a verdict of not-run from a restarted agent while an earlier copy of the start
+/// ran at its predecessor.
+#[test]
+fn copy_of_a_start_reaches_a_restarted_agent() {
+    run(20_024, STEPS);
+}
