--- a/toucangrade/src/eviction/mod.rs
+++ b/toucangrade/src/eviction/mod.rs
@@ -115,12 +115,6 @@
         self.check();
     }
 
-    /// Evictions for a cause.
-    #[cfg(test)]
-    pub(crate) fn count(&self, cause: Cause) -> u64 {
-        self.causes.get(&cause).copied().unwrap_or(0)
-    }
-
     fn check(&self) {
         invariant!(
             self.evicted == self.resumed + self.ended + self.open.len() as u64,
--- a/toucangrade/src/interference/mod.rs
+++ b/toucangrade/src/interference/mod.rs
@@ -151,12 +151,6 @@
             })
             .sum()
     }
-
-    /// Number of samples taken in.
-    #[cfg(test)]
-    pub(crate) const fn samples(&self) -> u64 {
-        self.samples
-    }
 }
 
 impl Table {
--- a/toucangrade/src/placement/tests.rs
+++ b/toucangrade/src/placement/tests.rs
@@ -340,10 +340,7 @@
             fence: 1,
             from: Checkpoint::default(),
             job: name(job),
-            members: vec![Member {
-                grant,
-                worker: worker(0),
-            }],
+            members: vec![Member { grant, worker: worker(0) }],
         }));
     }
     world.tell(Message::Lead);
@@ -453,11 +450,7 @@
     let target = world.run("j", 1);
     world.tell(Message::Cancel { job: name("j") });
     let (fence, job, outcome) = (target.fence, name("j"), Outcome::Done);
-    world.tell(Message::Committed(Decision::Finish {
-        fence,
-        job,
-        outcome,
-    }));
+    world.tell(Message::Committed(Decision::Finish { fence, job, outcome }));
     assert_eq!(world.outcome("j"), Some(Outcome::Cancelled));
     assert_eq!(world.planner.counts().ended, 1);
 }
--- a/toucangrade/src/placement/tests/order.rs
+++ b/toucangrade/src/placement/tests/order.rs
@@ -173,17 +173,11 @@
 fn a_late_report_is_joined_with_what_ran_when_it_was_measured() {
     let mut world = World::new(1);
     suffer(&mut world, 1.0, 1);
-    world.submit(Spec {
-        kind: name("early"),
-        ..spec("a", 6)
-    });
+    world.submit(Spec { kind: name("early"), ..spec("a", 6) });
     world.ticks(40);
     let target = world.run("a", 1);
     world.report(&target, Event::Finished);
-    world.submit(Spec {
-        kind: name("late"),
-        ..spec("b", 6)
-    });
+    world.submit(Spec { kind: name("late"), ..spec("b", 6) });
     world.run("b", 1);
     world.ticks(8);
     // All reports were measured while only the early kind ran.
@@ -200,16 +194,8 @@
     let (early, late) = (name("early"), name("late"));
     let model = &mut world.planner.model;
     let (early, late) = (model.kind(&early), model.kind(&late));
-    assert!(
-        model.slope(0, early).mean > 2.0,
-        "{:?}",
-        model.slope(0, early)
-    );
-    assert!(
-        model.slope(0, late).error >= 1.0,
-        "{:?}",
-        model.slope(0, late)
-    );
+    assert!(model.slope(0, early).mean > 2.0, "{:?}", model.slope(0, early));
+    assert!(model.slope(0, late).error >= 1.0, "{:?}", model.slope(0, late));
 }
 
 struct Sizing {
--- a/toucangrade/src/quota/mod.rs
+++ b/toucangrade/src/quota/mod.rs
@@ -114,10 +114,4 @@
         let waiting = self.teams.get(team).map(|team| &team.waiting);
         waiting.into_iter().flatten().take(count).map(|ticket| ticket.job.clone()).collect()
     }
-
-    /// Number of waiting jobs.
-    #[cfg(test)]
-    pub(crate) fn waiting(&self) -> usize {
-        self.teams.values().map(|team| team.waiting.len()).sum()
-    }
 }
