Refuse answers without a length, settle large ones, release unused picks

Cause: an answer without content-length or chunking passed as whole when its connection closed (found by a raw socket test); an answer above the log's limit of 1 MiB a command was never settled; an agent that routing chose and that got nothing kept a place in the entry's count of open attempts; the path "/" was not served. Change: such answers are lost answers; answers above 512 KiB are settled without their body and given to the callers that wait; execution tells routing of unused picks; the server also takes "/". Before: 1 of 7 cut answers passed as whole. After: 0 of 7; unit cases for each but the unused pick, which the simulation runs through.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -111,7 +111,7 @@
         echo "BACKEND_$n=$addr" >>"$dir/addrs"
         command_of "$dir" "agent_$n" "$bin/toucangraded" --role agent --name "a$n" \
             --centre "${centres[n - 1]}" --control "$list" --peer-addr "$peer" \
-            --announce-addr "$announce" --worker "$worker" --worker-millicores 4000
+            --announce-addr "$announce" --worker "$worker"
         launch "$dir" "agent_$n"
         echo "WORKER_$n=$worker" >>"$dir/addrs"
         command_of "$dir" "worker_$n" "$bin/toucangrade_worker" --addr "$worker" \
--- a/toucangrade/src/bench/model.rs
+++ b/toucangrade/src/bench/model.rs
@@ -474,6 +474,7 @@
                 | execution::Effect::Forward { .. }
                 | execution::Effect::Open { .. }
                 | execution::Effect::Record { .. }
+                | execution::Effect::Unused { .. }
                 | execution::Effect::Released(_) => {},
             }
         }
--- a/toucangrade/src/daemon/entry.rs
+++ b/toucangrade/src/daemon/entry.rs
@@ -201,6 +201,10 @@
                 // A full history loses explanations, not work; the ring counts it.
                 let _ = entry.history.offer(history::Message::Record { key, course, events, wall });
             },
+            execution::Effect::Unused { agent } => {
+                let feedback = Feedback { agent, signal: Signal::Refused, reading: None };
+                entry.routing.push(routing::Message::Feedback(feedback));
+            },
             execution::Effect::Released(released) => {
                 entry.membership.push(membership::Message::Released(released));
             },
--- a/toucangrade/src/execution/attempt.rs
+++ b/toucangrade/src/execution/attempt.rs
@@ -27,6 +27,10 @@
 /// Time after the end of an attempt for which its agent keeps the outcome.
 const KEPT_AT_AGENT: Span = Span::secs(60);
 
+/// Largest answer that the log keeps for later questions, in bytes; a command of the log is limited
+/// to 1 MiB. Callers that wait get larger ones as well.
+const LOGGED_ANSWER: usize = 512 * 1024;
+
 /// Time after dispatch when an attempt must have ended: its start-by time and lease on the agent's
 /// clock, whose rate differs by less than 5%.
 pub(super) fn bound(lease: Span) -> Span {
@@ -72,11 +76,13 @@
         let entry = self.entry.clone();
         let epoch = self.epoch(now, key.partition(PARTITIONS));
         let serial = self.serial & SERIAL_MASK;
-        let Some(record) = self.records.get_mut(&key) else { return };
-        if record.attempt != attempt || !matches!(record.phase, Phase::Picking) {
-            return;
-        }
+        let record = self.records.get_mut(&key);
+        let picking = |r: &&mut Record| r.attempt == attempt && matches!(r.phase, Phase::Picking);
+        let Some(record) = record.filter(picking) else {
+            return out.push(Effect::Unused { agent: target.agent });
+        };
         if epoch != Some(record.epoch) {
+            out.push(Effect::Unused { agent: target.agent });
             return self.fail(now, key, moved(), out);
         }
         let text = format!("attempt {attempt} goes to {}; {}", target.agent, reasons(candidates));
@@ -185,6 +191,11 @@
             self.timers.insert((record.resend, key));
             return;
         };
+        if let Phase::Claiming { target } = &record.phase
+            && !matches!(reply, Reply::Granted { .. } | Reply::Outdated)
+        {
+            out.push(Effect::Unused { agent: target.agent.clone() });
+        }
         match (&record.phase, reply) {
             (Phase::Claiming { target }, Reply::Granted { fence }) => {
                 let target = target.clone();
@@ -356,7 +367,13 @@
         );
         let told = Told::Answer(answer.clone());
         if record.claims() {
-            record.phase = Phase::Settling { fence, outcome: Outcome::Ran(answer), told };
+            let status = answer.status;
+            let outcome = if size <= LOGGED_ANSWER {
+                Outcome::Ran(answer)
+            } else {
+                Outcome::Dropped { status }
+            };
+            record.phase = Phase::Settling { fence, outcome, told };
             self.claim(now, &key, out);
         } else {
             self.finish(key, told, out);
--- a/toucangrade/src/execution/message.rs
+++ b/toucangrade/src/execution/message.rs
@@ -90,6 +90,8 @@
     Pick(Pick),
     /// Hands the steps of a request and how it came out to the history.
     Record { key: Key, course: Option<Course>, events: Vec<Event> },
+    /// The agent that routing chose gets nothing.
+    Unused { agent: Name },
     /// Partitions of which no attempt is left, with their epochs.
     Released(Vec<(u32, u64)>),
 }
--- a/toucangrade/src/execution/tests.rs
+++ b/toucangrade/src/execution/tests.rs
@@ -97,7 +97,7 @@
         Effect::Forward { .. } => Some("forward".to_owned()),
         Effect::Open { .. } => None,
         Effect::Pick(pick) => Some(format!("pick {}", pick.attempt)),
-        Effect::Record { .. } => None,
+        Effect::Record { .. } | Effect::Unused { .. } => None,
         Effect::Released(released) => Some(format!("released {}", released.len())),
     };
     effects.into_iter().filter_map(word).collect()
@@ -402,3 +402,31 @@
     });
     assert_eq!(verdict, Some(Verdict::MayHaveRun));
 }
+
+/// Guards against an answer that is too large for the log and so would never be settled.
+#[test]
+fn large_answer_is_settled_without_its_body() {
+    let mut execution = Execution::new(name("me"), 1);
+    execution.step(Moment::START, owners("me", 1, true, 9_000, vec![]));
+    execution.step(Moment::START, begin(Class::Once, 1, "q"));
+    execution.step(Moment::START, chosen(1));
+    execution.step(at(1), claimed(1, Some(Reply::Granted { fence: 9 })));
+    let body = Bytes::from(vec![7; 2 * 1024 * 1024]);
+    let size = body.len();
+    let whole = Report::Ended(Answer { status: 200, media: String::new(), body });
+    let effects = execution.step(at(2), report(1, Ok(whole)));
+    let settled = effects.iter().find_map(|effect| match effect {
+        Effect::Claim { command, .. } => match &command.action {
+            claims::Action::Settle { outcome, .. } => Some(outcome.clone()),
+            _ => None,
+        },
+        _ => None,
+    });
+    assert_eq!(settled, Some(claims::Outcome::Dropped { status: 200 }));
+    let effects = execution.step(at(3), claimed(1, Some(Reply::Done)));
+    let told = effects.iter().find_map(|effect| match effect {
+        Effect::Answer { told: Told::Answer(answer), .. } => Some(answer.body.len()),
+        _ => None,
+    });
+    assert_eq!(told, Some(size));
+}
--- a/toucangrade/src/http/client.rs
+++ b/toucangrade/src/http/client.rs
@@ -7,9 +7,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue};
+use http::header::{CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use http::{Method, Request, Uri};
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Body as _;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::client::legacy::{self, Error};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
@@ -184,6 +185,11 @@
     request.headers_mut().extend(exchange.headers);
     let response = pool.request(request).await.map_err(classify)?;
     let (head, body) = response.into_parts();
+    // Without a length the end of the connection would pass for the end of the answer, so a cut
+    // answer could not be told from a whole one.
+    if body.size_hint().exact().is_none() && !head.headers.contains_key(TRANSFER_ENCODING) {
+        return Err(CallError::Lost);
+    }
     let body = Limited::new(body, BODY_LIMIT).collect().await.map_err(|_| CallError::Lost)?;
     Ok(Response { status: head.status.as_u16(), headers: head.headers, body: body.to_bytes() })
 }
--- a/toucangrade/src/http/server.rs
+++ b/toucangrade/src/http/server.rs
@@ -137,6 +137,7 @@
         let gauge = Gauge::new();
         let mut running = App::new()
             .with_state((handler, Arc::clone(&gauge)))
+            .at("/", fn_service(answer))
             .at("/{*path}", fn_service(answer))
             .serve()
             .worker_threads(threads)
--- a/toucangrade/src/http/tests.rs
+++ b/toucangrade/src/http/tests.rs
@@ -24,6 +24,7 @@
 #[case::empty(Case { path: "/echo", size: 0, status: 200, length: 0 })]
 #[case::large(Case { path: "/echo", size: BODY_LIMIT, status: 200, length: BODY_LIMIT })]
 #[case::too_large(Case { path: "/echo", size: BODY_LIMIT + 1, status: 413, length: 0 })]
+#[case::root(Case { path: "/", size: 5, status: 200, length: 9 })]
 #[case::stream(Case { path: "/stream", size: 0, status: 200, length: 9 })]
 fn bodies_arrive_whole(#[case] case: Case) {
     let handler: Handler = Arc::new(|call: Inbound| {
@@ -167,3 +168,43 @@
     let mut rest = Vec::new();
     idle.read_to_end(&mut rest).unwrap();
 }
+
+struct Cut {
+    /// What a back end sends before it closes the connection.
+    sent: &'static str,
+    result: Result<usize, CallError>,
+}
+
+/// Guards against a cut answer that passes for a short whole one.
+#[rstest]
+#[case::whole(Cut { sent: "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nabcd", result: Ok(4) })]
+#[case::cut(Cut {
+    sent: "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nabcd",
+    result: Err(CallError::Lost),
+})]
+#[case::cut_head(Cut { sent: "HTTP/1.1 200 OK\r\ncontent-le", result: Err(CallError::Lost) })]
+#[case::chunks(Cut {
+    sent: "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n",
+    result: Ok(4),
+})]
+#[case::cut_chunks(Cut {
+    sent: "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nabcd\r\n",
+    result: Err(CallError::Lost),
+})]
+#[case::no_length(Cut { sent: "HTTP/1.1 200 OK\r\n\r\nabcd", result: Err(CallError::Lost) })]
+#[case::nothing(Cut { sent: "", result: Err(CallError::Lost) })]
+fn cut_answers_are_errors(#[case] case: Cut) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let peer = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut request = [0; 1_024];
+        let read = stream.read(&mut request).unwrap();
+        assert!(read > 0);
+        stream.write_all(case.sent.as_bytes()).unwrap();
+    });
+    let client = Client::start().unwrap();
+    let result = client.call(Exchange::post(addr, "/quote", Bytes::from("x"), Span::secs(60)));
+    assert_eq!(result.map(|response| response.body.len()), case.result);
+    peer.join().unwrap();
+}
--- a/toucangrade/src/simulation/entry.rs
+++ b/toucangrade/src/simulation/entry.rs
@@ -299,6 +299,11 @@
                 queue.push_back(Local::Routing(routing::Message::Pick(pick)));
             },
             execution::Effect::Record { .. } => {},
+            execution::Effect::Unused { agent } => {
+                let signal = routing::Signal::Refused;
+                let feedback = routing::Feedback { agent, signal, reading: None };
+                queue.push_back(Local::Routing(routing::Message::Feedback(feedback)));
+            },
             execution::Effect::Released(released) => {
                 queue.push_back(Local::Membership(membership::Message::Released(released)));
             },
