Report sync times, show a job's executions, watch from the oldest kept change

Change: the log's file thread reports each sync; the tool prints executions and reasons; the run resumes at the oldest change and checks all after it.

--- a/scripts/faults.py
+++ b/scripts/faults.py
@@ -249,23 +249,38 @@
         if listed.get(name) != revision:
             wrong.append(f"write {name} acknowledged at {revision}, found {listed.get(name)}")
     for control in cluster.all("CONTROL"):
-        host, port = control.split(":")
+        seen, since = watched(control, max([*listed.values(), 0]), wrong)
+        wanted = {revision for revision in listed.values() if revision > since}
+        if seen != sorted(set(seen)) or not wanted <= set(seen):
+            wrong.append(f"watch at {control} delivered {len(seen)} changes with a gap or a repeat")
+
+
+def watched(control, newest, wrong):
+    """Revisions that a watch stream delivers, and the one after which it starts.
+
+    The newest 10,000 changes are kept; a stream from before them is refused with the oldest
+    revision that it can start from.
+    """
+    host, port = control.split(":")
+    since = 0
+    for _ in range(2):
         connection = http.client.HTTPConnection(host, int(port), timeout=10)
-        connection.request("GET", "/v1/watch?since=0")
+        connection.request("GET", f"/v1/watch?since={since}")
         response = connection.getresponse()
-        if response.status != 200:
-            wrong.append(f"watch at {control} gave {response.status}: {response.read()!r}")
-            continue
-        seen = []
-        want = max([*listed.values(), 0])
-        while not seen or seen[-1] < want:
-            line = response.readline()
-            if not line:
-                break
-            seen.append(json.loads(line)["revision"])
-        connection.close()
-        if seen != sorted(set(seen)) or not set(listed.values()) <= set(seen):
-            wrong.append(f"watch at {control} delivered {len(seen)} changes with a gap or a repeat")
+        if response.status != 410:
+            break
+        since = json.loads(response.read())["oldest"]
+    if response.status != 200:
+        wrong.append(f"watch at {control} gave {response.status}: {response.read()!r}")
+        return [], since
+    seen = []
+    while not seen or seen[-1] < newest:
+        line = response.readline()
+        if not line:
+            break
+        seen.append(json.loads(line)["revision"])
+    connection.close()
+    return seen, since
 
 
 def main():
--- /dev/null
+++ b/scripts/footprint.py
@@ -0,0 +1,160 @@
+#!/usr/bin/env python3
+"""Measures what each process of a small cluster costs, idle and under load.
+
+usage: scripts/footprint.py [--seconds N]
+
+Prints processor time, memory and bytes on open TCP connections for each role, processor time for
+each quick request, and the latency that entry and agent add to a direct call of the back end.
+"""
+
+import argparse
+import collections
+import http.client
+import os
+import pathlib
+import re
+import shutil
+import statistics
+import subprocess
+import tempfile
+import threading
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+TICKS = os.sysconf("SC_CLK_TCK")
+ROLES = ("control", "entry", "agent")
+LOAD_THREADS = 8
+LATENCY_REQUESTS = 2000
+
+
+def run(*args):
+    subprocess.run([str(ROOT / "scripts/cluster.sh"), *args], check=True)
+
+
+def env(folder):
+    lines = (folder / "cluster.env").read_text().split()
+    return dict(line.split("=", 1) for line in lines)
+
+
+def pids(folder):
+    found = {}
+    for path in folder.glob("*.pid"):
+        found[path.stem] = int(path.read_text())
+    return found
+
+
+def processor(pid):
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS
+
+
+def memory(pid):
+    status = pathlib.Path(f"/proc/{pid}/status").read_text()
+    return int(re.search(r"VmRSS:\s+(\d+)", status).group(1)) / 1024
+
+
+def traffic():
+    """Bytes sent and received on open connections, by process id."""
+    text = subprocess.run(["ss", "-tinpH"], capture_output=True, text=True).stdout
+    total, pid = collections.Counter(), None
+    for line in text.split("\n"):
+        found = re.search(r"pid=(\d+)", line)
+        pid = int(found.group(1)) if found else pid
+        for word in ("bytes_sent", "bytes_received"):
+            found = re.search(word + r":(\d+)", line)
+            if found and pid:
+                total[pid] += int(found.group(1))
+    return total
+
+
+def sample(folder, seconds, label):
+    procs = pids(folder)
+    before = {name: processor(pid) for name, pid in procs.items()}
+    bytes_before, start = traffic(), time.monotonic()
+    time.sleep(seconds)
+    span = time.monotonic() - start
+    bytes_after = traffic()
+    spent = collections.defaultdict(float)
+    print(f"{label}, {span:.1f} s")
+    for name in sorted(procs):
+        role = name.split("_")[0]
+        if role not in ROLES:
+            continue
+        used = processor(procs[name]) - before[name]
+        spent[role] += used
+        moved = max(bytes_after[procs[name]] - bytes_before[procs[name]], 0)
+        print(
+            f"  {name:<10} {used / span * 100:6.2f}% of a core  {memory(procs[name]):6.1f} MB"
+            f"  {moved / span / 1000:7.2f} KB/s"
+        )
+    return spent
+
+
+def post(connection, path, body):
+    connection.request("POST", path, body=body)
+    response = connection.getresponse()
+    response.read()
+    return response.status
+
+
+def latency(addr, path):
+    host, port = addr.split(":")
+    connection = http.client.HTTPConnection(host, int(port), timeout=10)
+    times = []
+    for _ in range(LATENCY_REQUESTS):
+        begin = time.perf_counter()
+        assert post(connection, path, b"cord 2 m") == 200
+        times.append((time.perf_counter() - begin) * 1000)
+    connection.close()
+    times.sort()
+    return statistics.median(times), times[int(len(times) * 0.99)]
+
+
+def load(addr, stop, counts):
+    host, port = addr.split(":")
+    connection = http.client.HTTPConnection(host, int(port), timeout=10)
+    done = 0
+    while not stop.is_set():
+        done += post(connection, "/v1/balcao/quote", b"cord 2 m") == 200
+    counts.append(done)
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seconds", type=int, default=15)
+    args = parser.parse_args()
+    folder = pathlib.Path(tempfile.mkdtemp())
+    os.environ["BACKEND_ARGS"] = "--delay-ms 0"
+    run("start", str(folder))
+    try:
+        addrs = env(folder)
+        time.sleep(3)
+        sample(folder, args.seconds, "idle")
+        direct = latency(addrs["BACKEND_1"], "/quote")
+        whole = latency(addrs["ENTRY_1"], "/v1/balcao/quote")
+        print(f"latency direct: median {direct[0]:.3f} ms, p99 {direct[1]:.3f} ms")
+        print(f"latency through entry and agent: median {whole[0]:.3f} ms, p99 {whole[1]:.3f} ms")
+        print(f"added: median {whole[0] - direct[0]:.3f} ms, p99 {whole[1] - direct[1]:.3f} ms")
+        stop, counts = threading.Event(), []
+        entries = [addrs["ENTRY_1"], addrs["ENTRY_2"]]
+        threads = [
+            threading.Thread(target=load, args=(entries[n % 2], stop, counts))
+            for n in range(LOAD_THREADS)
+        ]
+        for thread in threads:
+            thread.start()
+        spent = sample(folder, args.seconds, "under load")
+        stop.set()
+        for thread in threads:
+            thread.join()
+        done = sum(counts)
+        print(f"{done} quick requests")
+        for role in ROLES:
+            print(f"  {role}: {spent[role] / max(done, 1) * 1e6:.0f} us of processor time a request")
+    finally:
+        run("stop", str(folder))
+        shutil.rmtree(folder)
+
+
+if __name__ == "__main__":
+    main()
--- a/toucangrade/src/agreement/driver.rs
+++ b/toucangrade/src/agreement/driver.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 use std::thread::{Builder, JoinHandle};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tracing::{error, info, warn};
 
@@ -10,7 +10,7 @@
 use super::message::{Effect, Message, PeerMessage, Replica, Store};
 use super::storage::{OpenError, Recovered, Storage};
 use super::{Agreement, Settings, TICK};
-use crate::core::{Clock, Duty, Handle, Moment, Name, Received, Ring};
+use crate::core::{Clock, Duty, Handle, Moment, Name, Received, Ring, Span};
 
 /// `Store` effects that may wait. One append is outstanding at a time, and votes and snapshots are
 /// rare.
@@ -24,6 +24,8 @@
 pub(crate) struct Outlets {
     /// Sends a message to another instance; it may be lost, repeated or late, but not changed.
     pub(crate) send: Box<dyn FnMut(Name, PeerMessage) + Send>,
+    /// Takes the time that each write to the files and its sync took.
+    pub(crate) synced: Box<dyn FnMut(Span) + Send>,
     /// Takes all effects but `Send`, `Store` and `Report`, in order.
     pub(crate) deliver: Box<dyn FnMut(Moment, Effect) + Send>,
 }
@@ -74,13 +76,13 @@
         prepare(&mut agreement);
         let me = agreement.me().clone();
         let stores = Arc::new(Ring::new(STORE_LIMIT, 0));
+        let Outlets { mut send, synced, mut deliver } = outlets;
         let files = Builder::new().name("agreement-files".to_owned()).spawn({
             let (handle, stores) = (handle.clone(), Arc::clone(&stores));
-            move || write_stores(storage, &stores, &handle)
+            move || write_stores(storage, &stores, &handle, synced)
         })?;
         let duty =
             Duty { state: agreement, step: Agreement::step, tick: || Message::Tick, period: TICK };
-        let Outlets { mut send, mut deliver } = outlets;
         let perform = {
             let stores = Arc::clone(&stores);
             move |now: Moment, effect| match effect {
@@ -116,7 +118,12 @@
 }
 
 /// Makes `Store` effects durable until the ring is closed or the storage fails.
-fn write_stores(mut storage: Storage, stores: &Ring<(u64, Store)>, handle: &Handle<Message>) {
+fn write_stores(
+    mut storage: Storage,
+    stores: &Ring<(u64, Store)>,
+    handle: &Handle<Message>,
+    mut synced: impl FnMut(Span),
+) {
     let mut failed = false;
     loop {
         let (seq, store) = match stores.recv(STORE_WAIT) {
@@ -128,8 +135,13 @@
         if failed {
             continue;
         }
+        let began = Instant::now();
         match storage.perform(&store) {
-            Ok(()) => handle.push(Message::Synced { upto: seq }),
+            Ok(()) => {
+                handle.push(Message::Synced { upto: seq });
+                let took = began.elapsed().as_micros();
+                synced(Span::micros(u64::try_from(took).unwrap_or(u64::MAX)));
+            },
             Err(error) => {
                 failed = true;
                 error!(%error, "storage failed, a restart is needed");
--- a/toucangrade/src/agreement/measure.rs
+++ b/toucangrade/src/agreement/measure.rs
@@ -89,6 +89,7 @@
                     peer.push(Message::Peer(body));
                 }
             }),
+            synced: Box::new(|_| {}),
             deliver: Box::new(move |_, effect| {
                 // The receiver reads until all proposals are answered.
                 let _ = sink.push((at.clone(), effect));
--- a/toucangrade/src/agreement/tests/driver.rs
+++ b/toucangrade/src/agreement/tests/driver.rs
@@ -17,6 +17,7 @@
         let settings = Settings { name: name("a"), founders: vec![name("a")], seed: 1 };
         let outlets = Outlets {
             send: Box::new(|_, _| {}),
+            synced: Box::new(|_| {}),
             deliver: Box::new(move |_, effect| {
                 // The receiver ends with the test.
                 let _ = sender.send(effect);
--- a/toucangrade/src/daemon/control.rs
+++ b/toucangrade/src/daemon/control.rs
@@ -129,7 +129,10 @@
             }
             control.deliver(effect);
         };
-        let outlets = Outlets { send: Box::new(send), deliver: Box::new(deliver) };
+        let telemetry = context.telemetry.clone();
+        let synced = move |took| telemetry.timer("log_sync", took);
+        let outlets =
+            Outlets { send: Box::new(send), synced: Box::new(synced), deliver: Box::new(deliver) };
         let clock = context.clock.clone();
         let driver = Driver::start(&self.agreement, settings, clock, disk, outlets)
             .map_err(io::Error::other)?;
--- a/toucangrade_cli/src/options.rs
+++ b/toucangrade_cli/src/options.rs
@@ -104,7 +104,7 @@
         .optional()
 }
 
-/// A command that is hidden until control answers it.
+/// Lists and changes the members of the control group.
 fn members() -> impl Parser<Action> {
     let member = positional::<String>("NAME=ADDR").help("Name and peer address");
     let add = construct!(Members::Add { member }).to_options().command("add");
@@ -117,7 +117,6 @@
         .to_options()
         .descr("Members of the control group")
         .command("members")
-        .hide()
 }
 
 fn resources() -> impl Parser<Action> {
--- a/toucangrade_cli/src/shown.rs
+++ b/toucangrade_cli/src/shown.rs
@@ -115,6 +115,12 @@
     let job = &value["job"];
     if !job.is_null() {
         let _ = writeln!(out, "  declared job at revision {}: {}", job["revision"], job["spec"]);
+        for step in rows(&job["run"], "steps") {
+            let _ = writeln!(out, "  log {}: {}", step["at"], text(&step["text"]));
+        }
+        for reason in rows(job, "reasons") {
+            let _ = writeln!(out, "  last looked at, {}", text(reason));
+        }
     }
     for step in rows(value, "steps") {
         let (time, by) = (time(&step["wall_ms"]), text(&step["by"]));
