--- a/toucangrade/src/admission/message.rs
+++ b/toucangrade/src/admission/message.rs
@@ -10,7 +10,7 @@
 use crate::membership::Offer;
 
 /// Start of an attempt, as an entry asks for it.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Start {
     pub(crate) key: Key,
     pub(crate) fence: u64,
@@ -56,7 +56,7 @@
 }
 
 /// Reply to a start or a query, with the agent's clock and load.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Reported {
     pub(crate) report: Report,
     pub(crate) incarnation: u64,
--- a/toucangrade/src/admission/mod.rs
+++ b/toucangrade/src/admission/mod.rs
@@ -1,6 +1,7 @@
 //! The ledger of what runs beside this agent, and the only place where an attempt is admitted.
 
 mod message;
+mod wire;
 
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/toucangrade/src/bench/model/hosts.rs
@@ -0,0 +1,156 @@
+//! Agents and runners of the event loop, and what comes back from them.
+
+use super::*;
+
+impl Model {
+    pub(super) fn call(&mut self, entry: usize, attempt: u32, target: &Target, start: Start) {
+        let agent = usize::from(target.addr.port()) - 1;
+        self.out.calls += 1;
+        if self.faulty && agent == 0 {
+            self.out.last_call = self.now.since(FAULT_AT);
+        }
+        let wait = self.delay(entry, agent);
+        self.at(wait, Event::Start { entry, agent, attempt, sent: self.now, start });
+    }
+
+    pub(super) fn open(&mut self, call: Call) -> u64 {
+        self.sequence += 1;
+        self.calls.insert(self.sequence, call);
+        self.sequence
+    }
+
+    /// Hands a message to an agent unless a fault keeps it away.
+    pub(super) fn deliver(&mut self, agent: usize, call: u64, message: admission::Message) {
+        if self.hit(agent, &[Fault::AgentCrash]) {
+            let wait = self.delay(self.calls[&call].entry, agent);
+            let result = Err(CallError::Connect);
+            return self.at(wait, Event::Replied { call, result });
+        }
+        if !self.hit(agent, &[Fault::AgentIsolated]) {
+            self.admission(agent, message);
+        }
+    }
+
+    pub(super) fn admission(&mut self, agent: usize, message: admission::Message) {
+        for effect in self.hosts[agent].admission.step(self.now, message) {
+            match effect {
+                admission::Effect::Announced { .. } | admission::Effect::Stop { .. } => {},
+                admission::Effect::Offers(offers) => {
+                    let changed = self.hosts[agent].offers != offers;
+                    self.hosts[agent].offers = offers;
+                    if changed {
+                        self.beat(agent);
+                    }
+                },
+                admission::Effect::Reply { ticket, reported } => {
+                    let Some(call) = self.calls.get(&ticket) else { continue };
+                    let wait = self.delay(call.entry, agent);
+                    if !self.hit(agent, &[Fault::AgentCrash, Fault::AgentIsolated]) {
+                        let result = Ok(reported);
+                        self.at(wait, Event::Replied { call: ticket, result });
+                    }
+                },
+                admission::Effect::Run { key, fence, kind, .. } => {
+                    self.start_run(agent, key, fence, &kind);
+                },
+            }
+        }
+    }
+
+    pub(super) fn start_run(&mut self, agent: usize, key: Key, fence: u64, kind: &Name) {
+        if self.faulty && agent == 0 {
+            self.out.last_start = self.now.since(FAULT_AT);
+        }
+        let status = if self.hit(agent, &[Fault::RunnerErrors]) { 500 } else { 200 };
+        let answer = Answer { status, media: String::new(), body: Bytes::from_static(b"done") };
+        let mut result = Ok(admission::Outcome { answer, declined: false });
+        let uniform = self.rng.random::<f64>();
+        let part = 1.0 - (SERVICE_MIN / SERVICE_MAX).powf(SERVICE_ALPHA);
+        let quick = SERVICE_MIN / (1.0 - uniform * part).powf(1.0 / SERVICE_ALPHA);
+        let mut took = Span::micros(quick as u64);
+        if kind.as_str() == "plan" {
+            took = BATCH_SERVICE;
+        }
+        if self.hit(agent, &[Fault::RunnerSlow]) {
+            took = took.percent(1_000);
+        }
+        if status == 500 {
+            took = Span::millis(1);
+        }
+        if self.hit(agent, &[Fault::RunnerCrash]) {
+            took = LOCAL;
+            result = Err(CallError::Connect);
+        }
+        self.at(took, Event::RunEnd { agent, key, fence, result });
+    }
+
+    pub(super) fn replied(&mut self, id: u64, result: Result<Reported, CallError>) {
+        let Some(call) = self.calls.remove(&id) else { return };
+        let (entry, now) = (call.entry, self.now);
+        let agent = name(&format!("a{:02}", call.agent));
+        let reading = result.as_ref().ok().map(|reported| Reading {
+            incarnation: reported.incarnation,
+            clock: reported.clock,
+            taken: now,
+            used: reported.used,
+            slots: reported.slots,
+        });
+        if let Some(reading) = &reading {
+            self.entries[entry].known.readings.insert(agent.clone(), reading.clone());
+        }
+        let Some(key) = call.key else {
+            return self.routing(entry, routing::Message::Sampled { agent, reading });
+        };
+        if call.start {
+            let signal = Signal::of(&result, now.since(call.sent));
+            let feedback = Feedback { agent: agent.clone(), signal, reading };
+            self.routing(entry, routing::Message::Feedback(feedback));
+        }
+        let report = result.map(|reported| reported.report);
+        if self.run.variant.budget {
+            let attempt = call.attempt;
+            return self.execution(entry, execution::Message::Outcome { key, attempt, report });
+        }
+        match report {
+            Ok(Report::Ended(answer)) => self.plain_end(entry, &key, Some(answer.status)),
+            _ => {
+                if let Some(plain) = self.entries[entry].plain.get_mut(&key) {
+                    plain.exclude.insert(agent);
+                }
+                self.plain_pick(entry, &key);
+            },
+        }
+    }
+
+    /// A caller got an answer with this status, or a refusal.
+    pub(super) fn done(&mut self, ticket: u64, status: Option<u16>) {
+        let Some(ticket) = self.tickets.remove(&ticket) else { return };
+        if !counted(self.run, ticket.arrived) {
+            return;
+        }
+        let client = self.run.company.client;
+        let took = self.now.since(ticket.arrived) + client + client;
+        match (ticket.class, status) {
+            (Class::Quick, Some(status)) => {
+                self.out.latencies.push(took.as_micros());
+                if status == 200 && took <= PATIENCE {
+                    self.out.useful += 1;
+                    self.out.series[(ticket.arrived.as_micros() / 100_000) as usize].1 += 1;
+                }
+            },
+            (Class::Quick, None) => {
+                self.out.refused += 1;
+                self.out.refusals.push(took.as_micros());
+            },
+            (_, Some(_)) => self.out.batch_done += 1,
+            _ => {},
+        }
+    }
+
+    pub(super) fn unknown(&mut self, ticket: u64) {
+        let Some(ticket) = self.tickets.remove(&ticket) else { return };
+        if ticket.class == Class::Quick && counted(self.run, ticket.arrived) {
+            self.out.unknown += 1;
+        }
+    }
+}
--- a/toucangrade/src/peer/tests.rs
+++ b/toucangrade/src/peer/tests.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 
 use super::*;
+use crate::admission::Report;
 use crate::core::{Class, Moment};
 
 /// Guards against messages that change on the way, or that bad bytes are taken for.
@@ -26,7 +27,26 @@
         incarnation: u64::MAX,
         start_by: Moment::micros(1),
     };
+    let start = Start {
+        key: Key::new("k").unwrap(),
+        fence: u64::MAX,
+        service: name("balcao"),
+        kind: name("quote"),
+        class: Class::Quick,
+        partition: 63,
+        epoch: 1 << 33,
+        incarnation: 5,
+        start_by: Moment::micros(u64::MAX),
+        lease: Span::secs(2),
+        body: Bytes::from(vec![1; 300]),
+    };
+    let report = Report::Refused { code: "full".into(), reason: "full".into(), after: None };
+    let reported = Reported { report, incarnation: 9, clock: Moment::micros(1), used: 7, slots: 8 };
+    let bytes = encode(&Reply::Reported(reported.clone()));
+    assert_eq!(decode::<Reply>(&bytes), Some(Reply::Reported(reported)));
+    assert_eq!(decode::<Reply>(&bytes[..bytes.len() - 1]), None);
     let requests = [
+        Request::Start(Box::new(start)),
         Request::Forward {
             admitted: Box::new(admitted),
             patience: Span::millis(5),
--- a/toucangrade/src/simulation/mod.rs
+++ b/toucangrade/src/simulation/mod.rs
@@ -47,7 +47,7 @@
     /// Responses by verdict: ran, not-run, may-have-run, and connections that broke.
     pub(crate) ran: u64,
     pub(crate) not_run: u64,
-    pub(crate) may_have_run: u64,
+    pub(crate) unknown: u64,
     pub(crate) cut: u64,
 }
 
@@ -59,7 +59,7 @@
             "seed {seed}: {steps} steps in {millis} ms; {crashes} crashes, {} isolations, {} \
              drains; {submissions} requests, {executions} executions; {} ran, {} not-run, {} \
              may-have-run, {} connections broken",
-            self.isolations, self.drains, self.ran, self.not_run, self.may_have_run, self.cut
+            self.isolations, self.drains, self.ran, self.not_run, self.unknown, self.cut
         )
     }
 }
@@ -295,7 +295,7 @@
             match response.verdict() {
                 Some(Verdict::Ran) => report.ran += 1,
                 Some(Verdict::NotRun) => report.not_run += 1,
-                Some(Verdict::MayHaveRun) => report.may_have_run += 1,
+                Some(Verdict::MayHaveRun) => report.unknown += 1,
                 None => report.cut += 1,
             }
         }
