Share the sample job of two test files

Cause: the tests of runs and of scheduling built the same job in the same lines. Change: scheduling's tests use the one of runs; no check is changed. Conclusion: one sample to change when a job gets a field.

--- a/toucangrade/src/runs/mod.rs
+++ b/toucangrade/src/runs/mod.rs
@@ -1,7 +1,7 @@
 //! Agreed state of batch jobs and standing watches: executions, checkpoints and final outcomes.
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 
 use std::collections::{BTreeMap, VecDeque};
 
--- a/toucangrade/src/runs/tests.rs
+++ b/toucangrade/src/runs/tests.rs
@@ -10,7 +10,8 @@
     Name::new(value).unwrap()
 }
 
-fn spec() -> Spec {
+/// A job that both this slice and scheduling are tested with.
+pub(crate) fn spec() -> Spec {
     Spec {
         estimate: Span::secs(60),
         gang: 1,
--- a/toucangrade/src/scheduling/tests.rs
+++ b/toucangrade/src/scheduling/tests.rs
@@ -1,29 +1,14 @@
 //! Tests of the leader's scheduling duty.
 
 use super::*;
-use crate::placement::{Event, Report, Size, Spec, Target};
+use crate::placement::{Event, Report, Size, Target};
 use crate::runs::Runs;
+use crate::runs::tests::spec;
 
 fn name(value: &str) -> Name {
     Name::new(value).unwrap()
 }
 
-fn spec() -> Spec {
-    Spec {
-        estimate: Span::secs(60),
-        gang: 1,
-        home: None,
-        kind: name("finish-layer"),
-        name: name("oak"),
-        priority: 1,
-        shop: name("klopca"),
-        size: Size::new(1_000, 1_000, 0),
-        standing: false,
-        team: name("nave"),
-        urgent: false,
-    }
-}
-
 fn work(reports: Vec<Report>) -> Message {
     let size = Size::new(32_000, 64_000, 0);
     let instance = Instance { centre: name("kranj-b"), name: name("w1"), rack: name("r1"), size };
