Keep the port of an absent server in use during its test

A test that needs an address without a listener closed a listener and used its address; a test running beside it was given the same port for its stand-in, so one saw a status of 500 in place of a refused connection and the other lost the answer that was prepared for it. Change: the address is the near end of a connection that is held open, which refuses connections and can't be bound by others. The same pattern in the tests of http is replaced.

--- a/toucangrade/src/http/tests.rs
+++ b/toucangrade/src/http/tests.rs
@@ -54,8 +54,9 @@
 #[test]
 fn connection_refused_is_not_run() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let addr = listener.local_addr().unwrap();
-    drop(listener);
+    // The near end of a connection listens nowhere, and no other test is given its port.
+    let held = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let addr = held.local_addr().unwrap();
     let client = Client::start().unwrap();
     let error = client.call(Exchange::post(addr, "/", Bytes::new(), Span::secs(60))).unwrap_err();
     assert_eq!((error, error.verdict()), (CallError::Connect, Verdict::NotRun));
--- a/toucangrade_cli/src/tests.rs
+++ b/toucangrade_cli/src/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of the commands against a stand-in control instance.
 
 use std::collections::VecDeque;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 
 use bytes::Bytes;
@@ -298,10 +298,12 @@
     }
 }
 
-/// An address that no process listens on.
-fn nowhere() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
+/// An address that refuses connections as long as the returned stream is kept.
+///
+/// The port stays in use, so that no test running beside this one is given it for a stand-in.
+fn refusing(listener: &TcpListener) -> (SocketAddr, TcpStream) {
+    let stream = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    (stream.local_addr().unwrap(), stream)
 }
 
 struct Turn {
@@ -337,7 +339,10 @@
 fn control_is_tried_in_turn(#[case] turn: Turn) {
     let start = |given: Option<Given>| given.map(|given| Standin::start(vec![given]));
     let standins = [start(turn.first), start(turn.second)];
-    let addrs = standins.each_ref().map(|s| s.as_ref().map_or_else(nowhere, Standin::addr));
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let gone = [refusing(&listener), refusing(&listener)];
+    let addr = |at: usize| standins[at].as_ref().map_or(gone[at].0, Standin::addr);
+    let addrs = [addr(0), addr(1)];
     let (code, _, notes) = run(&format!("{},{}", addrs[0], addrs[1]), &turn.args);
     assert_eq!(code, turn.code, "{notes}");
 }
