Explain placements in sentences

Cause: explain printed findings about workers as names of the code, such as Costlier(0.144). Change: findings have a text, which explain shows after the worker or the job. Conclusion: the last findings of a job can be read without the code.

--- a/toucangrade/src/placement/message.rs
+++ b/toucangrade/src/placement/message.rs
@@ -1,5 +1,7 @@
 //! Messages and effects of batch scheduling.
 
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 
 use crate::core::{Name, Span};
@@ -376,3 +378,27 @@
     /// No worker has room now.
     Waits,
 }
+
+/// Completes a sentence that begins with the worker or the job.
+impl fmt::Display for Finding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Accelerators => f.write_str("too few accelerators are free"),
+            Self::Chosen(cost) => write!(f, "chosen at a cost of {cost:.3}"),
+            Self::Cores => f.write_str("too few cores are free"),
+            Self::Costlier(cost) => write!(f, "not chosen at a cost of {cost:.3}"),
+            Self::Failed => f.write_str("the job failed there before"),
+            Self::Held => f.write_str("held for a job that waits for room"),
+            Self::Lost => f.write_str("silent"),
+            Self::Memory => f.write_str("too little memory is free"),
+            Self::Quarantined => f.write_str("in quarantine"),
+            Self::Quota => f.write_str("waits, since the quota of its team is used up"),
+            Self::Risk(part) => write!(
+                f,
+                "latency-critical tasks would slow down by {part:.1} times what is tolerated"
+            ),
+            Self::Stale => f.write_str("a report with an old fencing token was refused"),
+            Self::Waits => f.write_str("waits, since no worker has room now"),
+        }
+    }
+}
--- a/toucangrade/src/scheduling/message.rs
+++ b/toucangrade/src/scheduling/message.rs
@@ -88,8 +88,8 @@
 
 /// The newest reasons about a job, as sentences.
 pub(super) fn sentences(record: &Record) -> Vec<String> {
-    let looked = record.looked.iter().map(|(worker, finding)| format!("{worker}: {finding:?}"));
+    let looked = record.looked.iter().map(|(worker, finding)| format!("{worker}: {finding}"));
     let mut text: Vec<String> = looked.collect();
-    text.push(format!("result: {:?}", record.result));
+    text.push(format!("{}: {}", record.job, record.result));
     text
 }
--- a/toucangrade/src/scheduling/tests.rs
+++ b/toucangrade/src/scheduling/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of the leader's scheduling duty.
 
 use super::*;
-use crate::placement::{Event, Report, Size, Target};
+use crate::placement::{Event, Finding, Report, Size, Target};
 use crate::runs::Runs;
 use crate::runs::tests::spec;
 
@@ -93,3 +93,36 @@
     let effects = scheduling.step(Moment::START, work(Vec::new()));
     assert!(matches!(effects[..], [Effect::Refuse { ticket: 9 }]));
 }
+
+struct Explained {
+    looked: Option<Finding>,
+    result: Finding,
+    text: &'static [&'static str],
+}
+
+/// Guards against an explanation that shows names of the code in place of a sentence.
+#[test]
+fn findings_read_as_sentences() {
+    let cases = [
+        Explained {
+            looked: Some(Finding::Costlier(0.144_31)),
+            result: Finding::Chosen(0.25),
+            text: &["w1: not chosen at a cost of 0.144", "oak-17: chosen at a cost of 0.250"],
+        },
+        Explained {
+            looked: Some(Finding::Memory),
+            result: Finding::Waits,
+            text: &["w1: too little memory is free", "oak-17: waits, since no worker has room now"],
+        },
+        Explained {
+            looked: None,
+            result: Finding::Quota,
+            text: &["oak-17: waits, since the quota of its team is used up"],
+        },
+    ];
+    for case in cases {
+        let looked = case.looked.map(|finding| (name("w1"), finding)).into_iter().collect();
+        let record = placement::Record { job: name("oak-17"), looked, result: case.result };
+        assert_eq!(message::sentences(&record), case.text);
+    }
+}
