Translate an agent's reports in one place

Cause: the daemon and the simulation each held the same two functions that turn a reply into a report and a clock reading. Change: they are methods of the reply and of the reading. Conclusion: a change of either can't miss the other.

--- a/toucangrade/src/daemon/entry.rs
+++ b/toucangrade/src/daemon/entry.rs
@@ -9,7 +9,6 @@
 
 use super::link::Link;
 use super::{Context, archive, caller, wall_ms};
-use crate::admission::Reported;
 use crate::core::{Class, Duty, Handle, Key, Moment, Name, Refusal, Span};
 use crate::execution::{self, Completion, Execution, Waiter};
 use crate::history::{self, Course, Event, History};
@@ -149,7 +148,7 @@
             execution::Effect::Ask { attempt, addr, question } => {
                 let (execution, key) = (entry.execution.clone(), question.key.clone());
                 link.send(addr, &Request::Query(Some(question)), ASK_TIMEOUT, move |result| {
-                    let report = result.and_then(reported).map(|reported| reported.report);
+                    let report = result.and_then(Reply::reported).map(|reported| reported.report);
                     execution.push(execution::Message::Outcome { key, attempt, report });
                 });
             },
@@ -234,10 +233,10 @@
         let timeout = start.lease + routing::START_WITHIN + REPORT_MARGIN;
         let request = Request::Start(Box::new(start));
         link.send(target.addr, &request, timeout, move |result| {
-            let result = result.and_then(reported);
+            let result = result.and_then(Reply::reported);
             let taken = clock.now();
             let signal = Signal::of(&result, taken.since(now));
-            let reading = result.as_ref().ok().map(|reported| reading(reported, taken));
+            let reading = result.as_ref().ok().map(|reported| Reading::new(reported, taken));
             let agent = target.agent;
             routing.push(routing::Message::Feedback(Feedback { agent, signal, reading }));
             let report = result.map(|reported| reported.report);
@@ -259,8 +258,8 @@
                 let (routing, clock) = (entry.routing.clone(), clock.clone());
                 link.send(addr, &Request::Query(None), ASK_TIMEOUT, move |result| {
                     let taken = clock.now();
-                    let reported = result.and_then(reported).ok();
-                    let reading = reported.map(|reported| reading(&reported, taken));
+                    let reported = result.and_then(Reply::reported).ok();
+                    let reading = reported.map(|reported| Reading::new(&reported, taken));
                     routing.push(routing::Message::Sampled { agent, reading });
                 });
             },
@@ -454,16 +453,3 @@
 fn unknown() -> Name {
     Name::new("unknown").unwrap_or_else(|error| unreachable!("{error}"))
 }
-
-fn reported(reply: Reply) -> Result<Reported, CallError> {
-    match reply {
-        Reply::Reported(reported) => Ok(reported),
-        Reply::Refused { .. } => Err(CallError::Shed),
-        _ => Err(CallError::Lost),
-    }
-}
-
-fn reading(reported: &Reported, taken: Moment) -> Reading {
-    let Reported { incarnation, clock, used, slots, .. } = *reported;
-    Reading { incarnation, clock, taken, used, slots }
-}
--- a/toucangrade/src/peer/mod.rs
+++ b/toucangrade/src/peer/mod.rs
@@ -12,6 +12,7 @@
 use crate::core::{Key, Name, Span};
 use crate::execution::{Completion, Hop};
 use crate::history::{Event, Held, Item};
+use crate::http::CallError;
 use crate::limits::Admitted;
 use crate::membership::{Beat, Beaten, Poll, View};
 use crate::scheduling::{Order, Work};
@@ -80,6 +81,22 @@
     Viewed(Box<View>),
 }
 
+impl Reply {
+    /// What an agent said of an attempt.
+    ///
+    /// # Errors
+    ///
+    /// [`CallError::Shed`] when the agent refused the message, [`CallError::Lost`] for a reply of
+    /// another kind.
+    pub(crate) fn reported(self) -> Result<Reported, CallError> {
+        match self {
+            Self::Reported(reported) => Ok(reported),
+            Self::Refused { .. } => Err(CallError::Shed),
+            _ => Err(CallError::Lost),
+        }
+    }
+}
+
 /// An operator's request as one control instance hands it to another.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) struct Operation {
--- a/toucangrade/src/routing/message.rs
+++ b/toucangrade/src/routing/message.rs
@@ -79,6 +79,12 @@
 }
 
 impl Reading {
+    /// The reading in a report that arrived at `taken`.
+    pub(crate) fn new(reported: &Reported, taken: Moment) -> Self {
+        let Reported { incarnation, clock, used, slots, .. } = *reported;
+        Self { incarnation, clock, taken, used, slots }
+    }
+
     /// A moment that the agent's clock has certainly reached at `now`.
     ///
     /// The reading was taken before it arrived, so the agent's clock is ahead of this.
--- a/toucangrade/src/simulation/entry.rs
+++ b/toucangrade/src/simulation/entry.rs
@@ -134,12 +134,12 @@
         let now = entry.clock.read(self.now);
         let message = match done {
             Done::Ask { key, attempt } => {
-                let report = result.and_then(reported).map(|reported| reported.report);
+                let report = result.and_then(Reply::reported).map(|reported| reported.report);
                 Local::Execution(execution::Message::Outcome { key, attempt, report })
             },
             Done::Beat { .. } => return,
             Done::Call { key, attempt, target, sent } => {
-                let result = result.and_then(reported);
+                let result = result.and_then(Reply::reported);
                 let signal = match &result {
                     Ok(Reported { report: Report::Ended(_), .. }) => {
                         Signal::Answered { took: now.since(sent) }
@@ -147,7 +147,7 @@
                     Ok(Reported { report: Report::Refused { .. }, .. }) => Signal::Refused,
                     _ => Signal::Failed,
                 };
-                let reading = result.as_ref().ok().map(|reported| reading(reported, now));
+                let reading = result.as_ref().ok().map(|reported| Reading::new(reported, now));
                 let feedback = Feedback { agent: target.agent, signal, reading };
                 self.entry_step(index, Local::Routing(routing::Message::Feedback(feedback)));
                 let report = result.map(|reported| reported.report);
@@ -180,8 +180,8 @@
                 Local::Membership(membership::Message::Polled { sent, view })
             },
             Done::Sample { agent } => {
-                let reported = result.and_then(reported).ok();
-                let reading = reported.map(|reported| reading(&reported, now));
+                let reported = result.and_then(Reply::reported).ok();
+                let reading = reported.map(|reported| Reading::new(&reported, now));
                 Local::Routing(routing::Message::Sampled { agent, reading })
             },
         };
@@ -358,16 +358,3 @@
         }
     }
 }
-
-fn reported(reply: Reply) -> Result<Reported, CallError> {
-    match reply {
-        Reply::Reported(reported) => Ok(reported),
-        Reply::Refused { .. } => Err(CallError::Shed),
-        _ => Err(CallError::Lost),
-    }
-}
-
-fn reading(reported: &Reported, taken: Moment) -> Reading {
-    let Reported { incarnation, clock, used, slots, .. } = *reported;
-    Reading { incarnation, clock, taken, used, slots }
-}
