Measure how the cost of each role grows with the number of agents

Cause: the capacity page computed the leader's cost of a heartbeat from the difference between leader and follower at three agents, one point and no slope.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -14,7 +14,8 @@
 # Control instances agree by a quorum of this many members.
 controls=3
 entries=2
-agents=3
+# AGENTS asks for more agents, each with a runner and a worker, to measure what an agent costs.
+agents=${AGENTS:-3}
 
 # Picks free ports once, so that a restarted process can have the same ones.
 free_ports() {
@@ -110,7 +111,7 @@
         echo "AGENT_$n=$announce" >>"$dir/addrs"
         echo "BACKEND_$n=$addr" >>"$dir/addrs"
         command_of "$dir" "agent_$n" "$bin/toucangraded" --role agent --name "a$n" \
-            --centre "${centres[n - 1]}" --control "$list" --peer-addr "$peer" \
+            --centre "${centres[(n - 1) % ${#centres[@]}]}" --control "$list" --peer-addr "$peer" \
             --announce-addr "$announce" --worker "$worker"
         launch "$dir" "agent_$n"
         echo "WORKER_$n=$worker" >>"$dir/addrs"
@@ -171,8 +172,13 @@
 
 # Asks a process to drain and waits for its end.
 end_one() {
+    kill "$1" 2>/dev/null || return 0
+    await_end "$1"
+}
+
+# Waits for the end of a process that was asked to drain.
+await_end() {
     local pid=$1 limit=$((SECONDS + 35))
-    kill "$pid" 2>/dev/null || return 0
     while kill -0 "$pid" 2>/dev/null; do
         if [ $SECONDS -ge $limit ]; then
             kill -9 "$pid" 2>/dev/null || true
@@ -184,9 +190,14 @@
 stop() {
     local dir=$1 kind pid
     for kind in backend entry agent worker control; do
+        # A second signal would end a drain early, so each process gets one.
+        for pid in "$dir/$kind"_*.pid; do
+            [ -e "$pid" ] || continue
+            kill "$(cat "$pid")" 2>/dev/null || true
+        done
         for pid in "$dir/$kind"_*.pid; do
             [ -e "$pid" ] || continue
-            end_one "$(cat "$pid")"
+            await_end "$(cat "$pid")"
             rm -f "$pid"
         done
     done
--- a/scripts/footprint.py
+++ b/scripts/footprint.py
@@ -67,26 +67,28 @@
     return total
 
 
-def sample(folder, seconds, label):
-    procs = pids(folder)
+def costs(folder, seconds):
+    """Processor time in % of a core, memory in MB and KB/s of each process, over some seconds."""
+    procs = {name: pid for name, pid in pids(folder).items() if name.split("_")[0] in ROLES}
     before = {name: processor(pid) for name, pid in procs.items()}
     bytes_before, start = traffic(), time.monotonic()
     time.sleep(seconds)
     span = time.monotonic() - start
     bytes_after = traffic()
+    found = {}
+    for name, pid in sorted(procs.items()):
+        used = (processor(pid) - before[name]) / span * 100
+        moved = max(bytes_after[pid] - bytes_before[pid], 0) / span / 1000
+        found[name] = (used, memory(pid), moved)
+    return found
+
+
+def sample(folder, seconds, label):
     spent = collections.defaultdict(float)
-    print(f"{label}, {span:.1f} s")
-    for name in sorted(procs):
-        role = name.split("_")[0]
-        if role not in ROLES:
-            continue
-        used = processor(procs[name]) - before[name]
-        spent[role] += used
-        moved = max(bytes_after[procs[name]] - bytes_before[procs[name]], 0)
-        print(
-            f"  {name:<10} {used / span * 100:6.2f}% of a core  {memory(procs[name]):6.1f} MB"
-            f"  {moved / span / 1000:7.2f} KB/s"
-        )
+    print(f"{label}, {seconds} s")
+    for name, (used, megabytes, moved) in costs(folder, seconds).items():
+        spent[name.split("_")[0]] += used * seconds / 100
+        print(f"  {name:<10} {used:6.2f}% of a core  {megabytes:6.1f} MB  {moved:7.2f} KB/s")
     return spent
 
 
