Send each HTTP request once

The HTTP client repeated a request by itself when the connection that it chose from its pool had closed. Whether a request is repeated is a decision of the execution duty, and the verdict of a start rests on it being sent once.

The client's own retry is off. A request that was cancelled before its first byte is reported as Unsent, verdict not run; it is separate from Connect, which an agent takes as proof that a runner has gone.

The case in which the library retried did not occur, so Unsent itself has no test.

--- a/toucangrade/src/admission/mod.rs
+++ b/toucangrade/src/admission/mod.rs
@@ -432,7 +432,7 @@
                 Report::Lost { reason: "the execution was stopped or its lease ended".to_owned() }
             },
             Ok(outcome) => Report::Ended(outcome.answer),
-            Err(CallError::Connect | CallError::Shed) => Report::Refused {
+            Err(CallError::Connect | CallError::Shed | CallError::Unsent) => Report::Refused {
                 code: "runner-unreachable".to_owned(),
                 reason: "the runner took no connection".to_owned(),
                 after: None,
--- a/toucangrade/src/http/client.rs
+++ b/toucangrade/src/http/client.rs
@@ -1,5 +1,6 @@
 //! HTTP client thread on `hyper-util`, shared by all duties of a process.
 
+use std::error::Error as _;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -44,13 +45,16 @@
     /// No whole response came in time.
     #[error("no whole response came in time")]
     Timeout,
+    /// The connection that was chosen had closed, so nothing was sent.
+    #[error("the connection closed before the request was sent")]
+    Unsent,
 }
 
 impl CallError {
     /// Whether the receiver may have run the request.
     pub fn verdict(self) -> Verdict {
         match self {
-            Self::Connect | Self::Shed => Verdict::NotRun,
+            Self::Connect | Self::Shed | Self::Unsent => Verdict::NotRun,
             Self::Lost | Self::Timeout => Verdict::MayHaveRun,
         }
     }
@@ -159,7 +163,10 @@
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+    // A repeated request is a decision of the execution duty, so a request is sent once and a
+    // connection that closes is reported.
     let pool = legacy::Client::builder(TokioExecutor::new())
+        .retry_canceled_requests(false)
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(IDLE_TIMEOUT)
         .build(connector);
@@ -195,5 +202,10 @@
 }
 
 fn classify(error: Error) -> CallError {
-    if error.is_connect() { CallError::Connect } else { CallError::Lost }
+    if error.is_connect() {
+        return CallError::Connect;
+    }
+    // A request is cancelled only while it waits for its connection, before its first byte.
+    let cause = error.source().and_then(|cause| cause.downcast_ref::<hyper::Error>());
+    if cause.is_some_and(hyper::Error::is_canceled) { CallError::Unsent } else { CallError::Lost }
 }
--- a/toucangrade/src/http/tests.rs
+++ b/toucangrade/src/http/tests.rs
@@ -207,3 +207,89 @@
     assert_eq!(result.map(|response| response.body.len()), case.result);
     peer.join().unwrap();
 }
+
+/// What a listener does with the second request of a client that keeps its first connection.
+#[derive(Clone, Copy, Eq, PartialEq)]
+enum Second {
+    /// Answers it.
+    Answer,
+    /// Closes the connection when the request has come.
+    CloseAfter,
+    /// Closes the connection while it is idle, before the request.
+    CloseBefore,
+}
+
+struct Closed {
+    second: Second,
+    result: Result<u16, CallError>,
+    /// Times that the listener read the second request.
+    sent: usize,
+}
+
+/// Reads one request without a body; nothing when the connection ends before its head does.
+fn path_read(stream: &mut TcpStream) -> Option<String> {
+    let (mut head, mut byte) = (Vec::new(), [0; 1]);
+    while !head.ends_with(b"\r\n\r\n") {
+        if stream.read(&mut byte).unwrap_or(0) == 0 {
+            return None;
+        }
+        head.push(byte[0]);
+    }
+    String::from_utf8(head).ok()?.split(' ').nth(1).map(str::to_owned)
+}
+
+/// Guards against a request that the client sends again by itself, and against a verdict of not run
+/// for one that was sent.
+#[rstest]
+#[case::answered(Closed { second: Second::Answer, result: Ok(200), sent: 1 })]
+#[case::closed_with_the_request(Closed {
+    second: Second::CloseAfter, result: Err(CallError::Lost), sent: 1,
+})]
+#[case::closed_while_idle(Closed { second: Second::CloseBefore, result: Ok(200), sent: 1 })]
+fn requests_are_sent_once(#[case] case: Closed) {
+    const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let (answered, first_over) = std::sync::mpsc::channel();
+    let peer = std::thread::spawn(move || {
+        let mut sent = 0;
+        loop {
+            let (mut stream, _) = listener.accept().unwrap();
+            while let Some(path) = path_read(&mut stream) {
+                match path.as_str() {
+                    "/end" => return sent,
+                    "/second" => sent += 1,
+                    _ => {},
+                }
+                if path == "/second" && case.second == Second::CloseAfter {
+                    break;
+                }
+                stream.write_all(ANSWER).unwrap();
+                if path == "/first" && case.second == Second::CloseBefore {
+                    break;
+                }
+            }
+            drop(stream);
+            let _ = answered.send(());
+        }
+    });
+    let client = Client::start().unwrap();
+    let call = |path| {
+        let exchange = Exchange::post(addr, path, Bytes::new(), Span::secs(60));
+        client.call(exchange).map(|response| response.status)
+    };
+    assert_eq!(call("/first"), Ok(200));
+    if case.second == Second::CloseBefore {
+        first_over.recv().unwrap();
+    }
+    let mut result = call("/second");
+    // The client may choose the closed connection before it sees the end of it. Nobody reads what
+    // is sent on it, so the caller repeats it.
+    while case.second == Second::CloseBefore && result.is_err() {
+        result = call("/second");
+    }
+    assert_eq!(result, case.result);
+    ask(addr, "/end");
+    drop(client);
+    assert_eq!(peer.join().unwrap(), case.sent);
+}
