Hand quotas of teams and objectives of shops to the planner

Cause: the daemon ran the settings for latency for every shop, and placement::Message::Quota existed but was never sent, so that quota resources limited requests only.

Change: the quota resource has the fields objective (latency, the default, or throughput), memory_mb and accelerators. The scheduling duty gets the whole configuration, tells the planner the quotas that changed or were deleted, and tells a new leader's planner all of them before the jobs of the log are restored. Tolerance, caution and the relocation point follow the shop of each quick task, since they say how much harm that task may take; the longest wait follows the shop of the waiting job, since it says how long that job may wait. A refusal for a quota names the size that the quota would need instead of the limit, which may lack resources. scripts/cluster.sh declares quotas for both shops.

The range of millicores of a quota is that of a team now, no longer that of one task.

Checks: quotas_of_teams_reach_the_planner joins the state machine with the scheduling duty. With the quotas left out when a leader begins, its cases declared_before and memory failed (3 starts for 2 and 1). With the weights looked up by the kind instead of the shop, quick_tasks_are_held_to_their_own_shop failed in both cases of throughput. The limits test builds its quota from JSON now, as the fields of the struct changed; what it checks is the same.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -133,7 +133,7 @@
 }
 
 declare_services() {
-    local dir=$1 operator=$2 limit=$((SECONDS + 30)) service
+    local dir=$1 operator=$2 limit=$((SECONDS + 30)) resource
     cat >"$dir/balcao.json" <<'JSON'
 {"shop": "albuquerque-neto", "kinds": {
   "quote": {"class": "quick", "timeout_ms": 2000},
@@ -146,9 +146,11 @@
   "reconstruction": {"class": "batch", "timeout_ms": 60000},
   "survey": {"class": "once", "timeout_ms": 5000}}}
 JSON
-    for service in balcao pew-atelier; do
-        until "$bin/toucangrade" --control "$operator" apply services "$service" \
-            --file "$dir/$service.json" >/dev/null 2>"$dir/declare.log"; do
+    echo '{"objective": "latency"}' >"$dir/albuquerque-neto.json"
+    echo '{"objective": "throughput"}' >"$dir/klopca.json"
+    for resource in quotas/albuquerque-neto quotas/klopca services/balcao services/pew-atelier; do
+        until "$bin/toucangrade" --control "$operator" apply "${resource%/*}" "${resource#*/}" \
+            --file "$dir/${resource#*/}.json" >/dev/null 2>"$dir/declare.log"; do
             if [ $SECONDS -ge $limit ]; then
                 cat "$dir/declare.log" >&2
                 return 1
--- a/toucangrade/src/daemon/control.rs
+++ b/toucangrade/src/daemon/control.rs
@@ -203,10 +203,7 @@
         duty.spawn(&self.state, context.clock.clone(), move |_, effect| match effect {
             state::Effect::Schedule(message) => scheduling.push(message),
             state::Effect::Configure(config) => {
-                let services = config.services.iter();
-                let shops =
-                    services.map(|(name, spec)| (name.clone(), spec.shop.clone())).collect();
-                scheduling.push(scheduling::Message::Configure(shops));
+                scheduling.push(scheduling::Message::Configure(config.clone()));
                 revision.send_replace(config.revision);
                 telemetry.gauge("revision", config.revision);
                 membership.push(membership::Message::Configure(config));
--- a/toucangrade/src/limits/tests.rs
+++ b/toucangrade/src/limits/tests.rs
@@ -109,7 +109,8 @@
 /// Guards against a quota that does not hold, or that refuses what it should allow.
 #[test]
 fn quota_limits_the_rate() {
-    let quota = QuotaSpec { rate: Some(10), burst: Some(2), millicores: None, weight: 1 };
+    let quota = br#"{"rate": 10, "burst": 2}"#;
+    let quota = Spec::parse(Collection::Quotas, quota).unwrap().quota().unwrap().clone();
     let mut limits = limits(1_000, 1_000, Some(quota));
     let mut begun = 0;
     for n in 0..1_000 {
--- a/toucangrade/src/placement/message.rs
+++ b/toucangrade/src/placement/message.rs
@@ -1,7 +1,10 @@
 //! Messages and effects of batch scheduling.
 
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
 
+use super::settings::Objective;
 use crate::core::{Name, Span};
 use crate::eviction::Cause;
 use crate::quota::{Quota, Size};
@@ -58,6 +61,8 @@
         /// The job.
         spec: Spec,
     },
+    /// Objectives of the shops that declare one; it replaces all earlier ones.
+    Shops(BTreeMap<Name, Objective>),
     /// An operator submitted a job.
     Submit(Spec),
     /// Time has passed; expected every 250 ms.
--- a/toucangrade/src/placement/mod.rs
+++ b/toucangrade/src/placement/mod.rs
@@ -33,7 +33,7 @@
     Checkpoint, Decision, Effect, Event, Fault, Finding, Instance, Latency, Member, Message,
     Outcome, QuickTask, Record, Report, Spec, Target, Usage,
 };
-pub use self::settings::{Rank, Settings};
+pub use self::settings::{Objective, Rank, Settings, Weights};
 pub use crate::eviction::Cause;
 pub use crate::interference::Method;
 pub use crate::quota::{Quota, Size};
@@ -152,6 +152,7 @@
             Message::Restore { fence, from, members, spec } => {
                 self.restore(now, spec, fence, from, members.as_deref(), &mut out);
             },
+            Message::Shops(objectives) => self.set_shops(&objectives),
             Message::Submit(spec) => self.submit(now, spec, &mut out),
             Message::Tick if self.leading => self.tick(now, &mut out),
             Message::Tick => {},
@@ -268,6 +269,15 @@
         }
     }
 
+    /// Takes in what each shop weighs, and holds the quick tasks that are present to it.
+    fn set_shops(&mut self, objectives: &BTreeMap<Name, Objective>) {
+        let weights = |(shop, objective): (&Name, &Objective)| (shop.clone(), objective.weights());
+        self.settings.shops = objectives.iter().map(weights).collect();
+        for quick in self.workers.iter_mut().flat_map(|worker| &mut worker.quick) {
+            quick.weigh(&self.settings);
+        }
+    }
+
     /// Brings a worker's free size, prediction and place in the indexes up to date.
     fn touch(&mut self, now: Moment, id: usize) {
         self.drop_index(id);
--- a/toucangrade/src/placement/protect.rs
+++ b/toucangrade/src/placement/protect.rs
@@ -152,7 +152,11 @@
 
     /// Moves a job away once throttling has not been enough for a while.
     fn relocate(&mut self, now: Moment, id: usize, worst: f64, out: &mut Vec<Effect>) {
-        let limit = self.settings.relocate;
+        let shares: Vec<u8> = self.workers[id].tasks.iter().map(|t| t.share).collect();
+        let ratios = self.ratios(id, &shares);
+        // The shop of a slowed quick task decides, as it bears the harm of not moving the job.
+        let mut quick = self.workers[id].quick.iter().zip(ratios);
+        let beyond = quick.any(|(quick, ratio)| ratio > quick.weights.relocate);
         let worker = &mut self.workers[id];
         if worst <= 1.0 {
             worker.strained = None;
@@ -160,7 +164,7 @@
         }
         let since = *worker.strained.get_or_insert(now);
         let recent = worker.moved.is_some_and(|at| at + MOVE_EACH > now);
-        if worst <= limit || since + MOVE_AFTER > now || recent {
+        if !beyond || since + MOVE_AFTER > now || recent {
             return;
         }
         let worker = &self.workers[id];
--- a/toucangrade/src/placement/room.rs
+++ b/toucangrade/src/placement/room.rs
@@ -33,10 +33,10 @@
 
     /// Notes that the first job of a team found no room, and holds workers for it in the end.
     pub(super) fn block_first(&mut self, now: Moment, name: &Name, out: &mut Vec<Effect>) {
-        let max_wait = self.settings.max_wait;
         let Some(job) = self.jobs.get_mut(name) else {
             return;
         };
+        let max_wait = self.settings.weights(&job.spec.shop).max_wait;
         let since = *job.blocked.get_or_insert(now);
         let most = self.workers.len().div_ceil(WORKERS_EACH_DRAIN);
         if since + max_wait > now || self.drains.len() >= most || self.drains.contains_key(name) {
@@ -64,8 +64,10 @@
         let Some(&since) = self.drains.get(name) else {
             return;
         };
-        let wait = self.settings.max_wait.percent(100 * ESCALATE_AFTER);
-        let again = self.jobs[name].making.is_none_or(|at| at + MAKE_AGAIN.percent(500) <= now);
+        let job = &self.jobs[name];
+        let max_wait = self.settings.weights(&job.spec.shop).max_wait;
+        let wait = max_wait.percent(100 * ESCALATE_AFTER);
+        let again = job.making.is_none_or(|at| at + MAKE_AGAIN.percent(500) <= now);
         if since + wait <= now && again {
             self.make_room(now, name, Cause::Aged, out);
         }
--- a/toucangrade/src/placement/schedule.rs
+++ b/toucangrade/src/placement/schedule.rs
@@ -231,9 +231,8 @@
         }
         let whole = worker.info.size.cores.max(1) as f64;
         let extra = want.need.cores as f64 * 0.9 / whole;
-        let caution = self.settings.caution;
-        let before = worker.risk(&self.model, want.kind, 0.0, caution);
-        let after = worker.risk(&self.model, want.kind, extra, caution);
+        let before = worker.risk(&self.model, want.kind, 0.0);
+        let after = worker.risk(&self.model, want.kind, extra);
         let strained = worker.strained.is_some();
         if self.settings.protect && !want.forced && (after > self.settings.hold || strained) {
             return Err(Finding::Risk(after));
@@ -310,10 +309,10 @@
                 format!("a gang of {gang} needs as many workers, {able} are large enough"),
                 format!("ask for at most {able} members, or for smaller ones"),
             )
-        } else if let Some(limit) = self.shares.exceeds(&spec.team, total) {
+        } else if self.shares.exceeds(&spec.team, total).is_some() {
             (
                 format!("{} exceed the whole quota of team {}", describe(total), spec.team),
-                format!("raise the quota above {}", describe(limit)),
+                format!("raise the quota to {} at least", describe(total)),
             )
         } else {
             return false;
--- a/toucangrade/src/placement/settings.rs
+++ b/toucangrade/src/placement/settings.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use crate::core::{Name, Span};
 use crate::interference::Method;
@@ -19,6 +19,41 @@
     LeastLoaded,
 }
 
+/// What a shop weighs most, as operators declare it.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Objective {
+    /// The tail latency of quick tasks.
+    #[default]
+    Latency,
+    /// Batch throughput and few evictions.
+    Throughput,
+}
+
+impl Objective {
+    /// The weights that follow from the objective.
+    pub fn weights(self) -> Weights {
+        let settings = match self {
+            Self::Latency => Settings::latency(),
+            Self::Throughput => Settings::throughput(),
+        };
+        settings.general()
+    }
+}
+
+/// Weights of one shop; the fields are those of [`Settings`].
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Weights {
+    /// Standard errors added to each learned slope, for the shop's quick tasks.
+    pub caution: f64,
+    /// Longest wait of the shop's jobs before a worker is held for them.
+    pub max_wait: Span,
+    /// Multiple of the tolerated excess of the shop's quick tasks at which a job is moved away.
+    pub relocate: f64,
+    /// Tolerated excess of the shop's quick tasks.
+    pub tolerance: f64,
+}
+
 /// Settings of a [`super::Planner`].
 #[derive(Clone, Debug, Serialize)]
 pub struct Settings {
@@ -47,8 +82,8 @@
     pub reserve: Size,
     /// Seed of the generator that samples candidates.
     pub seed: u64,
-    /// Tolerated excess for the quick tasks of single shops.
-    pub shops: BTreeMap<Name, f64>,
+    /// Weights of single shops; the others have the general ones of these settings.
+    pub shops: BTreeMap<Name, Weights>,
     /// Tolerated slowdown of quick tasks by batch work, as excess over running alone.
     pub tolerance: f64,
 }
@@ -100,9 +135,15 @@
         }
     }
 
-    /// Excess that is tolerated for the quick tasks of a shop.
-    pub fn tolerated(&self, shop: &Name) -> f64 {
-        self.shops.get(shop).copied().unwrap_or(self.tolerance)
+    /// Weights of a shop.
+    pub fn weights(&self, shop: &Name) -> Weights {
+        self.shops.get(shop).copied().unwrap_or_else(|| self.general())
+    }
+
+    /// Weights of shops that have none of their own.
+    fn general(&self) -> Weights {
+        let Self { caution, max_wait, relocate, tolerance, .. } = *self;
+        Weights { caution, max_wait, relocate, tolerance }
     }
 
     /// Another way to learn interference.
--- a/toucangrade/src/placement/tests/order.rs
+++ b/toucangrade/src/placement/tests/order.rs
@@ -284,3 +284,55 @@
     let value = serde_json::to_value(&world.planner).unwrap();
     assert!(value["jobs"]["j"].is_object());
 }
+
+/// Slowdown of a quick task by its shop's objective, and what follows for the job beside it.
+struct Weighed {
+    objective: Objective,
+    ratio: f64,
+    throttled: bool,
+    moved: bool,
+}
+
+/// Guards against a quick task that is held to the tolerance or relocation point of another shop.
+#[rstest]
+#[case::latency_throttles(Weighed {
+    objective: Objective::Latency, ratio: 1.6, throttled: true, moved: false,
+})]
+#[case::throughput_tolerates(Weighed {
+    objective: Objective::Throughput, ratio: 1.6, throttled: false, moved: false,
+})]
+#[case::latency_moves(Weighed {
+    objective: Objective::Latency, ratio: 4.0, throttled: true, moved: true,
+})]
+#[case::throughput_moves_later(Weighed {
+    objective: Objective::Throughput, ratio: 4.0, throttled: true, moved: false,
+})]
+fn quick_tasks_are_held_to_their_own_shop(#[case] case: Weighed) {
+    let mut world = World::new(1);
+    for job in ["a", "b"] {
+        world.submit(spec(job, 6));
+        world.run(job, 1);
+    }
+    let shops = [("albuquerque-neto", case.objective), ("klopca", Objective::Latency)];
+    let shops = shops.map(|(shop, objective)| (name(shop), objective));
+    world.tell(Message::Shops(shops.into_iter().collect()));
+    suffer(&mut world, case.ratio, 12);
+    let throttled = world.count(|effect| matches!(effect, Effect::Throttle { .. })) > 0;
+    let moved = world.count(|effect| matches!(effect, Effect::Checkpoint(_))) > 0;
+    assert_eq!((throttled, moved), (case.throttled, case.moved));
+}
+
+/// Guards against workers held for a job before the longest wait of its own shop has passed.
+#[rstest]
+#[case::latency(Objective::Latency, true)]
+#[case::throughput(Objective::Throughput, false)]
+fn a_job_waits_as_long_as_its_shop_says(#[case] objective: Objective, #[case] held: bool) {
+    let mut world = World::new(1);
+    world.tell(Message::Shops([(spec("x", 1).shop, objective)].into_iter().collect()));
+    world.submit(spec("a", 20));
+    world.run("a", 1);
+    world.submit(spec("b", 20));
+    // 400 s, between the longest waits of the two objectives.
+    world.ticks(1_600);
+    assert_eq!(world.planner.drains.contains_key(&name("b")), held);
+}
--- a/toucangrade/src/placement/worker.rs
+++ b/toucangrade/src/placement/worker.rs
@@ -6,7 +6,7 @@
 
 use super::health::Health;
 use super::message::{Finding, Instance, QuickTask};
-use super::settings::Settings;
+use super::settings::{Settings, Weights};
 use crate::core::{Moment, Name, Span};
 use crate::interference::{Model, Pressure};
 use crate::quota::Size;
@@ -35,6 +35,8 @@
     pub(super) offset: f64,
     /// Excess that is tolerated.
     pub(super) tolerated: f64,
+    /// Weights of the task's shop.
+    pub(super) weights: Weights,
     peak: Size,
     reports: u32,
 }
@@ -45,6 +47,12 @@
         0.5 + self.task.load
     }
 
+    /// Takes in the weights of the task's shop.
+    pub(super) fn weigh(&mut self, set: &Settings) {
+        self.weights = set.weights(&self.task.shop);
+        self.tolerated = self.weights.tolerance.max(0.01);
+    }
+
     fn reservation(&self, correct: bool) -> Size {
         if !correct || self.reports < MIN_REPORTS {
             return self.task.size;
@@ -194,13 +202,16 @@
             if let Some(index) = known {
                 let mut quick = old.swap_remove(index);
                 quick.task = task;
+                quick.weigh(set);
                 self.quick.push(quick);
             } else {
+                let weights = set.weights(&task.shop);
                 self.quick.push(Quick {
                     victim: model.victim(&task.kind),
                     excess: 0.0,
                     offset: 0.0,
-                    tolerated: set.tolerated(&task.shop).max(0.01),
+                    tolerated: weights.tolerance.max(0.01),
+                    weights,
                     peak: Size::default(),
                     reports: 0,
                     task,
@@ -257,12 +268,12 @@
     }
 
     /// Greatest excess of a quick task relative to what is tolerated, with `extra` more pressure
-    /// of a batch kind.
-    pub(super) fn risk(&self, model: &Model, kind: usize, extra: f64, caution: f64) -> f64 {
+    /// of a batch kind, judged with the caution of the quick task's shop.
+    pub(super) fn risk(&self, model: &Model, kind: usize, extra: f64) -> f64 {
         self.quick.iter().fold(0.0, |worst: f64, quick| {
             let added = [Pressure { kind, amount: extra }];
             let more = if extra > 0.0 {
-                model.excess(quick.victim, &added, caution) * quick.scale()
+                model.excess(quick.victim, &added, quick.weights.caution) * quick.scale()
             } else {
                 0.0
             };
--- a/toucangrade/src/resources/spec.rs
+++ b/toucangrade/src/resources/spec.rs
@@ -10,7 +10,7 @@
 use thiserror::Error;
 
 use crate::core::{Class, Name, Span};
-use crate::placement::{self, Size};
+use crate::placement::{self, Objective, Quota, Size};
 
 /// Timeouts that a kind may declare, in milliseconds.
 const TIMEOUT_MS: RangeInclusive<u64> = 10..=3_600_000;
@@ -30,6 +30,12 @@
 const PRIORITY: RangeInclusive<u64> = 0..=100;
 /// Weights of fair shares.
 const WEIGHT: RangeInclusive<u64> = 1..=1_000;
+/// Processor share of all running jobs of a team, in thousandths of a core.
+const TEAM_MILLICORES: RangeInclusive<u64> = 1..=1_000_000_000;
+/// Memory of all running jobs of a team in megabytes.
+const TEAM_MEMORY_MB: RangeInclusive<u64> = 1..=16_000_000_000;
+/// Accelerators of all running jobs of a team.
+const TEAM_ACCELERATORS: RangeInclusive<u64> = 0..=100_000;
 /// Requests a second of a quota.
 const RATE: RangeInclusive<u64> = 1..=1_000_000;
 
@@ -114,7 +120,11 @@
         };
         let spec = match collection {
             Collection::Jobs => Self::Job(serde_json::from_slice(body).map_err(unreadable)?),
-            Collection::Quotas => Self::Quota(serde_json::from_slice(body).map_err(unreadable)?),
+            Collection::Quotas => {
+                let value: Value = serde_json::from_slice(body).map_err(unreadable)?;
+                check_objective(&value)?;
+                Self::Quota(serde_json::from_value(value).map_err(unreadable)?)
+            },
             Collection::Services => {
                 Self::Service(serde_json::from_slice(body).map_err(unreadable)?)
             },
@@ -311,6 +321,27 @@
     /// Weight in fair sharing.
     #[serde(default = "one")]
     pub(crate) weight: u64,
+    // Encoded by position: new fields go last, so that older logs and snapshots can be read.
+    /// Memory of running jobs in megabytes.
+    #[serde(default)]
+    pub(crate) memory_mb: Option<u64>,
+    /// Accelerators of running jobs.
+    #[serde(default)]
+    pub(crate) accelerators: Option<u64>,
+    /// What the shop weighs most in placement.
+    #[serde(default)]
+    pub(crate) objective: Objective,
+}
+
+/// Checks the objective by itself, so that the error names the field and what is allowed.
+fn check_objective(quota: &Value) -> Result<(), Invalid> {
+    match quota.get("objective") {
+        Some(value) if Objective::deserialize(value).is_err() => {
+            let shown = value.as_str().map_or_else(|| value.to_string(), str::to_owned);
+            Err(Invalid::new("objective", shown, "latency or throughput"))
+        },
+        _ => Ok(()),
+    }
 }
 
 impl QuotaSpec {
@@ -318,7 +349,25 @@
         for (field, value) in [("rate", self.rate), ("burst", self.burst)] {
             value.map_or(Ok(()), |value| within(field, value, &RATE))?;
         }
-        self.millicores.map_or(Ok(()), |value| within("millicores", value, &MILLICORES))?;
+        for (field, value, range) in [
+            ("millicores", self.millicores, &TEAM_MILLICORES),
+            ("memory_mb", self.memory_mb, &TEAM_MEMORY_MB),
+            ("accelerators", self.accelerators, &TEAM_ACCELERATORS),
+        ] {
+            value.map_or(Ok(()), |value| within(field, value, range))?;
+        }
         within("weight", self.weight, &WEIGHT)
     }
+
+    /// What the planner is told of the quota; a resource without a number is not limited.
+    pub(crate) fn planned(&self, team: &Name) -> Quota {
+        let limits = [self.millicores, self.memory_mb, self.accelerators];
+        let [cores, memory, accelerators] = limits.map(|limit| limit.unwrap_or(u64::MAX));
+        let limited = limits.iter().any(Option::is_some);
+        Quota {
+            team: team.clone(),
+            weight: u32::try_from(self.weight).unwrap_or(u32::MAX),
+            limit: limited.then(|| Size::new(cores, memory, accelerators)),
+        }
+    }
 }
--- a/toucangrade/src/resources/tests.rs
+++ b/toucangrade/src/resources/tests.rs
@@ -112,6 +112,26 @@
     body: r#"{"speed": 4}"#,
     field: "body",
 })]
+#[case::unknown_objective(Body {
+    collection: Collection::Quotas,
+    body: r#"{"objective": "fairness"}"#,
+    field: "objective",
+})]
+#[case::objective_is_no_text(Body {
+    collection: Collection::Quotas,
+    body: r#"{"objective": null}"#,
+    field: "objective",
+})]
+#[case::no_memory_for_a_team(Body {
+    collection: Collection::Quotas,
+    body: r#"{"memory_mb": 0}"#,
+    field: "memory_mb",
+})]
+#[case::too_many_accelerators_for_a_team(Body {
+    collection: Collection::Quotas,
+    body: r#"{"accelerators": 100001}"#,
+    field: "accelerators",
+})]
 #[case::too_much_memory(Body {
     collection: Collection::Watches,
     body: r#"{"shop": "klopca", "kind": "humidity", "millicores": 5, "memory_mb": 0}"#,
--- a/toucangrade/src/scheduling/message.rs
+++ b/toucangrade/src/scheduling/message.rs
@@ -1,10 +1,9 @@
 //! Messages between the leader's scheduling duty, the agents of workers and the log.
 
-use std::collections::BTreeMap;
-
 use serde::{Deserialize, Serialize};
 
 use crate::core::{Name, Span};
+use crate::membership::Config;
 use crate::placement::{
     Checkpoint, Decision, Instance, Latency, QuickTask, Record, Report, Size, Target, Usage,
 };
@@ -53,8 +52,8 @@
 pub(crate) enum Message {
     /// An operator deleted a job.
     Cancel(Name),
-    /// Services in force and the shop of each.
-    Configure(BTreeMap<Name, Name>),
+    /// The configuration in force.
+    Configure(Config),
     /// The log holds a decision, which is in force if it was accepted.
     Decided { decision: Decision, accepted: bool },
     /// A proposed decision will not be in the log.
--- a/toucangrade/src/scheduling/mod.rs
+++ b/toucangrade/src/scheduling/mod.rs
@@ -11,7 +11,9 @@
 
 pub(crate) use self::message::{Effect, Message, Order, Work};
 use crate::core::{Moment, Name, Span};
-use crate::placement::{self, Instance, Planner, Settings};
+use crate::membership::Config;
+use crate::placement::{self, Instance, Planner, Quota, Settings};
+use crate::resources::QuotaSpec;
 use crate::runs::Run;
 
 /// Time after its last heartbeat when a worker counts as silent.
@@ -38,8 +40,8 @@
     /// The planner, while this instance leads.
     planner: Option<Planner>,
     kinds: BTreeMap<Name, Name>,
-    /// Shop of each service, whose weights apply to its quick tasks.
-    shops: BTreeMap<Name, Name>,
+    /// The configuration in force; its quotas and objectives apply to jobs and quick tasks.
+    config: Config,
     workers: BTreeMap<Name, Worker>,
     /// Newest reasons of each job.
     reasons: BTreeMap<Name, Vec<String>>,
@@ -49,17 +51,17 @@
     /// State of an instance that doesn't lead.
     pub(crate) fn new(settings: Settings) -> Self {
         let (kinds, workers, reasons) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
-        let shops = BTreeMap::new();
-        Self { settings, planner: None, kinds, shops, workers, reasons }
+        let config = Config::default();
+        Self { settings, planner: None, kinds, config, workers, reasons }
     }
 
     /// Handles one message.
     pub(crate) fn step(&mut self, now: Moment, message: Message) -> Vec<Effect> {
         match message {
             Message::Cancel(job) => self.plan(now, placement::Message::Cancel { job }),
-            Message::Configure(shops) => {
-                self.shops = shops;
-                Vec::new()
+            Message::Configure(config) => {
+                let before = std::mem::replace(&mut self.config, config);
+                self.configure(now, &before.quotas)
             },
             Message::Decided { decision, accepted: true } => {
                 self.plan(now, placement::Message::Committed(decision))
@@ -93,7 +95,8 @@
         self.planner = Some(Planner::new(self.settings.clone()));
         let cancelled: Vec<Name> =
             runs.iter().filter(|run| run.cancelled).map(|run| run.spec.name.clone()).collect();
-        let mut effects = Vec::new();
+        // Quotas go first, so that no waiting job is tried without them.
+        let mut effects = self.configure(now, &BTreeMap::new());
         for Run { spec, fence, from, members, .. } in runs {
             self.kinds.insert(spec.name.clone(), spec.kind.clone());
             let restore = placement::Message::Restore { fence, from, members, spec };
@@ -106,6 +109,25 @@
         effects
     }
 
+    /// Tells the planner the quotas and objectives that differ from `before`.
+    fn configure(&mut self, now: Moment, before: &BTreeMap<Name, QuotaSpec>) -> Vec<Effect> {
+        if *before == self.config.quotas {
+            return Vec::new();
+        }
+        let quotas = &self.config.quotas;
+        let deleted = before.keys().filter(|team| !quotas.contains_key(*team));
+        let unlimited = deleted.map(|team| Quota { team: team.clone(), weight: 1, limit: None });
+        let changed = quotas.iter().filter(|(team, quota)| before.get(*team) != Some(*quota));
+        let changed = changed.map(|(team, quota)| quota.planned(team));
+        let changes: Vec<Quota> = unlimited.chain(changed).collect();
+        let shops = quotas.iter().map(|(shop, quota)| (shop.clone(), quota.objective)).collect();
+        let mut effects = self.plan(now, placement::Message::Shops(shops));
+        for quota in changes {
+            effects.extend(self.plan(now, placement::Message::Quota(quota)));
+        }
+        effects
+    }
+
     fn work(&mut self, now: Moment, ticket: u64, work: Work) -> Vec<Effect> {
         if self.planner.is_none() {
             return vec![Effect::Refuse { ticket }];
@@ -121,8 +143,8 @@
             Worker { instance: instance.clone(), incarnation, seen: now, lost: false, orders };
         self.workers.insert(name.clone(), worker);
         for task in &mut quick {
-            if let Some(shop) = self.shops.get(&task.service) {
-                task.shop = shop.clone();
+            if let Some(service) = self.config.services.get(&task.service) {
+                task.shop = service.shop.clone();
             }
         }
         let mut effects = Vec::new();
--- a/toucangrade/src/scheduling/tests.rs
+++ b/toucangrade/src/scheduling/tests.rs
@@ -1,9 +1,13 @@
 //! Tests of the leader's scheduling duty.
 
+use rstest::rstest;
+
 use super::*;
 use crate::placement::{Event, Report, Size, Target};
+use crate::resources::{self, Collection, Expect, Spec};
 use crate::runs::Runs;
 use crate::runs::tests::spec;
+use crate::state::{self, Command, State};
 
 fn name(value: &str) -> Name {
     Name::new(value).unwrap()
@@ -93,3 +97,110 @@
     let effects = scheduling.step(Moment::START, work(Vec::new()));
     assert!(matches!(effects[..], [Effect::Refuse { ticket: 9 }]));
 }
+
+/// What is agreed before a leader begins, and which jobs start while it leads.
+struct Quotas {
+    /// Bodies of the quota of team `nave`; `None` deletes it.
+    before: Vec<Option<&'static str>>,
+    /// The same, written while the instance leads.
+    after: Vec<Option<&'static str>>,
+    starts: usize,
+}
+
+fn write(collection: Collection, name: &str, body: Option<&str>) -> Command {
+    Command::Resource(resources::Command {
+        collection,
+        name: Name::new(name).unwrap(),
+        spec: body.map(|body| Spec::parse(collection, body.as_bytes()).unwrap()),
+        expect: Expect::Any,
+        key: None,
+    })
+}
+
+/// The agreed state joined with the scheduling duty as the daemon joins them.
+struct Joined {
+    state: State,
+    scheduling: Scheduling,
+    index: u64,
+    now: Moment,
+    starts: usize,
+}
+
+impl Joined {
+    fn apply(&mut self, command: Command) {
+        self.index += 1;
+        let message = state::Message::Apply { index: self.index, ticket: None, command };
+        self.agreed(message);
+    }
+
+    fn agreed(&mut self, message: state::Message) {
+        for effect in self.state.step(self.now, message) {
+            match effect {
+                state::Effect::Schedule(message) => self.tell(message),
+                state::Effect::Configure(config) => self.tell(Message::Configure(config)),
+                _ => {},
+            }
+        }
+    }
+
+    fn tell(&mut self, message: Message) {
+        for effect in self.scheduling.step(self.now, message) {
+            match effect {
+                Effect::Propose(decision) => self.apply(Command::Run(decision)),
+                Effect::Orders { orders, .. } => {
+                    let start = |order: &&Order| matches!(order, Order::Start { .. });
+                    self.starts += orders.iter().filter(start).count();
+                },
+                _ => {},
+            }
+        }
+    }
+}
+
+/// Guards against a leader that starts jobs beyond a quota that was declared before it led, that
+/// misses a change of a quota, or that keeps a deleted one.
+#[rstest]
+#[case::none(Quotas { before: vec![], after: vec![], starts: 3 })]
+#[case::declared_before(Quotas {
+    before: vec![Some(r#"{"millicores": 2000}"#)], after: vec![], starts: 2,
+})]
+#[case::memory(Quotas {
+    before: vec![Some(r#"{"memory_mb": 1000}"#)], after: vec![], starts: 1,
+})]
+#[case::accelerators(Quotas {
+    before: vec![Some(r#"{"accelerators": 0}"#)], after: vec![], starts: 3,
+})]
+#[case::raised(Quotas {
+    before: vec![Some(r#"{"millicores": 1000}"#)],
+    after: vec![Some(r#"{"millicores": 2000}"#)],
+    starts: 2,
+})]
+#[case::deleted(Quotas {
+    before: vec![Some(r#"{"millicores": 1000}"#)], after: vec![None], starts: 3,
+})]
+#[case::deleted_before(Quotas {
+    before: vec![Some(r#"{"millicores": 1000}"#), None], after: vec![], starts: 3,
+})]
+fn quotas_of_teams_reach_the_planner(#[case] case: Quotas) {
+    let (state, now) = (State::default(), Moment::START);
+    let scheduling = Scheduling::new(Settings::latency());
+    let mut joined = Joined { state, scheduling, index: 0, now, starts: 0 };
+    for body in case.before {
+        joined.apply(write(Collection::Quotas, "nave", body));
+    }
+    let job = r#"{"shop": "klopca", "team": "nave", "kind": "sand", "millicores": 1000,
+        "memory_mb": 1000}"#;
+    for name in ["a", "b", "c"] {
+        joined.apply(write(Collection::Jobs, name, Some(job)));
+    }
+    joined.agreed(state::Message::Lead { leading: true });
+    for body in case.after {
+        joined.apply(write(Collection::Quotas, "nave", body));
+    }
+    for _ in 0..3 {
+        joined.now = joined.now + Span::millis(500);
+        joined.tell(work(Vec::new()));
+        joined.tell(Message::Tick);
+    }
+    assert_eq!(joined.starts, case.starts);
+}
