--- a/scripts/faults.py
+++ b/scripts/faults.py
@@ -258,7 +258,7 @@
 def watched(control, newest, wrong):
     """Revisions that a watch stream delivers, and the one after which it starts.
 
-    The newest 10,000 changes are kept; a stream from before them is refused with the oldest
+    The newest 50,000 changes are kept; a stream from before them is refused with the oldest
     revision that it can start from.
     """
     host, port = control.split(":")
--- a/toucangrade/src/daemon/control.rs
+++ b/toucangrade/src/daemon/control.rs
@@ -201,13 +201,15 @@
         let tick = || state::Message::Tick;
         let duty = Duty { state: State::default(), step: State::step, tick, period: TICK };
         duty.spawn(&self.state, context.clock.clone(), move |_, effect| match effect {
+            state::Effect::Changed { revision: newest } => {
+                revision.send_replace(newest);
+            },
             state::Effect::Schedule(message) => scheduling.push(message),
             state::Effect::Configure(config) => {
                 let services = config.services.iter();
                 let shops =
                     services.map(|(name, spec)| (name.clone(), spec.shop.clone())).collect();
                 scheduling.push(scheduling::Message::Configure(shops));
-                revision.send_replace(config.revision);
                 telemetry.gauge("revision", config.revision);
                 membership.push(membership::Message::Configure(config));
             },
--- a/toucangrade/src/daemon/operator.rs
+++ b/toucangrade/src/daemon/operator.rs
@@ -26,7 +26,7 @@
 use crate::http::{Handler, Inbound, Outbound, Payload};
 use crate::peer::{Reply, Request};
 use crate::resources::{self, Change, Collection, Expect, Spec, Stored};
-use crate::runs::Run;
+use crate::runs::{Run, Step};
 use crate::state::{self, Command, Query};
 
 /// Changes that wait for a slow reader of a watch stream.
@@ -184,27 +184,33 @@
         tokio::task::spawn_local(async move {
             let mut quiet = 0;
             loop {
+                let more = !changes.is_empty();
                 for change in changes {
                     since = change.revision;
                     if sender.send(line(&change)).await.is_err() {
                         return;
                     }
                 }
-                let (changed, closed) = (pin!(newest.changed()), pin!(sender.closed()));
-                match tokio::time::timeout(WATCH_LOOK, select(changed, closed)).await {
-                    Ok(Either::Left((Ok(()), _))) => {},
-                    Ok(Either::Left((Err(_), _)) | Either::Right(_)) => return,
-                    // The reader resumes at another instance; the server waits for open streams.
-                    Err(_) if operator.draining.load(Ordering::Relaxed) => return,
-                    Err(_) => {
-                        quiet += 1;
-                        let line = Bytes::from_static(b"\n");
-                        if beat && quiet % WATCH_BEAT == 0 && sender.send(line).await.is_err() {
-                            return;
-                        }
-                        changes = Vec::new();
-                        continue;
-                    },
+                // The reader resumes at another instance; the server waits for open streams.
+                if operator.draining.load(Ordering::Relaxed) {
+                    return;
+                }
+                // One answer holds a part of the changes only, so more may be there already.
+                if !more {
+                    let (changed, closed) = (pin!(newest.changed()), pin!(sender.closed()));
+                    match tokio::time::timeout(WATCH_LOOK, select(changed, closed)).await {
+                        Ok(Either::Left((Ok(()), _))) => {},
+                        Ok(Either::Left((Err(_), _)) | Either::Right(_)) => return,
+                        Err(_) => {
+                            quiet += 1;
+                            let line = Bytes::from_static(b"\n");
+                            if beat && quiet % WATCH_BEAT == 0 && sender.send(line).await.is_err() {
+                                return;
+                            }
+                            changes = Vec::new();
+                            continue;
+                        },
+                    }
                 }
                 // A stream that fell behind the compaction ends, and its reader resumes with 410.
                 let Ok(next) = operator.changes(since).await else { return };
@@ -392,16 +398,24 @@
 }
 
 fn line(change: &Change) -> Bytes {
-    let Change { revision, collection, name, spec } = change;
-    let action = if spec.is_some() { "put" } else { "delete" };
-    let spec = spec.as_ref().map(Spec::body);
-    let line = json!({
+    let Change { revision, collection, name, spec, step } = change;
+    let action = match (spec, step) {
+        (Some(_), _) => "put",
+        (None, Some(_)) => "state",
+        (None, None) => "delete",
+    };
+    let mut line = json!({
         "revision": revision,
         "action": action,
         "collection": collection,
         "name": name,
-        "spec": spec,
     });
+    if action != "state" {
+        line["spec"] = json!(spec.as_ref().map(Spec::body));
+    }
+    if let Some(Step { phase, fence }) = step {
+        (line["state"], line["fence"]) = (json!(phase), json!(fence));
+    }
     Bytes::from(format!("{line}\n"))
 }
 
--- a/toucangrade/src/resources/message.rs
+++ b/toucangrade/src/resources/message.rs
@@ -4,6 +4,7 @@
 
 use super::spec::{Collection, Spec};
 use crate::core::{Key, Name};
+use crate::runs::Step;
 
 /// Condition on the current revision of the resource that is written.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -56,11 +57,17 @@
     pub(crate) spec: Spec,
 }
 
-/// One change, as watch streams deliver it; no spec means deleted.
+/// One change, as watch streams deliver it.
+///
+/// A spec means that the resource was written, a step alone that the state of the job or watch
+/// changed, neither that the resource was deleted.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) struct Change {
     pub(crate) revision: u64,
     pub(crate) collection: Collection,
     pub(crate) name: Name,
     pub(crate) spec: Option<Spec>,
+    /// State of the job or watch from this revision on. Snapshots of older versions lack it.
+    #[serde(default)]
+    pub(crate) step: Option<Step>,
 }
--- a/toucangrade/src/resources/mod.rs
+++ b/toucangrade/src/resources/mod.rs
@@ -7,15 +7,20 @@
 mod tests;
 
 use std::collections::BTreeMap;
+use std::ops::Bound;
 
 use serde::{Deserialize, Serialize};
 
 pub(crate) use self::message::{Change, Command, Expect, Reply, Stored};
 pub(crate) use self::spec::{Collection, KindSpec, QuotaSpec, ServiceSpec, Spec};
 use crate::core::{Key, Name};
+use crate::runs::Step;
 
-/// Changes that watch streams can resume from before they are compacted.
-const CHANGES_KEPT: usize = 10_000;
+/// Changes that watch streams can resume from before they are compacted: the steps of about
+/// 15,000 jobs, a third of a day at 44,000 jobs a day.
+const CHANGES_KEPT: usize = 50_000;
+/// Changes that one question gets, so that a reader far behind doesn't hold up the duty.
+const CHANGES_READ: usize = 1_000;
 /// First responses that are kept for resent writes.
 const WRITES_KEPT: usize = 10_000;
 
@@ -67,13 +72,39 @@
             },
         }
         self.revision = index;
-        self.changes.insert(index, Change { revision: index, collection, name, spec });
+        self.changes.insert(index, Change { revision: index, collection, name, spec, step: None });
+        self.compact();
+        Reply::Written { revision: index }
+    }
+
+    /// Records where a job or watch stands from log position `index` on.
+    ///
+    /// A write at the same position gets the step added to its change, so that every revision is
+    /// one line and a stream that resumes at it misses nothing.
+    pub(crate) fn record_step(
+        &mut self,
+        index: u64,
+        collection: Collection,
+        name: &Name,
+        step: Step,
+    ) {
+        let change = self.changes.entry(index).or_insert_with(|| Change {
+            revision: index,
+            collection,
+            name: name.clone(),
+            spec: None,
+            step: None,
+        });
+        change.step = Some(step);
+        self.compact();
+    }
+
+    fn compact(&mut self) {
         while self.changes.len() > CHANGES_KEPT {
             if let Some((oldest, _)) = self.changes.pop_first() {
                 self.compacted = oldest;
             }
         }
-        Reply::Written { revision: index }
     }
 
     fn remember(&mut self, index: u64, key: Key, reply: Reply) {
@@ -96,18 +127,25 @@
         self.stored.get(&collection).into_iter().flatten()
     }
 
-    /// Revision of the newest change.
+    /// Revision of the newest write.
     pub(crate) fn revision(&self) -> u64 {
         self.revision
     }
 
-    /// Changes after revision `since`, or the oldest revision that can be resumed from when
-    /// some of them were compacted.
+    /// Revision of the newest change that watch streams deliver.
+    pub(crate) fn newest(&self) -> u64 {
+        self.changes.last_key_value().map_or(0, |(&revision, _)| revision)
+    }
+
+    /// The next changes after revision `since`, or the oldest revision that can be resumed from
+    /// when some of them were compacted.
     pub(crate) fn since(&self, since: u64) -> Result<Vec<Change>, u64> {
         if since < self.compacted {
             return Err(self.compacted);
         }
-        Ok(self.changes.range(since + 1..).map(|(_, change)| change.clone()).collect())
+        let after = (Bound::Excluded(since), Bound::Unbounded);
+        let changes = self.changes.range(after).take(CHANGES_READ);
+        Ok(changes.map(|(_, change)| change.clone()).collect())
     }
 
     /// Services in force, by name.
--- a/toucangrade/src/resources/tests.rs
+++ b/toucangrade/src/resources/tests.rs
@@ -85,8 +85,15 @@
         resources.apply(index, put("balcao", Some(service(100)), Expect::Any, None));
     }
     assert_eq!(resources.since(4), Err(5));
-    let revisions: Vec<u64> = resources.since(9_990).unwrap().iter().map(|c| c.revision).collect();
-    assert_eq!(revisions, (9_991..=CHANGES_KEPT as u64 + 5).collect::<Vec<_>>());
+    let (mut since, mut revisions) = (5, Vec::new());
+    while since <= CHANGES_KEPT as u64 + 4 {
+        let changes = resources.since(since).unwrap();
+        assert!((1..=CHANGES_READ).contains(&changes.len()));
+        revisions.extend(changes.iter().map(|c| c.revision));
+        since = changes.last().unwrap().revision;
+    }
+    assert_eq!(revisions, (6..=CHANGES_KEPT as u64 + 5).collect::<Vec<_>>());
+    assert_eq!(resources.since(u64::MAX), Ok(Vec::new()));
 }
 
 struct Body {
--- a/toucangrade/src/runs/mod.rs
+++ b/toucangrade/src/runs/mod.rs
@@ -15,6 +15,28 @@
 /// Steps of one job that are kept for explanations.
 const STEPS_KEPT: usize = 64;
 
+/// State of a job, as watch streams deliver it.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub(crate) enum Phase {
+    Cancelled,
+    Done,
+    /// Its execution ended before the job did; it waits for the next one.
+    Evicted,
+    Failed,
+    Refused,
+    Running,
+    /// It had no execution yet.
+    Waiting,
+}
+
+/// A step of a job's state: where the job stands and under which fencing token.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct Step {
+    pub(crate) phase: Phase,
+    pub(crate) fence: u64,
+}
+
 /// Agreed state of one job.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) struct Run {
@@ -153,6 +175,20 @@
 }
 
 impl Run {
+    /// Where the job stands now.
+    pub(crate) fn step(&self) -> Step {
+        let phase = match &self.outcome {
+            Some(Outcome::Cancelled) => Phase::Cancelled,
+            Some(Outcome::Done) => Phase::Done,
+            Some(Outcome::Failed) => Phase::Failed,
+            Some(Outcome::Refused) => Phase::Refused,
+            None if self.members.is_some() => Phase::Running,
+            None if self.fence > 0 => Phase::Evicted,
+            None => Phase::Waiting,
+        };
+        Step { phase, fence: self.fence }
+    }
+
     fn note(&mut self, index: u64, text: String) {
         self.steps.push_back((index, text));
         if self.steps.len() > STEPS_KEPT {
--- a/toucangrade/src/state/message.rs
+++ b/toucangrade/src/state/message.rs
@@ -73,6 +73,8 @@
 pub(crate) enum Effect {
     /// The configuration changed.
     Configure(Config),
+    /// Watch streams have changes up to this revision to deliver.
+    Changed { revision: u64 },
     /// The owners of partitions changed.
     Partitions(Partitions),
     /// The log up to this index can be replaced by this state.
--- a/toucangrade/src/state/mod.rs
+++ b/toucangrade/src/state/mod.rs
@@ -49,9 +49,18 @@
         };
         let spec = spec.planned(name)?;
         self.runs.submit(index, spec);
+        // A name that was used before is not run again; the line of the write says how it stands.
+        self.record_step(index, name);
         let run = self.runs.get(name).filter(|run| run.outcome.is_none())?;
         Some(scheduling::Message::Submit(run.clone()))
     }
+
+    /// Has watch streams deliver where a job or watch stands.
+    fn record_step(&mut self, index: u64, name: &Name) {
+        let Some(run) = self.runs.get(name) else { return };
+        let collection = if run.spec.standing { Collection::Watches } else { Collection::Jobs };
+        self.resources.record_step(index, collection, name, run.step());
+    }
 }
 
 /// State of the duty.
@@ -93,6 +102,10 @@
             },
             Command::Run(decision) => {
                 let accepted = machine.runs.apply(index, &decision);
+                if accepted {
+                    machine.record_step(index, decision.job());
+                    effects.push(Effect::Changed { revision: index });
+                }
                 if self.leading {
                     let decided = scheduling::Message::Decided { decision, accepted };
                     effects.push(Effect::Schedule(decided));
@@ -107,6 +120,7 @@
                 if machine.resources.revision() != before {
                     let message = machine.schedule(index, collection, &name, spec.as_ref());
                     effects.extend(message.filter(|_| self.leading).map(Effect::Schedule));
+                    effects.push(Effect::Changed { revision: index });
                     effects.push(Effect::Configure(self.config()));
                 }
                 Reply::Written(reply)
@@ -138,7 +152,12 @@
     fn install(&mut self, index: u64, machine: Machine) -> Vec<Effect> {
         self.machine = machine;
         self.snapshot = index;
-        vec![Effect::Configure(self.config()), Effect::Partitions(self.partitions())]
+        let revision = self.machine.resources.newest();
+        vec![
+            Effect::Changed { revision },
+            Effect::Configure(self.config()),
+            Effect::Partitions(self.partitions()),
+        ]
     }
 
     fn query(&self, query: Query) -> Reply {
--- a/toucangrade_cli/src/commands.rs
+++ b/toucangrade_cli/src/commands.rs
@@ -16,7 +16,7 @@
 use crate::{plot, shown};
 
 /// States in which a job changes no more.
-const FINAL: [&str; 4] = ["cancelled", "failed", "finished", "refused"];
+const FINAL: [&str; 4] = ["cancelled", "done", "failed", "refused"];
 
 /// Runs the command; results go to `out`, progress to `notes`.
 pub(crate) fn run(
@@ -137,7 +137,7 @@
     notes: &mut dyn Write,
 ) -> Result<(), Failure> {
     let mut left = count.unwrap_or(u64::MAX);
-    Watch { since, limit: None }.follow(link, notes, |change| {
+    Watch { since, limit: None, answered: false }.follow(link, notes, |change| {
         let line = if json { format!("{change}\n") } else { shown::change(change) };
         // A reader must see each change as it happens.
         out.write_all(line.as_bytes()).and_then(|()| out.flush()).map_err(Failure::Local)?;
@@ -146,7 +146,10 @@
     })
 }
 
-/// Follows a job from the revision that wrote it until it changes no more.
+/// Follows a job from the write that declared it until its state changes no more.
+///
+/// The line of the write itself is read too: it says how a name stands that was used before, which
+/// is not run again. A deletion is no end, since the job may still finish before it is stopped.
 fn await_job(
     link: &Link,
     notes: &mut dyn Write,
@@ -154,24 +157,23 @@
     written: &Value,
     limit: Duration,
 ) -> Result<Value, Failure> {
-    let since = written["revision"].as_u64();
-    note(notes, &format!("job {name} is written at revision {}, waiting", since.unwrap_or(0)))?;
+    let revision = written["revision"].as_u64().unwrap_or(1);
+    note(notes, &format!("job {name} is written at revision {revision}, waiting"))?;
     let (mut ended, mut states) = (Value::Null, Vec::new());
-    let watch = Watch { since, limit: Some(limit) };
+    let since = Some(revision.saturating_sub(1));
+    let watch = Watch { since, limit: Some(limit), answered: true };
     watch.follow(link, notes, |change| {
         if change["collection"] != "jobs" || change["name"] != name {
             return Ok(false);
         }
-        let state =
-            if change["action"] == "delete" { "cancelled".into() } else { change["state"].clone() };
-        let Some(state) = state.as_str() else { return Ok(false) };
+        let Some(state) = change["state"].as_str() else { return Ok(false) };
         states.push(state.to_owned());
         ended = json!({ "name": name, "state": state, "revision": change["revision"] });
         Ok(FINAL.contains(&state))
     })?;
     note(notes, &format!("job {name}: {}", states.join(", ")))?;
     match ended["state"].as_str() {
-        Some("finished") => Ok(ended),
+        Some("done") => Ok(ended),
         state => {
             let (name, state) = (name.to_owned(), state.unwrap_or("unknown").to_owned());
             Err(Failure::Job { name, state })
--- a/toucangrade_cli/src/failure.rs
+++ b/toucangrade_cli/src/failure.rs
@@ -14,7 +14,7 @@
     Compacted { since: u64, oldest: u64 },
     /// A file could not be read or written.
     File { path: PathBuf, error: io::Error },
-    /// The job ended otherwise than by finishing.
+    /// The job ended otherwise than by being done.
     Job { name: String, state: String },
     /// The output can't be written, or this process lacks a resource.
     Local(io::Error),
@@ -38,7 +38,11 @@
             Self::Refused { .. } => 2,
             Self::Unreachable { .. } => 5,
             Self::File { .. } | Self::Plot(_) => 6,
-            Self::Job { .. } => 7,
+            Self::Job { state, .. } => match state.as_str() {
+                "refused" => 10,
+                "cancelled" => 11,
+                _ => 7,
+            },
             Self::Compacted { .. } => 8,
             Self::Waited { .. } => 9,
         }
@@ -67,7 +71,11 @@
                 "{error} (asked {asked}); check --control, or that a control instance runs there"
             ),
             Self::Waited { seconds } => {
-                write!(f, "nothing final after {seconds} s; the work goes on, wait again")
+                write!(
+                    f,
+                    "nothing final after {seconds} s; the work goes on, follow it with: toucangrade \
+                     watch"
+                )
             },
         }
     }
--- a/toucangrade_cli/src/options.rs
+++ b/toucangrade_cli/src/options.rs
@@ -155,13 +155,11 @@
 }
 
 fn jobs() -> impl Parser<Action> {
-    // Hidden until control reports the states of jobs on the watch stream.
-    let wait = long("wait").help("Follow the job to its final state").switch().hide();
+    let wait = long("wait").help("Follow the job to its final state").switch();
     let limit = long("wait-limit-s")
-        .help("Longest wait in seconds")
+        .help("Longest wait in seconds; a day if missing")
         .argument::<u64>("SECONDS")
-        .fallback(86_400)
-        .hide();
+        .fallback(86_400);
     let (file, name) = (file(), positional::<String>("NAME").help("Name of the job"));
     construct!(Action::Submit { wait, limit, file, name })
         .to_options()
--- a/toucangrade_cli/src/tests.rs
+++ b/toucangrade_cli/src/tests.rs
@@ -19,6 +19,8 @@
     Body(u16, Value),
     /// Lines of a stream, which then ends.
     Lines(Vec<Value>),
+    /// Lines of a stream that stays open.
+    Open(Vec<Value>),
 }
 
 /// A control instance that gives fixed responses and notes what it was asked.
@@ -67,14 +69,22 @@
 }
 
 fn outbound(given: Option<Given>) -> Outbound {
+    let stream = |lines: Vec<Value>| {
+        let (sender, receiver) = mpsc::channel(64);
+        for line in lines {
+            sender.try_send(Bytes::from(format!("{line}\n"))).unwrap();
+        }
+        let body = Payload::Stream(receiver);
+        (sender, Outbound { status: 200, headers: Vec::new(), body })
+    };
     match given {
         Some(Given::Body(status, body)) => Outbound::json(status, &body),
-        Some(Given::Lines(lines)) => {
-            let (sender, receiver) = mpsc::channel(64);
-            for line in lines {
-                sender.try_send(Bytes::from(format!("{line}\n"))).unwrap();
-            }
-            Outbound { status: 200, headers: Vec::new(), body: Payload::Stream(receiver) }
+        Some(Given::Lines(lines)) => stream(lines).1,
+        Some(Given::Open(lines)) => {
+            let (sender, outbound) = stream(lines);
+            // A sender that is never dropped keeps the stream open.
+            std::mem::forget(sender);
+            outbound
         },
         None => Outbound::json(500, &json!({ "error": "unexpected", "reason": "no more" })),
     }
@@ -234,24 +244,77 @@
     args: vec!["submit", "scan", "--file", FILE, "--wait"],
     given: vec![
         Given::Body(201, json!({ "revision": 8 })),
-        Given::Lines(vec![job(9, "running"), change(10, "put", "jobs", "other")]),
-        Given::Lines(vec![job(11, "finished")]),
+        Given::Lines(vec![job(8, "waiting"), job(9, "running"), change(10, "put", "jobs", "other")]),
+        refused(503, "unavailable", json!({})),
+        Given::Lines(vec![job(11, "evicted"), job(12, "running"), job(13, "done")]),
     ],
     asked: vec![
         "PUT /v1/resources/jobs/scan *",
-        "GET /v1/watch?since=8&beat=1",
+        "GET /v1/watch?since=7&beat=1",
+        "GET /v1/watch?since=10&beat=1",
         "GET /v1/watch?since=10&beat=1",
     ],
     code: 0,
-    shows: vec!["finished at revision 11"],
+    shows: vec!["done at revision 13"],
 })]
 #[case::job_failed(Case {
     args: vec!["submit", "scan", "--file", FILE, "--wait"],
     given: vec![Given::Body(201, json!({ "revision": 8 })), Given::Lines(vec![job(9, "failed")])],
-    asked: vec!["PUT /v1/resources/jobs/scan *", "GET /v1/watch?since=8&beat=1"],
+    asked: vec!["PUT /v1/resources/jobs/scan *", "GET /v1/watch?since=7&beat=1"],
     code: 7,
     shows: vec!["ended as failed", "explain scan"],
 })]
+#[case::job_refused(Case {
+    args: vec!["submit", "scan", "--file", FILE, "--wait"],
+    given: vec![Given::Body(201, json!({ "revision": 8 })), Given::Lines(vec![job(9, "refused")])],
+    asked: vec!["PUT /v1/resources/jobs/scan *", "GET /v1/watch?since=7&beat=1"],
+    code: 10,
+    shows: vec!["ended as refused", "explain scan"],
+})]
+#[case::job_used_before(Case {
+    args: vec!["submit", "scan", "--file", FILE, "--wait"],
+    given: vec![Given::Body(201, json!({ "revision": 8 })), Given::Lines(vec![job(8, "failed")])],
+    asked: vec!["PUT /v1/resources/jobs/scan *", "GET /v1/watch?since=7&beat=1"],
+    code: 7,
+    shows: vec!["ended as failed"],
+})]
+#[case::job_cancelled(Case {
+    args: vec!["submit", "scan", "--file", FILE, "--wait"],
+    given: vec![
+        Given::Body(201, json!({ "revision": 8 })),
+        Given::Lines(vec![change(9, "delete", "jobs", "scan"), job(10, "cancelled")]),
+    ],
+    asked: vec!["PUT /v1/resources/jobs/scan *", "GET /v1/watch?since=7&beat=1"],
+    code: 11,
+    shows: vec!["ended as cancelled"],
+})]
+#[case::job_done_before_its_cancellation(Case {
+    args: vec!["submit", "scan", "--file", FILE, "--wait"],
+    given: vec![
+        Given::Body(201, json!({ "revision": 8 })),
+        Given::Lines(vec![change(9, "delete", "jobs", "scan"), job(10, "done")]),
+    ],
+    asked: vec!["PUT /v1/resources/jobs/scan *", "GET /v1/watch?since=7&beat=1"],
+    code: 0,
+    shows: vec!["done at revision 10"],
+})]
+#[case::wait_limit(Case {
+    args: vec!["submit", "scan", "--file", FILE, "--wait", "--wait-limit-s", "1"],
+    given: vec![Given::Body(201, json!({ "revision": 8 })), Given::Open(vec![job(8, "waiting")])],
+    asked: vec!["PUT /v1/resources/jobs/scan *", "GET /v1/watch?since=7&beat=1"],
+    code: 9,
+    shows: vec!["nothing final after 1 s"],
+})]
+#[case::wait_gap(Case {
+    args: vec!["submit", "scan", "--file", FILE, "--wait"],
+    given: vec![
+        Given::Body(201, json!({ "revision": 8 })),
+        refused(410, "compacted", json!({ "oldest": 40 })),
+    ],
+    asked: vec!["PUT /v1/resources/jobs/scan *", "GET /v1/watch?since=7&beat=1"],
+    code: 8,
+    shows: vec!["after revision 7"],
+})]
 #[case::watch_resumes(Case {
     args: vec!["watch", "--since", "3", "--count", "3"],
     given: vec![
--- a/toucangrade_cli/src/watch.rs
+++ b/toucangrade_cli/src/watch.rs
@@ -33,6 +33,8 @@
     pub(crate) since: Option<u64>,
     /// End of the wait.
     pub(crate) limit: Option<Duration>,
+    /// Whether a control instance answered before, so that the addresses are known to be right.
+    pub(crate) answered: bool,
 }
 
 /// Why a connection ended.
@@ -55,8 +57,8 @@
             .enable_all()
             .build()
             .map_err(Failure::Local)?;
-        let mut position =
-            Position { since: self.since.unwrap_or(0), given: self.since.is_some(), begun: false };
+        let (since, given) = (self.since.unwrap_or(0), self.since.is_some());
+        let mut position = Position { since, given, begun: self.answered };
         let run = self.run(link, notes, &mut position, &mut take);
         runtime.block_on(async {
             match self.limit {
