--- a/toucangrade/src/daemon/control.rs
+++ b/toucangrade/src/daemon/control.rs
@@ -201,10 +201,12 @@
         let tick = || state::Message::Tick;
         let duty = Duty { state: State::default(), step: State::step, tick, period: TICK };
         duty.spawn(&self.state, context.clock.clone(), move |_, effect| match effect {
+            state::Effect::Changed { revision: newest } => {
+                revision.send_replace(newest);
+            },
             state::Effect::Schedule(message) => scheduling.push(message),
             state::Effect::Configure(config) => {
                 scheduling.push(scheduling::Message::Configure(config.clone()));
-                revision.send_replace(config.revision);
                 telemetry.gauge("revision", config.revision);
                 membership.push(membership::Message::Configure(config));
             },
