--- a/toucangrade_standin/src/main.rs
+++ b/toucangrade_standin/src/main.rs
@@ -43,6 +43,7 @@
             "connections": options.connections,
             "addr": addr,
             "busy": runner.busy(),
+            "checkpoints": options.checkpointed().collect::<Vec<_>>(),
         });
         let body = Bytes::from(body.to_string());
         let exchange = Exchange::post(options.agent, "/v1/announce", body, ANNOUNCE_EVERY);
--- a/toucangrade_standin/src/options.rs
+++ b/toucangrade_standin/src/options.rs
@@ -12,6 +12,7 @@
     pub(crate) addr: SocketAddr,
     pub(crate) service: String,
     pub(crate) kinds: String,
+    pub(crate) checkpoints: String,
     pub(crate) slots: u32,
     pub(crate) connections: u32,
     pub(crate) delay: u64,
@@ -24,6 +25,13 @@
     pub(crate) ports: Option<PathBuf>,
 }
 
+impl Options {
+    /// Kinds whose executions can be stopped with a checkpoint.
+    pub(crate) fn checkpointed(&self) -> impl Iterator<Item = &str> {
+        self.checkpoints.split(',').filter(|kind| !kind.is_empty())
+    }
+}
+
 /// Parser of the command line.
 pub(crate) fn parser() -> OptionParser<Options> {
     let agent = long("agent").help("Announce port of the agent").argument::<SocketAddr>("ADDR");
@@ -33,6 +41,10 @@
         .fallback(SocketAddr::from(([127, 0, 0, 1], 0)));
     let service = long("service").help("Service to announce").argument::<String>("NAME");
     let kinds = long("kinds").help("Kinds to announce, with commas").argument::<String>("NAMES");
+    let checkpoints = long("checkpoints")
+        .help("Kinds whose executions can be stopped with a checkpoint, with commas")
+        .argument::<String>("NAMES")
+        .fallback(String::new());
     let slots = long("slots").help("Executions at once").argument::<u32>("N").fallback(8);
     let connections =
         long("connections").help("Connections at once").argument::<u32>("N").fallback(64);
@@ -71,6 +83,7 @@
         addr,
         service,
         kinds,
+        checkpoints,
         slots,
         connections,
         delay,
--- a/toucangrade_standin/src/tests.rs
+++ b/toucangrade_standin/src/tests.rs
@@ -170,3 +170,40 @@
         [70, 300, 10, 0]
     );
 }
+
+/// Guards against progress that is lost or done twice, and against a repeated eviction that is told
+/// of another checkpoint.
+#[test]
+fn evicted_execution_resumes_elsewhere() {
+    let args = &["--checkpoints", "k", "--delay-ms", "20000"];
+    let (standin, other) = (Standin::start(args), Standin::start(args));
+    let evict = || {
+        let stop = standin.exchange(Method::DELETE, "a", Some(5), 0);
+        let response = standin.client.call(stop.header("toucangrade-evict", "true")).unwrap();
+        let checkpoint = response.headers.get("toucangrade-checkpoint");
+        (response.status, checkpoint.map(|value| value.to_str().unwrap().to_owned()))
+    };
+    let checkpoint = thread::scope(|scope| {
+        let answer = scope.spawn(|| standin.post("a", 5, 25_000).unwrap().0);
+        standin.await_journal(1);
+        let (status, checkpoint) = evict();
+        assert_eq!((status, answer.join().unwrap()), (200, 409));
+        checkpoint.unwrap()
+    });
+    assert_eq!(evict(), (200, Some(checkpoint)));
+    assert_eq!(standin.journal(), ["start a", "evict a", "stop a"]);
+    let exchange = other.exchange(Method::POST, "a", Some(6), 25_000);
+    let exchange = exchange.header("toucangrade-checkpoint", "progress-ms-20000");
+    assert_eq!(other.client.call(exchange).unwrap().status, 200);
+    assert_eq!(other.journal(), ["start a", "resume a progress-ms-20000", "end a"]);
+}
+
+/// Guards against a checkpoint of a kind that has none.
+#[test]
+fn eviction_of_another_kind_is_a_stop() {
+    let standin = Standin::start(&["--checkpoints", "other"]);
+    let stop = standin.exchange(Method::DELETE, "a", Some(5), 0);
+    let response = standin.client.call(stop.header("toucangrade-evict", "true")).unwrap();
+    assert_eq!(response.status, 200);
+    assert!(response.headers.get("toucangrade-checkpoint").is_none());
+}
