--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -118,13 +118,13 @@
             --journal "$dir/worker_$n.journal" ${WORKER_ARGS:-}
         launch "$dir" "worker_$n"
         # The last back end serves the second service.
-        local service=balcao kinds=quote,route-plan,stock-order
+        local service=balcao kinds=quote,route-plan,stock-order checkpoints=route-plan
         if [ "$n" = "$agents" ]; then
-            service=pew-atelier kinds=match,reconstruction,survey
+            service=pew-atelier kinds=match,reconstruction,survey checkpoints=reconstruction
         fi
         command_of "$dir" "backend_$n" "$bin/toucangrade_standin" --agent "$announce" \
-            --addr "$addr" --service "$service" --kinds "$kinds" --journal "$dir/backend_$n.journal" \
-            ${BACKEND_ARGS:-}
+            --addr "$addr" --service "$service" --kinds "$kinds" \
+            --checkpoints "$checkpoints" --journal "$dir/backend_$n.journal" ${BACKEND_ARGS:-}
         launch "$dir" "backend_$n"
     done
     declare_services "$dir" "${operators[1]}"
--- /dev/null
+++ b/toucangrade/src/admission/evict.rs
@@ -0,0 +1,122 @@
+//! Eviction of batch attempts from runners that are leaving.
+
+use serde::Serialize;
+
+use super::{Admission, Attempt, Effect, Halt, Outcome, Phase, Report, STOP_EVERY};
+use crate::claims::EVICTIONS_MAX;
+use crate::core::{Class, Key, Moment};
+
+/// How far the eviction of an attempt is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub(super) enum Evict {
+    /// The runner was asked; it is asked again at `next` when its answer was lost. `over` says
+    /// that it closed the execution's own response without a result.
+    Asked { next: Option<Moment>, over: bool },
+    /// The attempt is not to be evicted.
+    No,
+    /// The runner did not stop the execution, so it goes on until it ends.
+    Refused,
+}
+
+impl Admission {
+    /// Evicts batch attempts from runners that are leaving, and refuses those that wait there.
+    pub(super) fn evictions(&mut self, now: Moment) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        let mut waiting = Vec::new();
+        for key in &self.active {
+            let Some(attempt) = self.attempts.get_mut(key) else { continue };
+            let Some(addr) = attempt.runner.filter(|_| attempt.class == Class::Batch) else {
+                continue;
+            };
+            let Some(runner) = self.runners.get(&addr) else { continue };
+            if !self.draining && !runner.announce.leaving {
+                continue;
+            }
+            if attempt.phase == Phase::Waiting {
+                waiting.push((key.clone(), attempt.fence));
+            } else if runner.announce.checkpoints.contains(&attempt.kind) && attempt.due(now) {
+                attempt.evict = Evict::Asked { next: None, over: attempt.over() };
+                let (key, kind) = (key.clone(), attempt.kind.clone());
+                effects.push(Effect::Evict { addr, key, fence: attempt.fence, kind });
+            }
+        }
+        for (key, fence) in waiting {
+            let reason = "the runner is leaving".to_owned();
+            let report = Report::Refused { code: "leaving".to_owned(), reason, after: None };
+            effects.extend(self.settle(now, &key, fence, report));
+        }
+        effects
+    }
+
+    /// Takes a runner's answer to the request to evict an execution.
+    pub(super) fn halted(&mut self, now: Moment, key: &Key, fence: u64, halt: Halt) -> Vec<Effect> {
+        let Some(attempt) = self.attempts.get_mut(key).filter(|a| a.fence == fence) else {
+            return Vec::new();
+        };
+        let report = match halt {
+            Halt::Checkpointed(checkpoint) => Report::Evicted { checkpoint },
+            Halt::Stopped => stopped(),
+            // The execution's own response ended, so nothing runs any more.
+            Halt::Refused if attempt.over() => stopped(),
+            Halt::Refused => {
+                attempt.evict = Evict::Refused;
+                return Vec::new();
+            },
+            Halt::Unknown => {
+                // Without an answer the slot stays in use; a runner that has stopped the execution
+                // answers the repeated request with the same checkpoint.
+                let next = Some(now + STOP_EVERY);
+                attempt.evict = Evict::Asked { next, over: attempt.over() };
+                return Vec::new();
+            },
+        };
+        self.settle(now, key, fence, report)
+    }
+
+    /// Whether an answer only says that the execution was stopped by the eviction under way, whose
+    /// checkpoint is still to come.
+    pub(super) fn interrupted(&mut self, key: &Key, fence: u64, outcome: &Outcome) -> bool {
+        let failed = !(200..300).contains(&outcome.answer.status);
+        let Some(attempt) = self.attempts.get_mut(key).filter(|a| a.fence == fence) else {
+            return false;
+        };
+        match &mut attempt.evict {
+            Evict::Asked { over, .. } if failed => {
+                *over = true;
+                true
+            },
+            _ => false,
+        }
+    }
+}
+
+impl Attempt {
+    /// Whether the runner is to be asked now to evict the attempt.
+    fn due(&self, now: Moment) -> bool {
+        let Phase::Running { end, stop } = self.phase else { return false };
+        let evictions = self.resume.as_ref().map_or(0, |resume| resume.evictions);
+        let asked = match self.evict {
+            Evict::Asked { next, .. } => next.is_some_and(|next| now >= next),
+            // An execution that is being stopped already keeps nothing.
+            Evict::No => stop.is_none(),
+            Evict::Refused => false,
+        };
+        asked && evictions < EVICTIONS_MAX && now < end
+    }
+
+    /// Whether the runner may still answer with a checkpoint, so that no plain stop is sent.
+    pub(super) fn evicting(&self, now: Moment) -> bool {
+        let within = matches!(self.phase, Phase::Running { end, .. } if now < end);
+        within && matches!(self.evict, Evict::Asked { .. })
+    }
+
+    /// Whether the runner closed the execution's own response without a result.
+    fn over(&self) -> bool {
+        matches!(self.evict, Evict::Asked { over: true, .. })
+    }
+}
+
+/// Outcome of an eviction that gave no checkpoint.
+fn stopped() -> Report {
+    Report::Lost { reason: "the execution was evicted without a checkpoint".to_owned() }
+}
--- a/toucangrade/src/admission/message.rs
+++ b/toucangrade/src/admission/message.rs
@@ -5,7 +5,8 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::core::{Answer, Class, Key, Moment, Name, Span};
+use crate::claims::Resume;
+use crate::core::{Answer, Checkpoint, Class, Key, Moment, Name, Span};
 use crate::http::CallError;
 use crate::membership::Offer;
 
@@ -26,6 +27,8 @@
     pub(crate) start_by: Moment,
     /// Time after the start when the execution has to end.
     pub(crate) lease: Span,
+    /// Where the execution goes on, when an earlier attempt was evicted.
+    pub(crate) resume: Option<Resume>,
     pub(crate) body: Bytes,
 }
 
@@ -34,6 +37,8 @@
 pub(crate) enum Report {
     /// The execution ended with this answer.
     Ended(Answer),
+    /// The runner stopped the execution and keeps it under this checkpoint.
+    Evicted { checkpoint: Checkpoint },
     /// The agent was restarted since, so it knows nothing about the attempt.
     Forgotten,
     /// The execution ended or was stopped, but its answer is not known.
@@ -81,6 +86,9 @@
     /// Executions under way at the runner, whoever started them.
     #[serde(default)]
     pub(crate) busy: u32,
+    /// Kinds whose executions the runner can stop with a checkpoint.
+    #[serde(default)]
+    pub(crate) checkpoints: Vec<Name>,
 }
 
 /// Message to the duty.
@@ -94,6 +102,8 @@
     Drain,
     /// The runner's answer to an execution came, or did not.
     Ended { key: Key, fence: u64, result: Result<Outcome, CallError> },
+    /// The runner answered the request to evict an execution, or did not.
+    Evicted { key: Key, fence: u64, halt: Halt },
     /// An entry asks for the outcome of an attempt, or only for clock and load.
     Query { ticket: u64, about: Option<Question> },
     /// An entry asks to start an attempt.
@@ -112,11 +122,26 @@
     pub(crate) declined: bool,
 }
 
+/// What a runner answered to the request to evict an execution.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Halt {
+    /// It stopped the execution and synced this checkpoint.
+    Checkpointed(Checkpoint),
+    /// It did not stop the execution.
+    Refused,
+    /// It stopped the execution without a checkpoint, or is gone.
+    Stopped,
+    /// No answer came, so the execution may be stopped or not.
+    Unknown,
+}
+
 /// What the duty asks for.
 #[derive(Debug)]
 pub(crate) enum Effect {
     /// Replies to a runner's announcement.
     Announced { ticket: u64, error: Option<String> },
+    /// Asks a runner to stop an execution with a checkpoint.
+    Evict { addr: SocketAddr, key: Key, fence: u64, kind: Name },
     /// Tells the membership duty what the runners offer.
     Offers(Vec<Offer>),
     /// Replies to a start or a query.
@@ -129,6 +154,8 @@
         kind: Name,
         class: Class,
         lease: Span,
+        /// Checkpoint that the execution goes on from.
+        checkpoint: Option<Checkpoint>,
         body: Bytes,
     },
     /// Tells a runner to stop an execution.
--- a/toucangrade/src/admission/mod.rs
+++ b/toucangrade/src/admission/mod.rs
@@ -1,5 +1,6 @@
 //! The ledger of what runs beside this agent, and the only place where an attempt is admitted.
 
+mod evict;
 mod message;
 mod wire;
 
@@ -12,9 +13,11 @@
 use bytes::Bytes;
 use serde::Serialize;
 
+use self::evict::Evict;
 pub(crate) use self::message::{
-    Announce, Effect, Message, Outcome, Question, Report, Reported, Start,
+    Announce, Effect, Halt, Message, Outcome, Question, Report, Reported, Start,
 };
+use crate::claims::Resume;
 use crate::core::{Class, Key, Moment, Name, Span, invariant};
 use crate::http::CallError;
 use crate::membership::Offer;
@@ -129,6 +132,9 @@
     phase: Phase,
     start_by: Moment,
     lease: Span,
+    /// Where the execution went on.
+    resume: Option<Resume>,
+    evict: Evict,
     #[serde(skip)]
     body: Bytes,
     /// Requests that wait for the outcome.
@@ -191,9 +197,12 @@
             },
             Message::Drain => {
                 self.draining = true;
-                vec![self.offers(now)]
+                let mut effects = vec![self.offers(now)];
+                effects.extend(self.evictions(now));
+                effects
             },
             Message::Ended { key, fence, result } => self.ended(now, &key, fence, result),
+            Message::Evicted { key, fence, halt } => self.halted(now, &key, fence, halt),
             Message::Query { ticket, about } => self.query(now, ticket, about),
             Message::Start { ticket, start } => self.start(now, ticket, start),
             Message::Stopped { key, fence, confirmed } => {
@@ -217,7 +226,8 @@
         } else if announce.kinds.is_empty() {
             Some("kinds is empty, allowed is one kind or more".to_owned())
         } else {
-            None
+            let other = announce.checkpoints.iter().find(|kind| !announce.kinds.contains(kind));
+            other.map(|kind| format!("checkpoints names {kind}, allowed are the names in kinds"))
         };
         if error.is_some() {
             return vec![Effect::Announced { ticket, error }];
@@ -235,6 +245,7 @@
             },
         }
         let mut effects = vec![Effect::Announced { ticket, error: None }, self.offers(now)];
+        effects.extend(self.evictions(now));
         effects.extend(self.advance(now, addr));
         effects
     }
@@ -348,7 +359,7 @@
     }
 
     fn admit(&mut self, now: Moment, ticket: u64, start: Start, addr: SocketAddr) -> Vec<Effect> {
-        let Start { key, fence, kind, class, start_by, lease, body, .. } = start;
+        let Start { key, fence, kind, class, start_by, lease, resume, body, .. } = start;
         let tickets = vec![ticket];
         let (runner, phase) = (Some(addr), Phase::Waiting);
         let attempt = Attempt {
@@ -359,6 +370,8 @@
             phase,
             start_by,
             lease,
+            resume,
+            evict: Evict::No,
             body,
             tickets,
             ended: now,
@@ -402,6 +415,7 @@
                 kind: attempt.kind.clone(),
                 class: attempt.class,
                 lease: attempt.lease,
+                checkpoint: attempt.resume.as_ref().map(|resume| resume.checkpoint.clone()),
                 body: std::mem::take(&mut attempt.body),
             });
         }
@@ -428,6 +442,7 @@
                 reason: "the runner declined the request".to_owned(),
                 after: None,
             },
+            Ok(outcome) if self.interrupted(key, fence, &outcome) => return Vec::new(),
             Ok(outcome) if self.aborted(now, key, fence, &outcome) => {
                 Report::Lost { reason: "the execution was stopped or its lease ended".to_owned() }
             },
@@ -543,6 +558,8 @@
             phase: Phase::Done(report.clone()),
             start_by,
             lease: Span::ZERO,
+            resume: None,
+            evict: Evict::No,
             body: Bytes::new(),
             tickets: Vec::new(),
             ended: now,
@@ -564,6 +581,7 @@
             let report = Report::Refused { code: "full".to_owned(), reason, after: None };
             effects.extend(self.settle(now, &key, fence, report));
         }
+        effects.extend(self.evictions(now));
         effects.extend(self.stops(now));
         self.trim(now);
         let gone = |runner: &Runner| runner.held == 0 && now.since(runner.seen) > ANNOUNCE_LAPSE;
@@ -580,6 +598,9 @@
         let mut effects = Vec::new();
         for key in &self.active {
             let Some(attempt) = self.attempts.get_mut(key) else { continue };
+            if attempt.evicting(now) {
+                continue;
+            }
             let Phase::Running { end, stop } = &mut attempt.phase else { continue };
             let due = if now >= *end { Some(stop.unwrap_or(now)) } else { *stop };
             if let (Some(at), Some(addr)) = (due, attempt.runner)
--- a/toucangrade/src/admission/tests.rs
+++ b/toucangrade/src/admission/tests.rs
@@ -3,7 +3,7 @@
 use rstest::rstest;
 
 use super::*;
-use crate::core::Answer;
+use crate::core::{Answer, Checkpoint};
 
 fn name(value: &str) -> Name {
     Name::new(value).unwrap()
@@ -27,6 +27,7 @@
         addr: runner(),
         leaving,
         busy: 0,
+        checkpoints: vec![name("quote")],
     };
     Message::Announce { ticket: 0, announce }
 }
@@ -44,6 +45,7 @@
         incarnation: 5,
         start_by: Moment::START + Span::millis(500),
         lease: Span::millis(2_000),
+        resume: None,
         body: Bytes::new(),
     }
 }
@@ -82,14 +84,17 @@
 fn words(effects: Vec<Effect>) -> Vec<String> {
     let word = |effect| match effect {
         Effect::Announced { error, .. } => error.map(|error| format!("error {error}")),
+        Effect::Evict { key, .. } => Some(format!("evict {key}")),
         Effect::Offers(_) => None,
         Effect::Reply { ticket, reported } => Some(match reported.report {
             Report::Ended(_) => format!("ended {ticket}"),
+            Report::Evicted { checkpoint } => format!("evicted {ticket} {checkpoint}"),
             Report::Forgotten => format!("forgotten {ticket}"),
             Report::Lost { .. } => format!("lost {ticket}"),
             Report::Refused { code, .. } => format!("{code} {ticket}"),
             Report::Running => format!("running {ticket}"),
         }),
+        Effect::Run { key, checkpoint: Some(from), .. } => Some(format!("run {key} from {from}")),
         Effect::Run { key, .. } => Some(format!("run {key}")),
         Effect::Stop { key, .. } => Some(format!("stop {key}")),
     };
@@ -392,3 +397,139 @@
         |effect: &Effect| matches!(effect, Effect::Run { key, .. } if key.as_str() == "20");
     assert!(effects.iter().any(started), "{effects:?}");
 }
+
+/// Guards against a mistyped kind that is never evicted.
+#[test]
+fn checkpoints_are_of_announced_kinds() {
+    let mut admission = Admission::new(5);
+    let Message::Announce { ticket, mut announce } = announce(1, 3, false) else { unreachable!() };
+    announce.checkpoints = vec![name("qoute")];
+    let seen = words(admission.step(Moment::START, Message::Announce { ticket, announce }));
+    assert_eq!(seen, ["error checkpoints names qoute, allowed are the names in kinds"]);
+}
+
+/// A batch attempt that follows this many evictions.
+fn batch(ticket: u64, k: &str, evictions: u32) -> Message {
+    let checkpoint = Checkpoint::new("c-0").unwrap();
+    let resume = Some(Resume { checkpoint, evictions }).filter(|_| evictions > 0);
+    let start = Start { class: Class::Batch, resume, ..start(ticket, k, 2) };
+    Message::Start { ticket, start }
+}
+
+fn evicted(k: &str, fence: u64, halt: Halt) -> Message {
+    Message::Evicted { key: key(k), fence, halt }
+}
+
+fn kept() -> Halt {
+    Halt::Checkpointed(Checkpoint::new("c-1").unwrap())
+}
+
+/// Guards against slots that are freed while an execution may go on, against checkpoints that get
+/// lost, and against executions that are evicted although they can't resume. The runner has one
+/// slot.
+#[rstest]
+#[case::runner_leaves(Case {
+    messages: vec![(0, batch(1, "a", 0)), (1, announce(1, 3, true)), (9, evicted("a", 2, kept()))],
+    words: vec!["run a", "evict a", "evicted 1 c-1"],
+})]
+#[case::agent_drains(Case {
+    messages: vec![(0, batch(1, "a", 0)), (1, Message::Drain), (9, evicted("a", 2, kept()))],
+    words: vec!["run a", "evict a", "evicted 1 c-1"],
+})]
+#[case::resumes(Case {
+    messages: vec![(0, batch(1, "a", 7)), (1, announce(1, 3, true)), (2, announce(1, 3, true))],
+    words: vec!["run a from c-0", "evict a"],
+})]
+#[case::stays_after_eight_evictions(Case {
+    messages: vec![(0, batch(1, "a", 8)), (1, Message::Drain), (2, ended("a", 2))],
+    words: vec!["run a from c-0", "ended 1"],
+})]
+#[case::quick_work_stays(Case {
+    messages: vec![(0, begin(1, "a", 2)), (1, Message::Drain), (2, ended("a", 2))],
+    words: vec!["run a", "ended 1"],
+})]
+#[case::waiting_attempt_is_refused(Case {
+    messages: vec![
+        (0, batch(1, "a", 0)), (0, batch(2, "b", 0)), (1, announce(1, 3, true)),
+        (2, batch(3, "b", 0)), (9, evicted("a", 2, kept())),
+    ],
+    words: vec!["run a", "evict a", "leaving 2", "leaving 3", "evicted 1 c-1"],
+})]
+#[case::stop_without_a_checkpoint(Case {
+    messages: vec![(0, batch(1, "a", 0)), (1, Message::Drain), (9, evicted("a", 2, Halt::Stopped))],
+    words: vec!["run a", "evict a", "lost 1"],
+})]
+#[case::refusing_back_end_keeps_the_slot(Case {
+    messages: vec![
+        (0, batch(1, "a", 0)), (0, begin(2, "b", 2)), (1, announce(1, 3, true)),
+        (9, evicted("a", 2, Halt::Refused)), (600, Message::Tick), (900, ended("a", 2)),
+    ],
+    words: vec!["run a", "evict a", "full 2", "ended 1"],
+})]
+#[case::lost_answer_is_asked_for_again(Case {
+    messages: vec![
+        (0, batch(1, "a", 0)), (0, begin(2, "b", 2)), (1, announce(1, 3, true)),
+        (9, evicted("a", 2, Halt::Unknown)), (508, Message::Tick), (509, Message::Tick),
+        (510, Message::Tick), (520, evicted("a", 2, kept())),
+    ],
+    words: vec!["run a", "evict a", "full 2", "evict a", "evicted 1 c-1"],
+})]
+#[case::stopped_execution_waits_for_its_checkpoint(Case {
+    messages: vec![
+        (0, batch(1, "a", 0)), (1, Message::Drain), (2, failed("a", 2)), (9, evicted("a", 2, kept())),
+    ],
+    words: vec!["run a", "evict a", "evicted 1 c-1"],
+})]
+#[case::stopped_execution_without_a_checkpoint(Case {
+    messages: vec![
+        (0, batch(1, "a", 0)), (1, Message::Drain), (2, failed("a", 2)),
+        (9, evicted("a", 2, Halt::Refused)),
+    ],
+    words: vec!["run a", "evict a", "lost 1"],
+})]
+#[case::answer_goes_before_the_eviction(Case {
+    messages: vec![
+        (0, batch(1, "a", 0)), (1, Message::Drain), (2, ended("a", 2)), (9, evicted("a", 2, kept())),
+    ],
+    words: vec!["run a", "evict a", "ended 1"],
+})]
+#[case::broken_connection_waits_for_the_checkpoint(Case {
+    messages: vec![
+        (0, batch(1, "a", 0)), (1, Message::Drain), (2, lost("a", 2)), (9, evicted("a", 2, kept())),
+    ],
+    words: vec!["run a", "evict a", "evicted 1 c-1"],
+})]
+#[case::broken_connection_and_refused(Case {
+    messages: vec![
+        (0, batch(1, "a", 0)), (1, Message::Drain), (2, lost("a", 2)),
+        (9, evicted("a", 2, Halt::Refused)), (10, Message::Tick),
+        (11, Message::Stopped { key: key("a"), fence: 2, confirmed: true }),
+    ],
+    words: vec!["run a", "evict a", "stop a", "lost 1"],
+})]
+#[case::lease_ends_in_the_eviction(Case {
+    messages: vec![(0, batch(1, "a", 0)), (1, Message::Drain), (2_000, Message::Tick)],
+    words: vec!["run a", "evict a", "stop a"],
+})]
+#[case::older_fence(Case {
+    messages: vec![(0, batch(1, "a", 0)), (1, Message::Drain), (2, evicted("a", 1, kept()))],
+    words: vec!["run a", "evict a"],
+})]
+#[case::lost_report_is_asked_for(Case {
+    messages: vec![
+        (0, batch(1, "a", 0)), (1, Message::Drain), (9, evicted("a", 2, kept())),
+        (10, evicted("a", 2, Halt::Stopped)), (60, ask(2, "a", 2)),
+    ],
+    words: vec!["run a", "evict a", "evicted 1 c-1", "evicted 2 c-1"],
+})]
+fn leaving_runners_give_up_batch_work(#[case] case: Case) {
+    let mut admission = Admission::new(5);
+    admission.step(Moment::START, Message::Confirmed { until: Moment::START + Span::secs(9) });
+    admission.step(Moment::START, announce(1, 3, false));
+    let mut seen = Vec::new();
+    for (millis, message) in case.messages {
+        let now = Moment::START + Span::millis(millis);
+        seen.extend(words(admission.step(now, message)));
+    }
+    assert_eq!(seen, case.words);
+}
--- a/toucangrade/src/admission/wire.rs
+++ b/toucangrade/src/admission/wire.rs
@@ -12,7 +12,7 @@
 use super::message::{Reported, Start};
 
 /// Values of a serialised [`Start`].
-const START_VALUES: usize = 11;
+const START_VALUES: usize = 12;
 /// Values of a serialised [`Reported`].
 const REPORTED_VALUES: usize = 5;
 
@@ -38,6 +38,7 @@
         values.serialize_element(&self.incarnation)?;
         values.serialize_element(&self.start_by)?;
         values.serialize_element(&self.lease)?;
+        values.serialize_element(&self.resume)?;
         values.serialize_element(&self.body)?;
         values.end()
     }
@@ -64,6 +65,7 @@
             incarnation: next(&mut values, "incarnation")?,
             start_by: next(&mut values, "start_by")?,
             lease: next(&mut values, "lease")?,
+            resume: next(&mut values, "resume")?,
             body: next(&mut values, "body")?,
         })
     }
--- a/toucangrade/src/bench/model/hosts.rs
+++ b/toucangrade/src/bench/model/hosts.rs
@@ -34,7 +34,9 @@
     pub(super) fn admission(&mut self, agent: usize, message: admission::Message) {
         for effect in self.hosts[agent].admission.step(self.now, message) {
             match effect {
-                admission::Effect::Announced { .. } | admission::Effect::Stop { .. } => {},
+                admission::Effect::Announced { .. }
+                | admission::Effect::Evict { .. }
+                | admission::Effect::Stop { .. } => {},
                 admission::Effect::Offers(offers) => {
                     let changed = self.hosts[agent].offers != offers;
                     self.hosts[agent].offers = offers;
--- a/toucangrade/src/bench/model/mod.rs
+++ b/toucangrade/src/bench/model/mod.rs
@@ -306,6 +306,7 @@
             addr: addr(agent),
             busy: 0,
             leaving: self.hit(agent, &[Fault::Leaving]),
+            checkpoints: Vec::new(),
         };
         self.admission(agent, admission::Message::Announce { ticket: 0, announce });
         let until = self.now + CONFIG_LEASE;
@@ -466,7 +467,7 @@
                     let reply = match command.action {
                         Action::Attempt { .. } => {
                             self.fences += 1;
-                            Reply::Granted { fence: self.fences }
+                            Reply::Granted { fence: self.fences, resume: None }
                         },
                         _ => Reply::Done,
                     };
@@ -543,6 +544,7 @@
                     incarnation: target.incarnation,
                     start_by: target.start_by,
                     lease: admitted.lease,
+                    resume: None,
                     body: admitted.body,
                 };
                 self.call(entry, attempt, &target, start);
--- a/toucangrade/src/claims/mod.rs
+++ b/toucangrade/src/claims/mod.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::core::{Answer, Class, Key, Name, Refusal, Span, invariant};
+use crate::core::{Answer, Checkpoint, Class, Key, Name, Refusal, Span, invariant};
 use crate::routing::Target;
 
 /// Settled claims that are kept, so that a resent request gets its outcome.
@@ -35,6 +35,22 @@
     pub(crate) lease: Span,
 }
 
+/// Evictions of one key; after these it stays where it is until it ends, so that a restart of the
+/// whole fleet can't keep moving it.
+pub(crate) const EVICTIONS_MAX: u32 = 8;
+/// Evicted claims without an attempt that are kept. One takes 1 KiB for its checkpoint at most, and
+/// the oldest starts anew once it is dropped.
+const EVICTED_KEPT: usize = 10_000;
+
+/// Where an execution that was evicted goes on.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct Resume {
+    /// The newest checkpoint.
+    pub(crate) checkpoint: Checkpoint,
+    /// Evictions of the key so far.
+    pub(crate) evictions: u32,
+}
+
 /// Denials that are kept. An attempt that was asked for before one waits for minutes at most, and
 /// at the peak of 290 requests a second these last for more than five minutes.
 const DENIALS_KEPT: usize = 100_000;
@@ -57,6 +73,9 @@
     pub(crate) outcome: Option<Outcome>,
     /// Log index of the first claim.
     pub(crate) since: u64,
+    /// Where the next attempt goes on, after an eviction.
+    #[serde(default)]
+    pub(crate) resume: Option<Resume>,
 }
 
 /// Command on the claim of one key.
@@ -75,6 +94,8 @@
     },
     /// Refuses every attempt that was asked for before; any entry may propose it.
     Deny,
+    /// The attempt with this fence was evicted, and the next one goes on from this checkpoint.
+    Evict { fence: u64, checkpoint: Checkpoint },
     /// Asks what stands, before a caller is told that its request did not run.
     Look,
     /// The attempt with this fence did not run and will not.
@@ -97,8 +118,8 @@
 pub(crate) enum Reply {
     /// The key is denied to attempts that were asked for before this log index.
     Denied { at: u64 },
-    /// The attempt may run under this fence.
-    Granted { fence: u64 },
+    /// The attempt may run under this fence, from the newest checkpoint if there is one.
+    Granted { fence: u64, resume: Option<Resume> },
     /// The claim stands as shown; what it says goes before what the owner asked for.
     Stands(Box<Claim>),
     /// The key was used with another body, service or kind.
@@ -123,6 +144,9 @@
     denials: BTreeMap<Key, u64>,
     denied: BTreeMap<u64, Key>,
     bytes: usize,
+    /// Evicted claims without an attempt or outcome, by the log index of the first claim.
+    #[serde(default)]
+    evicted: BTreeMap<u64, Key>,
 }
 
 impl Claims {
@@ -148,6 +172,7 @@
                     grant: None,
                     outcome: None,
                     since: index,
+                    resume: None,
                 });
                 if (&claim.service, &claim.kind, &claim.digest) != (&service, &kind, &digest) {
                     return Reply::Mismatch;
@@ -157,28 +182,34 @@
                 }
                 claim.epoch = epoch;
                 claim.grant = Some(Grant { target, fence: index, lease });
+                self.evicted.remove(&claim.since);
+                let resume = claim.resume.clone();
                 self.open.entry(partition).or_default().insert(key);
-                Reply::Granted { fence: index }
+                Reply::Granted { fence: index, resume }
             },
             Action::Deny => match self.claims.get(&key) {
                 Some(claim) => Reply::Stands(Box::new(claim.clone())),
                 None => self.deny(index, key),
             },
             Action::Look => match self.claims.get(&key) {
-                Some(claim) if claim.grant.is_some() || claim.outcome.is_some() => {
-                    Reply::Stands(Box::new(claim.clone()))
-                },
-                _ => Reply::Done,
+                // A claim without an attempt is kept only when an earlier attempt was evicted.
+                Some(claim) => Reply::Stands(Box::new(claim.clone())),
+                None => Reply::Done,
             },
+            Action::Evict { fence, checkpoint } => self.evict(partition, key, fence, checkpoint),
             Action::Release { fence } => {
-                let Some(claim) = self.claims.get(&key) else { return Reply::Done };
+                let Some(claim) = self.claims.get_mut(&key) else { return Reply::Done };
                 if claim.outcome.is_some() {
                     return Reply::Stands(Box::new(claim.clone()));
                 }
-                // A claim without an attempt says nothing, so it is not kept.
                 if claim.grant.as_ref().is_none_or(|grant| grant.fence == fence) {
-                    self.claims.remove(&key);
-                    self.close(partition, &key);
+                    if claim.resume.is_some() {
+                        self.vacate(partition, key);
+                    } else {
+                        // A claim without an attempt or checkpoint says nothing.
+                        self.claims.remove(&key);
+                        self.close(partition, &key);
+                    }
                 }
                 Reply::Done
             },
@@ -186,6 +217,37 @@
         }
     }
 
+    /// Ends the grant with this fence and keeps the checkpoint, so that the next grant resumes from
+    /// it; any other fence changes nothing.
+    fn evict(&mut self, partition: u32, key: Key, fence: u64, checkpoint: Checkpoint) -> Reply {
+        let Some(claim) = self.claims.get_mut(&key) else { return Reply::Done };
+        match &claim.grant {
+            _ if claim.outcome.is_some() => Reply::Stands(Box::new(claim.clone())),
+            Some(grant) if grant.fence == fence => {
+                let before = claim.resume.as_ref().map_or(0, |resume| resume.evictions);
+                invariant!(before < EVICTIONS_MAX, "request {key} was evicted {before} times");
+                claim.resume = Some(Resume { checkpoint, evictions: before + 1 });
+                self.vacate(partition, key);
+                Reply::Done
+            },
+            Some(_) => Reply::Stands(Box::new(claim.clone())),
+            None => Reply::Done,
+        }
+    }
+
+    /// Keeps an evicted claim without an attempt for its next one.
+    fn vacate(&mut self, partition: u32, key: Key) {
+        self.close(partition, &key);
+        let Some(claim) = self.claims.get_mut(&key) else { return };
+        claim.grant = None;
+        self.evicted.insert(claim.since, key);
+        if self.evicted.len() > EVICTED_KEPT
+            && let Some((_, oldest)) = self.evicted.pop_first()
+        {
+            self.claims.remove(&oldest);
+        }
+    }
+
     fn settle(
         &mut self,
         index: u64,
@@ -206,6 +268,8 @@
         invariant!(!ran || granted.is_some(), "request {key} ran without a grant");
         self.bytes += size(&outcome);
         claim.outcome = Some(outcome);
+        claim.resume = None;
+        self.evicted.remove(&claim.since);
         self.close(partition, &key);
         self.settled.insert(index, key.clone());
         self.answers.insert(index, key);
--- a/toucangrade/src/claims/tests.rs
+++ b/toucangrade/src/claims/tests.rs
@@ -51,6 +51,10 @@
     command(epoch, Action::Settle { fence, outcome: Outcome::Ran(answer) })
 }
 
+fn evict(epoch: u64, fence: u64, checkpoint: &str) -> Command {
+    command(epoch, Action::Evict { fence, checkpoint: Checkpoint::new(checkpoint).unwrap() })
+}
+
 struct Case {
     /// Present epoch of the partition and the command.
     commands: Vec<(u64, Command)>,
@@ -126,13 +130,65 @@
     commands: vec![(1, attempt(1, "d")), (1, attempt(1, "e"))],
     replies: vec!["granted 1", "mismatch"],
 })]
+#[case::evicted_then_granted_from_its_checkpoint(Case {
+    commands: vec![
+        (1, attempt(1, "d")), (1, evict(1, 1, "c")), (1, attempt(1, "d")), (1, attempt(1, "d")),
+    ],
+    replies: vec!["granted 1", "done", "granted 3 from c after 1", "stands granted"],
+})]
+#[case::eviction_counts_once(Case {
+    commands: vec![
+        (1, attempt(1, "d")), (1, evict(1, 1, "c")), (1, evict(1, 1, "e")), (1, attempt(1, "d")),
+    ],
+    replies: vec!["granted 1", "done", "done", "granted 4 from c after 1"],
+})]
+#[case::eviction_of_an_older_fence_changes_nothing(Case {
+    commands: vec![
+        (1, attempt(1, "d")), (1, evict(1, 1, "c")), (1, attempt(1, "d")), (1, evict(1, 1, "e")),
+        (1, attempt(1, "d")), (1, evict(1, 3, "f")), (1, attempt(1, "d")),
+    ],
+    replies: vec![
+        "granted 1", "done", "granted 3 from c after 1", "stands granted", "stands granted", "done",
+        "granted 7 from f after 2",
+    ],
+})]
+#[case::next_owner_resumes(Case {
+    commands: vec![
+        (1, attempt(1, "d")), (1, evict(1, 1, "c")), (2, evict(1, 1, "e")), (2, attempt(2, "d")),
+    ],
+    replies: vec!["granted 1", "done", "outdated", "granted 4 from c after 1"],
+})]
+#[case::release_keeps_the_checkpoint(Case {
+    commands: vec![
+        (1, attempt(1, "d")), (1, evict(1, 1, "c")), (1, attempt(1, "d")),
+        (1, command(1, Action::Release { fence: 3 })), (1, attempt(1, "d")),
+    ],
+    replies: vec![
+        "granted 1", "done", "granted 3 from c after 1", "done", "granted 5 from c after 1",
+    ],
+})]
+#[case::evicted_is_not_denied(Case {
+    commands: vec![
+        (1, attempt(1, "d")), (1, evict(1, 1, "c")), (1, command(0, Action::Deny)),
+        (1, command(1, Action::Look)), (1, attempt(1, "e")),
+    ],
+    replies: vec!["granted 1", "done", "stands evicted", "stands evicted", "mismatch"],
+})]
+#[case::settled_is_not_evicted(Case {
+    commands: vec![(1, attempt(1, "d")), (1, settle(1, 1)), (1, evict(1, 1, "c"))],
+    replies: vec!["granted 1", "done", "stands settled"],
+})]
 fn claims_permit_one_attempt(#[case] case: Case) {
     let mut claims = Claims::default();
     let replies: Vec<String> = (1..)
         .zip(case.commands)
         .map(|(index, (owner, command))| match claims.apply(index, owner, command) {
-            Reply::Granted { fence } => format!("granted {fence}"),
+            Reply::Granted { fence, resume: None } => format!("granted {fence}"),
+            Reply::Granted { fence, resume: Some(Resume { checkpoint, evictions }) } => {
+                format!("granted {fence} from {checkpoint} after {evictions}")
+            },
             Reply::Stands(claim) if claim.outcome.is_some() => "stands settled".to_owned(),
+            Reply::Stands(claim) if claim.grant.is_none() => "stands evicted".to_owned(),
             Reply::Stands(_) => "stands granted".to_owned(),
             Reply::Denied { at } => format!("denied {at}"),
             Reply::Mismatch => "mismatch".to_owned(),
@@ -142,3 +198,29 @@
         .collect();
     assert_eq!(replies, case.replies);
 }
+
+/// Guards against evicted claims that pile up when nobody sends their requests again.
+#[test]
+fn evicted_claims_are_bounded() {
+    let mut claims = Claims::default();
+    for number in 0..EVICTED_KEPT as u64 + 10 {
+        let key = Key::new(&format!("plan-{number}")).unwrap();
+        let fence = 2 * number + 1;
+        claims.apply(fence, 1, Command { key: key.clone(), ..attempt(1, "d") });
+        claims.apply(fence + 1, 1, Command { key, ..evict(1, fence, "c") });
+    }
+    assert_eq!((claims.claims.len(), claims.evicted.len()), (EVICTED_KEPT, EVICTED_KEPT));
+    assert_eq!((claims.open(), claims.open.len()), (0, 0));
+}
+
+/// Guards against a claim of an earlier version in a snapshot that can't be read any more.
+#[test]
+fn claims_without_checkpoints_are_read() {
+    let mut claims = Claims::default();
+    claims.apply(1, 1, attempt(1, "d"));
+    let claim = claims.claims.values().next().unwrap();
+    let bytes = rmp_serde::to_vec(claim).unwrap();
+    // The first byte holds the number of fields, the last one is the absent checkpoint.
+    let older = [&[bytes[0] - 1], &bytes[1..bytes.len() - 1]].concat();
+    assert_eq!(&rmp_serde::from_slice::<Claim>(&older).unwrap(), claim);
+}
--- a/toucangrade/src/core/mod.rs
+++ b/toucangrade/src/core/mod.rs
@@ -10,6 +10,7 @@
 mod tests;
 
 pub(crate) use self::duty::{Duty, Handle};
+pub(crate) use self::names::Checkpoint;
 pub use self::names::{BadName, Key, Name};
 pub(crate) use self::ring::{Received, Ring};
 pub use self::time::{Clock, Moment, Span};
--- a/toucangrade/src/core/names.rs
+++ b/toucangrade/src/core/names.rs
@@ -11,6 +11,8 @@
 const NAME_LIMIT: usize = 63;
 /// Longest idempotency key, in bytes.
 const KEY_LIMIT: usize = 128;
+/// Longest name of a checkpoint, in bytes.
+const CHECKPOINT_LIMIT: usize = 1_024;
 
 /// Why a name or key was refused.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
@@ -18,7 +20,7 @@
     /// The value is empty or longer than the limit in bytes.
     #[error("{what} has {length} bytes, allowed are 1 to {limit}")]
     Length {
-        /// Whether a name or a key was parsed.
+        /// Whether a name, a key or a checkpoint was parsed.
         what: &'static str,
         /// Length of the value in bytes.
         length: usize,
@@ -93,6 +95,30 @@
     }
 }
 
+/// Name that a back end gave to a checkpoint: 1 to 1,024 visible ASCII characters, opaque to the
+/// system.
+#[derive(Clone, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Checkpoint(Arc<str>);
+
+impl Checkpoint {
+    /// Checks and shares the name of a checkpoint.
+    ///
+    /// # Errors
+    ///
+    /// [`BadName`] when the value is empty, too long or holds an invisible character.
+    pub fn new(value: &str) -> Result<Self, BadName> {
+        let allowed = "visible ASCII characters";
+        check("checkpoint", value, CHECKPOINT_LIMIT, allowed, |c| c.is_ascii_graphic())?;
+        Ok(Self(value.into()))
+    }
+
+    /// The name as a string slice.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
 /// Checks length and characters of a value.
 fn check(
     what: &'static str,
@@ -111,7 +137,7 @@
     }
 }
 
-/// Implements the conversions that names and keys share.
+/// Implements the conversions that names, keys and checkpoints share.
 macro_rules! shared_string {
     ($type:ident) => {
         impl TryFrom<String> for $type {
@@ -156,5 +182,6 @@
     };
 }
 
+shared_string!(Checkpoint);
 shared_string!(Key);
 shared_string!(Name);
--- a/toucangrade/src/core/tests.rs
+++ b/toucangrade/src/core/tests.rs
@@ -25,6 +25,17 @@
     assert_eq!(Name::new(case.value).is_ok(), case.valid, "{:?}", case.value);
 }
 
+/// Guards against checkpoints that can't stand in a header, or that fill the log.
+#[test]
+fn checkpoints_are_checked() {
+    let long = "c".repeat(1_024);
+    for (value, valid) in [("step-7/a=b", true), ("", false), ("a b", false), ("é", false)] {
+        assert_eq!(Checkpoint::new(value).is_ok(), valid, "{value:?}");
+    }
+    assert!(Checkpoint::new(&long).is_ok());
+    assert!(Checkpoint::new(&format!("{long}c")).is_err());
+}
+
 struct RingCase {
     offered: usize,
     pushed: usize,
--- a/toucangrade/src/daemon/agent.rs
+++ b/toucangrade/src/daemon/agent.rs
@@ -12,19 +12,23 @@
 use super::Context;
 use super::link::Link;
 use super::worker;
-use crate::admission::{self, Admission, Announce, Outcome, Reported};
-use crate::core::{Answer, Class, Duty, Handle, Span};
+use crate::admission::{self, Admission, Announce, Halt, Outcome, Reported};
+use crate::core::{Answer, Checkpoint, Class, Duty, Handle, Key, Name, Span};
 use crate::http::{CallError, Exchange, Handler, Inbound, Outbound, Replies, Response};
 use crate::membership::agent::{self as membership, Identity, Membership};
 use crate::peer::{Reply, Request};
 use crate::platform;
 
+/// Header that names a checkpoint.
+const CHECKPOINT: &str = "toucangrade-checkpoint";
 /// Longest time between two ticks of the ledger.
 const TICK: Span = Span::millis(10);
 /// Time that a reply of control may take.
 const CONTROL_TIMEOUT: Span = Span::millis(1_500);
 /// Time that a runner's confirmation of a stop may take.
 const STOP_TIMEOUT: Span = Span::millis(500);
+/// Time that a runner gets to write and sync a checkpoint, a third of the default drain timeout.
+const EVICT_TIMEOUT: Span = Span::secs(10);
 /// Time beyond the lease in which a runner's answer arrives.
 const ANSWER_MARGIN: Span = Span::millis(100);
 
@@ -38,7 +42,7 @@
     announced: Arc<Replies<Option<String>>>,
     /// Whether a worker is beside this agent.
     worker: bool,
-    /// Executions under way at runners.
+    /// Executions and evictions under way at runners.
     running: Arc<AtomicUsize>,
 }
 
@@ -75,6 +79,17 @@
             admission::Effect::Announced { ticket, error } => {
                 agent.announced.close(ticket, error);
             },
+            admission::Effect::Evict { addr, key, fence, kind } => {
+                let exchange = stop(addr, &key, fence, &kind, EVICT_TIMEOUT)
+                    .header("toucangrade-evict", "true");
+                agent.running.fetch_add(1, Ordering::Relaxed);
+                let agent = agent.clone();
+                client.send(exchange, move |result| {
+                    agent.running.fetch_sub(1, Ordering::Relaxed);
+                    let halt = halt(result);
+                    agent.admission.push(admission::Message::Evicted { key, fence, halt });
+                });
+            },
             admission::Effect::Offers(offers) => {
                 if worker {
                     agent.platform.push(platform::Message::Offers(offers.clone()));
@@ -84,12 +99,16 @@
             admission::Effect::Reply { ticket, reported } => {
                 agent.reports.close(ticket, reported);
             },
-            admission::Effect::Run { addr, key, fence, kind, class, lease, body } => {
+            admission::Effect::Run { addr, key, fence, kind, class, lease, checkpoint, body } => {
                 let exchange =
                     Exchange::post(addr, format!("/{kind}"), body, lease + ANSWER_MARGIN)
                         .header("idempotency-key", key.as_str())
                         .header("toucangrade-fence", &fence.to_string())
                         .header("toucangrade-lease-ms", &lease.as_millis().to_string());
+                let exchange = match &checkpoint {
+                    Some(checkpoint) => exchange.header(CHECKPOINT, checkpoint.as_str()),
+                    None => exchange,
+                };
                 agent.running.fetch_add(1, Ordering::Relaxed);
                 let (agent, clock) = (agent.clone(), clock.clone());
                 client.send(exchange, move |result| {
@@ -104,10 +123,7 @@
                 });
             },
             admission::Effect::Stop { addr, key, fence, kind } => {
-                let exchange = Exchange::post(addr, format!("/{kind}"), Bytes::new(), STOP_TIMEOUT)
-                    .method(Method::DELETE)
-                    .header("idempotency-key", key.as_str())
-                    .header("toucangrade-fence", &fence.to_string());
+                let exchange = stop(addr, &key, fence, &kind, STOP_TIMEOUT);
                 let admission = agent.admission.clone();
                 client.send(exchange, move |result| {
                     // A runner that takes no connection is gone, and its executions with it.
@@ -222,6 +238,30 @@
     }
 }
 
+/// The request to stop an execution.
+fn stop(addr: SocketAddr, key: &Key, fence: u64, kind: &Name, timeout: Span) -> Exchange {
+    Exchange::post(addr, format!("/{kind}"), Bytes::new(), timeout)
+        .method(Method::DELETE)
+        .header("idempotency-key", key.as_str())
+        .header("toucangrade-fence", &fence.to_string())
+}
+
+/// What a runner's response to an eviction says.
+pub(super) fn halt(result: Result<Response, CallError>) -> Halt {
+    let response = match result {
+        Ok(response) => response,
+        // A runner that takes no connection is gone, and its executions with it.
+        Err(CallError::Connect) => return Halt::Stopped,
+        Err(CallError::Lost | CallError::Shed | CallError::Timeout) => return Halt::Unknown,
+    };
+    let checkpoint = response.headers.get(CHECKPOINT).and_then(|value| value.to_str().ok());
+    match checkpoint.and_then(|name| Checkpoint::new(name).ok()) {
+        Some(checkpoint) if response.status == 200 => Halt::Checkpointed(checkpoint),
+        _ if (200..300).contains(&response.status) => Halt::Stopped,
+        _ => Halt::Refused,
+    }
+}
+
 /// What a runner's response says.
 fn outcome(response: Response) -> Outcome {
     let verdict = response.headers.get("toucangrade-verdict");
--- a/toucangrade/src/daemon/operator.rs
+++ b/toucangrade/src/daemon/operator.rs
@@ -434,6 +434,8 @@
         "claimed_at": claim.since,
         "agent": claim.grant.as_ref().map(|grant| &grant.target.agent),
         "fence": claim.grant.as_ref().map(|grant| grant.fence),
+        "evictions": claim.resume.as_ref().map(|resume| resume.evictions),
+        "checkpoint": claim.resume.as_ref().map(|resume| resume.checkpoint.as_str()),
         "verdict": verdict,
     })
 }
--- a/toucangrade/src/daemon/tests.rs
+++ b/toucangrade/src/daemon/tests.rs
@@ -3,7 +3,9 @@
 use rstest::rstest;
 
 use super::*;
-use crate::core::Name;
+use crate::admission::Halt;
+use crate::core::{Checkpoint, Name};
+use crate::http::{CallError, Response};
 
 struct Case {
     args: &'static [&'static str],
@@ -270,3 +272,33 @@
     assert_eq!(parsed.err().map(|refused| refused.status), millis.is_none().then_some(400));
     assert_eq!(operator::period("from", None, 7).ok(), Some(7));
 }
+
+struct Halted {
+    result: Result<(u16, Option<&'static str>), CallError>,
+    halt: Halt,
+}
+
+/// Guards against an execution that is taken for stopped, or for checkpointed, when it is not.
+#[rstest]
+#[case::checkpoint(Halted {
+    result: Ok((200, Some("step-7"))),
+    halt: Halt::Checkpointed(Checkpoint::new("step-7").unwrap()),
+})]
+#[case::no_checkpoint(Halted { result: Ok((200, None)), halt: Halt::Stopped })]
+#[case::bad_checkpoint(Halted { result: Ok((200, Some("a b"))), halt: Halt::Stopped })]
+#[case::other_success(Halted { result: Ok((202, Some("step-7"))), halt: Halt::Stopped })]
+#[case::refused(Halted { result: Ok((409, Some("step-7"))), halt: Halt::Refused })]
+#[case::failed(Halted { result: Ok((500, None)), halt: Halt::Refused })]
+#[case::gone(Halted { result: Err(CallError::Connect), halt: Halt::Stopped })]
+#[case::lost(Halted { result: Err(CallError::Lost), halt: Halt::Unknown })]
+#[case::not_sent(Halted { result: Err(CallError::Shed), halt: Halt::Unknown })]
+#[case::late(Halted { result: Err(CallError::Timeout), halt: Halt::Unknown })]
+fn evictions_are_confirmed(#[case] case: Halted) {
+    let result = case.result.map(|(status, checkpoint)| {
+        let name = http::HeaderName::from_static("toucangrade-checkpoint");
+        let value = checkpoint.map(http::HeaderValue::from_static);
+        let headers = value.map(|value| (name, value)).into_iter().collect();
+        Response { status, headers, body: bytes::Bytes::new() }
+    });
+    assert_eq!(agent::halt(result), case.halt);
+}
--- a/toucangrade/src/execution/attempt.rs
+++ b/toucangrade/src/execution/attempt.rs
@@ -132,6 +132,7 @@
             incarnation: target.incarnation,
             start_by: target.start_by,
             lease: record.lease,
+            resume: record.resume.clone(),
             body: record.request.body.clone(),
         };
         let dispatched = Dispatched { target: target.clone(), fence, end };
@@ -144,7 +145,7 @@
     }
 
     /// Sends the claim command that the record's phase asks for.
-    fn claim(&mut self, now: Moment, key: &Key, out: &mut Vec<Effect>) {
+    pub(super) fn claim(&mut self, now: Moment, key: &Key, out: &mut Vec<Effect>) {
         let Some(record) = self.records.get_mut(key) else { return };
         let request = &record.request;
         let action = match &record.phase {
@@ -157,6 +158,9 @@
                 target: target.clone(),
                 lease: record.lease,
             },
+            Phase::Evicting { fence, checkpoint } => {
+                Action::Evict { fence: *fence, checkpoint: checkpoint.clone() }
+            },
             Phase::Looking { .. } => Action::Look,
             Phase::Releasing { fence, .. } => Action::Release { fence: *fence },
             Phase::Settling { fence, outcome, .. } => {
@@ -197,10 +201,10 @@
             out.push(Effect::Unused { agent: target.agent.clone() });
         }
         match (&record.phase, reply) {
-            (Phase::Claiming { target }, Reply::Granted { fence }) => {
+            (Phase::Claiming { target }, Reply::Granted { fence, resume }) => {
                 let target = target.clone();
                 record.looked = true;
-                record.note(now, &entry, format!("the log grants the attempt under fence {fence}"));
+                record.granted(now, &entry, fence, resume);
                 if epoch != Some(record.epoch) {
                     // Without its partition an entry starts nothing.
                     record.phase = Phase::Releasing { fence, refusal: moved(), after: None };
@@ -209,9 +213,13 @@
                 self.call(now, key, target, fence, out);
             },
             (
-                Phase::Claiming { .. } | Phase::Looking { .. } | Phase::Releasing { .. },
+                Phase::Claiming { .. }
+                | Phase::Evicting { .. }
+                | Phase::Looking { .. }
+                | Phase::Releasing { .. },
                 Reply::Stands(claim),
             ) => self.stands(now, key, *claim, out),
+            (Phase::Evicting { .. }, Reply::Done) => self.resume(now, key, out),
             (Phase::Looking { refusal }, Reply::Done) => {
                 let refusal = refusal.clone();
                 record.looked = true;
@@ -252,7 +260,10 @@
                 self.drop_record(now, key, &Completion::Refused(refusal), out);
             },
             (
-                Phase::Claiming { .. } | Phase::Looking { .. } | Phase::Releasing { .. },
+                Phase::Claiming { .. }
+                | Phase::Evicting { .. }
+                | Phase::Looking { .. }
+                | Phase::Releasing { .. },
                 Reply::Outdated,
             ) => {
                 let completion =
@@ -311,8 +322,9 @@
             record.note(now, &entry, text);
             let end = now + bound(grant.lease);
             let dispatched = Dispatched { target: grant.target, fence: grant.fence, end };
-            self.ask_later(now, key, dispatched, Span::ZERO, out);
+            return self.ask_later(now, key, dispatched, Span::ZERO, out);
         }
+        self.left(now, key, out);
     }
 
     pub(super) fn outcome(
@@ -334,6 +346,9 @@
         };
         match report {
             Ok(Report::Ended(answer)) => self.ran(now, key, dispatched, answer, out),
+            Ok(Report::Evicted { checkpoint }) => {
+                self.evicted(now, key, dispatched, checkpoint, out);
+            },
             Ok(Report::Refused { code, reason, after }) => {
                 self.refused(now, key, dispatched, &code, reason, after, out);
             },
@@ -409,7 +424,7 @@
     }
 
     /// The attempt ended, but its answer is lost for good.
-    fn lost(
+    pub(super) fn lost(
         &mut self,
         now: Moment,
         key: Key,
@@ -484,7 +499,10 @@
         let jitter = self.rng.random();
         let Some(record) = self.records.get_mut(&key) else { return };
         let deadline = record.deadline();
-        match self.budget.next(now, record.tries, after, jitter, deadline) {
+        let next = self.budget.next(now, record.tries, after, jitter, deadline);
+        let next = next.or_else(|| self.held(now, &key));
+        let Some(record) = self.records.get_mut(&key) else { return };
+        match next {
             Some(until) => {
                 record.refusal = Some(refusal);
                 record.phase = Phase::Waiting { until };
@@ -495,7 +513,13 @@
     }
 
     /// Refuses a request that no attempt of this owner ran or can still run.
-    fn fail(&mut self, now: Moment, key: Key, mut refusal: Refusal, out: &mut Vec<Effect>) {
+    pub(super) fn fail(
+        &mut self,
+        now: Moment,
+        key: Key,
+        mut refusal: Refusal,
+        out: &mut Vec<Effect>,
+    ) {
         let Some(record) = self.records.get_mut(&key) else { return };
         if record.claims() && !record.looked {
             record.phase = Phase::Looking { refusal };
@@ -534,7 +558,7 @@
     }
 
     /// Tells everyone who waits and forgets the key, so that it may be tried anew.
-    fn drop_record(
+    pub(super) fn drop_record(
         &mut self,
         now: Moment,
         key: Key,
@@ -586,6 +610,7 @@
                 out.push(Effect::Ask { attempt: record.attempt, addr, question });
             },
             Phase::Claiming { .. }
+            | Phase::Evicting { .. }
             | Phase::Looking { .. }
             | Phase::Releasing { .. }
             | Phase::Settling { .. }
--- a/toucangrade/src/execution/mod.rs
+++ b/toucangrade/src/execution/mod.rs
@@ -4,6 +4,7 @@
 mod denial;
 mod message;
 mod record;
+mod resume;
 
 #[cfg(test)]
 mod tests;
--- a/toucangrade/src/execution/record.rs
+++ b/toucangrade/src/execution/record.rs
@@ -3,8 +3,8 @@
 use serde::Serialize;
 
 use super::message::{Completion, Request, Waiter};
-use crate::claims::Outcome;
-use crate::core::{Class, Moment, Name, Refusal, Span, Verdict};
+use crate::claims::{Outcome, Resume};
+use crate::core::{Checkpoint, Class, Moment, Name, Refusal, Span, Verdict};
 use crate::history::{Course, Event};
 use crate::routing::{Agents, Target};
 
@@ -24,6 +24,8 @@
     Asking { dispatched: Dispatched, next: Moment, wait: Span, pending: bool },
     /// Control is asked for leave to run an attempt at the target.
     Claiming { target: Target },
+    /// Control is told that an attempt was evicted with a checkpoint.
+    Evicting { fence: u64, checkpoint: Checkpoint },
     /// Control is asked what stands before the caller is refused.
     Looking { refusal: Refusal },
     /// Routing is asked for an agent.
@@ -66,6 +68,10 @@
     pub(crate) doubtful: bool,
     /// Whether a caller's timeout passed before the outcome was known.
     pub(crate) late: bool,
+    /// Checkpoint and evictions as far as this owner knows them.
+    pub(crate) resume: Option<Resume>,
+    /// Until when an evicted request waits for an agent although its retries are used up.
+    pub(crate) hold: Moment,
     /// Last reason for which an attempt did not run.
     pub(crate) refusal: Option<Refusal>,
     #[serde(skip)]
@@ -88,6 +94,8 @@
             looked: false,
             doubtful: false,
             late: false,
+            resume: None,
+            hold: Moment::START,
             refusal: None,
             events: Vec::new(),
         }
--- a/toucangrade/src/execution/tests.rs
+++ b/toucangrade/src/execution/tests.rs
@@ -6,7 +6,8 @@
 use super::*;
 use crate::admission::Report;
 use crate::claims::{self, Reply};
-use crate::core::{Answer, Verdict};
+use crate::core::{Answer, Checkpoint, Verdict};
+use crate::retry;
 use crate::routing::Target;
 
 fn name(value: &str) -> Name {
@@ -72,6 +73,16 @@
     Report::Lost { reason: "cut".to_owned() }
 }
 
+fn evicted(checkpoint: &str) -> Report {
+    Report::Evicted { checkpoint: Checkpoint::new(checkpoint).unwrap() }
+}
+
+fn granted(attempt: u32, fence: u64, from: Option<&str>) -> Message {
+    let resume = from
+        .map(|name| claims::Resume { checkpoint: Checkpoint::new(name).unwrap(), evictions: 1 });
+    claimed(attempt, Some(Reply::Granted { fence, resume }))
+}
+
 fn claimed(attempt: u32, reply: Option<Reply>) -> Message {
     Message::Claimed { key: key(), attempt, reply }
 }
@@ -86,10 +97,14 @@
             Some(format!("{} {}", refusal.code, refusal.verdict))
         },
         Effect::Ask { .. } => Some("ask".to_owned()),
-        Effect::Call { start, .. } => Some(format!("call {}", start.fence & 0xfffff)),
+        Effect::Call { start, .. } => {
+            let from = start.resume.map(|resume| format!(" from {}", resume.checkpoint));
+            Some(format!("call {}{}", start.fence & 0xfffff, from.unwrap_or_default()))
+        },
         Effect::Claim { command, .. } => Some(match command.action {
             claims::Action::Attempt { .. } => "claim".to_owned(),
             claims::Action::Deny => "deny".to_owned(),
+            claims::Action::Evict { fence, .. } => format!("evict {fence}"),
             claims::Action::Look => "look".to_owned(),
             claims::Action::Release { fence } => format!("release {fence}"),
             claims::Action::Settle { fence, .. } => format!("settle {fence}"),
@@ -109,10 +124,16 @@
     Message::Open { claims: vec![(key(), claim(grant, None))] }
 }
 
+fn open_batch(fence: u64) -> Message {
+    let Message::Open { mut claims } = open(fence) else { unreachable!() };
+    claims.iter_mut().for_each(|(_, claim)| claim.class = Class::Batch);
+    Message::Open { claims }
+}
+
 fn claim(grant: Option<claims::Grant>, outcome: Option<claims::Outcome>) -> claims::Claim {
     let (service, kind, digest) = (name("balcao"), name("quote"), digest(b"q"));
     let class = Class::Once;
-    claims::Claim { service, kind, class, digest, epoch: 1, grant, outcome, since: 1 }
+    claims::Claim { service, kind, class, digest, epoch: 1, grant, outcome, since: 1, resume: None }
 }
 
 fn forwarded(ticket: u64, origin_ticket: u64) -> Message {
@@ -186,21 +207,21 @@
 })]
 #[case::once_needs_a_claim(Case {
     messages: vec![
-        (0, begin(Class::Once, 1, "q")), (0, chosen(1)), (1, claimed(1, Some(Reply::Granted { fence: 9 }))),
+        (0, begin(Class::Once, 1, "q")), (0, chosen(1)), (1, claimed(1, Some(Reply::Granted { fence: 9, resume: None }))),
         (2, report(1, Ok(answer()))), (3, claimed(1, Some(Reply::Done))),
     ],
     words: vec!["pick 1", "claim", "call 9", "settle 9", "answer whole"],
 })]
 #[case::once_never_runs_again_when_lost(Case {
     messages: vec![
-        (0, begin(Class::Once, 1, "q")), (0, chosen(1)), (1, claimed(1, Some(Reply::Granted { fence: 9 }))),
+        (0, begin(Class::Once, 1, "q")), (0, chosen(1)), (1, claimed(1, Some(Reply::Granted { fence: 9, resume: None }))),
         (2, report(1, Ok(lost()))), (3, claimed(1, Some(Reply::Done))),
     ],
     words: vec!["pick 1", "claim", "call 9", "settle 9", "outcome-unknown may-have-run"],
 })]
 #[case::once_refused_is_released_first(Case {
     messages: vec![
-        (0, begin(Class::Once, 1, "q")), (0, chosen(1)), (1, claimed(1, Some(Reply::Granted { fence: 9 }))),
+        (0, begin(Class::Once, 1, "q")), (0, chosen(1)), (1, claimed(1, Some(Reply::Granted { fence: 9, resume: None }))),
         (2, report(1, Ok(refusal()))), (3, claimed(1, Some(Reply::Done))), (100, Message::Tick),
     ],
     words: vec!["pick 1", "claim", "call 9", "release 9", "pick 2"],
@@ -242,7 +263,7 @@
 })]
 #[case::batch_runs_again_after_loss(Case {
     messages: vec![
-        (0, begin(Class::Batch, 1, "q")), (0, chosen(1)), (1, claimed(1, Some(Reply::Granted { fence: 9 }))),
+        (0, begin(Class::Batch, 1, "q")), (0, chosen(1)), (1, claimed(1, Some(Reply::Granted { fence: 9, resume: None }))),
         (2, report(1, Ok(lost()))), (3, claimed(1, Some(Reply::Done))), (100, Message::Tick),
     ],
     words: vec!["pick 1", "claim", "call 9", "release 9", "pick 2"],
@@ -275,7 +296,7 @@
 #[case::late_grant_of_an_earlier_record(Case {
     messages: vec![
         (0, begin(Class::Once, 1, "q")), (0, chosen(1)), (1, claimed(1, Some(Reply::Mismatch))),
-        (2, begin(Class::Once, 2, "q")), (2, chosen(2)), (3, claimed(1, Some(Reply::Granted { fence: 9 }))),
+        (2, begin(Class::Once, 2, "q")), (2, chosen(2)), (3, claimed(1, Some(Reply::Granted { fence: 9, resume: None }))),
     ],
     words: vec!["pick 1", "claim", "key-reused not-run", "pick 2", "claim"],
 })]
@@ -289,7 +310,7 @@
 #[case::grant_after_the_partition_lease(Case {
     messages: vec![
         (0, begin(Class::Once, 1, "q")), (0, chosen(1)), (0, owners("me", 1, true, 500, vec![])),
-        (600, claimed(1, Some(Reply::Granted { fence: 9 }))),
+        (600, claimed(1, Some(Reply::Granted { fence: 9, resume: None }))),
     ],
     words: vec!["pick 1", "claim", "release 9"],
 })]
@@ -310,7 +331,7 @@
 })]
 #[case::outdated_settle_is_repeated(Case {
     messages: vec![
-        (0, begin(Class::Once, 1, "q")), (0, chosen(1)), (1, claimed(1, Some(Reply::Granted { fence: 9 }))),
+        (0, begin(Class::Once, 1, "q")), (0, chosen(1)), (1, claimed(1, Some(Reply::Granted { fence: 9, resume: None }))),
         (2, report(1, Ok(answer()))), (3, owners("me", 3, false, 9_000, vec![])),
         (4, claimed(1, Some(Reply::Outdated))), (5, claimed(1, Some(Reply::Done))),
     ],
@@ -318,7 +339,7 @@
 })]
 #[case::outcome_in_the_log_goes_first(Case {
     messages: vec![
-        (0, begin(Class::Once, 1, "q")), (0, chosen(1)), (1, claimed(1, Some(Reply::Granted { fence: 9 }))),
+        (0, begin(Class::Once, 1, "q")), (0, chosen(1)), (1, claimed(1, Some(Reply::Granted { fence: 9, resume: None }))),
         (2, report(1, Ok(lost()))),
         (3, claimed(1, Some(Reply::Stands(Box::new(claim(None, Some(
             claims::Outcome::Dropped { status: 200 },
@@ -349,7 +370,7 @@
 })]
 #[case::claims_without_callers_hold_no_partition(Case {
     messages: vec![
-        (0, begin(Class::Once, 1, "q")), (0, chosen(1)), (1, claimed(1, Some(Reply::Granted { fence: 9 }))),
+        (0, begin(Class::Once, 1, "q")), (0, chosen(1)), (1, claimed(1, Some(Reply::Granted { fence: 9, resume: None }))),
         (1, owners("me", 1, true, 9_000, vec![key().partition(PARTITIONS)])), (5_000, Message::Tick),
     ],
     words: vec!["pick 1", "claim", "call 9", "outcome-unknown may-have-run", "released 1"],
@@ -362,6 +383,91 @@
     ],
     words: vec!["pick 1", "call 1", "released 63", "answer whole", "released 64"],
 })]
+#[case::evicted_batch_resumes(Case {
+    messages: vec![
+        (0, begin(Class::Batch, 1, "q")), (0, chosen(1)), (1, granted(1, 9, None)),
+        (2, report(1, Ok(evicted("c")))), (3, claimed(1, Some(Reply::Done))), (3, chosen(2)),
+        (4, granted(2, 11, Some("c"))), (5, report(2, Ok(answer()))), (6, claimed(2, Some(Reply::Done))),
+    ],
+    words: vec![
+        "pick 1", "claim", "call 9", "evict 9", "pick 2", "claim", "call 11 from c", "settle 11",
+        "answer whole",
+    ],
+})]
+#[case::lost_eviction_report_is_asked_for(Case {
+    messages: vec![
+        (0, begin(Class::Batch, 1, "q")), (0, chosen(1)), (1, granted(1, 9, None)),
+        (2, report(1, Err(CallError::Lost))), (60, Message::Tick), (61, report(1, Ok(evicted("c")))),
+        (62, claimed(1, Some(Reply::Done))),
+    ],
+    words: vec!["pick 1", "claim", "call 9", "ask", "evict 9", "pick 2"],
+})]
+#[case::duplicate_eviction_report(Case {
+    messages: vec![
+        (0, begin(Class::Batch, 1, "q")), (0, chosen(1)), (1, granted(1, 9, None)),
+        (2, report(1, Ok(evicted("c")))), (2, report(1, Ok(evicted("c")))),
+        (3, claimed(1, Some(Reply::Done))), (4, claimed(1, Some(Reply::Done))),
+    ],
+    words: vec!["pick 1", "claim", "call 9", "evict 9", "pick 2"],
+})]
+#[case::late_eviction_report_of_an_older_fence(Case {
+    messages: vec![
+        (0, begin(Class::Batch, 1, "q")), (0, chosen(1)), (1, granted(1, 9, None)),
+        (2, report(1, Ok(evicted("c")))), (3, claimed(1, Some(Reply::Done))), (3, chosen(2)),
+        (4, granted(2, 11, Some("c"))), (5, report(1, Ok(evicted("c")))), (6, report(2, Ok(answer()))),
+    ],
+    words: vec![
+        "pick 1", "claim", "call 9", "evict 9", "pick 2", "claim", "call 11 from c", "settle 11",
+    ],
+})]
+#[case::eviction_is_sent_to_the_log_again(Case {
+    messages: vec![
+        (0, begin(Class::Batch, 1, "q")), (0, chosen(1)), (1, granted(1, 9, None)),
+        (2, report(1, Ok(evicted("c")))), (3, claimed(1, None)), (203, Message::Tick),
+        (204, claimed(1, Some(Reply::Done))),
+    ],
+    words: vec!["pick 1", "claim", "call 9", "evict 9", "evict 9", "pick 2"],
+})]
+#[case::later_owner_continues_from_the_checkpoint(Case {
+    messages: vec![
+        (0, owners("me", 2, false, 9_000, vec![])), (0, begin(Class::Batch, 1, "q")), (0, chosen(1)),
+        (1, granted(1, 11, Some("c"))), (2, report(1, Ok(refusal()))), (3, claimed(1, Some(Reply::Done))),
+        (4_999, owners("other", 3, true, 9_000, vec![])), (4_999, Message::Tick),
+    ],
+    words: vec!["pick 1", "claim", "call 11 from c", "release 11", "not-owner may-have-run"],
+})]
+#[case::open_claim_that_was_evicted_waits_for_a_caller(Case {
+    messages: vec![
+        (0, open_batch(9)), (1, report(1, Ok(evicted("c")))), (2, claimed(1, Some(Reply::Done))),
+        (3, begin(Class::Batch, 1, "q")), (3, chosen(2)), (4, granted(2, 11, Some("c"))),
+    ],
+    words: vec!["ask", "evict 9", "pick 2", "claim", "call 11 from c"],
+})]
+#[case::crash_of_the_agent_in_the_eviction(Case {
+    messages: vec![
+        (0, begin(Class::Batch, 1, "q")), (0, chosen(1)), (1, granted(1, 9, Some("c"))),
+        (2, report(1, Err(CallError::Lost))), (60, Message::Tick), (61, report(1, Ok(Report::Forgotten))),
+        (1_500, Message::Tick), (1_600, Message::Tick), (1_601, claimed(1, Some(Reply::Done))),
+        (1_700, Message::Tick), (1_700, chosen(2)), (1_701, granted(2, 11, Some("c"))),
+    ],
+    words: vec![
+        "pick 1", "claim", "call 9 from c", "ask", "release 9", "pick 2", "claim", "call 11 from c",
+    ],
+})]
+#[case::once_is_never_resumed(Case {
+    messages: vec![
+        (0, begin(Class::Once, 1, "q")), (0, chosen(1)), (1, granted(1, 9, None)),
+        (2, report(1, Ok(evicted("c")))),
+    ],
+    words: vec!["pick 1", "claim", "call 9", "settle 9"],
+})]
+#[case::evicted_claim_without_an_attempt_may_have_run(Case {
+    messages: vec![
+        (0, begin(Class::Batch, 1, "q")), (5_000, Message::Tick),
+        (5_001, claimed(1, Some(Reply::Stands(Box::new(claim(None, None)))))),
+    ],
+    words: vec!["pick 1", "look", "deadline-passed may-have-run"],
+})]
 fn requests_have_one_course(#[case] case: Case) {
     let mut execution = Execution::new(name("me"), 1);
     execution.step(Moment::START, owners("me", 1, true, 9_000, vec![]));
@@ -410,7 +516,7 @@
     execution.step(Moment::START, owners("me", 1, true, 9_000, vec![]));
     execution.step(Moment::START, begin(Class::Once, 1, "q"));
     execution.step(Moment::START, chosen(1));
-    execution.step(at(1), claimed(1, Some(Reply::Granted { fence: 9 })));
+    execution.step(at(1), claimed(1, Some(Reply::Granted { fence: 9, resume: None })));
     let body = Bytes::from(vec![7; 2 * 1024 * 1024]);
     let size = body.len();
     let whole = Report::Ended(Answer { status: 200, media: String::new(), body });
@@ -430,3 +536,35 @@
     });
     assert_eq!(completion, Some(size));
 }
+
+/// Guards against evictions that use up the attempts of a request, and against a request that is
+/// given up while its callers wait for an agent to come back.
+#[test]
+fn evictions_are_no_failed_attempts() {
+    let mut execution = Execution::new(name("me"), 1);
+    execution.step(Moment::START, owners("me", 1, true, 9_000, vec![]));
+    execution.step(Moment::START, begin(Class::Batch, 1, "q"));
+    let mut picked = 1;
+    for eviction in 0..u64::from(claims::EVICTIONS_MAX) {
+        let now = at(eviction);
+        execution.step(now, chosen(picked));
+        execution.step(now, granted(picked, eviction + 1, None));
+        execution.step(now, report(picked, Ok(evicted("c"))));
+        let seen = words(execution.step(now, claimed(picked, Some(Reply::Done))));
+        picked += 1;
+        assert_eq!(seen, [format!("pick {picked}")]);
+    }
+    let mut picks = 0;
+    for millis in 10..4_500 {
+        for effect in execution.step(at(millis), Message::Tick) {
+            if let Effect::Pick(pick) = effect {
+                picked = pick.attempt;
+            }
+        }
+        let candidates = Vec::new();
+        let unplaced = Message::Unplaced { key: key(), attempt: picked, candidates };
+        picks += usize::from(matches!(execution.records[&key()].phase, Phase::Picking));
+        assert_eq!(words(execution.step(at(millis), unplaced)), [""; 0]);
+    }
+    assert!(picks > retry::ATTEMPTS as usize, "{picks} attempts");
+}
--- a/toucangrade/src/peer/tests.rs
+++ b/toucangrade/src/peer/tests.rs
@@ -4,7 +4,8 @@
 
 use super::*;
 use crate::admission::Report;
-use crate::core::{Class, Moment};
+use crate::claims::Resume;
+use crate::core::{Checkpoint, Class, Moment};
 
 /// Guards against messages that change on the way, or that bad bytes are taken for.
 #[test]
@@ -38,6 +39,7 @@
         incarnation: 5,
         start_by: Moment::micros(u64::MAX),
         lease: Span::secs(2),
+        resume: Some(Resume { checkpoint: Checkpoint::new("c-1").unwrap(), evictions: 8 }),
         body: Bytes::from(vec![1; 300]),
     };
     let report = Report::Refused { code: "full".into(), reason: "full".into(), after: None };
--- a/toucangrade/src/routing/message.rs
+++ b/toucangrade/src/routing/message.rs
@@ -114,7 +114,8 @@
             Ok(Report::Ended(answer)) if answer.status >= 500 => Self::Failed,
             Ok(Report::Ended(_)) => Self::Answered { took },
             Ok(Report::Refused { code, .. }) if code == "runner-unreachable" => Self::Failed,
-            Ok(Report::Refused { .. }) => Self::Refused,
+            // A runner that leaves is not at fault.
+            Ok(Report::Evicted { .. } | Report::Refused { .. }) => Self::Refused,
             _ => Self::Failed,
         }
     }
--- a/toucangrade/src/simulation/agent.rs
+++ b/toucangrade/src/simulation/agent.rs
@@ -8,8 +8,8 @@
 use super::link::{Node, Rate};
 use super::truth::Truth;
 use super::world::{Done, Event, KINDS, SERVICE, World, name};
-use crate::admission::{self, Admission, Announce, Outcome};
-use crate::core::{Answer, Key, Span, invariant};
+use crate::admission::{self, Admission, Announce, Halt, Outcome};
+use crate::core::{Answer, Checkpoint, Key, Span, invariant};
 use crate::http::CallError;
 use crate::membership::agent::{self as membership, Identity, Membership};
 use crate::peer::{Reply, Request};
@@ -18,6 +18,10 @@
 const ANNOUNCE_EVERY: u64 = 1_000_000;
 /// Time that a message between an agent and its runner takes, in microseconds.
 const LOCAL: u64 = 200;
+/// Time that a runner takes to answer an eviction, in microseconds, so that faults come in between.
+const EVICT: u64 = 20_000;
+/// Kind whose executions runners can checkpoint.
+const CHECKPOINTS: &str = "route-plan";
 /// Time that a reply of control may take.
 const CONTROL_TIMEOUT: Span = Span::millis(1_500);
 
@@ -42,6 +46,9 @@
     /// Life of the agent that still waits for the answer.
     agent: Option<u64>,
     answers: bool,
+    /// When it started, and the work that it had done before, in microseconds.
+    from: u64,
+    before: u64,
 }
 
 /// A fake runner.
@@ -59,6 +66,8 @@
     pub(crate) stubborn: bool,
     pub(crate) leaving: bool,
     pub(super) runs: BTreeMap<u64, Run>,
+    /// Checkpoints of executions that it stopped, by key and fence.
+    kept: BTreeMap<(Key, u64), Checkpoint>,
 }
 
 impl Runner {
@@ -66,8 +75,8 @@
         let connections = slots * 4;
         let announced = (slots, connections);
         let (up, stubborn, leaving) = (true, false, false);
-        let runs = BTreeMap::new();
-        Self { agent, slots, connections, announced, left: None, up, stubborn, leaving, runs }
+        let (runs, kept) = (BTreeMap::new(), BTreeMap::new());
+        Self { agent, slots, connections, announced, left: None, up, stubborn, leaving, runs, kept }
     }
 }
 
@@ -170,6 +179,7 @@
         for effect in agent.admission.step(now, message) {
             match effect {
                 admission::Effect::Announced { .. } => {},
+                admission::Effect::Evict { key, fence, .. } => self.evict(index, key, fence),
                 admission::Effect::Offers(offers) => {
                     self.agent_member(index, membership::Message::Offers(offers));
                 },
@@ -181,9 +191,9 @@
                         self.reply(Node::Agent(index), call, Ok(Reply::Reported(reported)));
                     }
                 },
-                admission::Effect::Run { key, fence, lease, body, .. } => {
+                admission::Effect::Run { key, fence, lease, checkpoint, body, .. } => {
                     let subject = Truth::subject(&body);
-                    self.run(index, subject, key, fence, lease);
+                    self.run(index, subject, (key, fence), lease, checkpoint);
                 },
                 admission::Effect::Stop { key, fence, .. } => self.stop(index, key, fence),
             }
@@ -191,7 +201,14 @@
     }
 
     /// A runner gets a request from its agent.
-    fn run(&mut self, index: usize, subject: usize, key: Key, fence: u64, lease: Span) {
+    fn run(
+        &mut self,
+        index: usize,
+        subject: usize,
+        (key, fence): (Key, u64),
+        lease: Span,
+        checkpoint: Option<Checkpoint>,
+    ) {
         let Some(Agent { life, clock, left, .. }) = &self.agents[index] else { return };
         let (life, clock, left) = (*life, *clock, left.or(self.runners[index].left));
         let decline = self.chance(self.habits.decline);
@@ -203,14 +220,17 @@
             return;
         }
         self.truth.note(self.now, || format!("runner {index} starts {key} under fence {fence}"));
+        self.truth.permit(subject, &key, fence, checkpoint.as_ref());
         self.truth.start(self.now, subject, index, left);
+        let before = checkpoint.map_or(0, |checkpoint| self.truth.resume(subject, &checkpoint));
         let (slow, cut) = (self.chance(self.habits.slow), self.chance(self.habits.cut));
-        let work = if slow { u64::MAX } else { self.truth.subjects[subject].work };
+        let work = if slow { u64::MAX } else { self.truth.subjects[subject].work - before };
         let lease = clock.real(lease);
         let (run, takes) = (self.serial(), work.min(lease));
         let runner = &mut self.runners[index];
         let agent = Some(life);
-        runner.runs.insert(run, Run { subject, key, fence, agent, answers: work < lease });
+        let (answers, from) = (work < lease, self.now);
+        runner.runs.insert(run, Run { subject, key, fence, agent, answers, from, before });
         // The runner bounds nothing itself, so the count shows what the ledger allowed.
         let (slots, connections) = runner.announced;
         let count = u32::try_from(runner.runs.len()).unwrap_or(u32::MAX);
@@ -261,7 +281,7 @@
 
     /// An execution comes to its end.
     pub(super) fn end(&mut self, runner: usize, run: u64) {
-        let Some(Run { subject, key, fence, agent, answers }) =
+        let Some(Run { subject, key, fence, agent, answers, .. }) =
             self.runners[runner].runs.remove(&run)
         else {
             return;
@@ -296,6 +316,45 @@
         self.schedule(LOCAL, Event::Ended { agent: index, life, message });
     }
 
+    /// An agent asks its runner to stop an execution with a checkpoint.
+    fn evict(&mut self, index: usize, key: Key, fence: u64) {
+        let life = self.life(Node::Agent(index));
+        // As with executions, answers get lost and some runners don't do what they announced.
+        let (lost, plain) = (self.chance(self.habits.cut), self.chance(self.habits.decline));
+        let name = Checkpoint::new(&format!("checkpoint-{}", self.serial()));
+        let name = name.unwrap_or_else(|error| unreachable!("{error}"));
+        let (now, runner) = (self.now, &mut self.runners[index]);
+        let run = runner.runs.iter().find(|(_, run)| run.key == key && run.fence == fence);
+        let run = run.map(|(&run, _)| run);
+        let mut halt = match run {
+            Some(_) if runner.stubborn => Halt::Refused,
+            _ => Halt::Stopped,
+        };
+        if halt == Halt::Stopped
+            && let Some(run) = run.and_then(|run| runner.runs.remove(&run))
+        {
+            let progress = run.before + (now - run.from);
+            if !plain {
+                runner.kept.insert((key.clone(), fence), name.clone());
+                self.truth.save(name, run.subject, progress);
+            }
+            self.truth.note(now, || format!("runner {index} evicts {key} after {progress} us"));
+            self.truth.end(now, run.subject, false);
+            if let Some(life) = run.agent {
+                self.ended(index, life, run.key, run.fence, Ok(cut_short()));
+            }
+        }
+        let runner = &self.runners[index];
+        if halt == Halt::Stopped
+            && runner.up
+            && let Some(kept) = runner.kept.get(&(key.clone(), fence))
+        {
+            halt = if lost { Halt::Unknown } else { Halt::Checkpointed(kept.clone()) };
+        }
+        let message = Box::new(admission::Message::Evicted { key, fence, halt });
+        self.schedule(EVICT, Event::Ended { agent: index, life, message });
+    }
+
     /// A runner ends; its executions end with it.
     pub(crate) fn kill_runner(&mut self, index: usize) {
         self.truth.note(self.now, || format!("runner {index} dies"));
@@ -330,6 +389,7 @@
             addr: addr(runner.agent, 200),
             leaving: runner.leaving,
             busy: u32::try_from(runner.runs.len()).unwrap_or(u32::MAX),
+            checkpoints: vec![name(CHECKPOINTS)],
         };
         self.admit(index, admission::Message::Announce { ticket: 0, announce });
     }
--- a/toucangrade/src/simulation/control.rs
+++ b/toucangrade/src/simulation/control.rs
@@ -6,6 +6,7 @@
 
 use super::link::{Node, Rate};
 use super::world::{Event, KINDS, SERVICE, World, name};
+use crate::claims;
 use crate::http::CallError;
 use crate::membership::control::{self as membership, Membership};
 use crate::peer::{Reply, Request};
@@ -130,6 +131,12 @@
         let now = self.control.clock.read(self.now);
         self.steps += 1;
         self.truth.note(self.now, || format!("commit {index} {command:?}"));
+        let claim = match &command {
+            Command::Claim(claims::Command { key, action, .. }) => {
+                Some((key.clone(), action.clone()))
+            },
+            _ => None,
+        };
         let effects =
             self.control.state.step(now, state::Message::Apply { index, ticket, command });
         for effect in effects {
@@ -142,6 +149,9 @@
                 },
                 state::Effect::Reply { ticket, reply: state::Reply::Claimed(reply) } => {
                     self.truth.note(self.now, || format!("commit {index} gives {reply:?}"));
+                    if let Some((key, action)) = &claim {
+                        self.truth.agree(key, action, &reply);
+                    }
                     if self.up(Node::Control) {
                         self.reply(Node::Control, ticket, Ok(Reply::Claimed(reply)));
                     }
--- a/toucangrade/src/simulation/entry.rs
+++ b/toucangrade/src/simulation/entry.rs
@@ -144,7 +144,10 @@
                     Ok(Reported { report: Report::Ended(_), .. }) => {
                         Signal::Answered { took: now.since(sent) }
                     },
-                    Ok(Reported { report: Report::Refused { .. }, .. }) => Signal::Refused,
+                    Ok(Reported {
+                        report: Report::Evicted { .. } | Report::Refused { .. },
+                        ..
+                    }) => Signal::Refused,
                     _ => Signal::Failed,
                 };
                 let reading = result.as_ref().ok().map(|reported| reading(reported, now));
--- a/toucangrade/src/simulation/mod.rs
+++ b/toucangrade/src/simulation/mod.rs
@@ -49,6 +49,9 @@
     pub(crate) not_run: u64,
     pub(crate) unknown: u64,
     pub(crate) cut: u64,
+    /// Executions that ended with a checkpoint, and those that went on from one.
+    pub(crate) evicted: usize,
+    pub(crate) resumed: usize,
 }
 
 impl fmt::Display for Report {
@@ -58,8 +61,15 @@
             f,
             "seed {seed}: {steps} steps in {millis} ms; {crashes} crashes, {} isolations, {} \
              drains; {submissions} requests, {executions} executions; {} ran, {} not-run, {} \
-             may-have-run, {} connections broken",
-            self.isolations, self.drains, self.ran, self.not_run, self.unknown, self.cut
+             may-have-run, {} connections broken; {} evicted, {} resumed",
+            self.isolations,
+            self.drains,
+            self.ran,
+            self.not_run,
+            self.unknown,
+            self.cut,
+            self.evicted,
+            self.resumed
         )
     }
 }
@@ -123,6 +133,7 @@
             766..776 => self.habits(),
             776..778 => self.world.restart(Node::Control),
             778 => self.world.crash(Node::Control),
+            779..789 => self.leave(),
             _ => {},
         }
     }
@@ -209,6 +220,12 @@
         self.report.drains += 1;
     }
 
+    /// A runner announces that it leaves, or that it stays.
+    fn leave(&mut self) {
+        let index = self.world.rng.random_range(0..self.world.runners.len());
+        self.world.runners[index].leaving ^= true;
+    }
+
     /// Changes how one runner behaves.
     fn runner(&mut self) {
         let index = self.world.rng.random_range(0..self.world.runners.len());
@@ -258,6 +275,8 @@
         let until = self.world.now + SETTLE;
         while self.world.unsettled().is_some() && self.world.now < until {
             self.world.advance(1_000_000);
+            // Entries that were draining end only now; without any entry nobody settles a claim.
+            self.restart();
         }
         let unsettled = self.world.unsettled();
         invariant!(unsettled.is_none(), "not settled after all faults stopped: {unsettled:?}");
@@ -290,6 +309,9 @@
         (report.steps, report.millis) = (self.world.steps, self.world.now / 1_000);
         report.submissions = truth.submissions.len();
         report.executions = truth.subjects.iter().map(|subject| subject.runs.len()).sum();
+        let runs = || truth.subjects.iter().flat_map(|subject| &subject.runs);
+        report.evicted = runs().filter(|run| run.evicted.is_some()).count();
+        report.resumed = runs().filter(|run| run.resumed.is_some()).count();
         for submission in &truth.submissions {
             let Some(response) = &submission.response else { continue };
             match response.verdict() {
--- a/toucangrade/src/simulation/tests/script.rs
+++ b/toucangrade/src/simulation/tests/script.rs
@@ -90,6 +90,7 @@
                 runner.slots = rest[1].parse().unwrap();
                 runner.connections = runner.slots * 4;
             },
+            "leave" => world.runners[runner(rest[0]).expect("a runner")].leaving = true,
             "cut" => world.cut_all(runner(rest[0]).expect("a runner")),
             "stubborn" => world.runners[runner(rest[0]).expect("a runner")].stubborn = true,
             "expect" if rest[0] == "settled" => {
@@ -120,10 +121,15 @@
     });
     let completion: Vec<&str> = completion.collect();
     let runs = world.truth.subjects[subject].runs.iter();
-    let ran = runs.map(|run| match (run.until, run.whole) {
-        (None, _) => format!(", runs at runner-{}", run.runner + 1),
-        (_, true) => format!(", ran at runner-{}", run.runner + 1),
-        (_, false) => format!(", stopped at runner-{}", run.runner + 1),
+    let ran = runs.map(|run| {
+        let course = match (run.until, run.whole, &run.evicted) {
+            (None, ..) => "runs",
+            (_, true, _) => "ran",
+            (_, _, Some(_)) => "evicted",
+            (_, _, None) => "stopped",
+        };
+        let from = if run.resumed.is_some() { ", from a checkpoint" } else { "" };
+        format!(", {course} at runner-{}{from}", run.runner + 1)
     });
     format!("{name}: {}{}\n", completion.join(", "), ran.collect::<String>())
 }
--- a/toucangrade/src/simulation/truth.rs
+++ b/toucangrade/src/simulation/truth.rs
@@ -3,7 +3,8 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use super::link::Node;
-use crate::core::{Class, Key, Verdict, invariant};
+use crate::claims::{Action, Reply};
+use crate::core::{Checkpoint, Class, Key, Verdict, invariant};
 use crate::execution::Completion;
 
 /// Time in which an agent that leaves may still start what it had admitted, in microseconds.
@@ -19,6 +20,9 @@
     pub(crate) until: Option<u64>,
     /// Whether it ended with its answer rather than by a stop, a crash or the end of its lease.
     pub(crate) whole: bool,
+    /// Checkpoint that it went on from, and the one that it was evicted with.
+    pub(crate) resumed: Option<Checkpoint>,
+    pub(crate) evicted: Option<Checkpoint>,
 }
 
 /// Piece of work of one key that callers ask for.
@@ -35,6 +39,15 @@
     pub(crate) runs: Vec<Ran>,
 }
 
+/// What the log permits for one key, followed apart from the state machine.
+#[derive(Debug, Default)]
+struct Agreed {
+    /// The attempt that may run, and whether its execution started.
+    grant: Option<(u64, bool)>,
+    /// Checkpoint of the newest eviction.
+    checkpoint: Option<Checkpoint>,
+}
+
 /// What a caller got.
 #[derive(Clone, Debug)]
 pub(crate) enum Response {
@@ -71,6 +84,9 @@
     epochs: BTreeMap<u32, u64>,
     /// Configuration revision in force, by process and its life.
     revisions: BTreeMap<(Node, u64), u64>,
+    agreed: BTreeMap<Key, Agreed>,
+    /// Subjects of the checkpoints and the work that was done until each, in microseconds.
+    saved: BTreeMap<Checkpoint, (usize, u64)>,
     trace: Option<VecDeque<String>>,
 }
 
@@ -127,10 +143,77 @@
             submission.subject == subject && verdict != Some(Verdict::NotRun)
         });
         invariant!(wanted || *shared, "{name} runs although every caller was told not-run");
-        let run = Ran { runner, from: now, until: None, whole: false };
+        let (resumed, evicted) = (None, None);
+        let run = Ran { runner, from: now, until: None, whole: false, resumed, evicted };
         self.subjects[subject].runs.push(run);
     }
 
+    /// Notes what the log decided on a claim.
+    pub(crate) fn agree(&mut self, key: &Key, action: &Action, reply: &Reply) {
+        let agreed = self.agreed.entry(key.clone()).or_default();
+        let current = agreed.grant.map(|(fence, _)| fence);
+        match (action, reply) {
+            (Action::Attempt { .. }, Reply::Granted { fence, resume }) => {
+                let from = resume.as_ref().map(|resume| &resume.checkpoint);
+                invariant!(current.is_none(), "{key} is granted again beside fence {current:?}");
+                invariant!(from == agreed.checkpoint.as_ref(), "{key} is granted from {from:?}");
+                agreed.grant = Some((*fence, false));
+            },
+            (Action::Evict { fence, checkpoint }, Reply::Done) if current == Some(*fence) => {
+                (agreed.grant, agreed.checkpoint) = (None, Some(checkpoint.clone()));
+            },
+            (Action::Release { fence }, Reply::Done) if current == Some(*fence) => {
+                agreed.grant = None;
+            },
+            _ => {},
+        }
+    }
+
+    /// Checks that the log permits the execution of batch work that starts: each grant permits
+    /// one, from the newest checkpoint.
+    pub(crate) fn permit(
+        &mut self,
+        subject: usize,
+        key: &Key,
+        fence: u64,
+        from: Option<&Checkpoint>,
+    ) {
+        if self.subjects[subject].class != Class::Batch {
+            return;
+        }
+        let Agreed { grant, checkpoint } = self.agreed.entry(key.clone()).or_default();
+        invariant!(
+            *grant == Some((fence, false)),
+            "{key} starts from {from:?} under fence {fence}, but the log permits {grant:?}"
+        );
+        invariant!(
+            checkpoint.as_ref() == from,
+            "{key} starts from {from:?}, but the newest checkpoint is {checkpoint:?}"
+        );
+        *grant = Some((fence, true));
+    }
+
+    /// Notes the checkpoint with which the open execution of a subject is evicted.
+    pub(crate) fn save(&mut self, checkpoint: Checkpoint, subject: usize, progress: u64) {
+        let open = self.subjects[subject].runs.iter_mut().find(|run| run.until.is_none());
+        if let Some(run) = open {
+            run.evicted = Some(checkpoint.clone());
+        }
+        self.saved.insert(checkpoint, (subject, progress));
+    }
+
+    /// Notes that the execution that just started goes on from a checkpoint, and gives the work
+    /// that was done until then.
+    pub(crate) fn resume(&mut self, subject: usize, checkpoint: &Checkpoint) -> u64 {
+        let saved = self.saved.get(checkpoint).copied();
+        let own = saved.filter(|(of, _)| *of == subject);
+        invariant!(own.is_some(), "subject {subject} resumes from {checkpoint:?} of {saved:?}");
+        if let Some(run) = self.subjects[subject].runs.last_mut() {
+            run.resumed = Some(checkpoint.clone());
+        }
+        own.map_or(0, |(_, progress)| progress.min(self.subjects[subject].work))
+    }
+
     /// Notes that the open execution of a subject ended.
     pub(crate) fn end(&mut self, now: u64, subject: usize, whole: bool) {
         let open = self.subjects[subject].runs.iter_mut().find(|run| run.until.is_none());
