Wait for an execution's own response after an eviction without a checkpoint

Cause: two gaps found when the eviction was read through. An execution that ends just before the eviction reaches its runner gives a stop without a checkpoint, and this answer can overtake the execution's own response on another connection: the finished work would have run again. And when an eviction's answer was lost and the runner then announced that it stays, it was not asked again, so that the slot was held until the lease ended.

Change: after a stop without a checkpoint, the agent waits up to 500 ms for the execution's own response, which decides between its answer and a lost attempt. An eviction that was begun is asked for again whether or not the runner still leaves.

--- a/toucangrade/src/admission/evict.rs
+++ b/toucangrade/src/admission/evict.rs
@@ -16,33 +16,43 @@
     No,
     /// The runner did not stop the execution, so it goes on until it ends.
     Refused,
+    /// The runner stopped the execution without a checkpoint, or it had just ended. Its own
+    /// response tells which of the two, until `until` at most.
+    Stopped { until: Moment },
 }
 
 impl Admission {
     /// Evicts batch attempts from runners that are leaving, and refuses those that wait there.
     pub(super) fn evictions(&mut self, now: Moment) -> Vec<Effect> {
         let mut effects = Vec::new();
-        let mut waiting = Vec::new();
+        let mut over = Vec::new();
         for key in &self.active {
             let Some(attempt) = self.attempts.get_mut(key) else { continue };
             let Some(addr) = attempt.runner.filter(|_| attempt.class == Class::Batch) else {
                 continue;
             };
             let Some(runner) = self.runners.get(&addr) else { continue };
-            if !self.draining && !runner.announce.leaving {
-                continue;
-            }
-            if attempt.phase == Phase::Waiting {
-                waiting.push((key.clone(), attempt.fence));
-            } else if runner.announce.checkpoints.contains(&attempt.kind) && attempt.due(now) {
-                attempt.evict = Evict::Asked { next: None, over: attempt.over() };
-                let (key, kind) = (key.clone(), attempt.kind.clone());
-                effects.push(Effect::Evict { addr, key, fence: attempt.fence, kind });
+            let leaving = self.draining || runner.announce.leaving;
+            let able = leaving && runner.announce.checkpoints.contains(&attempt.kind);
+            match (&attempt.phase, attempt.evict) {
+                (Phase::Waiting, _) if leaving => {
+                    let reason = "the runner is leaving".to_owned();
+                    let report =
+                        Report::Refused { code: "leaving".to_owned(), reason, after: None };
+                    over.push((key.clone(), attempt.fence, report));
+                },
+                (Phase::Running { .. }, Evict::Stopped { until }) if now >= until => {
+                    over.push((key.clone(), attempt.fence, stopped()));
+                },
+                (Phase::Running { .. }, _) if attempt.due(now, able) => {
+                    attempt.evict = Evict::Asked { next: None, over: attempt.over() };
+                    let (key, kind) = (key.clone(), attempt.kind.clone());
+                    effects.push(Effect::Evict { addr, key, fence: attempt.fence, kind });
+                },
+                _ => {},
             }
         }
-        for (key, fence) in waiting {
-            let reason = "the runner is leaving".to_owned();
-            let report = Report::Refused { code: "leaving".to_owned(), reason, after: None };
+        for (key, fence, report) in over {
             effects.extend(self.settle(now, &key, fence, report));
         }
         effects
@@ -55,9 +65,12 @@
         };
         let report = match halt {
             Halt::Checkpointed(checkpoint) => Report::Evicted { checkpoint },
-            Halt::Stopped => stopped(),
             // The execution's own response ended, so nothing runs any more.
-            Halt::Refused if attempt.over() => stopped(),
+            Halt::Refused | Halt::Stopped if attempt.over() => stopped(),
+            Halt::Stopped => {
+                attempt.evict = Evict::Stopped { until: now + STOP_EVERY };
+                return Vec::new();
+            },
             Halt::Refused => {
                 attempt.evict = Evict::Refused;
                 return Vec::new();
@@ -91,15 +104,16 @@
 }
 
 impl Attempt {
-    /// Whether the runner is to be asked now to evict the attempt.
-    fn due(&self, now: Moment) -> bool {
+    /// Whether the runner is to be asked now to evict the attempt; `able` says that it leaves and
+    /// has checkpoints.
+    fn due(&self, now: Moment, able: bool) -> bool {
         let Phase::Running { end, stop } = self.phase else { return false };
         let evictions = self.resume.as_ref().map_or(0, |resume| resume.evictions);
         let asked = match self.evict {
             Evict::Asked { next, .. } => next.is_some_and(|next| now >= next),
             // An execution that is being stopped already keeps nothing.
-            Evict::No => stop.is_none(),
-            Evict::Refused => false,
+            Evict::No => able && stop.is_none(),
+            Evict::Refused | Evict::Stopped { .. } => false,
         };
         asked && evictions < EVICTIONS_MAX && now < end
     }
--- a/toucangrade/src/admission/mod.rs
+++ b/toucangrade/src/admission/mod.rs
@@ -464,10 +464,12 @@
     /// the request, so it must not be passed on as one. The runner's clock may be 5% faster.
     fn aborted(&self, now: Moment, key: &Key, fence: u64, outcome: &Outcome) -> bool {
         let attempt = self.attempts.get(key).filter(|attempt| attempt.fence == fence);
-        let Some(Attempt { phase: Phase::Running { end, stop }, lease, .. }) = attempt else {
+        let Some(Attempt { phase: Phase::Running { end, stop }, lease, evict, .. }) = attempt
+        else {
             return false;
         };
-        let over = stop.is_some() || now + lease.percent(6) >= *end;
+        let stopped = stop.is_some() || matches!(evict, Evict::Stopped { .. });
+        let over = stopped || now + lease.percent(6) >= *end;
         over && !(200..300).contains(&outcome.answer.status)
     }
 
--- a/toucangrade/src/admission/tests.rs
+++ b/toucangrade/src/admission/tests.rs
@@ -456,9 +456,33 @@
     words: vec!["run a", "evict a", "leaving 2", "leaving 3", "evicted 1 c-1"],
 })]
 #[case::stop_without_a_checkpoint(Case {
-    messages: vec![(0, batch(1, "a", 0)), (1, Message::Drain), (9, evicted("a", 2, Halt::Stopped))],
+    messages: vec![
+        (0, batch(1, "a", 0)), (1, Message::Drain), (9, evicted("a", 2, Halt::Stopped)),
+        (10, failed("a", 2)),
+    ],
     words: vec!["run a", "evict a", "lost 1"],
 })]
+#[case::stop_and_no_response(Case {
+    messages: vec![
+        (0, batch(1, "a", 0)), (1, Message::Drain), (9, evicted("a", 2, Halt::Stopped)),
+        (508, Message::Tick), (508, ask(2, "a", 2)), (509, Message::Tick),
+    ],
+    words: vec!["run a", "evict a", "running 2", "lost 1"],
+})]
+#[case::answer_follows_the_stop(Case {
+    messages: vec![
+        (0, batch(1, "a", 0)), (1, Message::Drain), (9, evicted("a", 2, Halt::Stopped)),
+        (10, ended("a", 2)),
+    ],
+    words: vec!["run a", "evict a", "ended 1"],
+})]
+#[case::runner_stays_after_all(Case {
+    messages: vec![
+        (0, batch(1, "a", 0)), (1, announce(1, 3, true)), (9, evicted("a", 2, Halt::Unknown)),
+        (10, announce(1, 3, false)), (509, Message::Tick), (520, evicted("a", 2, kept())),
+    ],
+    words: vec!["run a", "evict a", "evict a", "evicted 1 c-1"],
+})]
 #[case::refusing_back_end_keeps_the_slot(Case {
     messages: vec![
         (0, batch(1, "a", 0)), (0, begin(2, "b", 2)), (1, announce(1, 3, true)),
