Give an agent that appears a share that grows over 10 s

Cause: a runner that restarts has cold caches, and got its whole share of the load with its first request.

Change: an agent that appears, offers a service again or returns from ejection is kept as a drawn candidate with a chance that grows from a tenth to one in 10 s, relative to the other candidates, so agents that appear together share equally. The bench has a runner that refuses connections for 1 s or 4.5 s and comes back five times slower, warm after 8 s.

Fault put in by hand: a chance that is always one; four of the seven cases of share_grows_in_slow_start failed with 100% for 10 or 50%.

--- a/toucangrade/benches/requests.rs
+++ b/toucangrade/benches/requests.rs
@@ -8,6 +8,7 @@
         seeds: numbers.first().copied().unwrap_or(3),
         seconds: numbers.get(1).copied().unwrap_or(10).max(6),
         baselines: !std::env::args().any(|arg| arg == "--only-ours"),
+        routing: std::env::args().any(|arg| arg == "--only-routing"),
     };
     println!("{plan:?}, capacity {:.0} quick requests a second", capacity());
     run(plan);
--- a/toucangrade/src/bench/mod.rs
+++ b/toucangrade/src/bench/mod.rs
@@ -10,6 +10,7 @@
 pub use self::report::{Plan, capacity, run};
 
 use crate::core::Span;
+use crate::routing::Tuning;
 
 /// Sizes of one of the two companies.
 #[derive(Clone, Copy, Debug)]
@@ -39,6 +40,10 @@
     Leaving,
     /// The runner refuses connections and no longer announces itself.
     RunnerCrash,
+    /// The runner refuses connections for this time and comes back with cold caches.
+    RunnerRestart {
+        down: Span,
+    },
     /// The runner answers at once with status 500.
     RunnerErrors,
     /// The runner takes ten times as long.
@@ -62,6 +67,7 @@
     pub(crate) limits: bool,
     /// Whether execution decides on retries; else a refused attempt is repeated at once.
     pub(crate) budget: bool,
+    pub(crate) tuning: Tuning,
 }
 
 /// One run.
@@ -75,7 +81,11 @@
     pub(crate) batch: u64,
     pub(crate) fault: Fault,
     pub(crate) seed: u64,
+    /// Arrivals that are counted begin here.
+    pub(crate) from: Span,
     pub(crate) length: Span,
+    /// Share of requests that arrive at the first entry beyond its equal part, in percent.
+    pub(crate) skew: u32,
 }
 
 /// What a run gave.
@@ -94,6 +104,8 @@
     pub(crate) batch_done: u64,
     pub(crate) begun: u64,
     pub(crate) calls: u64,
+    /// Calls to an agent in another data centre than the entry's.
+    pub(crate) across: u64,
     /// Time from the fault to the last start of an execution there, and to the last dispatch.
     pub(crate) last_start: Span,
     pub(crate) last_call: Span,
--- a/toucangrade/src/bench/model/hosts.rs
+++ b/toucangrade/src/bench/model/hosts.rs
@@ -6,6 +6,9 @@
     pub(super) fn call(&mut self, entry: usize, attempt: u32, target: &Target, start: Start) {
         let agent = usize::from(target.addr.port()) - 1;
         self.out.calls += 1;
+        if agent as u64 % self.run.company.centres != entry as u64 {
+            self.out.across += 1;
+        }
         if self.faulty && agent == 0 {
             self.out.last_call = self.now.since(FAULT_AT);
         }
@@ -67,7 +70,7 @@
         let uniform = self.rng.random::<f64>();
         let part = 1.0 - (SERVICE_MIN / SERVICE_MAX).powf(SERVICE_ALPHA);
         let quick = SERVICE_MIN / (1.0 - uniform * part).powf(1.0 / SERVICE_ALPHA);
-        let mut took = Span::micros(quick as u64);
+        let mut took = Span::micros((quick * self.cold(agent)) as u64);
         if kind.as_str() == "plan" {
             took = BATCH_SERVICE;
         }
@@ -77,7 +80,7 @@
         if status == 500 {
             took = Span::millis(1);
         }
-        if self.hit(agent, &[Fault::RunnerCrash]) {
+        if self.down(agent) {
             took = LOCAL;
             result = Err(CallError::Connect);
         }
--- a/toucangrade/src/bench/model/mod.rs
+++ b/toucangrade/src/bench/model/mod.rs
@@ -41,6 +41,10 @@
 const LOCAL: Span = Span::micros(200);
 /// A write to the replicated log beyond the round trip to a quorum.
 const SYNC: Span = Span::millis(2);
+/// Time beyond which the first requests take at a runner whose caches are cold, as a multiple.
+const COLD_EXTRA: f64 = 4.0;
+/// Time until the caches of a runner that restarted are warm.
+const COLD_FOR: Span = Span::secs(8);
 /// Time beyond the lease in which a report arrives, as in the daemon.
 const REPORT_MARGIN: Span = Span::millis(1_500);
 
@@ -139,7 +143,7 @@
         let entries = (0..run.company.centres).map(|n| Entry {
             limits: Limits::default(),
             execution: Execution::new(name(&format!("e{n}")), run.seed * 100 + n),
-            routing: Routing::new(name(&format!("c{n}")), run.seed * 100 + n),
+            routing: Routing::new(name(&format!("c{n}")), run.seed * 100 + n, run.variant.tuning),
             known: Known::default(),
             plain: BTreeMap::new(),
         });
@@ -252,6 +256,25 @@
         self.faulty && agent == 0 && faults.contains(&self.run.fault)
     }
 
+    /// Whether the runner of an agent refuses connections.
+    fn down(&self, agent: usize) -> bool {
+        let restarting = match self.run.fault {
+            Fault::RunnerRestart { down } => self.now.since(FAULT_AT) < down,
+            fault => fault == Fault::RunnerCrash,
+        };
+        self.faulty && agent == 0 && restarting
+    }
+
+    /// How many times as long a request takes at a runner, by its cold caches.
+    fn cold(&self, agent: usize) -> f64 {
+        let Fault::RunnerRestart { down } = self.run.fault else { return 1.0 };
+        if !self.faulty || agent != 0 {
+            return 1.0;
+        }
+        let up = self.now.since(FAULT_AT + down).as_micros() as f64;
+        1.0 + COLD_EXTRA * (1.0 - up / COLD_FOR.as_micros() as f64).max(0.0)
+    }
+
     fn fault(&mut self) {
         if self.run.fault == Fault::Leaving {
             self.announce_once(0);
@@ -295,7 +318,7 @@
     }
 
     fn announce_once(&mut self, agent: usize) {
-        if self.hit(agent, &[Fault::AgentCrash, Fault::RunnerCrash]) {
+        if self.down(agent) || self.hit(agent, &[Fault::AgentCrash]) {
             return;
         }
         let announce = Announce {
@@ -365,7 +388,8 @@
         let wait = -(1.0 - self.rng.random::<f64>()).ln() / rate;
         self.at(Span::micros(wait as u64), Event::Arrive);
         let batch = self.rng.random_range(0..1_000) < self.run.batch;
-        let entry = self.rng.random_range(0..self.entries.len());
+        let skewed = self.rng.random_range(0..100) < self.run.skew;
+        let entry = if skewed { 0 } else { self.rng.random_range(0..self.entries.len()) };
         let class = if batch { Class::Batch } else { Class::Quick };
         self.sequence += 1;
         let ticket = self.sequence;
@@ -564,5 +588,5 @@
 /// Whether a request that arrived then is part of the figures.
 fn counted(run: Run, arrived: Moment) -> bool {
     let micros = arrived.as_micros();
-    (WARM_UP.as_micros()..run.length.as_micros()).contains(&micros)
+    (run.from.as_micros()..run.length.as_micros()).contains(&micros)
 }
--- a/toucangrade/src/bench/report.rs
+++ b/toucangrade/src/bench/report.rs
@@ -2,9 +2,10 @@
 
 use std::thread;
 
-use super::model::{Model, WARM_UP, mean_service};
+use super::model::{FAULT_AT, Model, WARM_UP, mean_service};
 use super::{Chooser, Company, Fault, Outcome, RUNNERS, Run, SLOTS, Variant};
-use crate::core::Span;
+use crate::core::{Moment, Span};
+use crate::routing::Tuning;
 
 const COMPANIES: [Company; 2] = [
     Company {
@@ -16,16 +17,21 @@
     Company { name: "klopca", centres: 4, link: Span::millis(3), client: Span::millis(3) },
 ];
 
-const OURS: Variant =
-    Variant { name: "toucangrade", chooser: Chooser::Routing, limits: true, budget: true };
+fn ours() -> Variant {
+    let tuning = Tuning::default();
+    Variant { name: "toucangrade", chooser: Chooser::Routing, limits: true, budget: true, tuning }
+}
 
-const VARIANTS: [Variant; 5] = [
-    OURS,
-    Variant { name: "random choice", chooser: Chooser::Random, ..OURS },
-    Variant { name: "least loaded", chooser: Chooser::LeastLoaded, ..OURS },
-    Variant { name: "retry at once", budget: false, ..OURS },
-    Variant { name: "no early refusal", limits: false, ..OURS },
-];
+fn variants() -> [Variant; 5] {
+    let ours = ours();
+    [
+        ours,
+        Variant { name: "random choice", chooser: Chooser::Random, ..ours },
+        Variant { name: "least loaded", chooser: Chooser::LeastLoaded, ..ours },
+        Variant { name: "retry at once", budget: false, ..ours },
+        Variant { name: "no early refusal", limits: false, ..ours },
+    ]
+}
 
 const LOADS: [u64; 6] = [50, 80, 100, 150, 200, 300];
 
@@ -47,11 +53,14 @@
     pub seconds: u64,
     /// Whether the simple baselines run as well.
     pub baselines: bool,
+    /// Whether only the cases of slow start and of links run.
+    pub routing: bool,
 }
 
 /// Runs everything and prints one table for each company.
 pub fn run(plan: Plan) {
-    let variants = if plan.baselines { &VARIANTS[..] } else { &VARIANTS[..1] };
+    let variants = variants();
+    let variants = if plan.baselines { &variants[..] } else { &variants[..1] };
     println!("mean service time {:.1} ms", mean_service() / 1_000.0);
     for company in COMPANIES {
         let base = |variant| Run {
@@ -61,8 +70,14 @@
             batch: 0,
             fault: Fault::None,
             seed: 1,
+            from: WARM_UP,
             length: Span::secs(plan.seconds),
+            skew: 0,
         };
+        if plan.routing {
+            restarts(plan, base(ours()));
+            continue;
+        }
         println!("\n## {} (quick only; ms; useful in answers a second)", company.name);
         println!(
             "{:17} {:>5} {:>7} {:>7} {:>7} {:>7} {:>6} {:>6} {:>8} {:>7}",
@@ -141,6 +156,35 @@
     }
 }
 
+/// One runner restarts with cold caches, with slow start and without.
+fn restarts(plan: Plan, base: Run) {
+    println!("\n## {}: a runner restarts, the 10 s from its return", base.company.name);
+    println!(
+        "{:15} {:>6} {:>5} {:>7} {:>7} {:>7} {:>9} {:>7}",
+        "slow start", "down", "load", "p50", "p99", "p99.9", "in time%", "unknown"
+    );
+    for down in [1_000, 4_500].map(Span::millis) {
+        for load in [60, 80, 95] {
+            for slow_start in [0, 10].map(Span::secs) {
+                let tuning = Tuning { slow_start };
+                let from = FAULT_AT.since(Moment::START) + down;
+                let variant = Variant { tuning, ..base.variant };
+                let (fault, length) = (Fault::RunnerRestart { down }, from + Span::secs(10));
+                let run = Run { load, variant, fault, from, length, ..base };
+                let outcomes = seeds(plan, run);
+                let name = format!("{} s", slow_start.as_millis() / 1_000);
+                print!("{:15} {:>3} ms {:>4}% ", name, down.as_millis(), load);
+                print_latencies(&outcomes);
+                println!(
+                    " {:>9.2} {:>7}",
+                    mean(outcomes.iter().map(|o| share(o.useful, o.offered))),
+                    outcomes.iter().map(|o| o.unknown).sum::<u64>() / plan.seeds,
+                );
+            }
+        }
+    }
+}
+
 /// Milliseconds from the fault to the last interval of 100 ms in which more than one in twenty
 /// requests was not answered in time.
 fn bad_for(outcome: &Outcome) -> u64 {
--- a/toucangrade/src/daemon/entry.rs
+++ b/toucangrade/src/daemon/entry.rs
@@ -19,7 +19,7 @@
 use crate::metrics::{self, Answers, flat};
 use crate::partitions::PARTITIONS;
 use crate::peer::{Reply, Request};
-use crate::routing::{self, Feedback, Reading, Routing, Signal};
+use crate::routing::{self, Feedback, Reading, Routing, Signal, Tuning};
 
 /// Longest time between two ticks of the duties of a request.
 const TICK: Span = Span::millis(10);
@@ -247,7 +247,8 @@
 
     fn spawn_routing(&self, context: &Context, link: &Link) -> io::Result<()> {
         let (entry, link, clock) = (self.clone(), link.clone(), context.clock.clone());
-        let state = Routing::new(context.settings.centre.clone(), context.incarnation);
+        let state =
+            Routing::new(context.settings.centre.clone(), context.incarnation, Tuning::default());
         let tick = || routing::Message::Tick;
         let duty = Duty { state, step: Routing::step, tick, period: Span::millis(100) };
         duty.spawn(&self.routing, context.clock.clone(), move |_, effect| match effect {
--- a/toucangrade/src/routing/mod.rs
+++ b/toucangrade/src/routing/mod.rs
@@ -33,6 +33,11 @@
 /// Extra cost of an agent in another data centre, in microseconds of latency: a round trip at 4 ms
 /// one way.
 const REMOTE_COST: f64 = 8_000.0;
+/// Time in which the share of an agent that appeared or returns from ejection grows to the whole;
+/// the caches of a runner that restarted are cold.
+const SLOW_START: Span = Span::secs(10);
+/// Least share in slow start. Without some requests the caches would never fill.
+const SHARE_MIN: f64 = 0.1;
 /// Latency that is assumed before the first answer, in microseconds.
 const UNKNOWN_LATENCY: f64 = 1_000.0;
 /// Age at which a clock reading is taken anew; at 5% difference in rate it is then off by 250 ms at
@@ -41,6 +46,19 @@
 /// Time from dispatch in which an attempt must have started.
 pub(crate) const START_WITHIN: Span = Span::millis(500);
 
+/// Settings of the choice.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub(crate) struct Tuning {
+    /// Length of the slow start.
+    pub(crate) slow_start: Span,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Self { slow_start: SLOW_START }
+    }
+}
+
 /// What this entry learned about one agent.
 #[derive(Clone, Debug, Serialize)]
 struct Peer {
@@ -56,6 +74,8 @@
     errors: u32,
     ejected: Option<Moment>,
     probing: bool,
+    /// Begin of the slow start.
+    since: Moment,
     reading: Option<Reading>,
     sampled: Option<Moment>,
 }
@@ -64,6 +84,7 @@
 #[derive(Debug, Serialize)]
 pub(crate) struct Routing {
     centre: Name,
+    tuning: Tuning,
     peers: BTreeMap<Name, Peer>,
     #[serde(skip)]
     rng: SmallRng,
@@ -71,8 +92,8 @@
 
 impl Routing {
     /// State of an entry in `centre` that knows no agent yet.
-    pub(crate) fn new(centre: Name, seed: u64) -> Self {
-        Self { centre, peers: BTreeMap::new(), rng: SmallRng::seed_from_u64(seed) }
+    pub(crate) fn new(centre: Name, seed: u64, tuning: Tuning) -> Self {
+        Self { centre, tuning, peers: BTreeMap::new(), rng: SmallRng::seed_from_u64(seed) }
     }
 
     /// Handles one message.
@@ -92,21 +113,24 @@
             },
             Message::Tick => self.sample(now),
             Message::View(agents) => {
-                self.view(agents);
+                self.view(now, agents);
                 self.sample(now)
             },
         }
     }
 
     /// Takes over a new view; what was learned about agents that stay is kept.
-    fn view(&mut self, agents: BTreeMap<Name, Agent>) {
+    fn view(&mut self, now: Moment, agents: BTreeMap<Name, Agent>) {
         let mut old = std::mem::take(&mut self.peers);
         for (name, agent) in agents {
             let known = old.remove(&name).filter(|p| p.agent.incarnation == agent.incarnation);
             let slots = agent.offers.iter().map(|offer| offer.slots).sum();
             let peer = match known {
-                Some(peer) => Peer { agent, slots, ..peer },
-                None => Peer::new(agent, slots),
+                Some(peer) if agent.offers.iter().all(|offer| peer.offers(&offer.service)) => {
+                    Peer { agent, slots, ..peer }
+                },
+                Some(peer) => Peer { agent, slots, since: now, ..peer },
+                None => Peer::new(now, agent, slots),
             };
             self.peers.insert(name, peer);
         }
@@ -140,7 +164,10 @@
         match feedback.signal {
             Signal::Answered { took } => {
                 peer.latency += SAMPLE_WEIGHT * (took.as_micros() as f64 - peer.latency);
-                (peer.errors, peer.ejected) = (0, None);
+                peer.errors = 0;
+                if peer.ejected.take().is_some() {
+                    peer.since = now;
+                }
             },
             // A full agent is healthy, so a refusal says nothing about errors.
             Signal::Refused => {},
@@ -169,7 +196,7 @@
             }
         }
         let (key, attempt) = (pick.key, pick.attempt);
-        let Some(best) = self.best(&able) else {
+        let Some(best) = self.best(now, &able) else {
             return Effect::Unplaced { key, attempt, candidates };
         };
         for candidate in &mut candidates {
@@ -182,7 +209,7 @@
     }
 
     /// The cheapest of a few randomly drawn candidates.
-    fn best(&mut self, able: &[Name]) -> Option<Name> {
+    fn best(&mut self, now: Moment, able: &[Name]) -> Option<Name> {
         let probe = able.iter().find(|name| self.peers[*name].ejected.is_some());
         // An ejected agent whose time is over gets one request as a probe.
         if let Some(name) = probe.filter(|_| self.rng.random_ratio(1, 4) || able.len() == 1) {
@@ -190,9 +217,25 @@
         }
         let healthy: Vec<&Name> =
             able.iter().filter(|name| self.peers[*name].ejected.is_none()).collect();
-        let drawn = index::sample(&mut self.rng, healthy.len(), CHOICES.min(healthy.len()));
-        let cost = |name: &&Name| self.peers[*name].cost(&self.centre);
-        drawn.iter().map(|i| healthy[i]).min_by(|a, b| cost(a).total_cmp(&cost(b))).cloned()
+        self.draw(now, &healthy)
+    }
+
+    fn draw(&mut self, now: Moment, pool: &[&Name]) -> Option<Name> {
+        let share = |name: &Name| self.peers[name].share(now, self.tuning.slow_start);
+        // Where all are in slow start, their shares compare with each other.
+        let top = pool.iter().map(|name| share(name)).fold(SHARE_MIN, f64::max);
+        let mut drawn =
+            index::sample(&mut self.rng, pool.len(), CHOICES.min(pool.len())).into_vec();
+        let kept: Vec<usize> = drawn
+            .iter()
+            .copied()
+            .filter(|&i| self.rng.random::<f64>() * top < share(pool[i]))
+            .collect();
+        if !kept.is_empty() {
+            drawn = kept;
+        }
+        let cost = |i: &usize| self.peers[pool[*i]].cost(&self.centre);
+        drawn.iter().min_by(|a, b| cost(a).total_cmp(&cost(b))).map(|&i| pool[i].clone())
     }
 
     fn target(&mut self, now: Moment, name: &Name) -> Target {
@@ -214,7 +257,7 @@
 const NO_OFFER: &str = "does not offer the kind";
 
 impl Peer {
-    fn new(agent: Agent, slots: u32) -> Self {
+    fn new(now: Moment, agent: Agent, slots: u32) -> Self {
         Self {
             agent,
             open: 0,
@@ -224,6 +267,7 @@
             errors: 0,
             ejected: None,
             probing: false,
+            since: now,
             reading: None,
             sampled: None,
         }
@@ -250,6 +294,16 @@
         None
     }
 
+    fn offers(&self, service: &Name) -> bool {
+        self.agent.offers.iter().any(|offer| offer.service == *service)
+    }
+
+    /// Part of its load that the agent gets.
+    fn share(&self, now: Moment, slow_start: Span) -> f64 {
+        let part = now.since(self.since).as_micros() as f64 / slow_start.as_micros().max(1) as f64;
+        if slow_start == Span::micros(0) { 1.0 } else { part.clamp(SHARE_MIN, 1.0) }
+    }
+
     /// Expected cost of one more attempt, in microseconds.
     fn cost(&self, centre: &Name) -> f64 {
         let slots = f64::from(self.slots.max(1));
--- a/toucangrade/src/routing/tests.rs
+++ b/toucangrade/src/routing/tests.rs
@@ -43,7 +43,7 @@
 
 /// A pool of agents, of which the first is local, the others too unless said otherwise.
 fn routing(agents: &[(&str, &str)]) -> Routing {
-    let mut routing = Routing::new(name("olinda"), 1);
+    let mut routing = Routing::new(name("olinda"), 1, Tuning::default());
     let view = agents.iter().map(|(n, centre)| (name(n), agent(centre))).collect();
     let effects = routing.step(Moment::START, Message::View(view));
     assert_eq!(effects.len(), agents.len(), "each clock is read");
@@ -122,6 +122,73 @@
     assert_eq!(chosen, case.chosen.into_iter().map(name).collect());
 }
 
+/// How an agent came to its slow start.
+enum Cold {
+    Appeared,
+    Ejected,
+    /// All agents appeared together.
+    Never,
+    /// Its runner was away, while the agent stayed.
+    Offered,
+}
+
+struct ShareCase {
+    cold: Cold,
+    after: Span,
+    /// Percent of the agent's equal part of the picks.
+    share: u64,
+}
+
+/// Guards against an agent with cold caches that gets its whole load at once, or never gets it.
+#[rstest]
+#[case::appeared(ShareCase { cold: Cold::Appeared, after: Span::secs(0), share: 10 })]
+#[case::half_way(ShareCase { cold: Cold::Appeared, after: Span::secs(5), share: 50 })]
+#[case::warm(ShareCase { cold: Cold::Appeared, after: Span::secs(10), share: 100 })]
+#[case::returned(ShareCase { cold: Cold::Ejected, after: Span::secs(0), share: 10 })]
+#[case::returned_and_warm(ShareCase { cold: Cold::Ejected, after: Span::secs(10), share: 100 })]
+#[case::offered_again(ShareCase { cold: Cold::Offered, after: Span::secs(0), share: 10 })]
+#[case::all_appeared(ShareCase { cold: Cold::Never, after: Span::secs(0), share: 100 })]
+fn share_grows_in_slow_start(#[case] case: ShareCase) {
+    let names = ["a", "b", "c", "d"];
+    let mut routing = routing(&names.map(|n| (n, "olinda")));
+    let full: BTreeMap<Name, Agent> = names.iter().map(|n| (name(n), agent("olinda"))).collect();
+    let start = Moment::START + Span::secs(60);
+    let feedback =
+        |agent: Name, signal| Message::Feedback(Feedback { agent, signal, reading: None });
+    match case.cold {
+        Cold::Appeared | Cold::Offered => {
+            let mut without = full.clone();
+            without.remove(&name("a"));
+            if let Cold::Offered = case.cold {
+                without.insert(name("a"), Agent { offers: Vec::new(), ..agent("olinda") });
+            }
+            routing.step(start, Message::View(without));
+            routing.step(start, Message::View(full));
+            let reading = Some(reading(start, 0));
+            routing.step(start, Message::Sampled { agent: name("a"), reading });
+        },
+        Cold::Ejected => {
+            for _ in 0..EJECT_AFTER {
+                routing.step(Moment::START, feedback(name("a"), Signal::Failed));
+            }
+            let took = Span::micros(UNKNOWN_LATENCY as u64);
+            routing.step(start, feedback(name("a"), Signal::Answered { took }));
+        },
+        Cold::Never => {},
+    }
+    let now = if let Cold::Never = case.cold { Moment::START } else { start + case.after };
+    let picks = 20_000;
+    let mut cold = 0;
+    for _ in 0..picks {
+        let effects = routing.step(now, Message::Pick(pick("quote")));
+        let Some(Effect::Chosen { target, .. }) = effects.into_iter().next() else { panic!() };
+        cold += u64::from(target.agent == name("a"));
+        routing.step(now, feedback(target.agent, Signal::Refused));
+    }
+    let share = cold * names.len() as u64 * 100 / picks;
+    assert!(share.abs_diff(case.share) <= 5, "{share}% of an equal part");
+}
+
 /// Guards against an ejected agent that never comes back.
 #[test]
 fn ejected_agent_is_probed() {
--- a/toucangrade/src/simulation/entry.rs
+++ b/toucangrade/src/simulation/entry.rs
@@ -14,7 +14,7 @@
 use crate::limits::{self, Arrival, Limits};
 use crate::membership::entry::{self as membership, Identity, Membership};
 use crate::peer::{Reply, Request};
-use crate::routing::{self, Feedback, Reading, Routing, Signal};
+use crate::routing::{self, Feedback, Reading, Routing, Signal, Tuning};
 
 /// Time that a reply of control may take.
 const CONTROL_TIMEOUT: Span = Span::millis(1_500);
@@ -66,7 +66,7 @@
             clock,
             limits: Limits::default(),
             execution: Execution::new(entry, life),
-            routing: Routing::new(name("olinda"), life),
+            routing: Routing::new(name("olinda"), life, Tuning::default()),
             membership: Membership::new(identity),
             callers: BTreeMap::new(),
             forwards: BTreeMap::new(),
