Cross to another data centre only for a longer wait

Cause: routing added a fixed 8 ms to agents in other data centres on top of a latency that already has the round trip in it, and drew its two candidates from all data centres. More than half of all requests crossed at any load.

Change: the round trip to each data centre is a moving average over the clock readings; the difference to the own data centre replaces the 8 ms once there is one. A clock reading also refreshes the slots in use.

Fault put in by hand: without the look at free slots the case free_slot_here of work_crosses_only_for_a_longer_wait fails, far for near.

--- a/toucangrade/src/bench/report.rs
+++ b/toucangrade/src/bench/report.rs
@@ -76,6 +76,7 @@
         };
         if plan.routing {
             restarts(plan, base(ours()));
+            links(plan, base(ours()));
             continue;
         }
         println!("\n## {} (quick only; ms; useful in answers a second)", company.name);
@@ -166,7 +167,7 @@
     for down in [1_000, 4_500].map(Span::millis) {
         for load in [60, 80, 95] {
             for slow_start in [0, 10].map(Span::secs) {
-                let tuning = Tuning { slow_start };
+                let tuning = Tuning { slow_start, ..Tuning::default() };
                 let from = FAULT_AT.since(Moment::START) + down;
                 let variant = Variant { tuning, ..base.variant };
                 let (fault, length) = (Fault::RunnerRestart { down }, from + Span::secs(10));
@@ -185,6 +186,34 @@
     }
 }
 
+/// Requests that cross to other data centres, without a price of the link and with one.
+fn links(plan: Plan, base: Run) {
+    println!("\n## {}: requests to other data centres", base.company.name);
+    println!(
+        "{:15} {:>5} {:>5} {:>7} {:>7} {:>7} {:>9} {:>8}",
+        "link", "load", "skew", "p50", "p99", "p99.9", "in time%", "across%"
+    );
+    let tuning = Tuning::default();
+    for skew in [0, 30] {
+        for load in [30, 50, 80, 95] {
+            for (name, tuning) in [
+                ("measured", tuning),
+                ("measured+20 ms", Tuning { link_cost: Span::millis(20), ..tuning }),
+            ] {
+                let variant = Variant { tuning, ..base.variant };
+                let outcomes = seeds(plan, Run { variant, load, skew, ..base });
+                print!("{name:15} {load:>4}% {skew:>4}% ");
+                print_latencies(&outcomes);
+                println!(
+                    " {:>9.2} {:>8.1}",
+                    mean(outcomes.iter().map(|o| share(o.useful, o.offered))),
+                    mean(outcomes.iter().map(|o| share(o.across, o.calls))),
+                );
+            }
+        }
+    }
+}
+
 /// Milliseconds from the fault to the last interval of 100 ms in which more than one in twenty
 /// requests was not answered in time.
 fn bad_for(outcome: &Outcome) -> u64 {
--- a/toucangrade/src/daemon/entry.rs
+++ b/toucangrade/src/daemon/entry.rs
@@ -247,8 +247,10 @@
 
     fn spawn_routing(&self, context: &Context, link: &Link) -> io::Result<()> {
         let (entry, link, clock) = (self.clone(), link.clone(), context.clock.clone());
-        let state =
-            Routing::new(context.settings.centre.clone(), context.incarnation, Tuning::default());
+        let settings = &context.settings;
+        let link_cost = Span::micros(settings.link_cost_us);
+        let tuning = Tuning { link_cost, ..Tuning::default() };
+        let state = Routing::new(settings.centre.clone(), context.incarnation, tuning);
         let tick = || routing::Message::Tick;
         let duty = Duty { state, step: Routing::step, tick, period: Span::millis(100) };
         duty.spawn(&self.routing, context.clock.clone(), move |_, effect| match effect {
--- a/toucangrade/src/daemon/settings.rs
+++ b/toucangrade/src/daemon/settings.rs
@@ -23,6 +23,8 @@
 /// Sizes of the durable history that may be set, in megabytes. A segment has 4 MB, and two are the
 /// least that can rotate.
 const HISTORY_MB: RangeInclusive<u64> = 10..=100_000;
+/// Prices of a link that may be set, in microseconds. Above a second no request would ever cross.
+const LINK_COST_US: RangeInclusive<u64> = 0..=1_000_000;
 
 /// Lengths of a token in bytes.
 const TOKEN_BYTES: RangeInclusive<usize> = 1..=256;
@@ -95,6 +97,8 @@
     pub drain_ms: u64,
     /// Size of the durable history of outcomes, in megabytes.
     pub history_mb: u64,
+    /// Price of a request to another data centre, in microseconds of latency.
+    pub link_cost_us: u64,
     /// StatsD server that metrics are sent to.
     pub statsd: Option<SocketAddr>,
     /// File that the addresses in use are written to.
@@ -125,6 +129,7 @@
     accelerators: Option<String>,
     drain_ms: Option<String>,
     history_mb: Option<String>,
+    link_cost_us: Option<String>,
     statsd: Option<String>,
     ports: Option<PathBuf>,
     caller_dump: bool,
@@ -210,6 +215,11 @@
         .help("Size of the durable history of outcomes at control, in megabytes; 1000 if not set")
         .argument::<String>("MB")
         .optional();
+    let link_cost_us = long("link-cost-us")
+        .env("TOUCANGRADE_LINK_COST_US")
+        .help("Price of a request to another data centre, as microseconds of latency; 0 if not set")
+        .argument::<String>("US")
+        .optional();
     let statsd = long("statsd-addr")
         .env("TOUCANGRADE_STATSD_ADDR")
         .help("StatsD server that metrics are sent to over UDP")
@@ -241,6 +251,7 @@
         accelerators,
         drain_ms,
         history_mb,
+        link_cost_us,
         statsd,
         ports,
         caller_dump,
@@ -304,6 +315,7 @@
             )?,
             drain_ms: parse_number("--drain-timeout-ms", raw.drain_ms, 30_000, &DRAIN_MS, "ms")?,
             history_mb: parse_number("--history-mb", raw.history_mb, 1_000, &HISTORY_MB, "MB")?,
+            link_cost_us: parse_number("--link-cost-us", raw.link_cost_us, 0, &LINK_COST_US, "us")?,
             statsd: addr("--statsd-addr", raw.statsd)?,
             ports: raw.ports,
             caller_dump: raw.caller_dump,
--- a/toucangrade/src/daemon/tests.rs
+++ b/toucangrade/src/daemon/tests.rs
@@ -47,6 +47,13 @@
     ],
     refused: Some("--drain-timeout-ms"),
 })]
+#[case::link_too_dear(Case {
+    args: &[
+        "--role", "entry", "--name", "one", "--centre", "olinda", "--control", "c1=127.0.0.1:1",
+        "--link-cost-us", "1000001",
+    ],
+    refused: Some("--link-cost-us"),
+})]
 #[case::bad_name(Case {
     args: &["--role", "entry", "--name", "One", "--centre", "olinda", "--control", "c1=127.0.0.1:1"],
     refused: Some("--name"),
--- a/toucangrade/src/routing/mod.rs
+++ b/toucangrade/src/routing/mod.rs
@@ -30,8 +30,8 @@
 const EJECT_FOR: Span = Span::millis(2_000);
 /// Greatest share of a pool that may be ejected at once, in percent.
 const EJECT_SHARE: usize = 34;
-/// Extra cost of an agent in another data centre, in microseconds of latency: a round trip at 4 ms
-/// one way.
+/// Extra cost of an agent in another data centre until round trips were measured, in microseconds:
+/// a round trip at 4 ms one way.
 const REMOTE_COST: f64 = 8_000.0;
 /// Time in which the share of an agent that appeared or returns from ejection grows to the whole;
 /// the caches of a runner that restarted are cold.
@@ -49,13 +49,15 @@
 /// Settings of the choice.
 #[derive(Clone, Copy, Debug, Serialize)]
 pub(crate) struct Tuning {
+    /// Price of a request to another data centre, as latency.
+    pub(crate) link_cost: Span,
     /// Length of the slow start.
     pub(crate) slow_start: Span,
 }
 
 impl Default for Tuning {
     fn default() -> Self {
-        Self { slow_start: SLOW_START }
+        Self { link_cost: Span::micros(0), slow_start: SLOW_START }
     }
 }
 
@@ -86,6 +88,8 @@
     centre: Name,
     tuning: Tuning,
     peers: BTreeMap<Name, Peer>,
+    /// Moving averages of the round trip by data centre, in microseconds.
+    links: BTreeMap<Name, f64>,
     #[serde(skip)]
     rng: SmallRng,
 }
@@ -93,7 +97,8 @@
 impl Routing {
     /// State of an entry in `centre` that knows no agent yet.
     pub(crate) fn new(centre: Name, seed: u64, tuning: Tuning) -> Self {
-        Self { centre, tuning, peers: BTreeMap::new(), rng: SmallRng::seed_from_u64(seed) }
+        let (peers, links) = (BTreeMap::new(), BTreeMap::new());
+        Self { centre, tuning, peers, links, rng: SmallRng::seed_from_u64(seed) }
     }
 
     /// Handles one message.
@@ -105,10 +110,7 @@
             },
             Message::Pick(pick) => vec![self.pick(now, pick)],
             Message::Sampled { agent, reading } => {
-                if let Some(peer) = self.peers.get_mut(&agent) {
-                    peer.sampled = None;
-                    peer.reading = reading.filter(|r| r.incarnation == peer.agent.incarnation);
-                }
+                self.sampled(&agent, reading);
                 Vec::new()
             },
             Message::Tick => self.sample(now),
@@ -150,6 +152,18 @@
         effects
     }
 
+    /// Takes over a clock reading, and the round trip that it took.
+    fn sampled(&mut self, agent: &Name, reading: Option<Reading>) {
+        let Some(peer) = self.peers.get_mut(agent) else { return };
+        let asked = peer.sampled.take();
+        peer.reading = reading.filter(|r| r.incarnation == peer.agent.incarnation);
+        let (Some(asked), Some(reading)) = (asked, &peer.reading) else { return };
+        (peer.used, peer.slots) = (reading.used, reading.slots.max(1));
+        let trip = reading.taken.since(asked).as_micros() as f64;
+        let link = self.links.entry(peer.agent.centre.clone()).or_insert(trip);
+        *link += SAMPLE_WEIGHT * (trip - *link);
+    }
+
     fn feedback(&mut self, now: Moment, feedback: Feedback) {
         let pool = self.peers.len();
         let ejected = self.peers.values().filter(|peer| peer.ejected.is_some()).count();
@@ -208,19 +222,29 @@
         Effect::Chosen { key, attempt, target, candidates }
     }
 
-    /// The cheapest of a few randomly drawn candidates.
+    /// The cheaper of the best candidate here and the best one in another data centre.
     fn best(&mut self, now: Moment, able: &[Name]) -> Option<Name> {
         let probe = able.iter().find(|name| self.peers[*name].ejected.is_some());
         // An ejected agent whose time is over gets one request as a probe.
         if let Some(name) = probe.filter(|_| self.rng.random_ratio(1, 4) || able.len() == 1) {
             return Some(name.clone());
         }
-        let healthy: Vec<&Name> =
-            able.iter().filter(|name| self.peers[*name].ejected.is_none()).collect();
-        self.draw(now, &healthy)
+        let healthy = able.iter().filter(|name| self.peers[*name].ejected.is_none());
+        let (near, far): (Vec<&Name>, Vec<&Name>) =
+            healthy.partition(|name| self.peers[*name].agent.centre == self.centre);
+        match (self.draw(now, &near), self.draw(now, &far)) {
+            (Some(near), Some(far)) => {
+                // Where a slot is free here there is no wait to save, only estimates that differ by
+                // chance.
+                let waits = self.peers[&near.0].full();
+                Some(if waits && far.1 < near.1 { far.0 } else { near.0 })
+            },
+            (near, far) => near.or(far).map(|(name, _)| name),
+        }
     }
 
-    fn draw(&mut self, now: Moment, pool: &[&Name]) -> Option<Name> {
+    /// The cheapest of a few randomly drawn candidates, and its cost.
+    fn draw(&mut self, now: Moment, pool: &[&Name]) -> Option<(Name, f64)> {
         let share = |name: &Name| self.peers[name].share(now, self.tuning.slow_start);
         // Where all are in slow start, their shares compare with each other.
         let top = pool.iter().map(|name| share(name)).fold(SHARE_MIN, f64::max);
@@ -234,8 +258,25 @@
         if !kept.is_empty() {
             drawn = kept;
         }
-        let cost = |i: &usize| self.peers[pool[*i]].cost(&self.centre);
-        drawn.iter().min_by(|a, b| cost(a).total_cmp(&cost(b))).map(|&i| pool[i].clone())
+        let costs = drawn.iter().map(|&i| (pool[i].clone(), self.cost(&self.peers[pool[i]])));
+        costs.min_by(|a, b| a.1.total_cmp(&b.1))
+    }
+
+    /// Expected cost of one more attempt at an agent, in microseconds.
+    fn cost(&self, peer: &Peer) -> f64 {
+        if peer.agent.centre == self.centre {
+            return peer.work(0.0);
+        }
+        let trip = |centre| self.links.get(centre).copied();
+        let price = self.tuning.link_cost.as_micros() as f64;
+        match trip(&peer.agent.centre) {
+            Some(far) => {
+                let link = (far - trip(&self.centre).unwrap_or(0.0)).max(0.0);
+                // The latency has the round trip in it, which does not grow with the load.
+                peer.work(link) + link + price
+            },
+            None => peer.work(0.0) + REMOTE_COST + price,
+        }
     }
 
     fn target(&mut self, now: Moment, name: &Name) -> Target {
@@ -304,13 +345,22 @@
         if slow_start == Span::micros(0) { 1.0 } else { part.clamp(SHARE_MIN, 1.0) }
     }
 
-    /// Expected cost of one more attempt, in microseconds.
-    fn cost(&self, centre: &Name) -> f64 {
-        let slots = f64::from(self.slots.max(1));
-        // The report counts all entries, the open attempts only this one, but at once.
-        let busy = f64::from(self.used.max(self.open));
-        let link = if self.agent.centre == *centre { 0.0 } else { REMOTE_COST };
-        self.latency * (1.0 + busy / slots) * if busy >= slots { 4.0 } else { 1.0 } + link
+    /// Expected time of one more attempt without the `link`, in microseconds.
+    fn work(&self, link: f64) -> f64 {
+        let busy = f64::from(self.busy()) / f64::from(self.slots.max(1));
+        let full = if self.full() { 4.0 } else { 1.0 };
+        (self.latency - link).max(0.0) * (1.0 + busy) * full
+    }
+
+    /// Requests at the agent: the report counts all entries, the open attempts only this one, but
+    /// at once.
+    fn busy(&self) -> u32 {
+        self.used.max(self.open)
+    }
+
+    /// Whether one more attempt would wait for a slot.
+    fn full(&self) -> bool {
+        self.busy() >= self.slots.max(1)
     }
 }
 
--- a/toucangrade/src/routing/tests.rs
+++ b/toucangrade/src/routing/tests.rs
@@ -122,6 +122,60 @@
     assert_eq!(chosen, case.chosen.into_iter().map(name).collect());
 }
 
+struct LinkCase {
+    /// Slots in use at the near agent, of 8.
+    near: u32,
+    /// Slots in use at the far agent.
+    far: u32,
+    /// Measured round trip to the far agent; to the near one it is 1 ms.
+    trip: Span,
+    link_cost: Span,
+    chosen: &'static str,
+}
+
+/// Guards against work that crosses to another data centre without a longer wait here, and against
+/// work that waits here for longer than the link costs. Both agents take 20 ms and the round trip.
+#[rstest]
+#[case::free_slot_here(LinkCase {
+    near: 7, far: 0, trip: Span::millis(2), link_cost: Span::micros(0), chosen: "near",
+})]
+#[case::full_here(LinkCase {
+    near: 8, far: 0, trip: Span::millis(8), link_cost: Span::micros(0), chosen: "far",
+})]
+#[case::both_full(LinkCase {
+    near: 8, far: 8, trip: Span::millis(8), link_cost: Span::micros(0), chosen: "near",
+})]
+#[case::long_link(LinkCase {
+    near: 8, far: 0, trip: Span::millis(400), link_cost: Span::micros(0), chosen: "near",
+})]
+#[case::dear_link(LinkCase {
+    near: 8, far: 0, trip: Span::millis(8), link_cost: Span::millis(400), chosen: "near",
+})]
+fn work_crosses_only_for_a_longer_wait(#[case] case: LinkCase) {
+    let tuning = Tuning { link_cost: case.link_cost, ..Tuning::default() };
+    let mut routing = Routing::new(name("olinda"), 1, tuning);
+    let agents = [
+        ("far", "boa-viagem", case.far, case.trip),
+        ("near", "olinda", case.near, Span::millis(1)),
+    ];
+    let view = agents.iter().map(|(n, centre, ..)| (name(n), agent(centre))).collect();
+    routing.step(Moment::START, Message::View(view));
+    for (n, _, used, trip) in agents {
+        let taken = Moment::START + trip;
+        let sample = Message::Sampled { agent: name(n), reading: Some(reading(taken, used)) };
+        routing.step(taken, sample);
+        for _ in 0..100 {
+            let signal = Signal::Answered { took: Span::millis(20) + trip };
+            let feedback = Feedback { agent: name(n), signal, reading: None };
+            routing.step(taken, Message::Feedback(feedback));
+        }
+    }
+    let now = Moment::START + Span::secs(1);
+    let effects = routing.step(now, Message::Pick(pick("quote")));
+    let Some(Effect::Chosen { target, .. }) = effects.into_iter().next() else { panic!() };
+    assert_eq!(target.agent, name(case.chosen));
+}
+
 /// How an agent came to its slow start.
 enum Cold {
     Appeared,
