--- a/toucangrade/src/daemon/agent.rs
+++ b/toucangrade/src/daemon/agent.rs
@@ -186,9 +186,14 @@
         }
     }
 
-    /// Number of executions and of entries that wait for a report.
-    pub(crate) fn waiting(&self) -> usize {
-        self.running.load(Ordering::Relaxed) + self.reports.len()
+    /// Ticket of the next entry that waits for a report.
+    pub(crate) fn next(&self) -> u64 {
+        self.reports.next()
+    }
+
+    /// Number of executions, and of entries before this ticket that wait for a report.
+    pub(crate) fn waiting(&self, report: u64) -> usize {
+        self.running.load(Ordering::Relaxed) + self.reports.open_before(report)
     }
 
     /// The state of the platform duty, which only runs beside a worker.
--- a/toucangrade/src/daemon/entry.rs
+++ b/toucangrade/src/daemon/entry.rs
@@ -417,9 +417,14 @@
         reply.await.unwrap_or_default()
     }
 
-    /// Number of requests that wait for an answer here.
-    pub(crate) fn waiting(&self) -> usize {
-        self.callers.len() + self.forwards.len()
+    /// Tickets of the next caller and the next forwarded request.
+    pub(crate) fn next(&self) -> (u64, u64) {
+        (self.callers.next(), self.forwards.next())
+    }
+
+    /// Number of requests before these tickets that wait for an answer here.
+    pub(crate) fn waiting(&self, (caller, forward): (u64, u64)) -> usize {
+        self.callers.open_before(caller) + self.forwards.open_before(forward)
     }
 
     /// The state of all duties.
@@ -438,13 +443,20 @@
     /// Handler of the caller port.
     pub(crate) fn handler(&self, context: &Context, dump: Arc<super::Dump>) -> Handler {
         let (entry, open) = (self.clone(), context.settings.caller_dump);
+        let draining = Arc::clone(&context.draining);
         Arc::new(move |call| {
             let (entry, dump) = (entry.clone(), Arc::clone(&dump));
+            let draining = Arc::clone(&draining);
             Box::pin(async move {
                 if open && call.path == "/dump" {
                     return dump.serve().await;
                 }
-                entry.serve(call).await
+                let outbound = entry.serve(call).await;
+                // A kept connection would be closed under a caller that is about to use it.
+                if draining.load(Ordering::Relaxed) {
+                    return outbound.with_text("connection", "close");
+                }
+                outbound
             })
         })
     }
--- a/toucangrade/src/daemon/mod.rs
+++ b/toucangrade/src/daemon/mod.rs
@@ -76,6 +76,16 @@
     entry: Option<Entry>,
 }
 
+/// Tells requests that came before a moment from later ones.
+///
+/// Requests keep coming while a process drains, so a drain that waited until none is under way
+/// would not end under load. It waits for those that came before.
+#[derive(Clone, Copy, Default)]
+struct Mark {
+    entry: (u64, u64),
+    agent: u64,
+}
+
 /// Answers requests for the state of the process.
 pub(crate) struct Dump {
     roles: Roles,
@@ -312,10 +322,16 @@
         }
     }
 
-    /// Number of requests that are in flight here.
-    fn waiting(&self) -> usize {
-        self.entry.as_ref().map_or(0, Entry::waiting)
-            + self.agent.as_ref().map_or(0, Agent::waiting)
+    /// Separates the requests so far from those to come.
+    fn mark(&self) -> Mark {
+        let entry = self.entry.as_ref().map(Entry::next).unwrap_or_default();
+        Mark { entry, agent: self.agent.as_ref().map(Agent::next).unwrap_or_default() }
+    }
+
+    /// Number of requests before the mark that are in flight here.
+    fn waiting(&self, mark: Mark) -> usize {
+        self.entry.as_ref().map_or(0, |entry| entry.waiting(mark.entry))
+            + self.agent.as_ref().map_or(0, |agent| agent.waiting(mark.agent))
     }
 }
 
@@ -329,7 +345,6 @@
     signals.forever().next();
     context.draining.store(true, Ordering::Relaxed);
     let timeout = Span::millis(context.settings.drain_ms);
-    info!(waiting = roles.waiting(), "draining");
     let deadline = context.clock.now() + timeout;
     if let Some(entry) = &roles.entry {
         entry.limits.push(limits::Message::Drain);
@@ -341,6 +356,8 @@
     if let Some(control) = &roles.control {
         control.hand_over();
     }
+    let mut mark = roles.mark();
+    info!(waiting = roles.waiting(mark), "draining");
     let mut until = |done: &dyn Fn() -> bool, deadline: Moment| {
         while !done() {
             if context.clock.now() >= deadline || signals.pending().next().is_some() {
@@ -350,7 +367,7 @@
         }
         true
     };
-    let mut whole = until(&|| roles.waiting() == 0, deadline);
+    let mut whole = until(&|| roles.waiting(mark) == 0, deadline);
     if whole && let Some(entry) = &roles.entry {
         entry.membership.push(membership::entry::Message::Drain);
         let owned = Arc::clone(&entry.owned);
@@ -366,24 +383,27 @@
         if !until(&recorded, limit) {
             info!("control did not take the last outcomes, their history is lost");
         }
-        whole = roles.waiting() == 0;
+        // Others forwarded requests here until they knew the new owners of the partitions.
+        mark = roles.mark();
+        whole = until(&|| roles.waiting(mark) == 0, deadline);
     }
     if let Some(control) = &roles.control {
         // The handover takes as long as an election at most; nothing is lost if it fails.
         until(&|| !control.leads(), deadline.min(context.clock.now() + HANDOVER));
     }
-    if whole {
-        for (_, server) in servers {
-            server.stop();
-        }
-        if let Some(control) = &roles.control {
-            control.stop();
-        }
-        info!("drained");
-        return 0;
+    if !whole {
+        error!(waiting = roles.waiting(mark), "drain ended early, requests are cut off");
+        return EXIT_CUT;
+    }
+    let cut: usize = servers.into_iter().map(|(_, server)| server.stop()).sum();
+    if let Some(control) = &roles.control {
+        control.stop();
+    }
+    if cut > 0 {
+        return EXIT_CUT;
     }
-    error!(waiting = roles.waiting(), "drain ended early, requests are cut off");
-    EXIT_CUT
+    info!("drained");
+    0
 }
 
 /// Writes the addresses in use, in one step so that a reader never sees half of them.
--- a/toucangrade/src/http/replies.rs
+++ b/toucangrade/src/http/replies.rs
@@ -40,6 +40,17 @@
 
     /// Number of handlers that wait.
     pub(crate) fn len(&self) -> usize {
-        self.open.lock().unwrap_or_else(PoisonError::into_inner).waiting.len()
+        self.open_before(u64::MAX)
+    }
+
+    /// The ticket that the next handler gets.
+    pub(crate) fn next(&self) -> u64 {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner).next
+    }
+
+    /// Number of handlers that wait and got their ticket before this one.
+    pub(crate) fn open_before(&self, ticket: u64) -> usize {
+        let open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        open.waiting.range(..ticket).count()
     }
 }
--- a/toucangrade/src/http/server.rs
+++ b/toucangrade/src/http/server.rs
@@ -10,6 +10,7 @@
 
 use bytes::{Bytes, BytesMut};
 use futures_util::future::LocalBoxFuture;
+use socket2::{SockFilter, SockRef};
 use tokio::sync::mpsc;
 use xitca_web::body::{BodyExt, RequestBody, ResponseBody};
 use xitca_web::http::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue};
@@ -30,6 +31,12 @@
 /// In tests a stop that waits for an idle connection does not end within any test's limit.
 #[cfg(test)]
 const KEEP_ALIVE: Duration = Duration::from_secs(3_600);
+/// Time in which connections that were accepted before a stop are read for their first request.
+const QUEUED: Duration = Duration::from_millis(100);
+/// Drops segments that ask for a new connection, and passes all others: loads the byte with the
+/// flags of the TCP header and tests SYN.
+const NO_SYN: [(u16, u8, u8, u32); 4] =
+    [(0x30, 0, 0, 13), (0x45, 0, 1, 0x02), (0x06, 0, 0, 0), (0x06, 0, 0, u32::MAX)];
 /// Time in which a connection writes the end mark of a stream, which follows after its body.
 const END_MARK: Duration = Duration::from_millis(50);
 
@@ -124,6 +131,8 @@
 /// A running HTTP server.
 pub struct Server {
     gauge: Arc<Gauge>,
+    /// The listening socket, for the filter that a stop sets on it.
+    listener: TcpListener,
     handle: xitca_server::ServerHandle,
     thread: JoinHandle<()>,
     /// The address that the server listens on.
@@ -138,6 +147,7 @@
     /// The error of the operating system when the server can't be started.
     pub fn start(listener: TcpListener, threads: usize, handler: Handler) -> io::Result<Self> {
         let addr = listener.local_addr()?;
+        let socket = listener.try_clone()?;
         let gauge = Gauge::new();
         let mut running = App::new()
             .with_state((handler, Arc::clone(&gauge)))
@@ -155,12 +165,13 @@
                 tracing::error!(%error, "HTTP server ended");
             }
         })?;
-        Ok(Self { gauge, handle, thread, addr })
+        Ok(Self { gauge, listener: socket, handle, thread, addr })
     }
 
-    /// Waits until every response under way is written, for 30 s at most, and ends the server.
-    pub fn stop(self) {
-        self.stop_within(STOP_LIMIT);
+    /// Waits until every response under way is written, for 30 s at most, and ends the server;
+    /// gives the number of responses that were cut off.
+    pub fn stop(self) -> usize {
+        self.stop_within(STOP_LIMIT)
     }
 
     /// Waits until every response under way is written, at most for `limit`, and ends the server;
@@ -168,8 +179,17 @@
     ///
     /// Connections without a request are closed. The server's own graceful stop would wait until
     /// their keep-alive timeout.
+    ///
+    /// Closing a listening socket resets the connections in its queue, and a caller can't tell
+    /// whether its request was read. So no new connection is let in first, and those in the queue
+    /// are served. A caller that connects meanwhile is refused once the socket is closed.
     pub fn stop_within(self, limit: Duration) -> usize {
         self.gauge.stop();
+        let filter = NO_SYN.map(|(code, jt, jf, k)| SockFilter::new(code, jt, jf, k));
+        if let Err(error) = SockRef::from(&self.listener).attach_filter(&filter) {
+            tracing::warn!(%error, "connections in the queue may be reset");
+        }
+        std::thread::sleep(QUEUED);
         let cut = self.gauge.wait(limit);
         std::thread::sleep(END_MARK);
         self.handle.stop(false);
--- a/toucangrade/src/http/tests.rs
+++ b/toucangrade/src/http/tests.rs
@@ -207,3 +207,58 @@
     assert_eq!(result.map(|response| response.body.len()), case.result);
     peer.join().unwrap();
 }
+
+struct Waiting {
+    /// Handlers that wait when the drain begins, and those of them that get their reply.
+    before: usize,
+    replied: &'static [u64],
+    after: usize,
+    left: usize,
+}
+
+/// Guards against a drain that waits for requests which came after it began, and never ends under
+/// load.
+#[rstest]
+#[case::none(Waiting { before: 0, replied: &[], after: 3, left: 0 })]
+#[case::one_is_left(Waiting { before: 3, replied: &[1, 3], after: 3, left: 1 })]
+#[case::all_replied(Waiting { before: 2, replied: &[1, 2], after: 9, left: 0 })]
+fn drain_waits_for_earlier_requests(#[case] case: Waiting) {
+    let replies = Replies::new();
+    let mut handlers: Vec<_> = (0..case.before).map(|_| replies.open()).collect();
+    let mark = replies.next();
+    handlers.extend((0..case.after).map(|_| replies.open()));
+    for &ticket in case.replied {
+        assert!(replies.close(ticket, ()));
+    }
+    assert_eq!(replies.open_before(mark), case.left);
+    assert_eq!(replies.len(), case.before + case.after - case.replied.len());
+}
+
+/// Sends requests on new connections until one is refused; gives the whole answers and the others.
+fn storm(addr: SocketAddr) -> (usize, usize) {
+    let (mut whole, mut cut) = (0, 0);
+    let head = "POST / HTTP/1.1\r\nhost: test\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
+    while let Ok(mut stream) = TcpStream::connect(addr) {
+        let sent = stream.write_all(head.as_bytes());
+        let answered = sent.is_ok() && body_length(&mut stream, Duration::ZERO) == 5;
+        if answered {
+            whole += 1;
+        } else {
+            cut += 1;
+        }
+    }
+    (whole, cut)
+}
+
+/// Guards against a stop that resets connections which wait in the queue of the listening socket.
+#[test]
+fn stop_serves_connections_in_the_queue() {
+    let handler: Handler = Arc::new(|_| Box::pin(async { Outbound::new(200, "whole") }));
+    let server = Server::start(TcpListener::bind("127.0.0.1:0").unwrap(), 1, handler).unwrap();
+    let addr = server.addr;
+    let callers: Vec<_> = (0..16).map(|_| std::thread::spawn(move || storm(addr))).collect();
+    std::thread::sleep(Duration::from_millis(200));
+    assert_eq!(server.stop_within(Duration::from_secs(60)), 0);
+    let counts: Vec<(usize, usize)> = callers.into_iter().map(|c| c.join().unwrap()).collect();
+    assert!(counts.iter().all(|(whole, cut)| *whole > 0 && *cut == 0), "{counts:?}");
+}
--- a/toucangrade_standin/src/tests.rs
+++ b/toucangrade_standin/src/tests.rs
@@ -1,13 +1,15 @@
 //! Tests of how the stand-in behaves towards its agent.
 
 use std::net::TcpListener;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::Method;
 use rstest::rstest;
-use toucangrade::{CallError, Client, Exchange, Server, Span};
+use toucangrade::{CallError, Client, Exchange, Handler, Inbound, Outbound, Server, Span};
 
 use crate::options::{self, Options};
 use crate::runner::{Orders, Runner};
@@ -23,6 +25,8 @@
 
 struct Standin {
     server: Server,
+    options: Options,
+    runner: Runner,
     client: Client,
     journal: std::path::PathBuf,
     _folder: tempfile::TempDir,
@@ -36,7 +40,8 @@
         let runner = Runner::open(&options).unwrap();
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let server = Server::start(listener, 1, runner.handler()).unwrap();
-        Self { server, client: Client::start().unwrap(), journal, _folder: folder }
+        let client = Client::start().unwrap();
+        Self { server, options, runner, client, journal, _folder: folder }
     }
 
     fn exchange(&self, method: Method, key: &str, fence: Option<u64>, lease: u64) -> Exchange {
@@ -170,3 +175,32 @@
         [70, 300, 10, 0]
     );
 }
+
+/// Guards against a back end that ends with work in flight, or without telling its agent first.
+#[test]
+fn leaving_back_end_finishes_its_work() {
+    let heard: Arc<Mutex<Vec<serde_json::Value>>> = Arc::default();
+    let noted = Arc::clone(&heard);
+    let handler: Handler = Arc::new(move |call: Inbound| {
+        noted.lock().unwrap().push(serde_json::from_slice(&call.body).unwrap());
+        Box::pin(async { Outbound::new(200, "") })
+    });
+    let agent = Server::start(TcpListener::bind("127.0.0.1:0").unwrap(), 1, handler).unwrap();
+    let standin = Standin::start(&["--delay-ms", "2500"]);
+    let options = Options { agent: agent.addr, ..standin.options.clone() };
+    let (leaving, runner) = (Arc::new(AtomicBool::new(false)), standin.runner.clone());
+    let (told, addr) = (Arc::clone(&leaving), standin.server.addr);
+    let announcing = thread::spawn(move || crate::announce(&options, &runner, addr, &told));
+    thread::scope(|scope| {
+        let caller = scope.spawn(|| standin.post("a", 1, 60_000));
+        standin.await_journal(1);
+        leaving.store(true, Ordering::Relaxed);
+        announcing.join().unwrap().unwrap();
+        assert_eq!(standin.journal(), ["start a", "end a"]);
+        assert_eq!(caller.join().unwrap(), Ok((200, "done cord".to_owned())));
+    });
+    let heard = heard.lock().unwrap();
+    let first = heard.iter().position(|announce| announce["leaving"] == true).unwrap();
+    assert!(heard[first..].iter().all(|announce| announce["leaving"] == true));
+    assert_eq!(heard[first]["busy"], 1);
+}
