Give the randomised runs a program, toucangrade_simulate

Cause: the randomised runs could be started by tests only, and a violation printed a call that an operator can't make. lib.rs silenced warnings about unused code of the simulation.

It prints seed, faults and counts of each run. A violated invariant is run again with a trace, which is printed with the command that replays it; the program goes on with the next seed and ends with status 1. Runs of the log keep a trace of their newest 400 messages in the second run. Both parts share core::replay, and the tests print the same command. Three functions that only scenarios use are compiled for tests, so the exception in lib.rs is gone.

--- a/toucangrade/src/agreement/mod.rs
+++ b/toucangrade/src/agreement/mod.rs
@@ -39,7 +39,7 @@
 pub(crate) use self::message::{
     Body, Change, Effect, Entry, Message, Payload, PeerMessage, Rejection, Replica, Snapshot, Store,
 };
-pub use self::random_run::{RunReport, random_run};
+pub use self::random_run::{RunReport, random_run, try_random_run};
 pub(crate) use self::storage::Recovered;
 
 /// Time between two heartbeats of a leader.
--- a/toucangrade/src/agreement/random_run/mod.rs
+++ b/toucangrade/src/agreement/random_run/mod.rs
@@ -3,7 +3,8 @@
 mod faults;
 mod machine;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::fmt;
 
 use bytes::Bytes;
 
@@ -12,7 +13,7 @@
 use super::message::{Effect, Message, PeerMessage, Replica, Report, Store};
 use super::storage::Storage;
 use super::{Agreement, Members, Settings, next_random};
-use crate::core::{Moment, Name, Verdict, invariant};
+use crate::core::{Moment, Name, Verdict, Violation, invariant, replayed};
 
 const MILLI: u64 = 1_000;
 const SECOND: u64 = 1_000 * MILLI;
@@ -22,11 +23,14 @@
 const SNAPSHOT_COMMANDS: u64 = 150;
 /// Simulated time without faults at the end, in which the group has to recover.
 const SETTLE: u64 = 20 * SECOND;
+/// Lines of a trace that are kept.
+const TRACE_KEPT: usize = 400;
 const NAMES: [&str; 5] = ["a", "b", "c", "d", "e"];
 
 /// Counts of what a run contained, which show that it tested something.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct RunReport {
+    pub(crate) seed: u64,
     pub(crate) steps: u64,
     pub(crate) acknowledged: u64,
     pub(crate) refused: u64,
@@ -44,6 +48,21 @@
     pub(crate) replaced: u64,
 }
 
+impl fmt::Display for RunReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { seed, steps, crashes, torn, isolations, pauses, stalls, .. } = self;
+        let Self { full_disks, replaced, transfers, acknowledged, refused, unknown, .. } = self;
+        write!(
+            f,
+            "seed {seed}: {steps} steps; {crashes} crashes, {torn} torn tails, {isolations} \
+             isolations, {pauses} pauses, {stalls} stalled and {full_disks} full disks, {replaced} \
+             replaced members; {acknowledged} commands acknowledged, {refused} refused, {unknown} \
+             of unknown outcome, {} reads, {} terms, {transfers} transfers, {} snapshots installed",
+            self.reads, self.terms, self.installs
+        )
+    }
+}
+
 /// A running process.
 struct Process {
     agreement: Agreement,
@@ -107,6 +126,8 @@
     /// The instance that lost its disk and is being replaced.
     replacing: Option<Name>,
     report: RunReport,
+    /// The newest messages, when they are kept.
+    trace: Option<VecDeque<String>>,
 }
 
 /// Runs a group of three, or of five for every fourth seed, for a number of steps with faults, then without until it has recovered.
@@ -115,13 +136,18 @@
 ///
 /// When an invariant is broken or the group does not recover.
 pub fn random_run(seed: u64, steps: u64) -> RunReport {
-    let mut world = World::new(seed);
-    while world.report.steps < steps {
-        world.advance();
-    }
-    world.settle();
-    world.report.terms = world.leaders.len() as u64;
-    world.report
+    World::new(seed).run(steps)
+}
+
+/// Does the same as [`random_run`] and gives a broken invariant instead of panicking.
+///
+/// # Errors
+///
+/// A broken invariant with the trace of a second run of the same seed.
+pub fn try_random_run(seed: u64, steps: u64) -> Result<RunReport, Violation> {
+    let start = |traced: bool| World { trace: traced.then(VecDeque::new), ..World::new(seed) };
+    let trace = |world: &World| world.trace.iter().flatten().cloned().collect();
+    replayed(start, |world| world.run(steps), trace)
 }
 
 fn name(value: &str) -> Name {
@@ -165,7 +191,8 @@
             ticket: 0,
             members: (0, Members::default()),
             replacing: None,
-            report: RunReport::default(),
+            report: RunReport { seed, ..RunReport::default() },
+            trace: None,
         };
         for name in &names {
             world.start(name);
@@ -175,6 +202,15 @@
         world
     }
 
+    fn run(&mut self, steps: u64) -> RunReport {
+        while self.report.steps < steps {
+            self.advance();
+        }
+        self.settle();
+        self.report.terms = self.leaders.len() as u64;
+        self.report.clone()
+    }
+
     fn draw(&mut self, below: u64) -> u64 {
         next_random(&mut self.random) % below.max(1)
     }
@@ -297,6 +333,12 @@
     /// Hands a message to a process and performs the effects.
     fn step(&mut self, name: &Name, message: Message) {
         let now = self.now;
+        if let Some(trace) = &mut self.trace {
+            trace.push_back(format!("{now} us, {name}: {message:?}"));
+            if trace.len() > TRACE_KEPT {
+                trace.pop_front();
+            }
+        }
         let instance = self.instance(name);
         let local = Moment::micros(now / 1_000 * instance.rate / 1_000);
         let Some(process) = &mut instance.process else {
--- a/toucangrade/src/core/mod.rs
+++ b/toucangrade/src/core/mod.rs
@@ -2,6 +2,7 @@
 
 mod duty;
 mod names;
+mod replay;
 mod ring;
 mod time;
 mod verdict;
@@ -11,6 +12,8 @@
 
 pub(crate) use self::duty::{Duty, Handle};
 pub use self::names::{BadName, Key, Name};
+pub use self::replay::Violation;
+pub(crate) use self::replay::replayed;
 pub(crate) use self::ring::{Received, Ring};
 pub use self::time::{Clock, Moment, Span};
 pub use self::verdict::{Answer, Class, Refusal, Verdict};
--- a/toucangrade/src/lib.rs
+++ b/toucangrade/src/lib.rs
@@ -29,13 +29,15 @@
 mod routing;
 mod runs;
 mod scheduling;
-#[cfg_attr(not(test), expect(dead_code, reason = "run by tests; the command-line program follows"))]
 mod simulation;
 mod state;
 
-pub use crate::agreement::{RunReport, measure, random_run};
-pub use crate::core::{Answer, BadName, Class, Clock, Key, Moment, Name, Refusal, Span, Verdict};
+pub use crate::agreement::{RunReport, measure, random_run, try_random_run};
+pub use crate::core::{
+    Answer, BadName, Class, Clock, Key, Moment, Name, Refusal, Span, Verdict, Violation,
+};
 pub use crate::daemon::{BadSetting, Role, Settings, parser, run};
 pub use crate::http::{
     CallError, Client, Exchange, Handler, Inbound, Outbound, Payload, Response, Server,
 };
+pub use crate::simulation::{Report as SimulationReport, try_run as try_simulation};
--- a/toucangrade/src/simulation/agent.rs
+++ b/toucangrade/src/simulation/agent.rs
@@ -251,6 +251,7 @@
         }
     }
 
+    #[cfg(test)]
     /// The connections of all executions at a runner break.
     pub(crate) fn cut_all(&mut self, runner: usize) {
         let runs: Vec<u64> = self.runners[runner].runs.keys().copied().collect();
--- a/toucangrade/src/simulation/mod.rs
+++ b/toucangrade/src/simulation/mod.rs
@@ -11,14 +11,13 @@
 mod tests;
 
 use std::fmt;
-use std::panic::{AssertUnwindSafe, catch_unwind};
 
 use rand::Rng;
 
 use self::link::{Node, Noise};
 use self::truth::Response;
 use self::world::{Habits, KINDS, World};
-use crate::core::{Class, Key, Verdict, invariant};
+use crate::core::{Class, Key, Verdict, Violation, invariant, replayed};
 
 /// Time between two actions of the driver, in microseconds.
 const BEAT: u64 = 20_000;
@@ -33,7 +32,7 @@
 
 /// What a run did and saw.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub(crate) struct Report {
+pub struct Report {
     pub(crate) seed: u64,
     /// Messages handed to the duties.
     pub(crate) steps: u64,
@@ -66,21 +65,19 @@
 
 /// Runs one seed for about this many steps, then stops all faults and waits until all is settled.
 ///
-/// A broken invariant panics with the trace of a second run of the same seed.
-pub(crate) fn run(seed: u64, steps: u64) -> Report {
-    let mut first = Driver::new(seed);
-    if let Ok(report) = catch_unwind(AssertUnwindSafe(|| first.run(steps))) {
-        return report;
-    }
-    let mut second = Driver::new(seed);
-    second.world.truth.record();
-    let broken = catch_unwind(AssertUnwindSafe(|| second.run(steps)));
-    let Err(reason) = broken else { panic!("seed {seed} broke an invariant only once") };
-    for line in second.world.truth.lines() {
-        eprintln!("{line}");
-    }
-    let text = reason.downcast_ref::<String>().cloned().unwrap_or_default();
-    panic!("{text}; replay with simulation::run({seed}, {steps})")
+/// # Errors
+///
+/// A broken invariant with the trace of a second run of the same seed.
+pub fn try_run(seed: u64, steps: u64) -> Result<Report, Violation> {
+    let start = |traced| {
+        let mut driver = Driver::new(seed);
+        if traced {
+            driver.world.truth.record();
+        }
+        driver
+    };
+    let trace = |driver: &Driver| driver.world.truth.lines().cloned().collect();
+    replayed(start, |driver| driver.run(steps), trace)
 }
 
 /// Draws the actions and faults of a run.
--- a/toucangrade/src/simulation/tests/mod.rs
+++ b/toucangrade/src/simulation/tests/mod.rs
@@ -11,6 +11,14 @@
 /// Seeds of one case; `TOUCANGRADE_SEEDS` sets another number for longer runs.
 const SEEDS: u64 = 10;
 
+/// Runs one seed; a broken invariant panics with the trace and the command that replays it.
+fn run(seed: u64, steps: u64) -> Report {
+    let report = try_run(seed, steps);
+    report.unwrap_or_else(|violation| {
+        panic!("{violation}; toucangrade_simulate --part requests --seed {seed} --steps {steps}")
+    })
+}
+
 struct Case {
     first: u64,
 }
--- a/toucangrade/src/simulation/truth.rs
+++ b/toucangrade/src/simulation/truth.rs
@@ -177,6 +177,7 @@
         *newest = epoch;
     }
 
+    #[cfg(test)]
     /// Configuration revision in force at a process, zero when there is none.
     pub(crate) fn revision(&self, node: Node, life: u64) -> u64 {
         self.revisions.get(&(node, life)).copied().unwrap_or_default()
--- a/toucangrade/src/simulation/world.rs
+++ b/toucangrade/src/simulation/world.rs
@@ -384,6 +384,7 @@
         ended.map(|(index, _)| Node::Agent(index)).collect()
     }
 
+    #[cfg(test)]
     /// Processes that run and don't have the newest configuration in force.
     pub(crate) fn behind(&self) -> Vec<Node> {
         let newest = self.control.state.config().revision;
