--- a/toucangrade/src/daemon/tests.rs
+++ b/toucangrade/src/daemon/tests.rs
@@ -309,3 +309,10 @@
     });
     assert_eq!(agent::halt(result), case.halt);
 }
+
+/// Guards against a second execution of a request whose answer is too large: it counts as run.
+#[test]
+fn too_large_answer_is_an_outcome() {
+    let outcome = agent::outcome(Err(CallError::TooLarge)).unwrap();
+    assert_eq!((outcome.answer.status, outcome.declined), (502, false));
+}
