--- a/toucangrade/src/simulation/control.rs
+++ b/toucangrade/src/simulation/control.rs
@@ -157,6 +157,7 @@
                     }
                 },
                 state::Effect::Changed { .. }
+                | state::Effect::Note { .. }
                 | state::Effect::Reply { .. }
                 | state::Effect::Schedule(_)
                 | state::Effect::Snapshot { .. } => {},
--- a/toucangrade/src/state/message.rs
+++ b/toucangrade/src/state/message.rs
@@ -4,6 +4,7 @@
 
 use super::Machine;
 use crate::core::{Key, Name};
+use crate::history::Body;
 use crate::membership::Config;
 use crate::partitions::Partitions;
 use crate::resources::{Change, Collection, Stored};
@@ -75,6 +76,8 @@
     Configure(Config),
     /// Watch streams have changes up to this revision to deliver.
     Changed { revision: u64 },
+    /// The history keeps this of a job, under this number.
+    Note { number: u64, body: Body },
     /// The owners of partitions changed.
     Partitions(Partitions),
     /// The log up to this index can be replaced by this state.
--- a/toucangrade/src/state/mod.rs
+++ b/toucangrade/src/state/mod.rs
@@ -105,6 +105,9 @@
                 if accepted {
                     machine.record_step(index, decision.job());
                     effects.push(Effect::Changed { revision: index });
+                    if let Some((number, body)) = machine.runs.record(&decision) {
+                        effects.push(Effect::Note { number, body });
+                    }
                 }
                 if self.leading {
                     let decided = scheduling::Message::Decided { decision, accepted };
