--- a/toucangrade/src/state/message.rs
+++ b/toucangrade/src/state/message.rs
@@ -7,6 +7,7 @@
 use crate::history::Body;
 use crate::membership::Config;
 use crate::partitions::Partitions;
+use crate::placement::Summary;
 use crate::resources::{Change, Collection, Stored};
 use crate::runs::Run;
 use crate::{claims, partitions, placement, resources, scheduling};
@@ -15,6 +16,7 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) enum Command {
     Claim(claims::Command),
+    Learned(Summary),
     Partition(partitions::Command),
     Resource(resources::Command),
     Run(placement::Decision),
@@ -48,6 +50,8 @@
     Granted,
     /// A decision of the leader was looked at; scheduling is told whether it is in force.
     Decided,
+    /// The summary of what was learned is in force, if it fits.
+    Learned,
     Run(Option<Box<Run>>),
     Listed(Vec<(Name, Stored)>),
     Open(Vec<(Key, claims::Claim)>),
