Let batch requests end by themselves before they are evicted

Cause: an agent that drained evicted its batch requests at once, also those that would have ended within the drain timeout. Each eviction puts work at risk, and where no other agent offered the kind, the caller got an unknown outcome for a request that a graceful stop should not cut off. Change: running batch attempts get half of the drain timeout, counted from the drain or from the runner's first announcement that it leaves; the other half is left for checkpoints and reports. Conclusion: only work that would outlast half of the drain timeout moves.

--- a/toucangrade/src/admission/evict.rs
+++ b/toucangrade/src/admission/evict.rs
@@ -32,8 +32,11 @@
                 continue;
             };
             let Some(runner) = self.runners.get_mut(&addr) else { continue };
-            let leaving = self.draining || runner.announce.leaving;
-            let able = leaving && runner.announce.checkpoints.contains(&attempt.kind);
+            let since = [self.drained, runner.left].into_iter().flatten().min();
+            let leaving = since.is_some();
+            // Most attempts end by themselves in this time, and an eviction delays them.
+            let due = since.is_some_and(|since| now >= since + self.grace);
+            let able = due && runner.announce.checkpoints.contains(&attempt.kind);
             match (&attempt.phase, attempt.evict) {
                 (Phase::Waiting, _) if leaving => {
                     // Out of the queue first, so that a slot that gets free doesn't start it.
--- a/toucangrade/src/admission/mod.rs
+++ b/toucangrade/src/admission/mod.rs
@@ -59,6 +59,8 @@
     quick: bool,
     waiting: VecDeque<Key>,
     heavy_waiting: VecDeque<Key>,
+    /// When the runner began to leave.
+    left: Option<Moment>,
 }
 
 impl Runner {
@@ -74,6 +76,7 @@
             quick: false,
             waiting: VecDeque::new(),
             heavy_waiting: VecDeque::new(),
+            left: None,
         }
     }
 
@@ -163,7 +166,10 @@
     floor: Moment,
     epochs: BTreeMap<u32, u64>,
     until: Moment,
-    draining: bool,
+    /// When the agent began to leave.
+    drained: Option<Moment>,
+    /// Time that batch attempts get to end by themselves before they are evicted.
+    grace: Span,
     refused: BTreeMap<String, u64>,
 }
 
@@ -182,11 +188,18 @@
             floor: Moment::START,
             epochs: BTreeMap::new(),
             until: Moment::START,
-            draining: false,
+            drained: None,
+            grace: Span::ZERO,
             refused: BTreeMap::new(),
         }
     }
 
+    /// The same ledger that evicts batch attempts only after this time.
+    #[must_use]
+    pub(crate) fn grace(self, grace: Span) -> Self {
+        Self { grace, ..self }
+    }
+
     /// Handles one message.
     pub(crate) fn step(&mut self, now: Moment, message: Message) -> Vec<Effect> {
         match message {
@@ -196,7 +209,7 @@
                 Vec::new()
             },
             Message::Drain => {
-                self.draining = true;
+                self.drained.get_or_insert(now);
                 let mut effects = vec![self.offers(now)];
                 effects.extend(self.evictions(now));
                 effects
@@ -232,7 +245,7 @@
         if error.is_some() {
             return vec![Effect::Announced { ticket, error }];
         }
-        let addr = announce.addr;
+        let (addr, leaving) = (announce.addr, announce.leaving);
         match self.runners.get_mut(&addr) {
             Some(runner) => {
                 runner.foreign = runner.foreign.min(announce.busy);
@@ -244,6 +257,9 @@
                 self.runners.insert(addr, Runner { foreign, ..Runner::new(announce, now) });
             },
         }
+        if let Some(runner) = self.runners.get_mut(&addr) {
+            runner.left = runner.left.or(Some(now)).filter(|_| leaving);
+        }
         let mut effects = vec![Effect::Announced { ticket, error: None }, self.offers(now)];
         effects.extend(self.evictions(now));
         effects.extend(self.advance(now, addr));
@@ -252,7 +268,8 @@
 
     /// What the available runners offer.
     fn offers(&self, now: Moment) -> Effect {
-        let available = self.runners.values().filter(|r| !self.draining && r.available(now));
+        let available =
+            self.runners.values().filter(|r| self.drained.is_none() && r.available(now));
         let offer = |runner: &Runner| {
             let Announce { service, kinds, slots, connections, .. } = runner.announce.clone();
             Offer { service, kinds, slots, connections }
@@ -334,7 +351,7 @@
         if now > start.start_by || start.start_by <= self.floor {
             return Err(("too-late", "the attempt arrived after its start-by time"));
         }
-        if self.draining {
+        if self.drained.is_some() {
             return Err(("draining", "the agent is leaving"));
         }
         if now >= self.until {
--- a/toucangrade/src/admission/tests.rs
+++ b/toucangrade/src/admission/tests.rs
@@ -563,3 +563,38 @@
     }
     assert_eq!(seen, case.words);
 }
+
+/// Guards against an eviction of work that would have ended by itself in time, and against work
+/// that is never evicted. Attempts get 1 s.
+#[rstest]
+#[case::ends_in_time(Case {
+    messages: vec![
+        (0, batch(1, "a", 0)), (1, Message::Drain), (1_000, Message::Tick), (1_000, ended("a", 2)),
+    ],
+    words: vec!["run a", "ended 1"],
+})]
+#[case::takes_longer(Case {
+    messages: vec![
+        (0, batch(1, "a", 0)), (1, announce(1, 3, true)), (500, announce(1, 3, true)),
+        (1_001, Message::Tick),
+    ],
+    words: vec!["run a", "evict a"],
+})]
+#[case::leaves_again_later(Case {
+    messages: vec![
+        (0, batch(1, "a", 0)), (1, announce(1, 3, true)), (500, announce(1, 3, false)),
+        (800, announce(1, 3, true)), (1_001, Message::Tick), (1_800, Message::Tick),
+    ],
+    words: vec!["run a", "evict a"],
+})]
+fn batch_work_gets_time_to_end(#[case] case: Case) {
+    let mut admission = Admission::new(5).grace(Span::secs(1));
+    admission.step(Moment::START, Message::Confirmed { until: Moment::START + Span::secs(60) });
+    admission.step(Moment::START, announce(1, 3, false));
+    let mut seen = Vec::new();
+    for (millis, message) in case.messages {
+        let now = Moment::START + Span::millis(millis);
+        seen.extend(words(admission.step(now, message)));
+    }
+    assert_eq!(seen, case.words);
+}
--- a/toucangrade/src/daemon/agent.rs
+++ b/toucangrade/src/daemon/agent.rs
@@ -74,7 +74,9 @@
     fn spawn_admission(&self, context: &Context) -> io::Result<()> {
         let (agent, client) = (self.clone(), context.client.clone());
         let (clock, worker) = (context.clock.clone(), context.settings.worker.is_some());
-        let state = Admission::new(context.incarnation);
+        // The other half is left for checkpoints and reports.
+        let grace = Span::millis(context.settings.drain_ms / 2);
+        let state = Admission::new(context.incarnation).grace(grace);
         let tick = || admission::Message::Tick;
         let duty = Duty { state, step: Admission::step, tick, period: TICK };
         duty.spawn(&self.admission, context.clock.clone(), move |now, effect| match effect {
