Count evictions of batch requests in reviews

Cause: evictions of jobs were counted by cause, those of batch requests were only in explanations. Change: the course of a request carries its evictions, and a review counts them under the cause drain once the outcome is final. Without the look at the verdict, open_before would count two. Conclusion: evictions of both kinds of batch work are in the review.

--- a/toucangrade/src/daemon/entry.rs
+++ b/toucangrade/src/daemon/entry.rs
@@ -112,6 +112,7 @@
                     verdict: refusal.verdict,
                     code: Some(refusal.code.clone()),
                     late: false,
+                    evictions: 0,
                 };
                 entry.note(now, &name, key.clone(), Some(course), text);
                 if deny {
--- a/toucangrade/src/execution/record.rs
+++ b/toucangrade/src/execution/record.rs
@@ -122,7 +122,9 @@
             Completion::Refused(refusal) => (refusal.verdict, Some(refusal.code.clone())),
         };
         let (service, kind) = (self.request.service.clone(), self.request.kind.clone());
-        Course { service, kind, class: Some(self.class), verdict, code, late: self.late }
+        let evictions = self.resume.as_ref().map_or(0, |resume| resume.evictions);
+        let class = Some(self.class);
+        Course { service, kind, class, verdict, code, late: self.late, evictions }
     }
 
     /// Whether attempts need a claim in the log.
--- a/toucangrade/src/history/message.rs
+++ b/toucangrade/src/history/message.rs
@@ -40,6 +40,9 @@
     pub(crate) code: Option<String>,
     /// Whether the caller's timeout passed before the outcome was known.
     pub(crate) late: bool,
+    /// Evictions of the request; files of earlier versions lack it.
+    #[serde(default)]
+    pub(crate) evictions: u32,
 }
 
 impl Course {
--- a/toucangrade/src/history/review.rs
+++ b/toucangrade/src/history/review.rs
@@ -145,6 +145,11 @@
         row.late += u64::from(course.late);
         let whole = course.verdict == Verdict::Ran && course.code.is_none();
         row.finished += u64::from(course.finished_batch());
+        // An outcome that is still open comes again with the same evictions.
+        if course.evictions > 0 && course.verdict != Verdict::MayHaveRun {
+            let (service, kind) = (&names.0, &names.1);
+            self.evicted(service, kind, "drain".to_owned(), u64::from(course.evictions));
+        }
         if whole && !course.late {
             return;
         }
--- a/toucangrade/src/history/tests.rs
+++ b/toucangrade/src/history/tests.rs
@@ -30,7 +30,8 @@
 
 fn course(class: Option<Class>, verdict: Verdict, code: Option<&str>, late: bool) -> Course {
     let code = code.map(str::to_owned);
-    Course { service: name("balcao"), kind: name("quote"), class, verdict, code, late }
+    let (service, kind) = (name("balcao"), name("quote"));
+    Course { service, kind, class, verdict, code, late, evictions: 0 }
 }
 
 fn failed() -> Course {
@@ -513,3 +514,28 @@
     assert_eq!(value["jobs"][0]["job"], "oak");
     assert_eq!(value["jobs_ended"]["done"], 2);
 }
+
+struct Evicted {
+    /// Evictions and verdict of each outcome of one request, in order.
+    outcomes: &'static [(u32, Verdict)],
+    counted: u64,
+}
+
+/// Guards against evictions of requests that a review misses, or counts again when an outcome that
+/// was open becomes final.
+#[rstest]
+#[case::none(Evicted { outcomes: &[(0, Verdict::Ran)], counted: 0 })]
+#[case::evicted_twice(Evicted { outcomes: &[(2, Verdict::Ran)], counted: 2 })]
+#[case::open_before(Evicted {
+    outcomes: &[(1, Verdict::MayHaveRun), (1, Verdict::Ran)], counted: 1,
+})]
+fn review_counts_evictions_of_requests(#[case] case: Evicted) {
+    let mut report = Report::new(1_000, 2_000, 0, 0);
+    for &(evictions, verdict) in case.outcomes {
+        let course = Course { evictions, ..course(Some(Class::Batch), verdict, None, false) };
+        report.add(item(1, 1_500, 1, course));
+    }
+    let counted = &report.value()["evictions"][0];
+    assert_eq!(counted["count"].as_u64().unwrap_or(0), case.counted);
+    assert_eq!(counted["cause"].as_str().unwrap_or("drain"), "drain");
+}
