--- a/toucangrade/src/admission/mod.rs
+++ b/toucangrade/src/admission/mod.rs
@@ -2,6 +2,7 @@
 
 mod evict;
 mod message;
+mod runner;
 mod wire;
 
 #[cfg(test)]
@@ -17,13 +18,12 @@
 pub(crate) use self::message::{
     Announce, Effect, Halt, Message, Outcome, Question, Report, Reported, Start,
 };
+use self::runner::{ANNOUNCE_LAPSE, ROOM_MAX, Runner};
 use crate::claims::Resume;
 use crate::core::{Class, Key, Moment, Name, Span, invariant};
 use crate::http::CallError;
 use crate::membership::Offer;
 
-/// Time after its last announcement when a runner gets no new work.
-const ANNOUNCE_LAPSE: Span = Span::millis(3_000);
 /// Time for which the outcome of an attempt is kept for questions.
 const KEEP: Span = Span::secs(60);
 /// Bytes of kept answers; the oldest are dropped beyond it.
@@ -32,88 +32,6 @@
 const KEEP_COUNT: usize = 65_536;
 /// Time between two requests to stop the same execution.
 const STOP_EVERY: Span = Span::millis(500);
-/// Slots and connections that a runner may announce.
-const ROOM_MAX: u32 = 100_000;
-/// Share of a runner's slots and connections that is kept for quick attempts, in percent. Without
-/// it, batch work of 2 s beside quick work of 40 ms held all slots (`docs/notes/requests.md`).
-const QUICK_SHARE: u32 = 25;
-/// One slot in this many goes to batch and once attempts before quick ones. With quick work at one
-/// and a half times the capacity, 2% of batch requests ran without it.
-const HEAVY_PART: u32 = 8;
-
-/// A runner that announced itself.
-#[derive(Debug, Serialize)]
-struct Runner {
-    announce: Announce,
-    seen: Moment,
-    /// Attempts that occupy a slot.
-    running: u32,
-    /// Attempts that occupy a connection: those that run and those that wait for a slot.
-    held: u32,
-    /// Executions that an earlier incarnation of this agent started and that may still go on.
-    foreign: u32,
-    /// Of those that occupy a slot or a connection, the ones that aren't quick.
-    heavy_running: u32,
-    heavy_held: u32,
-    /// Whether a quick attempt ever came, so that runners without quick work keep nothing free.
-    quick: bool,
-    waiting: VecDeque<Key>,
-    heavy_waiting: VecDeque<Key>,
-    /// When the runner began to leave.
-    left: Option<Moment>,
-}
-
-impl Runner {
-    fn new(announce: Announce, seen: Moment) -> Self {
-        Self {
-            announce,
-            seen,
-            running: 0,
-            held: 0,
-            foreign: 0,
-            heavy_running: 0,
-            heavy_held: 0,
-            quick: false,
-            waiting: VecDeque::new(),
-            heavy_waiting: VecDeque::new(),
-            left: None,
-        }
-    }
-
-    /// Slots or connections that attempts other than quick ones may hold, at least one.
-    fn heavy_share(&self, all: u32) -> u32 {
-        let kept = if self.quick { (all * QUICK_SHARE).div_ceil(100) } else { 0 };
-        (all - kept).max(1)
-    }
-
-    /// Whether an attempt of this class may take a connection.
-    fn has_room(&self, class: Class) -> bool {
-        let Announce { connections, .. } = self.announce;
-        self.used() < connections
-            && (class == Class::Quick || self.heavy_held < self.heavy_share(connections))
-    }
-
-    /// The attempt that gets the next free slot: quick ones first, but for the part that others
-    /// always get.
-    fn pop(&mut self) -> Option<Key> {
-        if self.heavy_running < self.announce.slots / HEAVY_PART
-            && let Some(key) = self.heavy_waiting.pop_front()
-        {
-            return Some(key);
-        }
-        let heavy = self.heavy_running < self.heavy_share(self.announce.slots);
-        self.waiting.pop_front().or_else(|| self.heavy_waiting.pop_front_if(|_| heavy))
-    }
-
-    fn available(&self, now: Moment) -> bool {
-        !self.announce.leaving && now.since(self.seen) <= ANNOUNCE_LAPSE
-    }
-
-    /// Connections in use.
-    fn used(&self) -> u32 {
-        self.held.saturating_add(self.foreign).min(ROOM_MAX)
-    }
-}
 
 /// State of an attempt.
 #[derive(Debug, PartialEq, Serialize)]
--- a/toucangrade/src/admission/tests.rs
+++ b/toucangrade/src/admission/tests.rs
@@ -106,6 +106,17 @@
     words: Vec<&'static str>,
 }
 
+/// What a ledger with one runner of so many slots does on messages at these milliseconds.
+fn played(mut admission: Admission, slots: u32, messages: Vec<(u64, Message)>) -> Vec<String> {
+    admission.step(Moment::START, Message::Confirmed { until: Moment::START + Span::secs(9) });
+    admission.step(Moment::START, announce(slots, 3, false));
+    let mut seen = Vec::new();
+    for (millis, message) in messages {
+        seen.extend(words(admission.step(Moment::START + Span::millis(millis), message)));
+    }
+    seen
+}
+
 /// Guards against overfilled runners, attempts that run twice, and false refusals.
 #[rstest]
 #[case::room_is_kept(Case {
@@ -222,15 +233,7 @@
     words: vec!["error connections is 3, allowed is 4 to 100000"],
 })]
 fn ledger_admits_what_fits(#[case] case: Case) {
-    let mut admission = Admission::new(5);
-    admission.step(Moment::START, Message::Confirmed { until: Moment::START + Span::secs(9) });
-    admission.step(Moment::START, announce(2, 3, false));
-    let mut seen = Vec::new();
-    for (millis, message) in case.messages {
-        let now = Moment::START + Span::millis(millis);
-        seen.extend(words(admission.step(now, message)));
-    }
-    assert_eq!(seen, case.words);
+    assert_eq!(played(Admission::new(5), 2, case.messages), case.words);
 }
 
 /// Guards against a runner that is overfilled after its agent was restarted.
@@ -553,15 +556,7 @@
     words: vec!["run a", "evict a", "evicted 1 c-1", "evicted 2 c-1"],
 })]
 fn leaving_runners_give_up_batch_work(#[case] case: Case) {
-    let mut admission = Admission::new(5);
-    admission.step(Moment::START, Message::Confirmed { until: Moment::START + Span::secs(9) });
-    admission.step(Moment::START, announce(1, 3, false));
-    let mut seen = Vec::new();
-    for (millis, message) in case.messages {
-        let now = Moment::START + Span::millis(millis);
-        seen.extend(words(admission.step(now, message)));
-    }
-    assert_eq!(seen, case.words);
+    assert_eq!(played(Admission::new(5), 1, case.messages), case.words);
 }
 
 /// Guards against an eviction of work that would have ended by itself in time, and against work
@@ -588,13 +583,5 @@
     words: vec!["run a", "evict a"],
 })]
 fn batch_work_gets_time_to_end(#[case] case: Case) {
-    let mut admission = Admission::new(5).grace(Span::secs(1));
-    admission.step(Moment::START, Message::Confirmed { until: Moment::START + Span::secs(60) });
-    admission.step(Moment::START, announce(1, 3, false));
-    let mut seen = Vec::new();
-    for (millis, message) in case.messages {
-        let now = Moment::START + Span::millis(millis);
-        seen.extend(words(admission.step(now, message)));
-    }
-    assert_eq!(seen, case.words);
+    assert_eq!(played(Admission::new(5).grace(Span::secs(1)), 1, case.messages), case.words);
 }
