Show causes, outcomes and classes as words in explanations

Cause: explain printed names of the code, such as 'cause Lost', 'outcome Done' and 'class Batch'. Change: causes, outcomes and classes have a text, which the steps use. Conclusion: the steps of a request or job read as sentences.

--- a/toucangrade/src/core/verdict.rs
+++ b/toucangrade/src/core/verdict.rs
@@ -50,6 +50,16 @@
     Quick,
 }
 
+impl fmt::Display for Class {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Batch => "batch",
+            Self::Once => "once",
+            Self::Quick => "quick",
+        })
+    }
+}
+
 /// A refusal or failure that is reported to a caller.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Refusal {
--- a/toucangrade/src/eviction/message.rs
+++ b/toucangrade/src/eviction/message.rs
@@ -1,5 +1,7 @@
 //! Candidates for an eviction and its causes.
 
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 
 use crate::core::Name;
@@ -33,6 +35,19 @@
     }
 }
 
+/// Completes "the execution ends: ".
+impl fmt::Display for Cause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Aged => "room for a job that waited too long",
+            Self::Gang => "another member of its gang ended",
+            Self::Lost => "its worker was lost",
+            Self::Quick => "it slowed latency-critical tasks down",
+            Self::Urgent => "room for urgent work",
+        })
+    }
+}
+
 /// A running job that could be evicted from a worker.
 #[derive(Clone, Debug)]
 pub(crate) struct Candidate {
--- a/toucangrade/src/execution/mod.rs
+++ b/toucangrade/src/execution/mod.rs
@@ -260,7 +260,7 @@
         record.waiters.push((waiter, deadline));
         record.looked = !resent;
         let text = format!(
-            "{} asks for {}/{} (class {class:?}, timeout {} ms) under revision {revision}",
+            "{} asks for {}/{} (class {class}, timeout {} ms) under revision {revision}",
             if resent { "a caller with its own key" } else { "a caller" },
             record.request.service,
             record.request.kind,
--- a/toucangrade/src/placement/message.rs
+++ b/toucangrade/src/placement/message.rs
@@ -217,6 +217,17 @@
     Refused,
 }
 
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Cancelled => "cancelled",
+            Self::Done => "done",
+            Self::Failed => "failed",
+            Self::Refused => "refused",
+        })
+    }
+}
+
 /// A synced checkpoint of a job; the default stands for its beginning.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Checkpoint {
--- a/toucangrade/src/runs/mod.rs
+++ b/toucangrade/src/runs/mod.rs
@@ -148,13 +148,13 @@
                 run.from = run.from.max_by_number(*from);
                 run.evicted += u64::from(evicts(*cause));
                 *run.causes.entry(*cause).or_default() += 1;
-                run.note(index, format!("execution {fence} ends, cause {cause:?}"));
+                run.note(index, format!("execution {fence} ends: {cause}"));
             },
             Decision::Finish { fence, outcome, .. } => {
                 if *fence != run.fence && *outcome != Outcome::Cancelled {
                     return false;
                 }
-                run.note(index, format!("outcome {outcome:?}"));
+                run.note(index, format!("outcome {outcome}"));
                 self.end(&name.clone(), outcome.clone());
             },
             Decision::Refuse { reason, change, .. } => {
@@ -235,7 +235,7 @@
             job: self.spec.name.clone(),
             shop: self.spec.shop.clone(),
             kind: self.spec.kind.clone(),
-            outcome: format!("{:?}", self.outcome.as_ref()?).to_lowercase(),
+            outcome: self.outcome.as_ref()?.to_string(),
             evictions: labelled.map(|(cause, n)| (cause.to_owned(), n)).collect(),
             resumed: self.resumed,
         })
