Keep the field for the price of a link to two words

Cause: link_cost_us had three words, where the house style allows two. Change: the field is link_cost; its unit is in its comment and in the flag. Conclusion: no behaviour changed.

--- a/toucangrade/src/daemon/entry.rs
+++ b/toucangrade/src/daemon/entry.rs
@@ -248,7 +248,7 @@
     fn spawn_routing(&self, context: &Context, link: &Link) -> io::Result<()> {
         let (entry, link, clock) = (self.clone(), link.clone(), context.clock.clone());
         let settings = &context.settings;
-        let link_cost = Span::micros(settings.link_cost_us);
+        let link_cost = Span::micros(settings.link_cost);
         let tuning = Tuning { link_cost, ..Tuning::default() };
         let state = Routing::new(settings.centre.clone(), context.incarnation, tuning);
         let tick = || routing::Message::Tick;
--- a/toucangrade/src/daemon/settings.rs
+++ b/toucangrade/src/daemon/settings.rs
@@ -98,7 +98,7 @@
     /// Size of the durable history of outcomes, in megabytes.
     pub history_mb: u64,
     /// Price of a request to another data centre, in microseconds of latency.
-    pub link_cost_us: u64,
+    pub link_cost: u64,
     /// StatsD server that metrics are sent to.
     pub statsd: Option<SocketAddr>,
     /// File that the addresses in use are written to.
@@ -129,7 +129,7 @@
     accelerators: Option<String>,
     drain_ms: Option<String>,
     history_mb: Option<String>,
-    link_cost_us: Option<String>,
+    link_cost: Option<String>,
     statsd: Option<String>,
     ports: Option<PathBuf>,
     caller_dump: bool,
@@ -215,7 +215,7 @@
         .help("Size of the durable history of outcomes at control, in megabytes; 1000 if not set")
         .argument::<String>("MB")
         .optional();
-    let link_cost_us = long("link-cost-us")
+    let link_cost = long("link-cost-us")
         .env("TOUCANGRADE_LINK_COST_US")
         .help("Price of a request to another data centre, as microseconds of latency; 0 if not set")
         .argument::<String>("US")
@@ -251,7 +251,7 @@
         accelerators,
         drain_ms,
         history_mb,
-        link_cost_us,
+        link_cost,
         statsd,
         ports,
         caller_dump,
@@ -315,7 +315,7 @@
             )?,
             drain_ms: parse_number("--drain-timeout-ms", raw.drain_ms, 30_000, &DRAIN_MS, "ms")?,
             history_mb: parse_number("--history-mb", raw.history_mb, 1_000, &HISTORY_MB, "MB")?,
-            link_cost_us: parse_number("--link-cost-us", raw.link_cost_us, 0, &LINK_COST_US, "us")?,
+            link_cost: parse_number("--link-cost-us", raw.link_cost, 0, &LINK_COST_US, "us")?,
             statsd: addr("--statsd-addr", raw.statsd)?,
             ports: raw.ports,
             caller_dump: raw.caller_dump,
