--- a/toucangrade/src/agreement/measure.rs
+++ b/toucangrade/src/agreement/measure.rs
@@ -81,6 +81,7 @@
             name: name.clone(),
             founders: handles.keys().cloned().collect(),
             seed: rand::random(),
+            voters: None,
         };
         let (peers, sink, at) = (Arc::clone(&handles), Arc::clone(&effects), name.clone());
         let outlets = Outlets {
@@ -187,7 +188,7 @@
     }
     let begin = Instant::now();
     let (_, recovered) = open()?;
-    let settings = Settings { name: name("a")?, founders: Vec::new(), seed: 1 };
+    let settings = Settings { name: name("a")?, founders: Vec::new(), seed: 1, voters: None };
     let agreement = Agreement::new(settings, recovered, Moment::START);
     let micros = begin.elapsed().as_micros();
     drop(agreement);
@@ -255,7 +256,7 @@
             },
             ..Recovered::default()
         };
-        let settings = Settings { name: name(me)?, founders: Vec::new(), seed: 1 };
+        let settings = Settings { name: name(me)?, founders: Vec::new(), seed: 1, voters: None };
         Ok(Self {
             agreement: Agreement::new(settings, recovered, Moment::START),
             messages: Vec::new(),
--- a/toucangrade/src/agreement/membership.rs
+++ b/toucangrade/src/agreement/membership.rs
@@ -5,8 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::message::{Change, Effect, Payload, Rejection, Replica};
-use super::{Agreement, Role};
-use crate::core::Name;
+use super::{Agreement, Role, VOTER_SILENCE};
+use crate::core::{Moment, Name};
 
 /// An instance recorded in the membership.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -130,6 +130,45 @@
         }
     }
 
+    /// Takes in an instance that asks for it. One that comes back with another identity has lost
+    /// its disk, so what it had acknowledged no longer counts: it is removed and starts anew.
+    pub(super) fn join(&mut self, replica: &Replica) {
+        if self.refusal().is_some() || self.change_blocked().is_some() {
+            return;
+        }
+        let change = match self.members().get(&replica.name) {
+            Some(member) if member.identity == replica.identity => return,
+            Some(_) => Change::Remove(replica.name.clone()),
+            None => Change::Add(replica.clone()),
+        };
+        if let Ok(members) = self.members().changed(&change) {
+            self.append(None, Payload::Members(members));
+        }
+    }
+
+    /// Removes a voter that has been silent when there are more voters than the group needs, so
+    /// that an instance that never comes back doesn't count towards a quorum.
+    pub(super) fn remove_silent(&mut self, now: Moment) {
+        let Some(limit) = self.voters else { return };
+        let Role::Leader(lead) = &self.role else { return };
+        let silent = |name: &Name| {
+            let heard = lead.progress.get(name).map(|p| p.confirmed.unwrap_or(lead.since).max(lead.since));
+            heard.is_some_and(|heard| now.since(heard) > VOTER_SILENCE)
+        };
+        if self.members().voters().count() <= limit
+            || lead.transfer.is_some()
+            || self.change_blocked().is_some()
+        {
+            return;
+        }
+        let others = self.members().voters().filter(|(name, _)| **name != self.me.name);
+        let found = others.map(|(name, _)| name).find(|name| silent(name)).cloned();
+        let changed = found.and_then(|name| self.members().changed(&Change::Remove(name)).ok());
+        if let Some(members) = changed {
+            self.append(None, Payload::Members(members));
+        }
+    }
+
     /// Makes one learner that holds all committed entries a voter.
     pub(super) fn promote(&mut self) {
         let Role::Leader(lead) = &self.role else {
--- a/toucangrade/src/agreement/message.rs
+++ b/toucangrade/src/agreement/message.rs
@@ -71,6 +71,8 @@
 pub(crate) enum Message {
     /// Proposes a change of the membership.
     Change { ticket: u64, change: Change },
+    /// An instance asks to become a member, or to replace what had its name before.
+    Join(Replica),
     /// A message of another instance.
     Peer(PeerMessage),
     /// Proposes a command.
--- a/toucangrade/src/agreement/mod.rs
+++ b/toucangrade/src/agreement/mod.rs
@@ -74,6 +74,8 @@
 /// needs no snapshot.
 const KEPT_ENTRIES: u64 = 1_024;
 const KEPT_BYTES: usize = 16 * 1024 * 1024;
+/// Silence after which a voter is removed when there are more than the group needs.
+const VOTER_SILENCE: Span = Span::secs(5);
 /// Refusals of entries that a member acknowledged before, after which it is reported. Single ones
 /// may be late messages.
 const LOSS_REPORT: u32 = 5;
@@ -88,6 +90,9 @@
     pub(crate) founders: Vec<Name>,
     /// Seed of the election timeouts.
     pub(crate) seed: u64,
+    /// Number of voters above which one that is silent is removed; without it members only change
+    /// on request.
+    pub(crate) voters: Option<usize>,
 }
 
 #[derive(Debug, Serialize)]
@@ -196,6 +201,8 @@
     deadline: Moment,
     hello: Moment,
     failed: Option<String>,
+    /// See `Settings::voters`.
+    voters: Option<usize>,
     batch: usize,
     random: u64,
     announced: (u64, Option<Name>, bool),
@@ -250,6 +257,7 @@
             deadline: now,
             hello: now,
             failed: None,
+            voters: settings.voters,
             batch: usize::MAX,
             random: settings.seed.wrapping_add(identity),
             announced: (0, None, false),
@@ -273,6 +281,7 @@
     pub(crate) fn step(&mut self, now: Moment, message: Message) -> Vec<Effect> {
         match message {
             Message::Change { ticket, change } => self.change(ticket, &change),
+            Message::Join(replica) => self.join(&replica),
             Message::Peer(message) => self.receive(now, message),
             Message::Propose { ticket, command } => self.propose(ticket, command),
             Message::Read { ticket } => self.read(now, ticket),
@@ -355,6 +364,7 @@
         if matches!(self.role, Role::Leader(_)) {
             self.advance_commit();
             self.promote();
+            self.remove_silent(now);
             self.replicate_all(now);
             self.push_transfer();
         }
--- a/toucangrade/src/agreement/tests/group.rs
+++ b/toucangrade/src/agreement/tests/group.rs
@@ -297,6 +297,7 @@
             name: name(n),
             founders: GROUP.iter().map(|n| name(n)).collect(),
             seed: identity,
+            voters: None,
         };
         let now = Moment::micros(now + member.ahead);
         member.running = Some(Running {
--- a/toucangrade/src/core/time.rs
+++ b/toucangrade/src/core/time.rs
@@ -117,6 +117,20 @@
         Self { read: Arc::new(read) }
     }
 
+    /// The clock of the system that goes on while the instance is suspended, starting at zero now.
+    ///
+    /// Leases need it: the monotonic clock stands still during a suspension, after which a deposed
+    /// leader would still believe in its lease.
+    pub fn suspend_aware() -> Self {
+        let read = || {
+            let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+            let micros = time.tv_sec * 1_000_000 + time.tv_nsec / 1_000;
+            u64::try_from(micros).unwrap_or(0)
+        };
+        let start = read();
+        Self { read: Arc::new(move || Moment(read().saturating_sub(start))) }
+    }
+
     /// A clock that `read` answers for.
     pub fn from_fn(read: impl Fn() -> Moment + Send + Sync + 'static) -> Self {
         Self { read: Arc::new(read) }
--- /dev/null
+++ b/toucangrade/src/dispatch/fleet.rs
@@ -0,0 +1,171 @@
+//! Runners as the leader knows them from reports, and what runs on each.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::Serialize;
+
+use super::message::{Report, Runner};
+use super::settings::{
+    FAILURES_LIMIT, GRANT, LEASE_MARGIN, QUARANTINE, SILENCE_LIMIT, SLOW_CLOCK_PERCENT,
+};
+use crate::core::{Moment, Name};
+use crate::jobs::{Checkpoint, Life, Need, RunKey};
+
+/// A run that the log assigns to a runner.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct Run {
+    /// Room that it takes.
+    pub(crate) need: Need,
+    /// Millicores that it asks for, counted or not.
+    pub(crate) cores: u64,
+    pub(crate) fills: bool,
+    pub(crate) since: Moment,
+    /// Whether the runner has listed it.
+    pub(crate) listed: bool,
+    pub(crate) saved: Option<Checkpoint>,
+    pub(crate) percent: u8,
+    /// When `percent` last changed.
+    pub(crate) moved: Moment,
+    pub(crate) figure: u32,
+    /// Whether it is to be stopped though its task is not done.
+    pub(crate) stop: bool,
+}
+
+/// Runs of one life of a runner.
+#[derive(Debug, Serialize)]
+pub(crate) struct Hold {
+    pub(crate) runs: BTreeMap<RunKey, Run>,
+    /// When every lease that was granted has ended.
+    pub(crate) bound: Moment,
+}
+
+/// Latest time at which a lease ends that is granted for a report of this moment.
+pub(crate) fn lease_bound(now: Moment) -> Moment {
+    now + GRANT.percent(SLOW_CLOCK_PERCENT) + LEASE_MARGIN
+}
+
+/// A report that waits for orders.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub(crate) struct Parked {
+    pub(crate) ticket: u64,
+    pub(crate) since: Moment,
+}
+
+/// A runner and its agent.
+#[derive(Debug, Serialize)]
+pub(crate) struct Worker {
+    /// The agent's newest report.
+    pub(crate) report: Report,
+    /// Runs in the newest report, in whatever state.
+    pub(crate) known: BTreeSet<RunKey>,
+    pub(crate) heard: Moment,
+    pub(crate) parked: Option<Parked>,
+    /// Failures of tasks that had not failed elsewhere, since a task last ended well.
+    pub(crate) failures: u32,
+    pub(crate) shunned: Moment,
+    /// Estimated slowness against other runners, in percent.
+    pub(crate) slowness: u64,
+}
+
+impl Worker {
+    pub(crate) fn new(report: Report, now: Moment) -> Self {
+        Self {
+            known: known(&report),
+            report,
+            heard: now,
+            parked: None,
+            failures: 0,
+            shunned: Moment::START,
+            slowness: 100,
+        }
+    }
+
+    pub(crate) fn update(&mut self, report: Report, now: Moment) {
+        if self.life() != report.runner.as_ref().map(|runner| &runner.life) {
+            (self.failures, self.slowness, self.shunned) = (0, 100, Moment::START);
+        }
+        self.known = known(&report);
+        self.report = report;
+        self.heard = now;
+    }
+
+    pub(crate) fn runner(&self) -> Option<&Runner> {
+        self.report.runner.as_ref()
+    }
+
+    pub(crate) fn life(&self) -> Option<&Life> {
+        self.runner().map(|runner| &runner.life)
+    }
+
+    /// Whether new work may be placed there.
+    pub(crate) fn usable(&self, now: Moment) -> bool {
+        self.runner().is_some_and(|runner| !runner.draining)
+            && now.since(self.heard) < SILENCE_LIMIT
+            && self.report.silent < SILENCE_LIMIT
+            && now >= self.shunned
+    }
+
+    /// Notes how a task ended that had not failed before.
+    pub(crate) fn judge(&mut self, failed: bool, now: Moment) {
+        if !failed {
+            self.failures = 0;
+            return;
+        }
+        self.failures += 1;
+        if self.failures >= FAILURES_LIMIT {
+            let exponent = (self.failures - FAILURES_LIMIT).min(3);
+            self.shunned = now + QUARANTINE.percent(100 << exponent);
+        }
+    }
+}
+
+fn known(report: &Report) -> BTreeSet<RunKey> {
+    let rows = report.rows.iter().map(|row| row.key);
+    let ended = report.ended.iter().map(|ended| ended.key);
+    let denied = report.denied.iter().map(|(key, _)| *key);
+    let handled = report.handling.iter().chain(&report.stopping).copied();
+    rows.chain(handled).chain(ended).chain(denied).collect()
+}
+
+/// All runners, by agent.
+#[derive(Debug, Default, Serialize)]
+pub(crate) struct Fleet {
+    pub(crate) workers: BTreeMap<Name, Worker>,
+    #[serde(skip)]
+    pub(crate) holds: BTreeMap<Life, Hold>,
+}
+
+impl Fleet {
+    pub(crate) fn hold(&mut self, life: &Life, now: Moment) -> &mut Hold {
+        if !self.holds.contains_key(life) {
+            let hold = Hold { runs: BTreeMap::new(), bound: lease_bound(now) };
+            self.holds.insert(life.clone(), hold);
+        }
+        self.holds.entry(life.clone()).or_insert_with(|| unreachable!("inserted above"))
+    }
+
+    pub(crate) fn run(&self, life: &Life, key: RunKey) -> Option<&Run> {
+        self.holds.get(life)?.runs.get(&key)
+    }
+
+    pub(crate) fn run_mut(&mut self, life: &Life, key: RunKey) -> Option<&mut Run> {
+        self.holds.get_mut(life)?.runs.get_mut(&key)
+    }
+
+    /// The agent of a runner.
+    pub(crate) fn agent(&self, life: &Life) -> Option<&Name> {
+        let mut found = self.workers.iter().filter(|(_, worker)| worker.life() == Some(life));
+        found.next().map(|(agent, _)| agent)
+    }
+
+    /// Earlier lives that the announcement of `life` by `agent` shows to be over.
+    pub(crate) fn replaced(&self, agent: &Name, life: Option<&Life>) -> Vec<Life> {
+        let before = self.workers.get(agent).and_then(Worker::life);
+        let Some(life) = life else { return Vec::new() };
+        let over = |old: &&Life| {
+            (Some(*old) == before && *old != life)
+                || (old.runner == life.runner && old.born < life.born)
+        };
+        self.holds.keys().filter(over).cloned().collect()
+    }
+}
--- /dev/null
+++ b/toucangrade/src/dispatch/mod.rs
@@ -0,0 +1,398 @@
+//! The leader's decisions on jobs of several steps: which task starts on which runner, what is
+//! stopped, and what callers and agents are told.
+
+mod answers;
+mod fleet;
+mod log;
+mod message;
+mod place;
+mod plan;
+mod reports;
+mod settings;
+
+#[cfg(test)]
+mod tests;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use serde::Serialize;
+
+use self::fleet::{Fleet, Run, lease_bound};
+pub(crate) use self::message::{Effect, Message};
+pub use self::message::{
+    Ask, Denial, Ended, JobState, Nature, Orders, Report, Row, Runner, Start, Told, Verb,
+};
+use self::settings::{BATCH_LIMIT, FLIGHTS_LIMIT, SNAPSHOT_BYTES, SNAPSHOT_COMMANDS};
+use crate::core::{Moment, Name, Span};
+use crate::jobs::{Applied, Book, Command, End, Life, RunKey, TaskKey};
+
+/// Time between two ticks.
+pub(crate) const TICK: Span = Span::millis(100);
+/// Tickets of proposals begin here, so that they differ from those of the log's reads.
+pub(crate) const FLIGHT_BASE: u64 = 1 << 63;
+
+/// Commands that are proposed and not yet decided.
+#[derive(Debug, Serialize)]
+struct Flight {
+    #[serde(skip)]
+    commands: Vec<Command>,
+    /// Requests that wait for the outcome, by position of their command.
+    waiters: Vec<(usize, u64)>,
+}
+
+/// State of the duty.
+#[derive(Debug, Serialize)]
+pub(crate) struct Dispatch {
+    #[serde(skip)]
+    book: Book,
+    index: u64,
+    leading: bool,
+    /// Time in ms since 1970.
+    wall: u64,
+    fleet: Fleet,
+    /// Jobs that are not over.
+    #[serde(skip)]
+    active: BTreeSet<u64>,
+    /// Commands for the next proposal.
+    #[serde(skip)]
+    batch: Vec<Command>,
+    waiters: Vec<(usize, u64)>,
+    flights: BTreeMap<u64, Flight>,
+    next_ticket: u64,
+    /// Assignments that are proposed, with the agent.
+    #[serde(skip)]
+    assigning: BTreeMap<RunKey, Life>,
+    /// Runs whose end is proposed.
+    #[serde(skip)]
+    closing: BTreeSet<RunKey>,
+    /// Cancellations and repetitions that are proposed.
+    #[serde(skip)]
+    opening: BTreeSet<(u64, u32)>,
+    /// Agents on which each task has failed.
+    #[serde(skip)]
+    avoided: BTreeMap<TaskKey, Vec<Name>>,
+    /// Whether something changed that may let a task start.
+    dirty: bool,
+    /// Commands and their bytes since the last snapshot.
+    growth: (usize, usize),
+    #[serde(skip)]
+    out: Vec<Effect>,
+}
+
+impl Dispatch {
+    pub(crate) fn new() -> Self {
+        Self {
+            book: Book::default(),
+            index: 0,
+            leading: false,
+            wall: 0,
+            fleet: Fleet::default(),
+            active: BTreeSet::new(),
+            batch: Vec::new(),
+            waiters: Vec::new(),
+            flights: BTreeMap::new(),
+            next_ticket: FLIGHT_BASE,
+            assigning: BTreeMap::new(),
+            closing: BTreeSet::new(),
+            opening: BTreeSet::new(),
+            avoided: BTreeMap::new(),
+            dirty: false,
+            growth: (0, 0),
+            out: Vec::new(),
+        }
+    }
+
+    /// Takes a message and gives the effects to perform.
+    pub(crate) fn step(&mut self, now: Moment, message: Message) -> Vec<Effect> {
+        match message {
+            Message::Ask { ticket, ask } => self.ask(ticket, *ask),
+            Message::Commit { index, ticket, commands, bytes } => {
+                self.commit(now, index, ticket, &commands, bytes);
+            },
+            Message::Install { index, book } => self.install(now, index, *book),
+            Message::Lead { leading } => self.lead(now, leading),
+            Message::Rejected { ticket, lost } => self.rejected(ticket, lost),
+            Message::Report { ticket, report } => self.report(now, ticket, *report),
+            Message::Tick { wall } => {
+                self.wall = wall;
+                self.tick(now);
+            },
+        }
+        if self.leading {
+            if self.dirty && self.flights.len() < FLIGHTS_LIMIT {
+                self.dirty = false;
+                self.plan(now);
+            }
+            self.flush();
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    fn tick(&mut self, now: Moment) {
+        if !self.leading {
+            return;
+        }
+        self.expire_leases(now);
+        self.expire_reports(now);
+        self.open_rounds();
+        self.forget();
+        self.dirty = true;
+    }
+
+    /// Adds a command to the next proposal.
+    fn propose(&mut self, command: Command, waiter: Option<u64>) {
+        if let Some(ticket) = waiter {
+            self.waiters.push((self.batch.len(), ticket));
+        }
+        self.batch.push(command);
+    }
+
+    fn flush(&mut self) {
+        while !self.batch.is_empty() && self.flights.len() < FLIGHTS_LIMIT {
+            let rest = self.batch.split_off(self.batch.len().min(BATCH_LIMIT));
+            let commands = std::mem::replace(&mut self.batch, rest);
+            let taken = commands.len();
+            let (waiters, later): (Vec<_>, Vec<_>) =
+                self.waiters.drain(..).partition(|(at, _)| *at < taken);
+            self.waiters = later.into_iter().map(|(at, ticket)| (at - taken, ticket)).collect();
+            let ticket = self.next_ticket;
+            self.next_ticket += 1;
+            self.out.push(Effect::Propose { ticket, commands: commands.clone() });
+            self.flights.insert(ticket, Flight { commands, waiters });
+        }
+    }
+
+    fn commit(
+        &mut self,
+        now: Moment,
+        index: u64,
+        ticket: Option<u64>,
+        commands: &[Command],
+        bytes: usize,
+    ) {
+        self.index = index;
+        let flight = ticket.and_then(|ticket| self.flights.remove(&ticket));
+        let mut waiters = flight.map(|flight| flight.waiters).unwrap_or_default().into_iter();
+        let mut waiter = waiters.next();
+        let mut touched = BTreeSet::new();
+        for (at, command) in commands.iter().enumerate() {
+            let applied = self.apply(now, command, &mut touched);
+            if let Some((position, ticket)) = waiter
+                && position == at
+            {
+                let told = Some(answers::of_command(applied));
+                self.out.push(Effect::Told { ticket, told });
+                waiter = waiters.next();
+            }
+        }
+        self.growth = (self.growth.0 + commands.len(), self.growth.1 + bytes);
+        if self.growth.0 >= SNAPSHOT_COMMANDS || self.growth.1 >= SNAPSHOT_BYTES {
+            self.growth = (0, 0);
+            self.out.push(Effect::Snapshot { index, book: Box::new(self.book.clone()) });
+        }
+        if self.leading {
+            for agent in touched {
+                self.answer_parked(&agent, now);
+            }
+        }
+    }
+
+    /// Changes the agreed state and what is derived from it.
+    fn apply(&mut self, now: Moment, command: &Command, touched: &mut BTreeSet<Name>) -> Applied {
+        let ended = match command {
+            Command::Close { key, .. } => self.book.live(*key).map(|l| (*l.life).clone()),
+            _ => None,
+        };
+        let applied = self.book.apply(command);
+        if self.leading {
+            log::applied(command, applied);
+        }
+        self.dirty = true;
+        match command {
+            Command::Accept { job, .. } => {
+                self.active.insert(job.id);
+            },
+            Command::Assign { key, life } => {
+                self.assigning.remove(key);
+                if applied == Applied::Assigned {
+                    self.begin(now, *key, life, touched);
+                }
+            },
+            Command::Cancel { job } => {
+                self.opening.remove(&(*job, u32::MAX));
+                self.retire(*job, touched);
+            },
+            Command::Close { key, end, .. } => {
+                self.closing.remove(key);
+                if let Some(life) = ended {
+                    self.end(now, *key, *end, &life, touched);
+                }
+                self.retire(key.task.job, touched);
+            },
+            Command::Open { job, round } => {
+                self.opening.remove(&(*job, *round));
+            },
+            Command::Configure(_) | Command::Forget(_) => {},
+        }
+        applied
+    }
+
+    /// Adds a run that the log assigns to a runner.
+    fn begin(&mut self, now: Moment, key: RunKey, life: &Life, touched: &mut BTreeSet<Name>) {
+        let Some(run) = self.new_run(now, key) else { return };
+        self.fleet.hold(life, now).runs.insert(key, run);
+        touched.extend(self.fleet.agent(life).cloned());
+    }
+
+    fn new_run(&self, now: Moment, key: RunKey) -> Option<Run> {
+        let entry = self.book.jobs.get(&key.task.job)?;
+        let step = entry.job.steps.get(usize::from(key.task.step))?;
+        Some(Run {
+            need: step.counted(),
+            cores: step.need.millicores,
+            fills: step.fills,
+            since: now,
+            listed: false,
+            saved: entry.task(key.task)?.saved.clone(),
+            percent: 0,
+            moved: now,
+            figure: 0,
+            stop: false,
+        })
+    }
+
+    /// Removes a run that has ended.
+    fn end(&mut self, now: Moment, key: RunKey, end: End, life: &Life, touched: &mut BTreeSet<Name>) {
+        if let Some(hold) = self.fleet.holds.get_mut(life) {
+            hold.runs.remove(&key);
+        }
+        let Some(agent) = self.fleet.agent(life).cloned() else { return };
+        let failed = end == End::Failed;
+        if failed {
+            self.avoided.entry(key.task).or_default().push(agent.clone());
+        }
+        let task = self.book.jobs.get(&key.task.job).and_then(|entry| entry.task(key.task));
+        // A task that failed elsewhere before says little about this runner.
+        let first = task.is_none_or(|task| task.failed <= 1);
+        if let Some(worker) = self.fleet.workers.get_mut(&agent)
+            && (end == End::Done || (failed && first))
+        {
+            worker.judge(failed, now);
+        }
+        touched.insert(agent);
+    }
+
+    /// Stops counting a job that is over, and has its runs stopped.
+    fn retire(&mut self, job: u64, touched: &mut BTreeSet<Name>) {
+        let over = |entry: &crate::jobs::Entry| entry.phase != crate::jobs::Phase::Active;
+        if self.book.jobs.get(&job).is_none_or(over) && self.active.remove(&job) {
+            self.avoided.retain(|task, _| task.job != job);
+            let range = run_range(job);
+            for (life, hold) in &self.fleet.holds {
+                if hold.runs.range(range.clone()).next().is_some() {
+                    touched.extend(self.fleet.agent(life).cloned());
+                }
+            }
+        }
+    }
+
+    fn install(&mut self, now: Moment, index: u64, book: Book) {
+        self.book = book;
+        self.index = index;
+        self.growth = (0, 0);
+        self.derive(now);
+    }
+
+    /// Derives everything anew from the agreed state.
+    fn derive(&mut self, now: Moment) {
+        let active = |entry: &crate::jobs::Entry| entry.phase == crate::jobs::Phase::Active;
+        self.active =
+            self.book.jobs.iter().filter(|(_, e)| active(e)).map(|(id, _)| *id).collect();
+        self.fleet.holds.clear();
+        let mut live = Vec::new();
+        for (id, entry) in &self.book.jobs {
+            for (round, state) in &entry.rounds {
+                for (step, tasks) in state.steps.iter().enumerate() {
+                    for (index, task) in tasks.iter().enumerate() {
+                        let key = TaskKey {
+                            job: *id,
+                            round: *round,
+                            step: step as u16,
+                            index: index as u16,
+                        };
+                        let runs = task.live.iter();
+                        live.extend(runs.map(|l| {
+                            (RunKey { task: key, run: l.run }, Arc::clone(&l.life))
+                        }));
+                    }
+                }
+            }
+        }
+        for (key, life) in live {
+            if let Some(run) = self.new_run(now, key) {
+                self.fleet.hold(&life, now).runs.insert(key, run);
+            }
+        }
+        self.dirty = true;
+    }
+
+    fn lead(&mut self, now: Moment, leading: bool) {
+        if !leading {
+            self.step_down();
+        }
+        self.leading = leading;
+        if leading {
+            self.fleet.workers.clear();
+            self.derive(now);
+            // An earlier leader may have granted leases until now.
+            for hold in self.fleet.holds.values_mut() {
+                hold.bound = lease_bound(now);
+            }
+        }
+        tracing::info!(leading, jobs = self.active.len(), index = self.index, "dispatch");
+    }
+
+    /// Answers everybody who waits, since another instance decides from now on.
+    fn step_down(&mut self) {
+        self.batch.clear();
+        self.assigning.clear();
+        self.closing.clear();
+        self.opening.clear();
+        for (_, ticket) in self.waiters.drain(..) {
+            self.out.push(Effect::Told { ticket, told: None });
+        }
+        for worker in self.fleet.workers.values_mut() {
+            if let Some(parked) = worker.parked.take() {
+                self.out.push(Effect::Orders { ticket: parked.ticket, orders: None });
+            }
+        }
+    }
+
+    /// Takes back a proposal that the log refused.
+    fn rejected(&mut self, ticket: u64, lost: bool) {
+        let Some(flight) = self.flights.remove(&ticket) else { return };
+        for command in &flight.commands {
+            match command {
+                Command::Assign { key, .. } => drop(self.assigning.remove(key)),
+                Command::Cancel { job } => drop(self.opening.remove(&(*job, u32::MAX))),
+                Command::Close { key, .. } => drop(self.closing.remove(key)),
+                Command::Open { job, round } => drop(self.opening.remove(&(*job, *round))),
+                Command::Accept { .. } | Command::Configure(_) | Command::Forget(_) => {},
+            }
+        }
+        let told = lost.then_some(Told::Unknown);
+        for (_, ticket) in flight.waiters {
+            self.out.push(Effect::Told { ticket, told: told.clone() });
+        }
+        tracing::warn!(commands = flight.commands.len(), lost, "proposal refused");
+        self.dirty = true;
+    }
+}
+
+/// All runs of a job.
+fn run_range(job: u64) -> std::ops::RangeInclusive<RunKey> {
+    let first = TaskKey { job, round: 0, step: 0, index: 0 };
+    let last = TaskKey { job, round: u32::MAX, step: u16::MAX, index: u16::MAX };
+    RunKey { task: first, run: 0 }..=RunKey { task: last, run: u32::MAX }
+}
--- /dev/null
+++ b/toucangrade/src/dispatch/plan.rs
@@ -0,0 +1,177 @@
+//! Order in which tasks get runners.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use super::place::{Candidate, Limits, choose};
+use super::Dispatch;
+use crate::core::{Moment, Name};
+use crate::jobs::{Command, Entry, Job, Life, Need, Phase, Queue, RunKey, Setup, TaskKey};
+
+/// A task that may start, with its next run.
+type Waiting = (RunKey, u64);
+
+impl Dispatch {
+    /// Assigns tasks whose turn has come to runners with room.
+    pub(super) fn plan(&mut self, now: Moment) {
+        let mut candidates = self.candidates(now);
+        if candidates.is_empty() {
+            return;
+        }
+        let setup = Arc::clone(&self.book.setup);
+        for id in self.turn(&setup) {
+            let Some(entry) = self.book.jobs.get(&id) else { continue };
+            let Some(queue) = setup.queue(&entry.job.queue) else { continue };
+            let job = Arc::clone(&entry.job);
+            let waiting = self.waiting(entry);
+            for ((round, step), tasks) in waiting {
+                self.place(&mut candidates, queue, &job, (round, step), &tasks);
+            }
+        }
+    }
+
+    /// Active jobs in the order in which they get room.
+    fn turn(&self, setup: &Setup) -> Vec<u64> {
+        let entries = self.active.iter().filter_map(|id| self.book.jobs.get(id));
+        let mut turn: Vec<_> = entries
+            .filter_map(|entry| {
+                let queue = setup.queue(&entry.job.queue)?;
+                Some((queue.priority, Reverse(entry.begun), entry.wall, entry.job.id))
+            })
+            .collect();
+        turn.sort_unstable();
+        turn.into_iter().map(|(_, _, _, id)| id).collect()
+    }
+
+    /// Tasks of a job that may start, by round and step.
+    fn waiting(&self, entry: &Entry) -> BTreeMap<(u32, u16), Vec<Waiting>> {
+        let mut waiting: BTreeMap<(u32, u16), Vec<Waiting>> = BTreeMap::new();
+        if entry.phase != Phase::Active {
+            return waiting;
+        }
+        for (&round, state) in &entry.rounds {
+            for (step, tasks) in state.steps.iter().enumerate() {
+                if state.open[step] == 0 || !state.ready(&entry.job, step) {
+                    continue;
+                }
+                let step = step as u16;
+                for (index, task) in tasks.iter().enumerate() {
+                    if task.done || !task.live.is_empty() {
+                        continue;
+                    }
+                    let key = TaskKey { job: entry.job.id, round, step, index: index as u16 };
+                    let key = RunKey { task: key, run: task.runs + 1 };
+                    if !self.assigning.contains_key(&key) {
+                        waiting.entry((round, step)).or_default().push((key, 0));
+                    }
+                }
+            }
+        }
+        waiting
+    }
+
+    /// Assigns as many of a step's waiting tasks as there is room for; a gang whole or not at all.
+    fn place(
+        &mut self,
+        candidates: &mut Vec<Candidate>,
+        queue: &Queue,
+        job: &Job,
+        (round, step): (u32, u16),
+        tasks: &[Waiting],
+    ) {
+        let declared = &job.steps[usize::from(step)];
+        let whole = declared.count as usize;
+        if declared.gang && tasks.len() < whole {
+            return;
+        }
+        let mut beside = self.beside(candidates, job.id, round, step);
+        let before = declared.gang.then(|| candidates.clone());
+        let mut chosen: Vec<(RunKey, Life)> = Vec::new();
+        // Members of a gang start with the same number.
+        let common = tasks.iter().map(|(key, _)| key.run).max().unwrap_or(1);
+        for &(mut key, _) in tasks {
+            if declared.gang {
+                key.run = common;
+            }
+            let none = Vec::new();
+            let avoided = self.avoided.get(&key.task).unwrap_or(&none);
+            let limits = Limits { service: &queue.service, beside: &beside, avoided };
+            let Some(at) = choose(candidates, declared, &limits) else { break };
+            candidates[at].take(declared);
+            beside[at] += 1;
+            chosen.push((key, candidates[at].life.clone()));
+        }
+        if declared.gang && chosen.len() < whole {
+            if let Some(before) = before {
+                *candidates = before;
+            }
+            return;
+        }
+        for (key, life) in chosen {
+            self.assigning.insert(key, life.clone());
+            self.propose(Command::Assign { key, life }, None);
+        }
+    }
+
+    /// Tasks of a step on each candidate.
+    fn beside(&self, candidates: &[Candidate], job: u64, round: u32, step: u16) -> Vec<u32> {
+        let first = TaskKey { job, round, step, index: 0 };
+        let last = TaskKey { index: u16::MAX, ..first };
+        let range = RunKey { task: first, run: 0 }..=RunKey { task: last, run: u32::MAX };
+        let count = |candidate: &Candidate| {
+            let hold = self.fleet.holds.get(&candidate.life);
+            let live = hold.map_or(0, |hold| hold.runs.range(range.clone()).count());
+            let proposed = self.assigning.range(range.clone());
+            let proposed = proposed.filter(|(_, life)| **life == candidate.life).count();
+            (live + proposed) as u32
+        };
+        candidates.iter().map(count).collect()
+    }
+
+    /// Runners that may take tasks, with the room that is left on each.
+    fn candidates(&self, now: Moment) -> Vec<Candidate> {
+        let usable = self.fleet.workers.iter().filter(|(_, worker)| worker.usable(now));
+        let mut candidates: Vec<Candidate> =
+            usable.filter_map(|(agent, _)| self.candidate(agent)).collect();
+        let index: BTreeMap<Life, usize> =
+            candidates.iter().enumerate().map(|(at, c)| (c.life.clone(), at)).collect();
+        for (key, life) in &self.assigning {
+            let Some(&at) = index.get(life) else { continue };
+            let entry = self.book.jobs.get(&key.task.job);
+            if let Some(step) = entry.and_then(|e| e.job.steps.get(usize::from(key.task.step))) {
+                candidates[at].take(step);
+            }
+        }
+        candidates
+    }
+
+    fn candidate(&self, agent: &Name) -> Option<Candidate> {
+        let worker = self.fleet.workers.get(agent)?;
+        let runner = worker.runner()?;
+        let mut candidate = Candidate {
+            agent: agent.clone(),
+            life: runner.life.clone(),
+            service: runner.service.clone(),
+            labels: runner.labels.clone(),
+            capacity: runner.capacity,
+            free: runner.capacity,
+            filling: 0,
+            reserved: 0,
+            serving: 0,
+            slowness: worker.slowness,
+        };
+        let none = Need::default();
+        for (key, run) in self.fleet.holds.get(&runner.life).iter().flat_map(|hold| &hold.runs) {
+            candidate.free.remove(&run.need);
+            candidate.filling += if run.fills { run.cores } else { 0 };
+            let entry = self.book.jobs.get(&key.task.job);
+            let step = entry.and_then(|e| e.job.steps.get(usize::from(key.task.step)));
+            if step.is_some_and(|step| step.lasting) && run.need != none {
+                candidate.reserved += run.cores;
+            }
+            candidate.serving += u32::from(step.is_some_and(|step| step.target > 0));
+        }
+        Some(candidate)
+    }
+}
--- /dev/null
+++ b/toucangrade/src/dispatch/reports.rs
@@ -0,0 +1,206 @@
+//! What agents report, and the orders they get.
+
+use super::fleet::{Parked, Worker, lease_bound};
+use super::message::{Effect, Nature, Orders, Report, Start};
+use super::settings::{GRANT, PARK_LIMIT};
+use super::Dispatch;
+use crate::core::{Moment, Name};
+use crate::jobs::{Checkpoint, Command, End, Life, Phase, RunKey};
+
+impl Dispatch {
+    pub(super) fn report(&mut self, now: Moment, ticket: u64, report: Report) {
+        if !self.leading {
+            return self.out.push(Effect::Orders { ticket, orders: None });
+        }
+        let agent = report.agent.clone();
+        let life = report.runner.as_ref().map(|runner| runner.life.clone());
+        for over in self.fleet.replaced(&agent, life.as_ref()) {
+            self.close_all(&over);
+        }
+        if let Some(life) = &life {
+            self.fleet.hold(life, now).bound = lease_bound(now);
+            self.take_rows(now, life, &report);
+            self.take_ends(life, &report);
+        }
+        let worker = self.fleet.workers.entry(agent.clone());
+        match worker {
+            std::collections::btree_map::Entry::Occupied(mut known) => {
+                let worker = known.get_mut();
+                if let Some(parked) = worker.parked.take() {
+                    // The agent has news that this answer would not take in.
+                    let orders = Some(Box::default());
+                    self.out.push(Effect::Orders { ticket: parked.ticket, orders });
+                }
+                self.dirty |= worker.life() != life.as_ref() || !worker.usable(now);
+                worker.update(report, now);
+            },
+            std::collections::btree_map::Entry::Vacant(free) => {
+                tracing::info!(agent = %agent, runner = life.as_ref().map(|l| l.runner.as_str()), "agent found");
+                free.insert(Worker::new(report, now));
+                self.dirty = true;
+            },
+        }
+        if let Some(worker) = self.fleet.workers.get_mut(&agent) {
+            worker.parked = Some(Parked { ticket, since: now });
+        }
+        self.answer_parked(&agent, now);
+    }
+
+    /// Notes progress and checkpoints of what runs.
+    fn take_rows(&mut self, now: Moment, life: &Life, report: &Report) {
+        for row in &report.rows {
+            let Some(run) = self.fleet.run_mut(life, row.key) else { continue };
+            run.listed = true;
+            run.figure = row.figure;
+            if row.percent != run.percent {
+                run.percent = row.percent;
+                run.moved = now;
+            }
+            if row.saved.is_some() {
+                run.saved.clone_from(&row.saved);
+            }
+        }
+    }
+
+    /// Has the ends of runs recorded.
+    fn take_ends(&mut self, life: &Life, report: &Report) {
+        for ended in &report.ended {
+            self.close(life, ended.key, ended.end, ended.saved.clone());
+        }
+        for (key, denial) in &report.denied {
+            if self.fleet.run(life, *key).is_some() && !self.closing.contains(key) {
+                tracing::info!(run = %key, runner = %life.runner, ?denial, "start denied");
+            }
+            self.close(life, *key, End::Refused, None);
+        }
+    }
+
+    fn close(&mut self, life: &Life, key: RunKey, end: End, saved: Option<Checkpoint>) {
+        if self.fleet.run(life, key).is_some() && self.closing.insert(key) {
+            self.propose(Command::Close { key, end, saved }, None);
+        }
+    }
+
+    /// Records the end of everything on a runner that is gone.
+    fn close_all(&mut self, life: &Life) {
+        let Some(hold) = self.fleet.holds.get(life) else { return };
+        let runs: Vec<_> = hold.runs.iter().map(|(key, run)| (*key, run.saved.clone())).collect();
+        if runs.is_empty() {
+            self.fleet.holds.remove(life);
+            return;
+        }
+        tracing::info!(runner = %life.runner, born = life.born, runs = runs.len(), "runner lost");
+        for (key, saved) in runs {
+            self.close(life, key, End::Lost, saved);
+        }
+    }
+
+    /// Records the end of runs whose lease has certainly ended.
+    pub(super) fn expire_leases(&mut self, now: Moment) {
+        let over: Vec<Life> = self
+            .fleet
+            .holds
+            .iter()
+            .filter(|(_, hold)| hold.bound < now)
+            .map(|(life, _)| life.clone())
+            .collect();
+        for life in over {
+            self.close_all(&life);
+        }
+    }
+
+    /// Answers reports that have waited long enough.
+    pub(super) fn expire_reports(&mut self, now: Moment) {
+        let mut due = Vec::new();
+        for worker in self.fleet.workers.values_mut() {
+            if let Some(parked) = worker.parked.take_if(|p| now.since(p.since) >= PARK_LIMIT) {
+                due.push((parked.ticket, worker.report.agent.clone()));
+            }
+        }
+        for (ticket, agent) in due {
+            let orders = self.orders(&agent);
+            self.out.push(Effect::Orders { ticket, orders: Some(Box::new(orders)) });
+        }
+    }
+
+    /// Answers the report that waits if there is something to order.
+    pub(super) fn answer_parked(&mut self, agent: &Name, now: Moment) {
+        let Some(worker) = self.fleet.workers.get(agent) else { return };
+        let Some(parked) = worker.parked else { return };
+        let last = worker.report.ended.iter().map(|ended| ended.number).max();
+        let orders = self.orders(agent);
+        let noted = last.is_some() && Some(orders.noted) == last;
+        if orders.starts.is_empty() && orders.stops.is_empty() && !noted
+            && now.since(parked.since) < PARK_LIMIT
+        {
+            return;
+        }
+        if let Some(worker) = self.fleet.workers.get_mut(agent) {
+            worker.parked = None;
+        }
+        let orders = Some(Box::new(orders));
+        self.out.push(Effect::Orders { ticket: parked.ticket, orders });
+    }
+
+    /// What an agent is to do, given its newest report.
+    ///
+    /// Orders follow from the difference between the agreed state and the report alone, so a lost
+    /// answer is made good by the next.
+    fn orders(&self, agent: &Name) -> Orders {
+        let Some(worker) = self.fleet.workers.get(agent) else { return Orders::default() };
+        let Some(runner) = worker.runner() else { return Orders::default() };
+        let mut orders = Orders { until: Some(runner.clock + GRANT.as_millis()), ..Orders::default() };
+        let hold = self.fleet.holds.get(&runner.life);
+        let live = |key: &RunKey| hold.is_some_and(|hold| hold.runs.contains_key(key));
+        let mut ended: Vec<_> = worker.report.ended.iter().map(|e| (e.number, e.key)).collect();
+        ended.sort_unstable();
+        for (number, key) in ended {
+            if live(&key) {
+                break;
+            }
+            orders.noted = number;
+        }
+        let report = &worker.report;
+        for key in report.rows.iter().map(|row| &row.key).chain(&report.handling) {
+            let stopping = report.stopping.contains(key);
+            if !stopping && (!live(key) || !self.wanted(*key, &runner.life)) {
+                orders.stops.push(*key);
+            }
+        }
+        for key in hold.iter().flat_map(|hold| hold.runs.keys()) {
+            if report.amnesia {
+                orders.natures.extend(self.nature(*key).map(|nature| (*key, nature)));
+            }
+            if worker.known.contains(key) || self.closing.contains(key) {
+                continue;
+            }
+            if self.wanted(*key, &runner.life) {
+                orders.starts.extend(self.start(*key));
+            } else {
+                orders.stops.push(*key);
+            }
+        }
+        orders
+    }
+
+    /// Whether a live run is to go on.
+    fn wanted(&self, key: RunKey, life: &Life) -> bool {
+        let Some(entry) = self.book.jobs.get(&key.task.job) else { return false };
+        let done = entry.task(key.task).is_none_or(|task| task.done);
+        let stop = self.fleet.run(life, key).is_some_and(|run| run.stop);
+        entry.phase == Phase::Active && !done && !stop
+    }
+
+    fn nature(&self, key: RunKey) -> Option<Nature> {
+        let entry = self.book.jobs.get(&key.task.job)?;
+        let step = entry.job.steps.get(usize::from(key.task.step))?;
+        Some(Nature { target: step.target, fills: step.fills })
+    }
+
+    fn start(&self, key: RunKey) -> Option<Start> {
+        let entry = self.book.jobs.get(&key.task.job)?;
+        let saved = entry.task(key.task)?.saved.clone();
+        let (spec, nature) = (entry.job.spec.clone(), self.nature(key)?);
+        Some(Start { key, spec, saved, nature })
+    }
+}
--- /dev/null
+++ b/toucangrade/src/dispatch/settings.rs
@@ -0,0 +1,30 @@
+//! Limits of dispatch.
+
+use crate::core::Span;
+
+/// Length of the leases granted to agents. It has to outlast an election (2 s) and a cut of 5 s,
+/// and stays below the 6 s after which runners shorten it.
+pub(crate) const GRANT: Span = Span::millis(5_800);
+/// How much longer a lease lasts on a runner whose clock is 2% slow, with a reserve of 1%.
+pub(crate) const SLOW_CLOCK_PERCENT: u64 = 103;
+/// Time in which a runner stops what has lost its lease, and the granularity of its clock.
+pub(crate) const LEASE_MARGIN: Span = Span::millis(150);
+/// Silence after which a runner gets no new work; agents report at least every 900 ms.
+pub(crate) const SILENCE_LIMIT: Span = Span::millis(1_600);
+/// Time for which a report waits for orders; it leaves room for a round trip within the 900 ms that
+/// an agent's call may take.
+pub(crate) const PARK_LIMIT: Span = Span::millis(500);
+/// First failures of different tasks in a row after which a runner gets no work for a while.
+pub(crate) const FAILURES_LIMIT: u32 = 3;
+/// First time for which such a runner gets no work; it doubles up to eight times this.
+pub(crate) const QUARANTINE: Span = Span::millis(2_000);
+/// Proposals that may be open at once; the log makes those that wait durable with one sync.
+pub(crate) const FLIGHTS_LIMIT: usize = 4;
+/// Commands in one proposal, which keeps it far below the log's limit of 1 MiB.
+pub(crate) const BATCH_LIMIT: usize = 256;
+/// Time for which the state of an ended job is kept: 120 s are promised.
+pub(crate) const STATUS_KEPT_MS: u64 = 150_000;
+/// Commands and bytes after which a snapshot is taken, so that the log stays far below a disk of
+/// 128 MB and is replayed in well under a second.
+pub(crate) const SNAPSHOT_COMMANDS: usize = 20_000;
+pub(crate) const SNAPSHOT_BYTES: usize = 8 * 1024 * 1024;
--- /dev/null
+++ b/toucangrade/src/hosting/mod.rs
@@ -0,0 +1,299 @@
+//! One runner as its agent sees it: starts and stops what the leader ordered, keeps its lease, and
+//! reports what runs and what has ended.
+
+mod message;
+mod orders;
+
+#[cfg(test)]
+mod tests;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::Serialize;
+
+use self::message::Target;
+pub(crate) use self::message::{Effect, Message};
+pub use self::message::{Announcement, Fault, Listing, Target as RunnerTarget};
+use self::orders::Handling;
+use crate::core::{Moment, Name, Span};
+use crate::dispatch::{Denial, Nature, Report, Runner};
+use crate::jobs::{Life, RunKey};
+use crate::pacing::Pacing;
+
+/// Time between two ticks.
+pub(crate) const TICK: Span = Span::millis(100);
+/// Time for which a runner may hold a listing back until something ends. Figures of tasks are
+/// averages over half a second, so a longer wait would leave pacing with old ones.
+const LIST_WAIT: Span = Span::millis(500);
+/// Time after which a listing without an answer is given up: the wait and a generous round trip.
+const LIST_TIMEOUT: Span = Span::millis(1_100);
+/// Shortest time between two listings while ends wait to be recorded, since the runner answers at
+/// once as long as it lists any.
+const LIST_PAUSE: Span = Span::millis(60);
+/// Longest time between two reports, well below the leader's limit for silent runners.
+const REPORT_EVERY: Span = Span::millis(900);
+/// Time after which a report without an answer is given up: longer than the leader holds it.
+const REPORT_TIMEOUT: Span = Span::millis(1_500);
+/// Time for which refused starts are remembered, longer than any lease, so that a late order for
+/// one is not carried out.
+const DENIED_KEPT: Span = Span::secs(15);
+
+/// What is known of the runner.
+#[derive(Debug, Serialize)]
+struct Known {
+    announced: Announcement,
+    listing: Listing,
+    /// When the runner last answered.
+    answered: Moment,
+    /// Whether it answered at all.
+    listed: bool,
+}
+
+/// State of the duty.
+#[derive(Debug, Serialize)]
+pub(crate) struct Hosting {
+    agent: Name,
+    known: Option<Known>,
+    /// Orders that are being carried out.
+    handling: BTreeMap<RunKey, Handling>,
+    /// Starts that were refused, and when.
+    denied: BTreeMap<RunKey, (Denial, Moment)>,
+    natures: BTreeMap<RunKey, Nature>,
+    pacing: Pacing,
+    /// End of the lease on the runner's clock in ms.
+    until: Option<u64>,
+    /// Ends up to this number are recorded.
+    noted: u64,
+    /// Listing under way, with the time it was asked for.
+    listing: Option<(u64, Moment)>,
+    listed: Moment,
+    /// Report under way, with the time it was sent.
+    reporting: Option<(u64, Moment)>,
+    reported: Moment,
+    /// Number of the last report or listing.
+    seq: u64,
+    /// Whether there is something to report at once.
+    news: bool,
+    /// Whether runs go on that this process was not ordered to start.
+    amnesia: bool,
+    #[serde(skip)]
+    out: Vec<Effect>,
+}
+
+impl Hosting {
+    /// An agent that knows no runner; numbers of reports go on from `seq`.
+    pub(crate) fn new(agent: Name, seq: u64) -> Self {
+        Self {
+            agent,
+            known: None,
+            handling: BTreeMap::new(),
+            denied: BTreeMap::new(),
+            natures: BTreeMap::new(),
+            pacing: Pacing::default(),
+            until: None,
+            noted: 0,
+            listing: None,
+            listed: Moment::START,
+            reporting: None,
+            reported: Moment::START,
+            seq,
+            news: true,
+            amnesia: true,
+            out: Vec::new(),
+        }
+    }
+
+    /// Takes a message and gives the effects to perform.
+    pub(crate) fn step(&mut self, now: Moment, message: Message) -> Vec<Effect> {
+        match message {
+            Message::Announce(announced) => self.announce(now, *announced),
+            Message::Leave { runner } => self.leave(&runner),
+            Message::Listed { seq, listing } => self.take_listing(now, seq, listing),
+            Message::Ordered { seq, orders } => self.ordered(seq, orders),
+            Message::Started { key, result } => self.started(now, key, result),
+            Message::Stopped { key, result } => self.stopped(now, key, result),
+            Message::Tick => {
+                self.denied.retain(|_, (_, at)| now.since(*at) < DENIED_KEPT);
+                self.retry_orders(now);
+            },
+        }
+        self.send_orders(now);
+        self.list(now);
+        self.report(now);
+        std::mem::take(&mut self.out)
+    }
+
+    fn life(&self) -> Option<&Life> {
+        self.known.as_ref().map(|known| &known.announced.life)
+    }
+
+    fn target(&self) -> Option<Target> {
+        let announced = &self.known.as_ref()?.announced;
+        Some(Target { addr: announced.addr, life: announced.life.clone() })
+    }
+
+    fn announce(&mut self, now: Moment, announced: Announcement) {
+        if let Some(known) = &mut self.known {
+            let (old, new) = (&known.announced, &announced);
+            if new.life == old.life {
+                if new.sequence <= old.sequence {
+                    return;
+                }
+                self.news |= new.draining != old.draining || new.capacity != old.capacity;
+                known.announced = announced;
+                return;
+            }
+            if new.life.born < old.life.born {
+                tracing::info!(runner = %new.life.runner, born = new.life.born, "late announcement");
+                return;
+            }
+        }
+        tracing::info!(
+            runner = %announced.life.runner,
+            born = announced.life.born,
+            addr = %announced.addr,
+            service = &*announced.service,
+            "runner found"
+        );
+        self.forget_runner();
+        let listing = Listing::default();
+        self.known = Some(Known { announced, listing, answered: now, listed: false });
+        self.news = true;
+    }
+
+    /// Drops all that belonged to the runner before.
+    fn forget_runner(&mut self) {
+        self.known = None;
+        self.handling.clear();
+        self.denied.clear();
+        self.natures.clear();
+        self.pacing = Pacing::default();
+        (self.until, self.noted, self.listing) = (None, 0, None);
+    }
+
+    fn leave(&mut self, runner: &str) {
+        if self.life().is_some_and(|life| life.runner.as_str() == runner) {
+            tracing::info!(runner, "runner left");
+            self.forget_runner();
+            self.news = true;
+        }
+    }
+
+    fn take_listing(&mut self, now: Moment, seq: u64, listing: Result<Box<Listing>, Fault>) {
+        let Some((_, asked)) = self.listing.take_if(|(asked, _)| *asked == seq) else { return };
+        let Some(known) = &mut self.known else { return };
+        let listing = match listing {
+            Ok(listing) => *listing,
+            Err(fault) => {
+                self.listed = now;
+                self.news |= now.since(known.answered) > LIST_TIMEOUT;
+                tracing::info!(runner = %known.announced.life.runner, ?fault, "no listing");
+                return;
+            },
+        };
+        if listing.born != 0 && listing.born != known.announced.life.born {
+            // A new life answers under the old name; its announcement will follow.
+            tracing::info!(runner = %known.announced.life.runner, born = listing.born, "reborn");
+            return;
+        }
+        let first = !known.listed;
+        let ended = |listing: &Listing| listing.ended.iter().map(|e| e.number).max();
+        self.news |= first || ended(&listing) > ended(&known.listing);
+        (known.answered, known.listed) = (now, true);
+        known.listing = listing;
+        self.listed = now;
+        self.settle_orders(asked);
+        let Some(known) = &self.known else { return };
+        let rows = &known.listing.rows;
+        self.natures.retain(|key, _| {
+            rows.iter().any(|row| row.key == *key) || self.handling.contains_key(key)
+        });
+        if rows.iter().any(|row| !self.natures.contains_key(&row.key)) {
+            self.amnesia = true;
+        }
+        let changes = self.pacing.step(now, rows, &self.natures);
+        let Some(target) = self.target() else { return };
+        for (key, percent) in changes {
+            self.out.push(Effect::Pace { target: target.clone(), key, percent });
+        }
+    }
+
+    /// Asks for the next listing when none is under way.
+    fn list(&mut self, now: Moment) {
+        if self.listing.is_some_and(|(_, since)| now.since(since) < LIST_TIMEOUT) {
+            return;
+        }
+        let Some(target) = self.target() else { return };
+        let Some(known) = &self.known else { return };
+        let waiting = known.listing.ended.iter().any(|ended| ended.number > self.noted);
+        if waiting && now.since(self.listed) < LIST_PAUSE {
+            return;
+        }
+        self.seq += 1;
+        self.listing = Some((self.seq, now));
+        // The first listing raises the fencing token, so that orders for an earlier life under the
+        // same name are refused.
+        let wait = if known.listed && !waiting { LIST_WAIT } else { Span::ZERO };
+        let (seq, noted, until) = (self.seq, self.noted, self.until);
+        self.out.push(Effect::List { seq, target, noted, until, wait });
+    }
+
+    fn report(&mut self, now: Moment) {
+        let open = self.reporting.is_some_and(|(_, since)| now.since(since) < REPORT_TIMEOUT);
+        let due = now.since(self.reported) >= REPORT_EVERY || !open;
+        if !(self.news || due) {
+            return;
+        }
+        // A leader that can't be reached is asked again on the next tick only.
+        if self.reporting.is_none() && now.since(self.reported) < TICK && !self.news {
+            return;
+        }
+        self.news = false;
+        self.seq += 1;
+        self.reporting = Some((self.seq, now));
+        self.reported = now;
+        let report = self.account(now);
+        self.out.push(Effect::Report(Box::new(report)));
+    }
+
+    fn account(&self, now: Moment) -> Report {
+        let known = self.known.as_ref().filter(|known| known.listed);
+        let runner = known.map(|known| {
+            let announced = &known.announced;
+            Runner {
+                life: announced.life.clone(),
+                service: announced.service.clone(),
+                centre: announced.centre.clone(),
+                labels: announced.labels.clone(),
+                capacity: announced.capacity,
+                draining: announced.draining,
+                clock: known.listing.clock,
+            }
+        });
+        let listing = known.map(|known| &known.listing);
+        let ended = listing.iter().flat_map(|listing| &listing.ended);
+        let keys = |stops: bool| {
+            let handling = self.handling.iter().filter(|(_, handling)| handling.stops() == stops);
+            handling.map(|(key, _)| *key).collect()
+        };
+        Report {
+            agent: self.agent.clone(),
+            seq: self.seq,
+            runner,
+            rows: listing.map(|listing| listing.rows.clone()).unwrap_or_default(),
+            handling: keys(false),
+            stopping: keys(true),
+            ended: ended.filter(|ended| ended.number > self.noted).cloned().collect(),
+            denied: self.denied.iter().map(|(key, (denial, _))| (*key, *denial)).collect(),
+            silent: known.map_or(Span::ZERO, |known| now.since(known.answered)),
+            amnesia: self.amnesia,
+        }
+    }
+
+    /// Runs that the runner lists, in whatever state.
+    fn listed_runs(&self) -> BTreeSet<RunKey> {
+        let Some(known) = &self.known else { return BTreeSet::new() };
+        let rows = known.listing.rows.iter().map(|row| row.key);
+        rows.chain(known.listing.ended.iter().map(|ended| ended.key)).collect()
+    }
+}
--- /dev/null
+++ b/toucangrade/src/jobs/book.rs
@@ -0,0 +1,284 @@
+//! Agreed state of all jobs, changed only by commands of the replicated log.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::{Checkpoint, Command, End, Job, Life, RunKey, Setup, TaskKey};
+use crate::core::invariant;
+
+/// Runs of one task that may race.
+const COPIES_LIMIT: usize = 2;
+
+/// State of a job as callers see it.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) enum Phase {
+    Active,
+    Cancelled,
+    Completed,
+    Failed,
+}
+
+/// A run that may be going on.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct Live {
+    pub(crate) run: u32,
+    pub(crate) life: Arc<Life>,
+}
+
+/// Agreed state of a task.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub(crate) struct Task {
+    pub(crate) live: Vec<Live>,
+    /// Number of the newest run.
+    pub(crate) runs: u32,
+    /// Runs that failed.
+    pub(crate) failed: u32,
+    pub(crate) done: bool,
+    pub(crate) saved: Option<Checkpoint>,
+}
+
+/// One repetition of a job.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub(crate) struct Round {
+    /// Tasks by step.
+    pub(crate) steps: Vec<Vec<Task>>,
+    /// Tasks that are not done, by step.
+    pub(crate) open: Vec<u32>,
+}
+
+impl Round {
+    fn new(job: &Job) -> Self {
+        let tasks = |count: u32| vec![Task::default(); count as usize];
+        Self {
+            steps: job.steps.iter().map(|step| tasks(step.count)).collect(),
+            open: job.steps.iter().map(|step| step.count).collect(),
+        }
+    }
+
+    /// Whether all steps before this one are done.
+    pub(crate) fn ready(&self, job: &Job, step: usize) -> bool {
+        job.steps[step].after.iter().all(|&before| self.open[usize::from(before)] == 0)
+    }
+
+    fn done(&self) -> bool {
+        self.open.iter().all(|&open| open == 0)
+    }
+
+    fn live(&self) -> bool {
+        self.steps.iter().flatten().any(|task| !task.live.is_empty())
+    }
+}
+
+/// Agreed state of a job.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) struct Entry {
+    pub(crate) job: Arc<Job>,
+    pub(crate) phase: Phase,
+    /// Repetitions under way.
+    pub(crate) rounds: BTreeMap<u32, Round>,
+    /// Repetitions that have begun.
+    pub(crate) opened: u32,
+    /// Whether a run was ever assigned.
+    pub(crate) begun: bool,
+    /// Acceptance in ms since 1970, on the clock of the leader at that time.
+    pub(crate) wall: u64,
+}
+
+impl Entry {
+    pub(crate) fn task(&self, key: TaskKey) -> Option<&Task> {
+        let round = self.rounds.get(&key.round)?;
+        round.steps.get(usize::from(key.step))?.get(usize::from(key.index))
+    }
+
+    fn task_mut(&mut self, key: TaskKey) -> Option<&mut Task> {
+        let round = self.rounds.get_mut(&key.round)?;
+        round.steps.get_mut(usize::from(key.step))?.get_mut(usize::from(key.index))
+    }
+
+    /// Ends the job; rounds with live runs are kept until those have ended.
+    fn finish(&mut self, phase: Phase) {
+        self.phase = phase;
+        self.prune();
+    }
+
+    /// Drops rounds that need nothing more; runs that still go on have to be stopped first.
+    fn prune(&mut self) {
+        let active = self.phase == Phase::Active;
+        self.rounds.retain(|_, round| round.live() || (active && !round.done()));
+    }
+}
+
+/// What a command changed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Applied {
+    /// The job is stored, or was before.
+    Accepted,
+    /// The run is the task's to start.
+    Assigned,
+    /// The job is cancelled, or was before.
+    Cancelled,
+    /// The run has ended.
+    Closed,
+    /// The configuration is in force, or a newer one is.
+    Configured,
+    /// The job's queue does not exist.
+    NoQueue,
+    /// The command does not follow from the agreed state, so nothing changed.
+    Stale,
+    /// Other changes that have no answer.
+    Taken,
+}
+
+/// Agreed configuration and jobs.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub(crate) struct Book {
+    pub(crate) setup: Arc<Setup>,
+    pub(crate) jobs: BTreeMap<u64, Entry>,
+}
+
+impl Book {
+    pub(crate) fn apply(&mut self, command: &Command) -> Applied {
+        match command {
+            Command::Accept { job, wall } => self.accept(job, *wall),
+            Command::Assign { key, life } => self.assign(*key, life),
+            Command::Cancel { job } => self.cancel(*job),
+            Command::Close { key, end, saved } => self.close(*key, *end, saved.as_ref()),
+            Command::Configure(setup) => {
+                if setup.version > self.setup.version {
+                    self.setup = Arc::clone(setup);
+                }
+                Applied::Configured
+            },
+            Command::Forget(ids) => {
+                for id in ids {
+                    let ended = |entry: &Entry| entry.phase != Phase::Active;
+                    if self.jobs.get(id).is_some_and(|e| ended(e) && e.rounds.is_empty()) {
+                        self.jobs.remove(id);
+                    }
+                }
+                Applied::Taken
+            },
+            Command::Open { job, round } => self.open(*job, *round),
+        }
+    }
+
+    /// The task of a run that may be going on.
+    pub(crate) fn live(&self, key: RunKey) -> Option<&Live> {
+        let task = self.jobs.get(&key.task.job)?.task(key.task)?;
+        task.live.iter().find(|live| live.run == key.run)
+    }
+
+    fn accept(&mut self, job: &Arc<Job>, wall: u64) -> Applied {
+        if self.jobs.contains_key(&job.id) {
+            return Applied::Accepted;
+        }
+        if self.setup.queue(&job.queue).is_none() {
+            return Applied::NoQueue;
+        }
+        let mut rounds = BTreeMap::new();
+        if job.schedule.is_none() {
+            rounds.insert(0, Round::new(job));
+        }
+        let opened = u32::from(job.schedule.is_none());
+        let phase = if job.rounds() == 0 { Phase::Completed } else { Phase::Active };
+        let job = Arc::clone(job);
+        let entry = Entry { phase, rounds, opened, begun: false, wall, job };
+        self.jobs.insert(entry.job.id, entry);
+        Applied::Accepted
+    }
+
+    fn open(&mut self, job: u64, round: u32) -> Applied {
+        let entry = self.jobs.get_mut(&job).filter(|entry| entry.phase == Phase::Active);
+        let Some(entry) = entry.filter(|e| e.opened == round && round < e.job.rounds()) else {
+            return Applied::Stale;
+        };
+        entry.opened += 1;
+        let opened = Round::new(&entry.job);
+        entry.rounds.insert(round, opened);
+        Applied::Taken
+    }
+
+    /// Leaders may propose on outdated state, so an assignment has to follow from what is agreed.
+    fn assign(&mut self, key: RunKey, life: &Life) -> Applied {
+        let entry = self.jobs.get_mut(&key.task.job).filter(|e| e.phase == Phase::Active);
+        let Some(entry) = entry else { return Applied::Stale };
+        let job = Arc::clone(&entry.job);
+        let step = usize::from(key.task.step);
+        let ready = entry.rounds.get(&key.task.round).is_some_and(|round| {
+            step < job.steps.len() && round.ready(&job, step)
+        });
+        let limit = if job.steps.get(step).is_some_and(|s| s.copies) { COPIES_LIMIT } else { 1 };
+        let Some(task) = entry.task_mut(key.task) else { return Applied::Stale };
+        if !ready || task.done || task.live.len() >= limit || key.run != task.runs + 1 {
+            return Applied::Stale;
+        }
+        task.runs = key.run;
+        task.live.push(Live { run: key.run, life: Arc::new(life.clone()) });
+        entry.begun = true;
+        Applied::Assigned
+    }
+
+    fn cancel(&mut self, job: u64) -> Applied {
+        let Some(entry) = self.jobs.get_mut(&job) else { return Applied::Stale };
+        if entry.phase == Phase::Active {
+            entry.finish(Phase::Cancelled);
+        }
+        Applied::Cancelled
+    }
+
+    fn close(&mut self, key: RunKey, end: End, saved: Option<&Checkpoint>) -> Applied {
+        let attempts = |setup: &Setup, queue: &str| setup.queue(queue).map_or(1, |q| q.attempts);
+        let Some(entry) = self.jobs.get_mut(&key.task.job) else { return Applied::Stale };
+        let allowed = attempts(&self.setup, &entry.job.queue);
+        let Some(task) = entry.task_mut(key.task) else { return Applied::Stale };
+        let Some(at) = task.live.iter().position(|live| live.run == key.run) else {
+            return Applied::Stale;
+        };
+        task.live.remove(at);
+        if let Some(saved) = saved {
+            task.saved = Some(Arc::clone(saved));
+        }
+        let step = entry.job.steps[usize::from(key.task.step)].clone();
+        let mut failed = false;
+        match end {
+            End::Done if !step.lasting => entry.complete(key.task, step.gang),
+            End::Failed if !step.lasting => {
+                let task = entry.task_mut(key.task).filter(|task| !task.done);
+                failed = task.is_some_and(|task| {
+                    task.failed += 1;
+                    task.failed >= allowed
+                });
+            },
+            _ => {},
+        }
+        if failed && entry.phase == Phase::Active {
+            entry.finish(Phase::Failed);
+        }
+        entry.prune();
+        Applied::Closed
+    }
+}
+
+impl Entry {
+    /// Marks a task done, and its whole gang with it.
+    fn complete(&mut self, key: TaskKey, gang: bool) {
+        let Some(round) = self.rounds.get_mut(&key.round) else { return };
+        let step = usize::from(key.step);
+        let index = usize::from(key.index);
+        let mut finished = 0;
+        for (at, task) in round.steps[step].iter_mut().enumerate() {
+            if (gang || at == index) && !task.done {
+                task.done = true;
+                finished += 1;
+            }
+        }
+        invariant!(round.open[step] >= finished, "{key} ends twice");
+        round.open[step] -= finished;
+        let open = self.rounds.values().any(|round| !round.done());
+        if self.phase == Phase::Active && !open && self.opened >= self.job.rounds() {
+            self.finish(Phase::Completed);
+        }
+    }
+}
--- /dev/null
+++ b/toucangrade/src/jobs/declared.rs
@@ -0,0 +1,194 @@
+//! Jobs as callers declare them.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::core::Span;
+
+/// Most steps of a job, so that a step number fits a task's name and a job fits one log entry.
+const STEPS_LIMIT: usize = 256;
+/// Most tasks of a step.
+const TASKS_LIMIT: u32 = 4_096;
+
+/// Room that a task needs on a runner.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Need {
+    /// Thousandths of a core.
+    pub millicores: u64,
+    /// Memory in MB.
+    pub memory: u64,
+    /// Accelerators.
+    pub accelerators: u64,
+}
+
+impl Need {
+    /// Whether `other` fits into this room.
+    pub fn holds(&self, other: &Self) -> bool {
+        self.millicores >= other.millicores
+            && self.memory >= other.memory
+            && self.accelerators >= other.accelerators
+    }
+
+    /// Adds `other`.
+    pub fn add(&mut self, other: &Self) {
+        self.millicores += other.millicores;
+        self.memory += other.memory;
+        self.accelerators += other.accelerators;
+    }
+
+    /// Takes `other` away, down to nothing.
+    pub fn remove(&mut self, other: &Self) {
+        self.millicores = self.millicores.saturating_sub(other.millicores);
+        self.memory = self.memory.saturating_sub(other.memory);
+        self.accelerators = self.accelerators.saturating_sub(other.accelerators);
+    }
+}
+
+/// A step of a job: tasks that are alike.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Step {
+    /// Number of tasks.
+    pub count: u32,
+    /// Room that each task needs.
+    pub need: Need,
+    /// Rough estimate of a task's duration.
+    pub estimate: Span,
+    /// Earlier steps that must be done first.
+    pub after: Vec<u16>,
+    /// The tasks only work together.
+    pub gang: bool,
+    /// The tasks are slower on more than one rack.
+    pub together: bool,
+    /// Label that the runner must have.
+    pub label: Option<Arc<str>>,
+    /// Rack of the data; tasks are slower elsewhere.
+    pub rack: Option<Arc<str>>,
+    /// Most tasks of the step on one runner, 0 for no limit.
+    pub spread: u32,
+    /// Several runs of one task may race.
+    pub copies: bool,
+    /// The tasks make checkpoints.
+    pub checkpoints: bool,
+    /// The tasks run until the job is cancelled.
+    pub lasting: bool,
+    /// What the tasks run; tasks of one image behave alike.
+    pub image: Option<Arc<str>>,
+    /// Tail latency that each task has to stay below, in ms; 0 for none.
+    pub target: u64,
+    /// The tasks use cores that others leave unused, which are not counted.
+    pub fills: bool,
+    /// Tasks of a lasting step that may be away at once through the system's own doing.
+    pub absent: u32,
+}
+
+impl Step {
+    /// Room that counts against a runner's capacity.
+    pub fn counted(&self) -> Need {
+        if self.fills { Need { millicores: 0, ..self.need } } else { self.need }
+    }
+}
+
+/// When a job repeats.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Schedule {
+    /// Number of repetitions.
+    pub times: u32,
+    /// When the first is due, in ms since 1970.
+    pub first: u64,
+    /// Time between two in ms.
+    pub every: u64,
+}
+
+impl Schedule {
+    /// When a repetition is due, in ms since 1970.
+    pub fn due(&self, round: u32) -> u64 {
+        self.first.saturating_add(self.every.saturating_mul(u64::from(round)))
+    }
+}
+
+/// A job as its caller declares it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Job {
+    /// Number that the caller chose.
+    pub id: u64,
+    /// Name of its queue.
+    pub queue: Arc<str>,
+    /// Opaque text for the runners.
+    pub spec: Arc<str>,
+    /// Steps in order.
+    pub steps: Vec<Step>,
+    /// When it repeats; at once and one time without.
+    pub schedule: Option<Schedule>,
+}
+
+/// Why a job is refused.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum BadJob {
+    /// A step comes after one that is not before it.
+    #[error("steps[{step}].after names step {after}, allowed are steps before {step}")]
+    After {
+        /// The step.
+        step: usize,
+        /// The step named.
+        after: u16,
+    },
+    /// The number of tasks is out of range.
+    #[error("steps[{step}] has {count} tasks, allowed are 1 to {TASKS_LIMIT}")]
+    Count {
+        /// The step.
+        step: usize,
+        /// The number of tasks.
+        count: u32,
+    },
+    /// The number of steps is out of range.
+    #[error("the job has {0} steps, allowed are 1 to {STEPS_LIMIT}")]
+    Steps(usize),
+}
+
+impl Job {
+    /// Checks what the types leave open.
+    ///
+    /// # Errors
+    ///
+    /// [`BadJob`] names the field, its value and what is allowed.
+    pub fn check(&self) -> Result<(), BadJob> {
+        if self.steps.is_empty() || self.steps.len() > STEPS_LIMIT {
+            return Err(BadJob::Steps(self.steps.len()));
+        }
+        for (step, declared) in self.steps.iter().enumerate() {
+            let count = declared.count;
+            if count == 0 || count > TASKS_LIMIT {
+                return Err(BadJob::Count { step, count });
+            }
+            if let Some(&after) = declared.after.iter().find(|&&after| usize::from(after) >= step) {
+                return Err(BadJob::After { step, after });
+            }
+        }
+        Ok(())
+    }
+
+    /// Number of repetitions.
+    pub fn rounds(&self) -> u32 {
+        self.schedule.map_or(1, |schedule| schedule.times)
+    }
+
+    /// Whether some step runs until the job is cancelled.
+    pub fn lasting(&self) -> bool {
+        self.steps.iter().any(|step| step.lasting)
+    }
+
+    /// Longest chain of work from the start of each step to the end of the job.
+    pub fn chains(&self) -> Vec<Span> {
+        let mut chains: Vec<Span> = self.steps.iter().map(|step| step.estimate).collect();
+        for later in (0..self.steps.len()).rev() {
+            for &earlier in &self.steps[later].after {
+                let earlier = usize::from(earlier);
+                chains[earlier] =
+                    chains[earlier].max(self.steps[earlier].estimate + chains[later]);
+            }
+        }
+        chains
+    }
+}
--- /dev/null
+++ b/toucangrade/src/jobs/mod.rs
@@ -0,0 +1,105 @@
+//! Jobs of several steps: what callers declare, and the agreed state of every job.
+
+mod book;
+mod declared;
+mod setup;
+
+#[cfg(test)]
+pub(crate) mod tests;
+
+use std::fmt;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::core::Name;
+
+pub(crate) use self::book::{Applied, Book, Entry, Phase};
+pub use self::declared::{BadJob, Job, Need, Schedule, Step};
+pub use self::setup::{BadSetup, Queue, Service, Setup};
+
+/// Identity of a task within the whole system.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct TaskKey {
+    /// The job, a number that its caller chose.
+    pub job: u64,
+    /// Repetition of the job, counted from 0.
+    pub round: u32,
+    /// Step of the job, counted from 0.
+    pub step: u16,
+    /// Task of the step, counted from 0.
+    pub index: u16,
+}
+
+impl fmt::Display for TaskKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}.{}.{}.{}", self.job, self.round, self.step, self.index)
+    }
+}
+
+/// One execution of a task. Numbers of runs begin at 1 and rise with each start.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct RunKey {
+    /// The task.
+    pub task: TaskKey,
+    /// Number of the run.
+    pub run: u32,
+}
+
+impl fmt::Display for RunKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}#{}", self.task, self.run)
+    }
+}
+
+/// One life of a runner: a restart under the same name is another life.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Life {
+    /// Name under which the runner announces itself.
+    pub runner: Name,
+    /// When it started, in milliseconds since 1970 on its own clock.
+    pub born: u64,
+}
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub enum End {
+    /// Its gang did not come together in time.
+    Alone,
+    /// Another member of its gang ended.
+    Broken,
+    /// It finished its work.
+    Done,
+    /// It failed, through its own fault or the runner's.
+    Failed,
+    /// Its lease ended.
+    Lapsed,
+    /// Its runner is gone, and its lease with it.
+    Lost,
+    /// The runner never started it and never will.
+    Refused,
+    /// It was stopped on request.
+    Stopped,
+}
+
+/// Opaque position from which a task can be resumed.
+pub type Checkpoint = Arc<str>;
+
+/// Change of the agreed state.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) enum Command {
+    /// Takes a job in; `wall` is the time in ms since 1970.
+    Accept { job: Arc<Job>, wall: u64 },
+    /// Gives a task to a runner.
+    Assign { key: RunKey, life: Life },
+    /// Ends a job early.
+    Cancel { job: u64 },
+    /// Records the end of a run.
+    Close { key: RunKey, end: End, saved: Option<Checkpoint> },
+    /// Puts a configuration in force if it is newer than the one held.
+    Configure(Arc<Setup>),
+    /// Removes jobs that ended long ago.
+    Forget(Vec<u64>),
+    /// Begins a repetition that is due.
+    Open { job: u64, round: u32 },
+}
--- /dev/null
+++ b/toucangrade/src/jobs/setup.rs
@@ -0,0 +1,130 @@
+//! Configuration of queues and services, replaced as a whole.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::core::Span;
+
+/// A queue of jobs.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Queue {
+    /// Name of the queue.
+    pub name: Arc<str>,
+    /// Host under which callers reach it.
+    pub host: Arc<str>,
+    /// What its paths begin with.
+    pub prefix: Arc<str>,
+    /// Service whose runners do its work.
+    pub service: Arc<str>,
+    /// 0 comes first.
+    pub priority: u32,
+    /// Failed runs of a task after which its job has failed.
+    pub attempts: u32,
+    /// Objective as a multiple of a job's longest chain of work.
+    pub stretch: f64,
+    /// Time that the objective adds to the stretched chain.
+    pub objective: Span,
+    /// Longest time that a request may take.
+    pub timeout: Span,
+}
+
+/// A pool of runners.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Service {
+    /// Name of the service.
+    pub name: Arc<str>,
+    /// Whether its runners refuse what does not fit.
+    pub guarded: bool,
+    /// Whether its instances are switched off.
+    pub standby: bool,
+}
+
+/// All queues and services.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Setup {
+    /// The highest version is in force.
+    pub version: u64,
+    /// Queues.
+    pub queues: Vec<Queue>,
+    /// Services.
+    pub services: Vec<Service>,
+    /// The configuration as the operator sent it.
+    pub source: Bytes,
+}
+
+/// Why a configuration is refused.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum BadSetup {
+    /// Two queues share a host and prefix.
+    #[error("queues {first:?} and {second:?} share host {host:?} and prefix {prefix:?}")]
+    SamePlace {
+        /// One queue.
+        first: Arc<str>,
+        /// The other queue.
+        second: Arc<str>,
+        /// The host.
+        host: Arc<str>,
+        /// The prefix.
+        prefix: Arc<str>,
+    },
+    /// A timeout is zero.
+    #[error("queue {0:?} has a timeout of 0 ms, it must be at least 1")]
+    Timeout(Arc<str>),
+    /// A queue names a service that does not exist.
+    #[error("queue {queue:?} names service {service:?}, which is not declared")]
+    UnknownService {
+        /// The queue.
+        queue: Arc<str>,
+        /// The service.
+        service: Arc<str>,
+    },
+}
+
+impl Setup {
+    /// Checks what the types leave open.
+    ///
+    /// # Errors
+    ///
+    /// [`BadSetup`] names the queue and the value.
+    pub fn check(&self) -> Result<(), BadSetup> {
+        let services: BTreeSet<&str> = self.services.iter().map(|s| &*s.name).collect();
+        let mut places: BTreeMap<(&str, &str), &Queue> = BTreeMap::new();
+        for queue in &self.queues {
+            if !services.contains(&*queue.service) {
+                let (queue, service) = (queue.name.clone(), queue.service.clone());
+                return Err(BadSetup::UnknownService { queue, service });
+            }
+            if queue.timeout == Span::ZERO {
+                return Err(BadSetup::Timeout(queue.name.clone()));
+            }
+            if let Some(first) = places.insert((&queue.host, &queue.prefix), queue) {
+                let (host, prefix) = (queue.host.clone(), queue.prefix.clone());
+                let (first, second) = (first.name.clone(), queue.name.clone());
+                return Err(BadSetup::SamePlace { first, second, host, prefix });
+            }
+        }
+        Ok(())
+    }
+
+    /// The queue with the longest prefix of `path` under `host`, and the rest of the path.
+    pub fn find<'a>(&self, host: &str, path: &'a str) -> Option<(&Queue, &'a str)> {
+        let matches = self.queues.iter().filter(|queue| *queue.host == *host);
+        matches
+            .filter_map(|queue| Some((queue, path.strip_prefix(&*queue.prefix)?)))
+            .max_by_key(|(queue, _)| queue.prefix.len())
+    }
+
+    /// The queue of this name.
+    pub fn queue(&self, name: &str) -> Option<&Queue> {
+        self.queues.iter().find(|queue| *queue.name == *name)
+    }
+
+    /// The service of this name.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.services.iter().find(|service| *service.name == *name)
+    }
+}
--- a/toucangrade/src/lib.rs
+++ b/toucangrade/src/lib.rs
@@ -11,20 +11,27 @@
 mod claims;
 mod core;
 mod daemon;
+mod dispatch;
 mod eviction;
 mod execution;
 mod history;
+mod hosting;
 mod http;
 mod interference;
+mod jobs;
 mod learned;
 mod limits;
 mod membership;
 mod metrics;
+mod node;
+mod pacing;
 mod partitions;
 mod peer;
 pub mod placement;
 mod platform;
+mod quorum;
 mod quota;
+mod relay;
 mod resources;
 mod retry;
 mod routing;
@@ -38,7 +45,18 @@
     Answer, BadName, Class, Clock, Key, Moment, Name, Refusal, Span, Verdict, Violation,
 };
 pub use crate::daemon::{BadSetting, Role, Settings, parser, run};
+pub use crate::dispatch::{
+    Ask, Denial, Ended, JobState, Nature, Orders, Report, Row, Runner, Start, Told, Verb,
+};
+pub use crate::hosting::{Announcement, Fault, Listing, RunnerTarget};
 pub use crate::http::{
     CallError, Client, Exchange, Handler, Inbound, Outbound, Payload, Response, Server,
 };
+pub use crate::jobs::{
+    BadJob, BadSetup, Checkpoint, End, Job, Life, Need, Queue, RunKey, Schedule, Service, Setup,
+    Step, TaskKey,
+};
+pub use crate::node::{
+    Agent, Control, Done, Elsewhere, Entry, Failed, NodeSettings, NodeSettingsBuilder, RunnerPort,
+};
 pub use crate::simulation::{Report as SimulationReport, try_run as try_simulation};
--- /dev/null
+++ b/toucangrade/src/node/entry.rs
@@ -0,0 +1,77 @@
+//! An entry: takes callers' requests to the leader.
+
+use std::io;
+use std::net::IpAddr;
+
+use thiserror::Error;
+use tokio::sync::oneshot;
+
+use super::leader::{self, Leader};
+use super::{Context, NodeSettings, name_of};
+use crate::core::Span;
+use crate::dispatch::{Ask, Told, Verb};
+use crate::peer::{Reply, Request};
+use crate::relay::Outcome;
+
+/// Why a request has no answer.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+pub enum Failed {
+    /// No control instance has taken it, so it has no effect.
+    #[error("no control instance leads or can be reached, the request has no effect")]
+    NotTaken,
+    /// It is not known whether it takes effect.
+    #[error("no answer came in time, the request may take effect")]
+    Unknown,
+}
+
+/// A running entry.
+#[derive(Clone)]
+pub struct Entry {
+    context: Context,
+    leader: Leader,
+}
+
+impl Entry {
+    /// Starts the duties of an entry.
+    ///
+    /// # Errors
+    ///
+    /// The error of the operating system when a thread can't be started.
+    pub fn start(settings: NodeSettings) -> io::Result<Self> {
+        let context = Context::new(settings)?;
+        let leader = Leader::start(&context)?;
+        Ok(Self { context, leader })
+    }
+
+    /// Has the leader answer a request within the given time.
+    ///
+    /// # Errors
+    ///
+    /// [`Failed`] tells whether it may have had an effect.
+    pub async fn ask(&self, ask: Ask, within: Span) -> Result<Told, Failed> {
+        let deadline = leader::deadline(&self.context, within);
+        // Once a cancellation or a question was sent, nobody gains from an early refusal.
+        let patient = !matches!(ask.verb, Verb::Submit { .. });
+        let (sender, receiver) = oneshot::channel();
+        let done = move |outcome| drop(sender.send(outcome));
+        self.leader.send(Request::Ask(Box::new(ask)), deadline, patient, done);
+        match receiver.await {
+            Ok(Outcome::Reply(reply)) => match *reply {
+                Reply::Told(told) => Ok(told),
+                _ => Err(Failed::Unknown),
+            },
+            Ok(Outcome::NotTaken) => Err(Failed::NotTaken),
+            Ok(Outcome::Unknown) | Err(_) => Err(Failed::Unknown),
+        }
+    }
+
+    /// Whether callers should be sent here.
+    pub fn ready(&self) -> bool {
+        self.leader.reached()
+    }
+
+    /// Replaces the control instances that the settings name.
+    pub fn seeds(&self, seeds: &[IpAddr]) {
+        self.leader.seeds(seeds.iter().filter_map(name_of).collect());
+    }
+}
--- a/toucangrade/src/peer/mod.rs
+++ b/toucangrade/src/peer/mod.rs
@@ -10,6 +10,7 @@
 use crate::agreement;
 use crate::claims;
 use crate::core::{Key, Name, Span};
+use crate::dispatch::{Ask, Orders, Report, Told};
 use crate::execution::{Completion, Hop};
 use crate::history::{Event, Held, Item};
 use crate::http::CallError;
@@ -25,6 +26,8 @@
 pub(crate) enum Request {
     /// A message of the replicated log, from one control instance to another.
     Agree(agreement::PeerMessage),
+    /// A request of a caller or operator about jobs or their configuration.
+    Ask(Box<Ask>),
     /// An agent's heartbeat, to control.
     Beat(Beat),
     /// A command on a claim, from an entry to control.
@@ -32,10 +35,14 @@
     /// A question for the steps of a request, to an entry or a control instance.
     Explain(Key),
     /// A request whose key the other entry owns, and how long its caller still waits.
+    /// Which control instance leads, and which are members.
+    Find,
     Forward { admitted: Box<Admitted>, remaining: Span, hop: Hop },
     /// A question for the name and identity of a control instance's data directory.
     Identify,
     /// A question for durable items that the asking control instance lacks.
+    /// An instance asks to become a member of the control group.
+    Join(agreement::Replica),
     Missing(Vec<Held>),
     /// An operator's request, from a control instance to the leader.
     Operate(Box<Operation>),
@@ -46,6 +53,8 @@
     Poll(Poll),
     /// A question for the outcome of an attempt, or only for clock and load, to an agent.
     Query(Option<Question>),
+    /// An agent reports on its runner's tasks.
+    Report(Box<Report>),
     /// Start of an attempt, to an agent.
     Start(Box<Start>),
     /// An agent's heartbeat about its worker, to control.
@@ -62,6 +71,8 @@
     Beaten(Beaten),
     Claimed(claims::Reply),
     Explained(Vec<Event>),
+    /// Answer to `Find`.
+    Found { leader: Option<Name>, members: Vec<Name> },
     Identity(agreement::Replica),
     /// Durable items, as many as one message may carry.
     Items(Vec<Item>),
@@ -73,10 +84,13 @@
         leader: Option<Name>,
     },
     Operated(Box<Operated>),
+    Ordered(Box<Orders>),
     Orders(Vec<Order>),
     Reported(Reported),
     /// The items are durable at this control instance.
     Stored,
+    /// Answer to `Ask`.
+    Told(Told),
     Completion(Completion),
     Viewed(Box<View>),
 }
