Pack tasks that serve and keep tasks that fill away from them

Ruled out: room (267 of about 410 cores are reserved by lasting tasks). Change: serving tasks go where others serve already, filling ones where none do; pacing logs each change of share with the strain that decided it.

--- a/toucangrade/src/dispatch/log.rs
+++ b/toucangrade/src/dispatch/log.rs
@@ -2,14 +2,14 @@
 
 use tracing::info;
 
-use crate::jobs::{Applied, Command};
+use crate::jobs::{Applied, Command, Job};
 
 pub(super) fn applied(command: &Command, outcome: Applied) {
     let outcome = tracing::field::debug(outcome);
     match command {
         Command::Accept { job, .. } => {
-            let (steps, queue) = (job.steps.len(), &*job.queue);
-            info!(job = format_args!("{:016x}", job.id), queue, steps, outcome, "submit");
+            let (shape, queue) = (shape(job), &*job.queue);
+            info!(job = format_args!("{:016x}", job.id), queue, shape, outcome, "submit");
         },
         Command::Assign { key, life } => {
             info!(run = %key, runner = %life.runner, born = life.born, outcome, "assign");
@@ -25,3 +25,27 @@
         },
     }
 }
+
+/// The steps of a job in short, such as `8x3500m/6400MB~2200ms fills saves`.
+fn shape(job: &Job) -> String {
+    let step = |step: &crate::jobs::Step| {
+        let (count, need) = (step.count, step.need);
+        let mut text = format!(
+            "{count}x{}m/{}MB~{}ms",
+            need.millicores,
+            need.memory,
+            step.estimate.as_millis()
+        );
+        let traits = [
+            (step.checkpoints, " saves"),
+            (step.copies, " copies"),
+            (step.fills, " fills"),
+            (step.gang, " gang"),
+            (step.lasting, " lasts"),
+            (step.spread > 0, " spread"),
+        ];
+        text.extend(traits.iter().filter(|(has, _)| *has).map(|(_, name)| *name));
+        text
+    };
+    job.steps.iter().map(step).collect::<Vec<_>>().join(", ")
+}
--- a/toucangrade/src/dispatch/place.rs
+++ b/toucangrade/src/dispatch/place.rs
@@ -72,8 +72,9 @@
 
 /// The best candidate for a task, by position.
 ///
-/// Counted tasks go where the largest share of the cores stays free, which spreads load and leaves
-/// room for wide tasks; filling tasks go where they get the most cores.
+/// Tasks that serve are packed on few runners, so that others stay free for tasks that fill, which
+/// would disturb them. Tasks that fill go where nothing serves, and there to where they get the
+/// most cores. Other tasks go where the largest share of the cores stays free.
 pub(super) fn choose(candidates: &[Candidate], step: &Step, limits: &Limits<'_>) -> Option<usize> {
     let counted = step.counted();
     let fits = |at: usize, candidate: &Candidate| {
@@ -86,13 +87,16 @@
         let cores = candidate.capacity.millicores.max(1);
         let away = step.rack.is_some() && step.rack.as_ref() != candidate.rack();
         let failed = limits.avoided.contains(&candidate.agent);
-        let room = if step.fills {
+        let left = (candidate.free.millicores - counted.millicores) * 1_000 / cores;
+        let (quiet, room) = if step.fills {
             let share = (candidate.filling + step.need.millicores).max(1);
-            candidate.leftover() * 1_000 / share / u64::from(1 + candidate.serving)
+            (candidate.serving == 0, candidate.leftover() * 1_000 / share)
+        } else if step.target > 0 {
+            (candidate.serving > 0, 1_000 - left)
         } else {
-            (candidate.free.millicores - counted.millicores) * 1_000 / cores
+            (true, left)
         };
-        (!failed, !away, room * 100 / candidate.slowness.max(1))
+        (!failed, !away, quiet, room * 100 / candidate.slowness.max(1))
     };
     let enough = |candidate: &Candidate| {
         let wanted = (candidate.filling + step.need.millicores) * FILL_SHARE_PERCENT / 100;
--- a/toucangrade/src/pacing/mod.rs
+++ b/toucangrade/src/pacing/mod.rs
@@ -68,6 +68,7 @@
             };
             let share = if share < LEAST_SHARE { 0 } else { share };
             if share != self.share {
+                tracing::info!(worst, share, before = self.share, tasks = rows.len(), "pace");
                 (self.share, self.changed) = (share, now);
             }
         }
