Learn which images disturb which and pace by it

Cause: one share for all filling tasks of a runner punished images that disturb nobody. Ruled out: one pressure for each filling image; the same image disturbs one serving image and not the next. Change: slice pressure, a Kalman filter with one variance for each pair, fed by reports at the leader; agents get the table with their orders, and pacing gives harmless images their whole share.

--- a/toucangrade/src/agreement/membership.rs
+++ b/toucangrade/src/agreement/membership.rs
@@ -152,7 +152,8 @@
         let Some(limit) = self.voters else { return };
         let Role::Leader(lead) = &self.role else { return };
         let silent = |name: &Name| {
-            let heard = lead.progress.get(name).map(|p| p.confirmed.unwrap_or(lead.since).max(lead.since));
+            let heard =
+                lead.progress.get(name).map(|p| p.confirmed.unwrap_or(lead.since).max(lead.since));
             heard.is_some_and(|heard| now.since(heard) > VOTER_SILENCE)
         };
         if self.members().voters().count() <= limit
--- a/toucangrade/src/agreement/tests/driver.rs
+++ b/toucangrade/src/agreement/tests/driver.rs
@@ -14,7 +14,8 @@
     for round in 0..2_u64 {
         let handle = Handle::new("agreement");
         let (sender, effects) = mpsc::channel();
-        let settings = Settings { name: name("a"), founders: vec![name("a")], seed: 1, voters: None };
+        let settings =
+            Settings { name: name("a"), founders: vec![name("a")], seed: 1, voters: None };
         let outlets = Outlets {
             send: Box::new(|_, _| {}),
             synced: Box::new(|_| {}),
--- a/toucangrade/src/dispatch/answers.rs
+++ b/toucangrade/src/dispatch/answers.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
+use super::Dispatch;
 use super::message::{Ask, Effect, JobState, Told, Verb};
 use super::settings::STATUS_KEPT_MS;
-use super::Dispatch;
 use crate::jobs::{Applied, Command, Job, Phase, Queue};
 
 /// Jobs that are forgotten with one command.
--- a/toucangrade/src/dispatch/fleet.rs
+++ b/toucangrade/src/dispatch/fleet.rs
@@ -63,6 +63,8 @@
     /// Failures of tasks that had not failed elsewhere, since a task last ended well.
     pub(crate) failures: u32,
     pub(crate) shunned: Moment,
+    /// Version of the estimates of pressure that the agent was sent, and when.
+    pub(crate) table: (u64, Moment),
     /// Estimated slowness against other runners, in percent.
     pub(crate) slowness: u64,
 }
@@ -76,6 +78,7 @@
             parked: None,
             failures: 0,
             shunned: Moment::START,
+            table: (0, Moment::START),
             slowness: 100,
         }
     }
--- a/toucangrade/src/dispatch/message.rs
+++ b/toucangrade/src/dispatch/message.rs
@@ -7,6 +7,7 @@
 
 use crate::core::{Name, Span};
 use crate::jobs::{Book, Checkpoint, Command, End, Life, Need, RunKey, Schedule, Setup, Step};
+use crate::pressure::Table;
 
 /// What a caller or operator asks for.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -195,8 +196,12 @@
 }
 
 /// What pacing has to know about a run.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Nature {
+    /// What it runs; tasks of one image behave alike.
+    pub image: Option<Arc<str>>,
+    /// Millicores that it asks for.
+    pub cores: u64,
     /// Tail latency that the task has to stay below in ms, 0 for none.
     pub target: u64,
     /// Whether it uses cores that others leave unused.
@@ -216,6 +221,8 @@
     pub stops: Vec<RunKey>,
     /// What runs are like that the agent does not know.
     pub natures: Vec<(RunKey, Nature)>,
+    /// New estimates of how images disturb each other.
+    pub table: Option<Box<Table>>,
 }
 
 /// Input of dispatch.
--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -19,13 +19,14 @@
 use serde::Serialize;
 
 use self::fleet::{Fleet, Run, lease_bound};
-pub(crate) use self::message::{Effect, Message};
 pub use self::message::{
     Ask, Denial, Ended, JobState, Nature, Orders, Report, Row, Runner, Start, Told, Verb,
 };
+pub(crate) use self::message::{Effect, Message};
 use self::settings::{BATCH_LIMIT, FLIGHTS_LIMIT, SNAPSHOT_BYTES, SNAPSHOT_COMMANDS};
 use crate::core::{Moment, Name, Span};
 use crate::jobs::{Applied, Book, Command, End, Life, RunKey, TaskKey};
+use crate::pressure::Learner;
 
 /// Time between two ticks.
 pub(crate) const TICK: Span = Span::millis(100);
@@ -51,6 +52,7 @@
     /// Time in ms since 1970.
     wall: u64,
     fleet: Fleet,
+    learner: Learner,
     /// Jobs that are not over.
     #[serde(skip)]
     active: BTreeSet<u64>,
@@ -88,6 +90,7 @@
             leading: false,
             wall: 0,
             fleet: Fleet::default(),
+            learner: Learner::default(),
             active: BTreeSet::new(),
             batch: Vec::new(),
             waiters: Vec::new(),
@@ -263,7 +266,14 @@
     }
 
     /// Removes a run that has ended.
-    fn end(&mut self, now: Moment, key: RunKey, end: End, life: &Life, touched: &mut BTreeSet<Name>) {
+    fn end(
+        &mut self,
+        now: Moment,
+        key: RunKey,
+        end: End,
+        life: &Life,
+        touched: &mut BTreeSet<Name>,
+    ) {
         if let Some(hold) = self.fleet.holds.get_mut(life) {
             hold.runs.remove(&key);
         }
@@ -307,8 +317,7 @@
     /// Derives everything anew from the agreed state.
     fn derive(&mut self, now: Moment) {
         let active = |entry: &crate::jobs::Entry| entry.phase == crate::jobs::Phase::Active;
-        self.active =
-            self.book.jobs.iter().filter(|(_, e)| active(e)).map(|(id, _)| *id).collect();
+        self.active = self.book.jobs.iter().filter(|(_, e)| active(e)).map(|(id, _)| *id).collect();
         self.fleet.holds.clear();
         let mut live = Vec::new();
         for (id, entry) in &self.book.jobs {
@@ -322,9 +331,9 @@
                             index: index as u16,
                         };
                         let runs = task.live.iter();
-                        live.extend(runs.map(|l| {
-                            (RunKey { task: key, run: l.run }, Arc::clone(&l.life))
-                        }));
+                        live.extend(
+                            runs.map(|l| (RunKey { task: key, run: l.run }, Arc::clone(&l.life))),
+                        );
                     }
                 }
             }
@@ -344,6 +353,7 @@
         self.leading = leading;
         if leading {
             self.fleet.workers.clear();
+            self.learner.pause();
             self.derive(now);
             // An earlier leader may have granted leases until now.
             for hold in self.fleet.holds.values_mut() {
--- a/toucangrade/src/dispatch/plan.rs
+++ b/toucangrade/src/dispatch/plan.rs
@@ -4,8 +4,8 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use super::place::{Candidate, Limits, choose};
 use super::Dispatch;
+use super::place::{Candidate, Limits, choose};
 use crate::core::{Moment, Name};
 use crate::jobs::{Command, Entry, Job, Life, Need, Phase, Queue, RunKey, Setup, TaskKey};
 
--- a/toucangrade/src/dispatch/reports.rs
+++ b/toucangrade/src/dispatch/reports.rs
@@ -1,11 +1,12 @@
 //! What agents report, and the orders they get.
 
+use super::Dispatch;
 use super::fleet::{Parked, Worker, lease_bound};
 use super::message::{Effect, Nature, Orders, Report, Start};
-use super::settings::{GRANT, PARK_LIMIT};
-use super::Dispatch;
+use super::settings::{GRANT, PARK_LIMIT, TABLE_EVERY};
 use crate::core::{Moment, Name};
 use crate::jobs::{Checkpoint, Command, End, Life, Phase, RunKey};
+use crate::pressure::{Sample, Serving, Table};
 
 impl Dispatch {
     pub(super) fn report(&mut self, now: Moment, ticket: u64, report: Report) {
@@ -20,6 +21,7 @@
         if let Some(life) = &life {
             self.fleet.hold(life, now).bound = lease_bound(now);
             self.take_rows(now, life, &report);
+            self.learn(now, &report);
             self.take_ends(life, &report);
         }
         let worker = self.fleet.workers.entry(agent.clone());
@@ -62,6 +64,26 @@
         }
     }
 
+    /// Learns from the figures of tasks that share a runner.
+    fn learn(&mut self, now: Moment, report: &Report) {
+        let Some(runner) = &report.runner else { return };
+        let cores = runner.capacity.millicores.max(1) as f64;
+        let mut sample = Sample::default();
+        for row in &report.rows {
+            let Some(nature) = self.nature(row.key) else { continue };
+            let Some(image) = nature.image else { continue };
+            if nature.fills {
+                *sample.filling.entry(image).or_default() += f64::from(row.figure) / cores;
+            } else if nature.target > 0 {
+                let (figure, target) = (u64::from(row.figure), nature.target);
+                sample.serving.push(Serving { key: row.key, image, figure, target });
+            }
+        }
+        if !sample.serving.is_empty() {
+            self.learner.observe(now, &report.agent, sample);
+        }
+    }
+
     /// Has the ends of runs recorded.
     fn take_ends(&mut self, life: &Life, report: &Report) {
         for ended in &report.ended {
@@ -118,7 +140,7 @@
             }
         }
         for (ticket, agent) in due {
-            let orders = self.orders(&agent);
+            let orders = self.orders(&agent, now);
             self.out.push(Effect::Orders { ticket, orders: Some(Box::new(orders)) });
         }
     }
@@ -128,9 +150,12 @@
         let Some(worker) = self.fleet.workers.get(agent) else { return };
         let Some(parked) = worker.parked else { return };
         let last = worker.report.ended.iter().map(|ended| ended.number).max();
-        let orders = self.orders(agent);
+        let orders = self.orders(agent, now);
         let noted = last.is_some() && Some(orders.noted) == last;
-        if orders.starts.is_empty() && orders.stops.is_empty() && !noted
+        if orders.starts.is_empty()
+            && orders.stops.is_empty()
+            && orders.table.is_none()
+            && !noted
             && now.since(parked.since) < PARK_LIMIT
         {
             return;
@@ -146,10 +171,12 @@
     ///
     /// Orders follow from the difference between the agreed state and the report alone, so a lost
     /// answer is made good by the next.
-    fn orders(&self, agent: &Name) -> Orders {
+    fn orders(&mut self, agent: &Name, now: Moment) -> Orders {
+        let table = self.table_for(agent, now);
         let Some(worker) = self.fleet.workers.get(agent) else { return Orders::default() };
         let Some(runner) = worker.runner() else { return Orders::default() };
-        let mut orders = Orders { until: Some(runner.clock + GRANT.as_millis()), ..Orders::default() };
+        let until = Some(runner.clock + GRANT.as_millis());
+        let mut orders = Orders { until, table, ..Orders::default() };
         let hold = self.fleet.holds.get(&runner.life);
         let live = |key: &RunKey| hold.is_some_and(|hold| hold.runs.contains_key(key));
         let mut ended: Vec<_> = worker.report.ended.iter().map(|e| (e.number, e.key)).collect();
@@ -183,6 +210,18 @@
         orders
     }
 
+    /// The table of pressures if the agent lacks the newest.
+    fn table_for(&mut self, agent: &Name, now: Moment) -> Option<Box<Table>> {
+        let worker = self.fleet.workers.get_mut(agent)?;
+        let (version, sent) = worker.table;
+        let due = sent == Moment::START || now.since(sent) >= TABLE_EVERY;
+        if version == self.learner.version || !due {
+            return None;
+        }
+        worker.table = (self.learner.version, now);
+        Some(Box::new(self.learner.table.clone()))
+    }
+
     /// Whether a live run is to go on.
     fn wanted(&self, key: RunKey, life: &Life) -> bool {
         let Some(entry) = self.book.jobs.get(&key.task.job) else { return false };
@@ -194,7 +233,8 @@
     fn nature(&self, key: RunKey) -> Option<Nature> {
         let entry = self.book.jobs.get(&key.task.job)?;
         let step = entry.job.steps.get(usize::from(key.task.step))?;
-        Some(Nature { target: step.target, fills: step.fills })
+        let (image, cores) = (step.image.clone(), step.need.millicores);
+        Some(Nature { image, cores, target: step.target, fills: step.fills })
     }
 
     fn start(&self, key: RunKey) -> Option<Start> {
--- a/toucangrade/src/dispatch/settings.rs
+++ b/toucangrade/src/dispatch/settings.rs
@@ -28,3 +28,5 @@
 /// 128 MB and is replayed in well under a second.
 pub(crate) const SNAPSHOT_COMMANDS: usize = 20_000;
 pub(crate) const SNAPSHOT_BYTES: usize = 8 * 1024 * 1024;
+/// Time between two tables of pressures for one agent, a few kilobytes each.
+pub(crate) const TABLE_EVERY: Span = Span::millis(1_500);
--- a/toucangrade/src/hosting/mod.rs
+++ b/toucangrade/src/hosting/mod.rs
@@ -12,8 +12,8 @@
 use serde::Serialize;
 
 use self::message::Target;
-pub(crate) use self::message::{Effect, Message};
 pub use self::message::{Announcement, Fault, Listing, Target as RunnerTarget};
+pub(crate) use self::message::{Effect, Message};
 use self::orders::Handling;
 use crate::core::{Moment, Name, Span};
 use crate::dispatch::{Denial, Nature, Report, Runner};
@@ -211,7 +211,8 @@
         if rows.iter().any(|row| !self.natures.contains_key(&row.key)) {
             self.amnesia = true;
         }
-        let changes = self.pacing.step(now, rows, &self.natures);
+        let cores = known.announced.capacity.millicores;
+        let changes = self.pacing.step(now, cores, rows, &self.natures);
         let Some(target) = self.target() else { return };
         for (key, percent) in changes {
             self.out.push(Effect::Pace { target: target.clone(), key, percent });
--- a/toucangrade/src/hosting/orders.rs
+++ b/toucangrade/src/hosting/orders.rs
@@ -2,8 +2,8 @@
 
 use serde::Serialize;
 
-use super::message::{Effect, Fault};
 use super::Hosting;
+use super::message::{Effect, Fault};
 use crate::core::{Moment, Span};
 use crate::dispatch::{Denial, Orders, Start};
 use crate::jobs::RunKey;
@@ -70,6 +70,9 @@
             self.amnesia = false;
         }
         self.natures.extend(orders.natures);
+        if let Some(table) = orders.table {
+            self.pacing.learn(*table);
+        }
         let listed = self.listed_runs();
         for start in orders.starts {
             let key = start.key;
@@ -79,7 +82,7 @@
             {
                 continue;
             }
-            self.natures.insert(key, start.nature);
+            self.natures.insert(key, start.nature.clone());
             let stage = Stage::Start(Box::new(start));
             self.handling.insert(key, Handling::new(stage, Denial::Stopped));
         }
@@ -159,10 +162,9 @@
         if !matches!(handling.stage, Stage::Stop) {
             return;
         }
-        match result {
-            Ok(()) => handling.stage = Stage::Stopped { at: now },
-            // It is sent again on a later tick.
-            Err(_) => {},
+        // A stop without an answer is sent again on a later tick.
+        if result.is_ok() {
+            handling.stage = Stage::Stopped { at: now };
         }
     }
 
@@ -175,9 +177,7 @@
         let mut gone = Vec::new();
         self.handling.retain(|key, handling| match handling.stage {
             Stage::Start(_) => !running.contains(key) && !ended.contains(key),
-            Stage::Started { at } => {
-                !running.contains(key) && !ended.contains(key) && asked <= at
-            },
+            Stage::Started { at } => !running.contains(key) && !ended.contains(key) && asked <= at,
             Stage::Stop => !ended.contains(key),
             Stage::Stopped { at } => {
                 if ended.contains(key) {
--- a/toucangrade/src/jobs/book.rs
+++ b/toucangrade/src/jobs/book.rs
@@ -206,9 +206,10 @@
         let Some(entry) = entry else { return Applied::Stale };
         let job = Arc::clone(&entry.job);
         let step = usize::from(key.task.step);
-        let ready = entry.rounds.get(&key.task.round).is_some_and(|round| {
-            step < job.steps.len() && round.ready(&job, step)
-        });
+        let ready = entry
+            .rounds
+            .get(&key.task.round)
+            .is_some_and(|round| step < job.steps.len() && round.ready(&job, step));
         let limit = if job.steps.get(step).is_some_and(|s| s.copies) { COPIES_LIMIT } else { 1 };
         let Some(task) = entry.task_mut(key.task) else { return Applied::Stale };
         if !ready || task.done || task.live.len() >= limit || key.run != task.runs + 1 {
--- a/toucangrade/src/jobs/declared.rs
+++ b/toucangrade/src/jobs/declared.rs
@@ -185,8 +185,7 @@
         for later in (0..self.steps.len()).rev() {
             for &earlier in &self.steps[later].after {
                 let earlier = usize::from(earlier);
-                chains[earlier] =
-                    chains[earlier].max(self.steps[earlier].estimate + chains[later]);
+                chains[earlier] = chains[earlier].max(self.steps[earlier].estimate + chains[later]);
             }
         }
         chains
--- a/toucangrade/src/lib.rs
+++ b/toucangrade/src/lib.rs
@@ -29,6 +29,7 @@
 mod peer;
 pub mod placement;
 mod platform;
+mod pressure;
 mod quorum;
 mod quota;
 mod relay;
@@ -59,4 +60,5 @@
 pub use crate::node::{
     Agent, Control, Done, Elsewhere, Entry, Failed, NodeSettings, NodeSettingsBuilder, RunnerPort,
 };
+pub use crate::pressure::{Pressure, Table};
 pub use crate::simulation::{Report as SimulationReport, try_run as try_simulation};
--- a/toucangrade/src/node/agent.rs
+++ b/toucangrade/src/node/agent.rs
@@ -23,6 +23,8 @@
 
 /// Asks for the listing: acknowledged ends, end of the lease and the longest wait.
 type List = Box<dyn Fn(Target, u64, Option<u64>, Span, Done<Listing>) + Send + Sync>;
+/// Starts a run under a lease that ends at a time in ms on the runner's clock.
+type Begin = Box<dyn Fn(Target, &Start, u64, Done<()>) + Send + Sync>;
 
 /// How the runner is called.
 pub struct RunnerPort {
@@ -32,7 +34,7 @@
     /// Lets a task work at a share, in percent.
     pub pace: Box<dyn Fn(Target, RunKey, u8) + Send + Sync>,
     /// Starts a run under a lease that ends at a time in ms on the runner's clock.
-    pub start: Box<dyn Fn(Target, &Start, u64, Done<()>) + Send + Sync>,
+    pub start: Begin,
     /// Stops a run, or keeps it from being started.
     pub stop: Box<dyn Fn(Target, RunKey, Done<()>) + Send + Sync>,
 }
--- a/toucangrade/src/node/control.rs
+++ b/toucangrade/src/node/control.rs
@@ -314,7 +314,9 @@
                     return Outbound::new(404, "no such path or method");
                 }
                 match peer::decode(&call.body) {
-                    Some(request) => Outbound::new(200, peer::encode(&control.serve(request).await)),
+                    Some(request) => {
+                        Outbound::new(200, peer::encode(&control.serve(request).await))
+                    },
                     None => Outbound::new(400, "not a message of this protocol"),
                 }
             })
@@ -340,7 +342,9 @@
                 Reply::Found { leader: group.leader.clone(), members }
             },
             Request::Join(replica) => self.taken_in(replica),
-            Request::Report(report) => self.report(report).await.map_or_else(refused, Reply::Ordered),
+            Request::Report(report) => {
+                self.report(report).await.map_or_else(refused, Reply::Ordered)
+            },
             _ => refused(self.elsewhere()),
         }
     }
--- a/toucangrade/src/node/leader.rs
+++ b/toucangrade/src/node/leader.rs
@@ -36,8 +36,7 @@
             reached: Arc::new(AtomicBool::new(false)),
         };
         let state = Relay::new(context.settings.seeds());
-        let duty =
-            Duty { state, step: Relay::step, tick: || Message::Tick, period: relay::TICK };
+        let duty = Duty { state, step: Relay::step, tick: || Message::Tick, period: relay::TICK };
         let (context_, this) = (context.clone(), leader.clone());
         duty.spawn(&leader.handle, context.clock.clone(), move |_, effect| {
             this.perform(&context_, effect);
@@ -55,9 +54,11 @@
                 };
                 let exchange = Exchange::post(addr, peer::PATH, peer::encode(&*request), timeout);
                 context.client.send(exchange, move |result| {
-                    answer(result.and_then(|response| {
-                        peer::decode(&response.body).ok_or(CallError::Lost)
-                    }));
+                    answer(
+                        result.and_then(|response| {
+                            peer::decode(&response.body).ok_or(CallError::Lost)
+                        }),
+                    );
                 });
             },
             Effect::Done { ticket, outcome } => {
--- a/toucangrade/src/node/mod.rs
+++ b/toucangrade/src/node/mod.rs
@@ -47,8 +47,7 @@
 impl NodeSettings {
     /// Settings with the process's own address and the port of control instances.
     pub fn builder(ip: IpAddr, port: u16) -> NodeSettingsBuilder {
-        let settings =
-            Self { ip, port, seeds: Vec::new(), first: false, data: None, losses: 1 };
+        let settings = Self { ip, port, seeds: Vec::new(), first: false, data: None, losses: 1 };
         NodeSettingsBuilder(settings)
     }
 
--- a/toucangrade/src/pacing/mod.rs
+++ b/toucangrade/src/pacing/mod.rs
@@ -4,84 +4,187 @@
 mod tests;
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use serde::Serialize;
 
 use crate::core::{Moment, Span};
 use crate::dispatch::{Nature, Row};
 use crate::jobs::RunKey;
+use crate::pressure::Table;
 
-/// Tail latency as a share of its target, in percent, above which filling tasks are slowed down.
-/// Latency grows steeply near saturation and the figures are half a second old.
-const HIGH_PERCENT: u64 = 75;
-/// Share below which they may work faster again; the gap keeps the control from oscillating.
-const LOW_PERCENT: u64 = 50;
-/// Share at which filling tasks work after a slow-down, relative to before.
-const DECREASE_PERCENT: u64 = 50;
-/// Points by which the share grows at a time.
-const INCREASE: u64 = 15;
+/// Part of its target that a tail latency should stay below, in percent. Latency grows steeply near
+/// saturation and figures are half a second old.
+const AIM_PERCENT: u64 = 80;
+/// Pressures below this are taken for none, so that tasks which disturb nobody are never slowed
+/// down: at half of a runner's cores it adds 5% of load.
+const HARMLESS: f64 = 0.1;
+/// Standard deviations by which an estimate of pressure is taken higher.
+const CAUTION: f64 = 0.5;
+/// Points by which a share may grow at a time.
+const GROWTH: u8 = 30;
 /// A share below this is taken as none: the task would disturb others and get nowhere.
-const LEAST_SHARE: u64 = 12;
+const LEAST_SHARE: u8 = 10;
+/// Change of a share in points below which the runner isn't told.
+const LEAST_CHANGE: u8 = 5;
 /// Time between two changes, in which one shows in the figures: they are averages over 0.5 s.
-const SETTLE: Span = Span::millis(600);
+const SETTLE: Span = Span::millis(450);
+/// Time over a target after which nothing that fills works any more, whatever the estimates say.
+const PATIENCE: Span = Span::millis(2_000);
+
+/// A task that fills.
+struct Filling {
+    key: RunKey,
+    image: Arc<str>,
+    /// Part of the runner's cores that it asks for, and that it uses.
+    asked: f64,
+    used: f64,
+}
+
+/// Load that a task which serves may still be given.
+struct Headroom {
+    image: Arc<str>,
+    left: f64,
+}
 
 /// State of the control loop on one runner.
-#[derive(Debug, Serialize)]
+#[derive(Debug, Default, Serialize)]
 pub(crate) struct Pacing {
-    /// Share of all filling tasks, in percent.
-    share: u64,
+    #[serde(skip)]
+    table: Table,
+    /// Millicores of the runner.
+    cores: u64,
     changed: Moment,
     /// Share that each run was last told.
     told: BTreeMap<RunKey, u8>,
+    /// Since when each run is over its target.
+    over: BTreeMap<RunKey, Moment>,
 }
 
-impl Default for Pacing {
-    fn default() -> Self {
-        Self { share: 100, changed: Moment::START, told: BTreeMap::new() }
+impl Pacing {
+    /// Replaces the estimates.
+    pub(crate) fn learn(&mut self, table: Table) {
+        self.table = table;
     }
-}
 
-impl Pacing {
     /// Takes the newest figures and gives the runs whose share changes.
     ///
-    /// Additive increase and multiplicative decrease of one share for all filling tasks.
+    /// Images that disturb least are served first: each gets the largest share that leaves every
+    /// task that serves below its aim, as far as the estimates tell.
     pub(crate) fn step(
         &mut self,
         now: Moment,
+        cores: u64,
         rows: &[Row],
         natures: &BTreeMap<RunKey, Nature>,
     ) -> Vec<(RunKey, u8)> {
-        let nature = |row: &Row| natures.get(&row.key).copied().unwrap_or_default();
-        let strain = |row: &Row| {
-            let target = nature(row).target;
-            (target > 0).then(|| u64::from(row.figure) * 100 / target)
-        };
-        let worst = rows.iter().filter_map(strain).max().unwrap_or(0);
-        if now.since(self.changed) >= SETTLE {
-            let share = if worst >= HIGH_PERCENT {
-                let lower = self.share * DECREASE_PERCENT / 100;
-                if lower < LEAST_SHARE || worst >= 100 { lower / 2 } else { lower }
-            } else if worst < LOW_PERCENT {
-                (self.share + INCREASE).min(100)
-            } else {
-                self.share
-            };
-            let share = if share < LEAST_SHARE { 0 } else { share };
-            if share != self.share {
-                tracing::info!(worst, share, before = self.share, tasks = rows.len(), "pace");
-                (self.share, self.changed) = (share, now);
-            }
-        }
-        let share = self.share as u8;
+        self.cores = cores;
         self.told.retain(|key, _| rows.iter().any(|row| row.key == *key));
+        self.note_over(now, rows, natures);
+        let fresh = rows.iter().any(|row| {
+            !self.told.contains_key(&row.key) && natures.get(&row.key).is_some_and(|n| n.fills)
+        });
+        if !fresh && now.since(self.changed) < SETTLE {
+            return Vec::new();
+        }
+        self.changed = now;
+        let filling = self.filling(rows, natures);
+        let mut headroom = self.headroom(rows, natures, &filling);
+        let harmed = self.over.values().any(|since| now.since(*since) >= PATIENCE);
+        let mut order: Vec<(f64, &Filling)> =
+            filling.iter().map(|task| (self.clash(&task.image, &headroom), task)).collect();
+        order.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.key.cmp(&b.1.key)));
         let mut changes = Vec::new();
-        for row in rows.iter().filter(|row| nature(row).fills) {
-            // Tasks start at their full share.
-            let told = self.told.insert(row.key, share).unwrap_or(100);
-            if told != share {
-                changes.push((row.key, share));
+        for (clash, task) in order {
+            let before = self.told.get(&task.key).copied();
+            let mut share = if harmed { 0 } else { self.share(task, &headroom) };
+            let known = before.unwrap_or(100);
+            if before.is_some() {
+                share = share.min(known.saturating_add(GROWTH));
+            }
+            let small = share.abs_diff(known) < LEAST_CHANGE && share != 0 && share != 100;
+            let share = if small { known } else { share };
+            self.spend(task, share, &mut headroom);
+            self.told.insert(task.key, share);
+            if share != known {
+                tracing::info!(run = %task.key, share, before = known, clash, harmed, "pace");
+                changes.push((task.key, share));
             }
         }
         changes
     }
+
+    fn note_over(&mut self, now: Moment, rows: &[Row], natures: &BTreeMap<RunKey, Nature>) {
+        let target = |row: &Row| natures.get(&row.key).map_or(0, |nature| nature.target);
+        let over = |row: &&Row| target(row) > 0 && u64::from(row.figure) >= target(row);
+        let keys: Vec<RunKey> = rows.iter().filter(over).map(|row| row.key).collect();
+        self.over.retain(|key, _| keys.contains(key));
+        for key in keys {
+            self.over.entry(key).or_insert(now);
+        }
+    }
+
+    fn filling(&self, rows: &[Row], natures: &BTreeMap<RunKey, Nature>) -> Vec<Filling> {
+        let part = |millicores: u64| millicores as f64 / self.cores.max(1) as f64;
+        let filling = rows.iter().filter_map(|row| {
+            let nature = natures.get(&row.key).filter(|nature| nature.fills)?;
+            Some(Filling {
+                key: row.key,
+                image: nature.image.clone().unwrap_or_default(),
+                asked: part(nature.cores),
+                used: part(u64::from(row.figure)),
+            })
+        });
+        filling.collect()
+    }
+
+    /// Load that each task which serves could be given if nothing filled.
+    fn headroom(
+        &self,
+        rows: &[Row],
+        natures: &BTreeMap<RunKey, Nature>,
+        filling: &[Filling],
+    ) -> Vec<Headroom> {
+        let serving = rows.iter().filter_map(|row| {
+            let nature = natures.get(&row.key).filter(|nature| nature.target > 0)?;
+            let image = nature.image.clone().unwrap_or_default();
+            let aim = nature.target * AIM_PERCENT / 100;
+            let allowed = self.table.load(&image, aim, nature.target);
+            let load = self.table.load(&image, u64::from(row.figure), nature.target);
+            let added: f64 =
+                filling.iter().map(|t| self.table.pressure(&image, &t.image).mean * t.used).sum();
+            Some(Headroom { image, left: allowed - (load - added).max(0.0) })
+        });
+        serving.collect()
+    }
+
+    fn pressure(&self, serving: &str, filling: &str) -> f64 {
+        let pressure = self.table.pressure(serving, filling);
+        let cautious = pressure.mean + CAUTION * pressure.variance.sqrt();
+        if pressure.mean < HARMLESS { 0.0 } else { cautious }
+    }
+
+    /// How much of the tightest headroom an image would take per share of the cores.
+    fn clash(&self, image: &str, headroom: &[Headroom]) -> f64 {
+        let clash = |h: &Headroom| self.pressure(&h.image, image) / h.left.max(0.01);
+        headroom.iter().map(clash).fold(0.0, f64::max)
+    }
+
+    /// The largest share of a task that every headroom allows, in percent.
+    fn share(&self, task: &Filling, headroom: &[Headroom]) -> u8 {
+        let allowed = |h: &Headroom| {
+            let added = self.pressure(&h.image, &task.image) * task.asked;
+            if added > 0.0 { h.left.max(0.0) / added } else { 1.0 }
+        };
+        let part = headroom.iter().map(allowed).fold(1.0, f64::min);
+        let share = (part * 100.0) as u8;
+        if share < LEAST_SHARE { 0 } else { share }
+    }
+
+    fn spend(&self, task: &Filling, share: u8, headroom: &mut [Headroom]) {
+        for h in headroom {
+            let added = self.pressure(&h.image, &task.image) * task.asked;
+            h.left -= added * f64::from(share) / 100.0;
+        }
+    }
 }
--- a/toucangrade/src/peer/mod.rs
+++ b/toucangrade/src/peer/mod.rs
@@ -37,7 +37,11 @@
     /// A request whose key the other entry owns, and how long its caller still waits.
     /// Which control instance leads, and which are members.
     Find,
-    Forward { admitted: Box<Admitted>, remaining: Span, hop: Hop },
+    Forward {
+        admitted: Box<Admitted>,
+        remaining: Span,
+        hop: Hop,
+    },
     /// A question for the name and identity of a control instance's data directory.
     Identify,
     /// A question for durable items that the asking control instance lacks.
@@ -48,7 +52,10 @@
     Operate(Box<Operation>),
     /// A question for the open claims of partitions that the entry owns, to control, after the
     /// given partition and key.
-    Open { partitions: Vec<u32>, after: Option<(u32, Key)> },
+    Open {
+        partitions: Vec<u32>,
+        after: Option<(u32, Key)>,
+    },
     /// An entry's poll, to control.
     Poll(Poll),
     /// A question for the outcome of an attempt, or only for clock and load, to an agent.
@@ -72,7 +79,10 @@
     Claimed(claims::Reply),
     Explained(Vec<Event>),
     /// Answer to `Find`.
-    Found { leader: Option<Name>, members: Vec<Name> },
+    Found {
+        leader: Option<Name>,
+        members: Vec<Name>,
+    },
     Identity(agreement::Replica),
     /// Durable items, as many as one message may carry.
     Items(Vec<Item>),
--- a/toucangrade/src/relay/mod.rs
+++ b/toucangrade/src/relay/mod.rs
@@ -248,7 +248,8 @@
         }
         if let Some(pending) = ticket.and_then(|ticket| self.pending.get_mut(&ticket)) {
             pending.uncertain |= uncertain;
-            let untried = self.leader.as_ref().is_some_and(|leader| !pending.asked.contains(leader));
+            let untried =
+                self.leader.as_ref().is_some_and(|leader| !pending.asked.contains(leader));
             pending.next = Some(if untried { now } else { now + PAUSE });
         }
     }
