Take agents' reports in order and remember ended jobs from their end

Ruled out: leases (none had ended), the frozen leader (its proposals were refused) and late orders. The state of a job is kept from its end, not from its acceptance. Tests of dispatch; the first was seen to fail before.

--- a/toucangrade/src/dispatch/answers.rs
+++ b/toucangrade/src/dispatch/answers.rs
@@ -130,19 +130,12 @@
 
     /// Forgets jobs that ended long ago.
     pub(super) fn forget(&mut self) {
-        let old = |entry: &crate::jobs::Entry| {
-            entry.phase != Phase::Active
-                && entry.rounds.is_empty()
-                && entry.wall + STATUS_KEPT_MS < self.wall
+        let old = |id: &u64, ended: u64| {
+            let live = self.book.jobs.get(id).is_some_and(|entry| !entry.rounds.is_empty());
+            ended + STATUS_KEPT_MS < self.wall && !live
         };
-        let jobs: Vec<u64> = self
-            .book
-            .jobs
-            .iter()
-            .filter(|(_, entry)| old(entry))
-            .map(|(id, _)| *id)
-            .take(FORGET_LIMIT)
-            .collect();
+        let old = self.ended.iter().filter(|(id, ended)| old(id, **ended));
+        let jobs: Vec<u64> = old.map(|(id, _)| *id).take(FORGET_LIMIT).collect();
         if !jobs.is_empty() {
             self.propose(Command::Forget(jobs), None);
         }
--- a/toucangrade/src/dispatch/fleet.rs
+++ b/toucangrade/src/dispatch/fleet.rs
@@ -83,6 +83,15 @@
         }
     }
 
+    /// Whether a newer report was taken in before. An agent that was silent for long may have
+    /// restarted after its clock stepped back.
+    pub(crate) fn overtaken(&self, report: &Report, now: Moment) -> bool {
+        let newest = (self.report.incarnation, self.report.seq);
+        let silent = now.since(self.heard) >= SILENCE_LIMIT;
+        (report.incarnation, report.seq) <= newest
+            && (report.incarnation == self.report.incarnation || !silent)
+    }
+
     pub(crate) fn update(&mut self, report: Report, now: Moment) {
         if self.life() != report.runner.as_ref().map(|runner| &runner.life) {
             (self.failures, self.slowness, self.shunned) = (0, 100, Moment::START);
--- a/toucangrade/src/dispatch/message.rs
+++ b/toucangrade/src/dispatch/message.rs
@@ -162,7 +162,9 @@
 pub struct Report {
     /// The agent.
     pub agent: Name,
-    /// Number of the report, rising.
+    /// Start of the agent's process in ms since 1970.
+    pub incarnation: u64,
+    /// Number of the report, rising within an incarnation.
     pub seq: u64,
     /// Its runner, when one is known.
     pub runner: Option<Runner>,
--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -71,6 +71,9 @@
     /// Cancellations and repetitions that are proposed.
     #[serde(skip)]
     opening: BTreeSet<(u64, u32)>,
+    /// When this leader learned that a job is over, in ms since 1970.
+    #[serde(skip)]
+    ended: BTreeMap<u64, u64>,
     /// Agents on which each task has failed.
     #[serde(skip)]
     avoided: BTreeMap<TaskKey, Vec<Name>>,
@@ -99,6 +102,7 @@
             assigning: BTreeMap::new(),
             closing: BTreeSet::new(),
             opening: BTreeSet::new(),
+            ended: BTreeMap::new(),
             avoided: BTreeMap::new(),
             dirty: false,
             growth: (0, 0),
@@ -236,7 +240,8 @@
             Command::Open { job, round } => {
                 self.opening.remove(&(*job, *round));
             },
-            Command::Configure(_) | Command::Forget(_) => {},
+            Command::Forget(jobs) => self.ended.retain(|id, _| !jobs.contains(id)),
+            Command::Configure(_) => {},
         }
         applied
     }
@@ -298,6 +303,7 @@
         let over = |entry: &crate::jobs::Entry| entry.phase != crate::jobs::Phase::Active;
         if self.book.jobs.get(&job).is_none_or(over) && self.active.remove(&job) {
             self.avoided.retain(|task, _| task.job != job);
+            self.ended.insert(job, self.wall);
             let range = run_range(job);
             for (life, hold) in &self.fleet.holds {
                 if hold.runs.range(range.clone()).next().is_some() {
--- a/toucangrade/src/dispatch/reports.rs
+++ b/toucangrade/src/dispatch/reports.rs
@@ -14,6 +14,9 @@
             return self.out.push(Effect::Orders { ticket, orders: None });
         }
         let agent = report.agent.clone();
+        if self.fleet.workers.get(&agent).is_some_and(|worker| worker.overtaken(&report, now)) {
+            return self.out.push(Effect::Orders { ticket, orders: Some(Box::default()) });
+        }
         let life = report.runner.as_ref().map(|runner| runner.life.clone());
         for over in self.fleet.replaced(&agent, life.as_ref()) {
             self.close_all(&over);
--- a/toucangrade/src/dispatch/tests.rs
+++ b/toucangrade/src/dispatch/tests.rs
@@ -1,1 +1,598 @@
+//! Tests of dispatch against a log that commits at once and agents that are played by hand.
 
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use rstest::rstest;
+
+use super::*;
+use crate::jobs::{Need, Queue, Service, Setup, Step};
+
+const SERVICE: &str = "pew-atelier";
+
+/// A leader, and what it told its callers and agents.
+pub(super) struct World {
+    pub(super) dispatch: Dispatch,
+    now: Moment,
+    index: u64,
+    told: BTreeMap<u64, Option<Told>>,
+    orders: BTreeMap<u64, Option<Box<Orders>>>,
+    ticket: u64,
+    /// Whether proposals are held back.
+    hold: bool,
+    held: Vec<(u64, Vec<Command>)>,
+}
+
+pub(super) fn name(text: &str) -> Name {
+    Name::new(text).expect("a name")
+}
+
+fn setup(version: u64) -> Setup {
+    let queue = |name: &str, priority| Queue {
+        name: name.into(),
+        host: "shop.example".into(),
+        prefix: format!("/{name}/").into(),
+        service: SERVICE.into(),
+        priority,
+        attempts: 3,
+        stretch: 2.0,
+        objective: Span::secs(1),
+        timeout: Span::secs(3),
+    };
+    Setup {
+        version,
+        queues: vec![queue("match", 0), queue("recon", 2)],
+        services: vec![Service { name: SERVICE.into(), guarded: true, standby: false }],
+        source: Bytes::from_static(b"{}"),
+    }
+}
+
+pub(super) fn step(count: u32, millicores: u64) -> Step {
+    Step {
+        count,
+        need: Need { millicores, memory: 100, accelerators: 0 },
+        estimate: Span::millis(500),
+        ..Step::default()
+    }
+}
+
+pub(super) fn life(runner: &str, born: u64) -> Life {
+    Life { runner: name(runner), born }
+}
+
+pub(super) fn key(job: u64, step: u16, index: u16, run: u32) -> RunKey {
+    RunKey { task: TaskKey { job, round: 0, step, index }, run }
+}
+
+pub(super) fn report(agent: &str, seq: u64, life: &Life) -> Report {
+    Report {
+        agent: name(agent),
+        incarnation: 1,
+        seq,
+        runner: Some(Runner {
+            life: life.clone(),
+            service: SERVICE.into(),
+            centre: "ljubljana-a".into(),
+            labels: vec!["a".into(), "r1".into()],
+            capacity: Need { millicores: 4_000, memory: 10_000, accelerators: 0 },
+            draining: false,
+            clock: 1_000,
+        }),
+        rows: Vec::new(),
+        handling: Vec::new(),
+        stopping: Vec::new(),
+        ended: Vec::new(),
+        denied: Vec::new(),
+        silent: Span::ZERO,
+        amnesia: false,
+    }
+}
+
+impl World {
+    pub(super) fn new() -> Self {
+        let mut world = Self {
+            dispatch: Dispatch::new(),
+            now: Moment::micros(1_000_000),
+            index: 0,
+            told: BTreeMap::new(),
+            orders: BTreeMap::new(),
+            ticket: 0,
+            hold: false,
+            held: Vec::new(),
+        };
+        world.send(Message::Lead { leading: true });
+        world.ask("", Verb::Configure(Arc::new(setup(1))), None);
+        world
+    }
+
+    pub(super) fn send(&mut self, message: Message) {
+        let mut queue = self.dispatch.step(self.now, message);
+        while !queue.is_empty() {
+            for effect in std::mem::take(&mut queue) {
+                match effect {
+                    Effect::Propose { ticket, commands } if self.hold => {
+                        self.held.push((ticket, commands));
+                    },
+                    Effect::Propose { ticket, commands } => {
+                        queue.extend(self.commit(ticket, commands));
+                    },
+                    Effect::Orders { ticket, orders } => {
+                        self.orders.insert(ticket, orders);
+                    },
+                    Effect::Snapshot { .. } => {},
+                    Effect::Told { ticket, told } => {
+                        self.told.insert(ticket, told);
+                    },
+                }
+            }
+        }
+    }
+
+    fn commit(&mut self, ticket: u64, commands: Vec<Command>) -> Vec<Effect> {
+        self.index += 1;
+        let message =
+            Message::Commit { index: self.index, ticket: Some(ticket), commands, bytes: 0 };
+        self.dispatch.step(self.now, message)
+    }
+
+    fn release(&mut self) {
+        self.hold = false;
+        for (ticket, commands) in std::mem::take(&mut self.held) {
+            self.index += 1;
+            let message =
+                Message::Commit { index: self.index, ticket: Some(ticket), commands, bytes: 0 };
+            self.send(message);
+        }
+    }
+
+    pub(super) fn ask(&mut self, path: &str, verb: Verb, job: Option<u64>) -> u64 {
+        self.ticket += 1;
+        let ask = Ask { host: "shop.example".into(), path: path.into(), job, verb };
+        let ticket = self.ticket;
+        self.send(Message::Ask { ticket, ask: Box::new(ask) });
+        ticket
+    }
+
+    pub(super) fn submit(&mut self, queue: &str, job: u64, steps: Vec<Step>) -> Option<Told> {
+        let verb = Verb::Submit { spec: "spec".into(), steps, schedule: None };
+        let ticket = self.ask(&format!("/{queue}/{job:016x}"), verb, Some(job));
+        self.told.get(&ticket).cloned().flatten()
+    }
+
+    fn state(&mut self, queue: &str, job: u64) -> Option<Told> {
+        let ticket = self.ask(&format!("/{queue}/{job:016x}"), Verb::Show, Some(job));
+        self.told.get(&ticket).cloned().flatten()
+    }
+
+    /// Sends a report and gives the orders if they came at once.
+    pub(super) fn report(&mut self, report: Report) -> Option<Orders> {
+        self.ticket += 1;
+        let ticket = self.ticket;
+        self.send(Message::Report { ticket, report: Box::new(report) });
+        self.orders.remove(&ticket).flatten().map(|orders| *orders)
+    }
+
+    /// The orders that the newest report got since.
+    fn answered(&mut self) -> Option<Orders> {
+        self.orders.remove(&self.ticket).flatten().map(|orders| *orders)
+    }
+
+    pub(super) fn pass(&mut self, millis: u64) {
+        for _ in 0..millis / 100 {
+            self.now = self.now + Span::millis(100);
+            self.send(Message::Tick { wall: 1_700_000_000_000 + self.now.as_micros() / 1_000 });
+        }
+    }
+
+    /// Runs that the log assigns to a life.
+    fn live(&self, life: &Life) -> Vec<RunKey> {
+        let hold = self.dispatch.fleet.holds.get(life);
+        hold.map(|hold| hold.runs.keys().copied().collect()).unwrap_or_default()
+    }
+
+    fn end(&mut self, life: &Life, seq: u64, ends: &[(u64, RunKey, End)]) -> Option<Orders> {
+        let ended = |&(number, key, end)| Ended { number, key, end, saved: None };
+        let ended: Vec<_> = ends.iter().map(ended).collect();
+        let ends = |key: &RunKey| ended.iter().any(|ended| ended.key == *key);
+        let handling = self.live(life).into_iter().filter(|key| !ends(key)).collect();
+        self.report(Report { ended, handling, ..report("10.0.0.1", seq, life) })
+    }
+}
+
+/// A late report of an earlier life must not end what runs on the present one. On a played day the
+/// second run of a task began while the first went on, since the leader took the old report for
+/// another restart.
+#[test]
+fn late_report_of_an_earlier_life_changes_nothing() {
+    let mut world = World::new();
+    let (old, new) = (life("i-1", 10), life("i-2", 20));
+    world.report(report("10.0.0.1", 1, &old));
+    world.report(report("10.0.0.1", 3, &new));
+    world.submit("match", 7, vec![step(1, 1_000)]);
+    assert_eq!(world.live(&new), [key(7, 0, 0, 1)]);
+    world.report(report("10.0.0.1", 2, &old));
+    assert_eq!(world.live(&new), [key(7, 0, 0, 1)]);
+}
+
+/// An agent that restarts after its instance's clock stepped back is still listened to.
+#[test]
+fn report_of_an_earlier_incarnation_counts_after_silence() {
+    let mut world = World::new();
+    let runner = life("i-1", 10);
+    world.report(Report { incarnation: 5, ..report("10.0.0.1", 9, &runner) });
+    world.pass(3_000);
+    world.report(Report { incarnation: 3, ..report("10.0.0.1", 1, &runner) });
+    world.submit("match", 7, vec![step(1, 1_000)]);
+    assert_eq!(world.live(&runner), [key(7, 0, 0, 1)]);
+}
+
+struct Turn {
+    steps: Vec<Step>,
+    /// Ends of the first runs of the first step, by task.
+    ends: Vec<End>,
+    /// Runs that are live afterwards, as step, index and run.
+    live: Vec<(u16, u16, u32)>,
+    state: JobState,
+}
+
+fn after(earlier: u16, step: Step) -> Step {
+    Step { after: vec![earlier], ..step }
+}
+
+/// Guards the order of steps, the number of attempts and what is done twice.
+#[rstest]
+#[case::next_step_waits_for_all(Turn {
+    steps: vec![step(2, 500), after(0, step(1, 500))],
+    ends: vec![End::Done],
+    live: vec![(0, 1, 1)],
+    state: JobState::Running,
+})]
+#[case::next_step_follows(Turn {
+    steps: vec![step(2, 500), after(0, step(1, 500))],
+    ends: vec![End::Done, End::Done],
+    live: vec![(1, 0, 1)],
+    state: JobState::Running,
+})]
+#[case::all_done(Turn {
+    steps: vec![step(2, 500)],
+    ends: vec![End::Done, End::Done],
+    live: vec![],
+    state: JobState::Completed,
+})]
+#[case::failed_runs_again(Turn {
+    steps: vec![step(1, 500)],
+    ends: vec![End::Failed],
+    live: vec![(0, 0, 2)],
+    state: JobState::Running,
+})]
+#[case::stopped_runs_again(Turn {
+    steps: vec![step(1, 500)],
+    ends: vec![End::Stopped],
+    live: vec![(0, 0, 2)],
+    state: JobState::Running,
+})]
+#[case::lasting_task_that_ends_runs_again(Turn {
+    steps: vec![Step { lasting: true, ..step(1, 500) }],
+    ends: vec![End::Done],
+    live: vec![(0, 0, 2)],
+    state: JobState::Running,
+})]
+#[case::one_end_stands_for_a_gang(Turn {
+    steps: vec![Step { gang: true, ..step(2, 500) }],
+    ends: vec![End::Done],
+    live: vec![(0, 1, 1)],
+    state: JobState::Completed,
+})]
+fn ends_decide_what_runs_next(#[case] turn: Turn) {
+    let mut world = World::new();
+    let runner = life("i-1", 10);
+    world.report(report("10.0.0.1", 1, &runner));
+    assert_eq!(world.submit("match", 7, turn.steps), Some(Told::Accepted));
+    let ends: Vec<_> = turn.ends.iter().zip(0u16..).collect();
+    let ends: Vec<_> =
+        ends.iter().map(|&(end, at)| (u64::from(at) + 1, key(7, 0, at, 1), *end)).collect();
+    let orders = world.end(&runner, 2, &ends).expect("ends are answered once they are recorded");
+    assert_eq!(orders.noted, ends.len() as u64);
+    let live: Vec<_> = turn.live.iter().map(|&(s, i, r)| key(7, s, i, r)).collect();
+    assert_eq!(world.live(&runner), live);
+    assert_eq!(world.state("match", 7), Some(Told::State(turn.state)));
+}
+
+/// A task fails for good after the attempts of its queue, and only ends `Failed` count.
+#[test]
+fn attempts_are_counted() {
+    let mut world = World::new();
+    let runner = life("i-1", 10);
+    world.report(report("10.0.0.1", 1, &runner));
+    world.submit("match", 7, vec![step(1, 500)]);
+    let ends = [End::Failed, End::Stopped, End::Lapsed, End::Failed, End::Failed];
+    for (end, run) in ends.into_iter().zip(1u32..) {
+        assert_eq!(world.state("match", 7), Some(Told::State(JobState::Running)));
+        assert_eq!(world.live(&runner), [key(7, 0, 0, run)]);
+        let number = u64::from(run);
+        world.end(&runner, number + 1, &[(number, key(7, 0, 0, run), end)]);
+        world.dispatch.fleet.workers.values_mut().for_each(|w| w.shunned = Moment::START);
+        world.pass(100);
+    }
+    assert_eq!(world.state("match", 7), Some(Told::State(JobState::Failed)));
+}
+
+/// An end is acknowledged to the runner only once the log holds it.
+#[test]
+fn ends_are_noted_after_the_log_holds_them() {
+    let mut world = World::new();
+    let runner = life("i-1", 10);
+    world.report(report("10.0.0.1", 1, &runner));
+    world.submit("match", 7, vec![step(1, 500)]);
+    world.hold = true;
+    assert_eq!(world.end(&runner, 2, &[(1, key(7, 0, 0, 1), End::Done)]), None);
+    world.release();
+    assert_eq!(world.answered().map(|orders| orders.noted), Some(1));
+}
+
+struct Room {
+    /// Jobs of one step.
+    jobs: Vec<Step>,
+    /// Runners, of 4 cores each.
+    runners: usize,
+    /// Runs on each runner, sorted.
+    runs: Vec<usize>,
+}
+
+/// Guards the room of runners, the spread of a step and whole gangs.
+#[rstest]
+#[case::room_is_kept(Room { jobs: vec![step(10, 1_000)], runners: 1, runs: vec![4] })]
+#[case::spread_is_kept(Room {
+    jobs: vec![Step { spread: 1, ..step(4, 500) }],
+    runners: 2,
+    runs: vec![1, 1],
+})]
+#[case::gang_waits_for_room(Room {
+    jobs: vec![Step { gang: true, ..step(5, 1_000) }],
+    runners: 1,
+    runs: vec![0],
+})]
+#[case::gang_starts_whole(Room {
+    jobs: vec![Step { gang: true, ..step(5, 1_000) }],
+    runners: 2,
+    runs: vec![2, 3],
+})]
+#[case::filling_tasks_take_no_room(Room {
+    jobs: vec![step(4, 1_000), Step { fills: true, ..step(1, 4_000) }],
+    runners: 1,
+    runs: vec![5],
+})]
+#[case::missing_label(Room {
+    jobs: vec![Step { label: Some("z".into()), ..step(1, 500) }],
+    runners: 1,
+    runs: vec![0],
+})]
+#[case::serving_tasks_are_packed(Room {
+    jobs: vec![Step { target: 50, lasting: true, ..step(3, 1_000) }],
+    runners: 2,
+    runs: vec![0, 3],
+})]
+#[case::other_tasks_are_spread(Room { jobs: vec![step(4, 1_000)], runners: 2, runs: vec![2, 2] })]
+fn room_is_respected(#[case] room: Room) {
+    let mut world = World::new();
+    let lives: Vec<Life> = (0..room.runners).map(|n| life(&format!("i-{n}"), 10)).collect();
+    for (n, life) in lives.iter().enumerate() {
+        world.report(report(&format!("10.0.0.{n}"), 1, life));
+    }
+    for (step, id) in room.jobs.into_iter().zip(1..) {
+        world.submit("match", id, vec![step]);
+    }
+    let mut runs: Vec<usize> = lives.iter().map(|life| world.live(life).len()).collect();
+    runs.sort_unstable();
+    assert_eq!(runs, room.runs);
+}
+
+struct Silence {
+    /// Whether another leader takes over before.
+    elected: bool,
+    /// Time without a report.
+    silent: u64,
+    /// Whether the run is given to the other runner.
+    moved: bool,
+}
+
+/// A run is given to another runner only when its lease has certainly ended, which may be a whole
+/// lease after a change of leader, since the leader before may have granted one until then.
+#[rstest]
+#[case::lease_goes_on(Silence { elected: false, silent: 5_800, moved: false })]
+#[case::lease_over(Silence { elected: false, silent: 6_400, moved: true })]
+#[case::new_leader_waits(Silence { elected: true, silent: 5_800, moved: false })]
+#[case::new_leader_goes_on(Silence { elected: true, silent: 6_400, moved: true })]
+fn silent_runner_loses_its_runs_with_its_lease(#[case] case: Silence) {
+    let mut world = World::new();
+    let (silent, other) = (life("i-1", 10), life("i-2", 10));
+    world.report(report("10.0.0.1", 1, &silent));
+    world.submit("match", 7, vec![step(1, 1_000)]);
+    if case.elected {
+        world.pass(4_000);
+        world.send(Message::Lead { leading: false });
+        world.send(Message::Lead { leading: true });
+    }
+    let mut seq = 1;
+    for _ in 0..case.silent / 100 {
+        world.pass(100);
+        seq += 1;
+        world.report(report("10.0.0.2", seq, &other));
+    }
+    assert_eq!(!world.live(&other).is_empty(), case.moved);
+}
+
+/// A new life of a runner shows that all runs of the one before are over.
+#[test]
+fn reborn_runner_gets_its_runs_anew() {
+    let mut world = World::new();
+    let (old, new) = (life("i-1", 10), life("i-1", 20));
+    world.report(report("10.0.0.1", 1, &old));
+    world.submit("match", 7, vec![step(1, 1_000)]);
+    let orders = world.report(report("10.0.0.1", 2, &new));
+    assert_eq!(world.live(&old), []);
+    let starts: Vec<_> = orders.expect("a start").starts.iter().map(|start| start.key).collect();
+    assert_eq!(starts, [key(7, 0, 0, 2)]);
+}
+
+/// Lost orders are made good by the next report, and are repeated for nothing that is under way.
+#[test]
+fn orders_follow_from_the_report() {
+    let mut world = World::new();
+    let runner = life("i-1", 10);
+    world.submit("match", 7, vec![step(1, 1_000)]);
+    let start = |orders: Option<Orders>| orders.map(|o| o.starts.len()).unwrap_or_default();
+    assert_eq!(start(world.report(report("10.0.0.1", 1, &runner))), 1);
+    assert_eq!(start(world.report(report("10.0.0.1", 2, &runner))), 1);
+    let handling = vec![key(7, 0, 0, 1)];
+    let orders = world.report(Report { handling, ..report("10.0.0.1", 3, &runner) });
+    assert_eq!(orders, None);
+}
+
+struct Stop {
+    /// Whether the report says that the run is being stopped already.
+    stopping: bool,
+    stops: usize,
+}
+
+/// A cancelled job's runs are stopped, and an agent that is at it isn't told again, as it would
+/// then report without a pause.
+#[rstest]
+#[case::running(Stop { stopping: false, stops: 1 })]
+#[case::being_stopped(Stop { stopping: true, stops: 0 })]
+fn cancelled_runs_are_stopped(#[case] case: Stop) {
+    let mut world = World::new();
+    let runner = life("i-1", 10);
+    world.report(report("10.0.0.1", 1, &runner));
+    world.submit("match", 7, vec![step(1, 1_000)]);
+    let ticket = world.ask("/match/0000000000000007", Verb::Cancel, Some(7));
+    assert_eq!(world.told[&ticket], Some(Told::Cancelled));
+    let key = key(7, 0, 0, 1);
+    let rows = vec![Row { key, saved: None, percent: 1, figure: 0 }];
+    let stopping = if case.stopping { vec![key] } else { Vec::new() };
+    let orders = world.report(Report { rows, stopping, ..report("10.0.0.1", 2, &runner) });
+    assert_eq!(orders.map_or(0, |orders| orders.stops.len()), case.stops);
+}
+
+/// Runs that the log does not assign to a runner are stopped there.
+#[test]
+fn unknown_runs_are_stopped() {
+    let mut world = World::new();
+    let runner = life("i-1", 10);
+    let key = key(9, 0, 0, 4);
+    let rows = vec![Row { key, saved: None, percent: 1, figure: 0 }];
+    let orders = world.report(Report { rows, ..report("10.0.0.1", 1, &runner) });
+    assert_eq!(orders.expect("a stop").stops, [key]);
+}
+
+struct Answer {
+    path: &'static str,
+    job: Option<u64>,
+    verb: Verb,
+    told: Told,
+}
+
+/// Guards what callers are told about queues and jobs that exist or don't.
+#[rstest]
+#[case::unknown_queue(Answer {
+    path: "/other/0000000000000001", job: Some(1), verb: Verb::Show, told: Told::NoQueue,
+})]
+#[case::unknown_job(Answer {
+    path: "/match/0000000000000001", job: Some(1), verb: Verb::Show, told: Told::Gone,
+})]
+#[case::cancel_unknown_job(Answer {
+    path: "/match/0000000000000001", job: Some(1), verb: Verb::Cancel, told: Told::Gone,
+})]
+#[case::pending(Answer { path: "/match/", job: None, verb: Verb::Show, told: Told::Pending(1) })]
+#[case::other_queue(Answer {
+    path: "/recon/0000000000000007", job: Some(7), verb: Verb::Show, told: Told::Gone,
+})]
+#[case::queued(Answer {
+    path: "/match/0000000000000007", job: Some(7), verb: Verb::Show,
+    told: Told::State(JobState::Queued),
+})]
+#[case::no_name(Answer {
+    path: "/match/x", job: None, verb: Verb::Show, told: Told::NoQueue,
+})]
+fn callers_are_told(#[case] answer: Answer) {
+    let mut world = World::new();
+    world.submit("match", 7, vec![step(1, 1_000)]);
+    let ticket = world.ask(answer.path, answer.verb, answer.job);
+    assert_eq!(world.told[&ticket], Some(answer.told));
+}
+
+/// A job that is sent again, also with other content, remains the job that was accepted.
+#[test]
+fn repeated_submission_is_one_job() {
+    let mut world = World::new();
+    assert_eq!(world.submit("match", 7, vec![step(1, 1_000)]), Some(Told::Accepted));
+    assert_eq!(world.submit("match", 7, vec![step(3, 1_000)]), Some(Told::Accepted));
+    let runner = life("i-1", 10);
+    world.report(report("10.0.0.1", 1, &runner));
+    assert_eq!(world.live(&runner), [key(7, 0, 0, 1)]);
+}
+
+/// A proposal whose outcome is lost is answered as unknown, one that was not taken as no answer.
+#[rstest]
+#[case::lost(true, Some(Told::Unknown))]
+#[case::not_taken(false, None)]
+fn refused_proposals_are_told(#[case] lost: bool, #[case] told: Option<Told>) {
+    let mut world = World::new();
+    world.hold = true;
+    world.submit("match", 7, vec![step(1, 1_000)]);
+    let (ticket, _) = world.held.remove(0);
+    world.send(Message::Rejected { ticket, lost });
+    assert_eq!(world.told[&world.ticket], told);
+}
+
+/// The state of a job is kept for a while after its end, however long ago it was accepted.
+#[test]
+fn ended_jobs_are_remembered() {
+    let mut world = World::new();
+    world.submit("match", 7, vec![step(1, 1_000)]);
+    world.pass(200_000);
+    world.ask("/match/0000000000000007", Verb::Cancel, Some(7));
+    world.pass(100_000);
+    assert_eq!(world.state("match", 7), Some(Told::State(JobState::Cancelled)));
+    world.pass(100_000);
+    assert_eq!(world.state("match", 7), Some(Told::Gone));
+}
+
+/// An instance that does not lead decides nothing.
+#[test]
+fn follower_sends_everybody_elsewhere() {
+    let mut world = World::new();
+    world.report(report("10.0.0.1", 1, &life("i-1", 10)));
+    let parked = world.ticket;
+    world.send(Message::Lead { leading: false });
+    assert_eq!(world.orders.get(&parked), Some(&None));
+    assert_eq!(world.submit("match", 7, vec![step(1, 1_000)]), None);
+}
+
+/// Of two configurations the higher version is in force, whatever the order in which they come.
+#[test]
+fn configuration_never_goes_back() {
+    let mut world = World::new();
+    for version in [5, 3] {
+        let ticket = world.ask("", Verb::Configure(Arc::new(setup(version))), None);
+        assert_eq!(world.told[&ticket], Some(Told::Configured));
+        assert_eq!(world.dispatch.book.setup.version, 5);
+    }
+}
+
+/// A snapshot holds all that is agreed, so that an instance that installs it decides the same.
+#[test]
+fn snapshot_restores_the_state() {
+    let mut world = World::new();
+    let runner = life("i-1", 10);
+    world.report(report("10.0.0.1", 1, &runner));
+    world.submit("match", 7, vec![step(2, 500), after(0, step(1, 500))]);
+    world.end(&runner, 2, &[(1, key(7, 0, 0, 1), End::Done)]);
+    let bytes = crate::peer::encode(&world.dispatch.book);
+    let book = crate::peer::decode(&bytes).expect("a book");
+    let mut other = World::new();
+    other.send(Message::Install { index: 9, book: Box::new(book) });
+    assert_eq!(other.dispatch.book, world.dispatch.book);
+    assert_eq!(other.live(&runner), [key(7, 0, 1, 1)]);
+}
--- a/toucangrade/src/hosting/mod.rs
+++ b/toucangrade/src/hosting/mod.rs
@@ -53,6 +53,7 @@
 #[derive(Debug, Serialize)]
 pub(crate) struct Hosting {
     agent: Name,
+    incarnation: u64,
     known: Option<Known>,
     /// Orders that are being carried out.
     handling: BTreeMap<RunKey, Handling>,
@@ -81,10 +82,11 @@
 }
 
 impl Hosting {
-    /// An agent that knows no runner; numbers of reports go on from `seq`.
-    pub(crate) fn new(agent: Name, seq: u64) -> Self {
+    /// An agent that knows no runner; `incarnation` is the start of its process in ms since 1970.
+    pub(crate) fn new(agent: Name, incarnation: u64) -> Self {
         Self {
             agent,
+            incarnation,
             known: None,
             handling: BTreeMap::new(),
             denied: BTreeMap::new(),
@@ -96,7 +98,7 @@
             listed: Moment::START,
             reporting: None,
             reported: Moment::START,
-            seq,
+            seq: 0,
             news: true,
             amnesia: true,
             out: Vec::new(),
@@ -279,6 +281,7 @@
         };
         Report {
             agent: self.agent.clone(),
+            incarnation: self.incarnation,
             seq: self.seq,
             runner,
             rows: listing.map(|listing| listing.rows.clone()).unwrap_or_default(),
--- a/toucangrade/src/node/agent.rs
+++ b/toucangrade/src/node/agent.rs
@@ -55,7 +55,6 @@
     pub fn start(settings: NodeSettings, port: RunnerPort) -> io::Result<Self> {
         let context = Context::new(settings)?;
         let agent = Self { hosting: Handle::new("hosting"), leader: Leader::start(&context)? };
-        // Numbers of reports go on after a restart, so that late answers are told apart.
         let state = Hosting::new(context.name.clone(), wall_ms());
         let tick = || Message::Tick;
         let duty = Duty { state, step: Hosting::step, tick, period: hosting::TICK };
