Place filling tasks by what they would disturb

Cause: filling tasks went to the runner with most unused cores, also where their image disturbs every task that serves, and were then paced down. Change: candidates carry the headroom of their serving tasks, and a filling task goes to where it works fastest, at half of its speed at least; pacing and placement share one Headroom. The test that a filling task starts on a runner without unused cores is replaced by two: it uses cores that are left, and waits where there are none.

--- a/toucangrade/src/dispatch/fleet.rs
+++ b/toucangrade/src/dispatch/fleet.rs
@@ -1,6 +1,7 @@
 //! Runners as the leader knows them from reports, and what runs on each.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 use serde::Serialize;
 
@@ -19,6 +20,12 @@
     /// Millicores that it asks for, counted or not.
     pub(crate) cores: u64,
     pub(crate) fills: bool,
+    pub(crate) lasting: bool,
+    /// Whether a checkpoint saves its progress when it is stopped.
+    pub(crate) saves: bool,
+    pub(crate) image: Arc<str>,
+    /// Tail latency that it has to keep in ms, 0 for none.
+    pub(crate) target: u64,
     pub(crate) since: Moment,
     /// Whether the runner has listed it.
     pub(crate) listed: bool,
@@ -27,6 +34,8 @@
     /// When `percent` last changed.
     pub(crate) moved: Moment,
     pub(crate) figure: u32,
+    /// Share of its speed at which its agent lets it work, in percent.
+    pub(crate) share: u8,
     /// Whether it is to be stopped though its task is not done.
     pub(crate) stop: bool,
 }
--- a/toucangrade/src/dispatch/message.rs
+++ b/toucangrade/src/dispatch/message.rs
@@ -121,6 +121,8 @@
     pub percent: u8,
     /// Tail latency in ms of a task that serves, else millicores in use.
     pub figure: u32,
+    /// Share of its speed at which the agent lets it work, in percent.
+    pub share: u8,
 }
 
 /// A run that a runner lists as ended.
--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -260,12 +260,17 @@
             need: step.counted(),
             cores: step.need.millicores,
             fills: step.fills,
+            lasting: step.lasting,
+            saves: step.checkpoints,
+            image: step.image.clone().unwrap_or_default(),
+            target: step.target,
             since: now,
             listed: false,
             saved: entry.task(key.task)?.saved.clone(),
             percent: 0,
             moved: now,
             figure: 0,
+            share: 100,
             stop: false,
         })
     }
--- a/toucangrade/src/dispatch/place.rs
+++ b/toucangrade/src/dispatch/place.rs
@@ -4,6 +4,14 @@
 
 use crate::core::Name;
 use crate::jobs::{Life, Need, Step};
+use crate::pressure::{Headroom, Table};
+
+/// Share of the cores reserved by lasting tasks that they use on average, in percent. They are
+/// sized for their peak.
+const RESERVED_USE_PERCENT: u64 = 50;
+/// Least part of its speed at which a filling task starts; with less it would miss its objective,
+/// and hold memory that another could use.
+const LEAST_SPEED: f64 = 0.5;
 
 /// A runner that may take tasks, with what is left on it.
 #[derive(Clone, Debug)]
@@ -21,17 +29,12 @@
     pub(super) reserved: u64,
     /// Tasks there that have a tail latency to keep.
     pub(super) serving: u32,
+    /// How much those can be disturbed.
+    pub(super) headroom: Headroom,
     /// Slowness in percent.
     pub(super) slowness: u64,
 }
 
-/// Share of the cores reserved by lasting tasks that they use on average, in percent. They are
-/// sized for their peak.
-const RESERVED_USE_PERCENT: u64 = 50;
-/// Least share of its cores that a filling task should get where it starts, in percent; with less
-/// it would miss its objective, and it disturbs what serves all the same.
-const FILL_SHARE_PERCENT: u64 = 50;
-
 impl Candidate {
     /// Millicores that tasks which fill can share.
     fn leftover(&self) -> u64 {
@@ -39,6 +42,20 @@
         self.free.millicores + unused
     }
 
+    fn part(&self, millicores: u64) -> f64 {
+        millicores as f64 / self.capacity.millicores.max(1) as f64
+    }
+
+    /// Part of its full speed at which another filling task would work.
+    pub(super) fn speed(&self, table: &Table, step: &Step) -> f64 {
+        let image = step.image.as_deref().unwrap_or_default();
+        let asked = self.part(step.need.millicores);
+        let allowed = self.headroom.part(table, image, asked);
+        let wanted = (self.filling + step.need.millicores).max(1);
+        let cores = self.leftover() as f64 / wanted as f64;
+        allowed.min(cores).min(1.0) * 100.0 / self.slowness.max(1) as f64
+    }
+
     fn label(&self, label: &str) -> bool {
         self.labels.iter().any(|own| **own == *label)
     }
@@ -48,10 +65,13 @@
     }
 
     /// Takes the room of a task.
-    pub(super) fn take(&mut self, step: &Step) {
+    pub(super) fn take(&mut self, table: &Table, step: &Step) {
         self.free.remove(&step.counted());
         if step.fills {
             self.filling += step.need.millicores;
+            let image = step.image.as_deref().unwrap_or_default();
+            let asked = self.part(step.need.millicores);
+            self.headroom.spend(table, image, asked);
         }
         if step.lasting {
             self.reserved += step.need.millicores;
@@ -68,13 +88,16 @@
     pub(super) beside: &'a [u32],
     /// Agents on which the task has failed.
     pub(super) avoided: &'a [Name],
+    /// How images disturb each other.
+    pub(super) table: &'a Table,
 }
 
 /// The best candidate for a task, by position.
 ///
 /// Tasks that serve are packed on few runners, so that others stay free for tasks that fill, which
-/// would disturb them. Tasks that fill go where nothing serves, and there to where they get the
-/// most cores. Other tasks go where the largest share of the cores stays free.
+/// would disturb them. Tasks that fill go to where they work fastest: where cores are left unused,
+/// and where they disturb nothing that serves. Other tasks go where the largest share of the cores
+/// stays free.
 pub(super) fn choose(candidates: &[Candidate], step: &Step, limits: &Limits<'_>) -> Option<usize> {
     let counted = step.counted();
     let fits = |at: usize, candidate: &Candidate| {
@@ -83,25 +106,26 @@
             && step.label.as_ref().is_none_or(|label| candidate.label(label))
             && (step.spread == 0 || limits.beside[at] < step.spread)
     };
-    let score = |candidate: &Candidate| {
+    let open = candidates.iter().enumerate().filter(|(at, c)| fits(*at, c));
+    let scored = open.filter_map(|(at, candidate)| {
         let cores = candidate.capacity.millicores.max(1);
         let away = step.rack.is_some() && step.rack.as_ref() != candidate.rack();
         let failed = limits.avoided.contains(&candidate.agent);
         let left = (candidate.free.millicores - counted.millicores) * 1_000 / cores;
-        let (quiet, room) = if step.fills {
-            let share = (candidate.filling + step.need.millicores).max(1);
-            (candidate.serving == 0, candidate.leftover() * 1_000 / share)
+        let rank = if step.fills {
+            let speed = candidate.speed(limits.table, step);
+            if speed < LEAST_SPEED {
+                return None;
+            }
+            // Among equally fast runners the one with most cores left.
+            let quiet = u64::from(candidate.serving == 0);
+            ((speed * 20.0) as u64, quiet, left)
         } else if step.target > 0 {
-            (candidate.serving > 0, 1_000 - left)
+            (u64::from(candidate.serving > 0), 1_000 - left, 0)
         } else {
-            (true, left)
+            (left * 100 / candidate.slowness.max(1), 0, 0)
         };
-        (!failed, !away, quiet, room * 100 / candidate.slowness.max(1))
-    };
-    let enough = |candidate: &Candidate| {
-        let wanted = (candidate.filling + step.need.millicores) * FILL_SHARE_PERCENT / 100;
-        !step.fills || candidate.filling == 0 || candidate.leftover() >= wanted
-    };
-    let open = candidates.iter().enumerate().filter(|(at, c)| fits(*at, c) && enough(c));
-    open.max_by_key(|(_, candidate)| score(candidate)).map(|(at, _)| at)
+        Some(((!failed, !away, rank), at))
+    });
+    scored.max_by_key(|(score, _)| *score).map(|(_, at)| at)
 }
--- a/toucangrade/src/dispatch/plan.rs
+++ b/toucangrade/src/dispatch/plan.rs
@@ -7,7 +7,8 @@
 use super::Dispatch;
 use super::place::{Candidate, Limits, choose};
 use crate::core::{Moment, Name};
-use crate::jobs::{Command, Entry, Job, Life, Need, Phase, Queue, RunKey, Setup, TaskKey};
+use crate::jobs::{Command, Entry, Job, Life, Phase, Queue, RunKey, Setup, TaskKey};
+use crate::pressure::{Headroom, Serving};
 
 /// A task that may start, with its next run.
 type Waiting = (RunKey, u64);
@@ -96,9 +97,10 @@
             }
             let none = Vec::new();
             let avoided = self.avoided.get(&key.task).unwrap_or(&none);
-            let limits = Limits { service: &queue.service, beside: &beside, avoided };
+            let table = &self.learner.table;
+            let limits = Limits { service: &queue.service, beside: &beside, avoided, table };
             let Some(at) = choose(candidates, declared, &limits) else { break };
-            candidates[at].take(declared);
+            candidates[at].take(&self.learner.table, declared);
             beside[at] += 1;
             chosen.push((key, candidates[at].life.clone()));
         }
@@ -140,7 +142,7 @@
             let Some(&at) = index.get(life) else { continue };
             let entry = self.book.jobs.get(&key.task.job);
             if let Some(step) = entry.and_then(|e| e.job.steps.get(usize::from(key.task.step))) {
-                candidates[at].take(step);
+                candidates[at].take(&self.learner.table, step);
             }
         }
         candidates
@@ -159,18 +161,31 @@
             filling: 0,
             reserved: 0,
             serving: 0,
+            headroom: Headroom::default(),
             slowness: worker.slowness,
         };
-        let none = Need::default();
+        let cores = runner.capacity.millicores.max(1) as f64;
+        let (mut serving, mut used, mut asked) = (Vec::new(), Vec::new(), Vec::new());
         for (key, run) in self.fleet.holds.get(&runner.life).iter().flat_map(|hold| &hold.runs) {
             candidate.free.remove(&run.need);
-            candidate.filling += if run.fills { run.cores } else { 0 };
-            let entry = self.book.jobs.get(&key.task.job);
-            let step = entry.and_then(|e| e.job.steps.get(usize::from(key.task.step)));
-            if step.is_some_and(|step| step.lasting) && run.need != none {
-                candidate.reserved += run.cores;
+            if run.fills {
+                candidate.filling += run.cores;
+                used.push((Arc::clone(&run.image), f64::from(run.figure) / cores));
+                asked.push((Arc::clone(&run.image), run.cores as f64 / cores));
+            }
+            if run.lasting {
+                candidate.reserved += run.need.millicores;
             }
-            candidate.serving += u32::from(step.is_some_and(|step| step.target > 0));
+            if run.target > 0 {
+                candidate.serving += 1;
+                let (image, figure) = (Arc::clone(&run.image), u64::from(run.figure));
+                serving.push(Serving { key: *key, image, figure, target: run.target });
+            }
+        }
+        let table = &self.learner.table;
+        candidate.headroom = Headroom::new(table, serving.iter(), &used);
+        for (image, asked) in asked {
+            candidate.headroom.spend(table, &image, asked);
         }
         Some(candidate)
     }
--- a/toucangrade/src/dispatch/reports.rs
+++ b/toucangrade/src/dispatch/reports.rs
@@ -56,7 +56,7 @@
         for row in &report.rows {
             let Some(run) = self.fleet.run_mut(life, row.key) else { continue };
             run.listed = true;
-            run.figure = row.figure;
+            (run.figure, run.share) = (row.figure, row.share);
             if row.percent != run.percent {
                 run.percent = row.percent;
                 run.moved = now;
--- a/toucangrade/src/dispatch/tests.rs
+++ b/toucangrade/src/dispatch/tests.rs
@@ -358,11 +358,16 @@
     runners: 2,
     runs: vec![2, 3],
 })]
-#[case::filling_tasks_take_no_room(Room {
-    jobs: vec![step(4, 1_000), Step { fills: true, ..step(1, 4_000) }],
+#[case::filling_tasks_use_unused_cores(Room {
+    jobs: vec![step(2, 1_000), Step { fills: true, ..step(1, 4_000) }, step(2, 1_000)],
     runners: 1,
     runs: vec![5],
 })]
+#[case::filling_tasks_wait_for_unused_cores(Room {
+    jobs: vec![step(4, 1_000), Step { fills: true, ..step(1, 4_000) }],
+    runners: 1,
+    runs: vec![4],
+})]
 #[case::missing_label(Room {
     jobs: vec![Step { label: Some("z".into()), ..step(1, 500) }],
     runners: 1,
@@ -469,7 +474,7 @@
     let ticket = world.ask("/match/0000000000000007", Verb::Cancel, Some(7));
     assert_eq!(world.told[&ticket], Some(Told::Cancelled));
     let key = key(7, 0, 0, 1);
-    let rows = vec![Row { key, saved: None, percent: 1, figure: 0 }];
+    let rows = vec![Row { key, saved: None, percent: 1, figure: 0, share: 100 }];
     let stopping = if case.stopping { vec![key] } else { Vec::new() };
     let orders = world.report(Report { rows, stopping, ..report("10.0.0.1", 2, &runner) });
     assert_eq!(orders.map_or(0, |orders| orders.stops.len()), case.stops);
@@ -481,7 +486,7 @@
     let mut world = World::new();
     let runner = life("i-1", 10);
     let key = key(9, 0, 0, 4);
-    let rows = vec![Row { key, saved: None, percent: 1, figure: 0 }];
+    let rows = vec![Row { key, saved: None, percent: 1, figure: 0, share: 100 }];
     let orders = world.report(Report { rows, ..report("10.0.0.1", 1, &runner) });
     assert_eq!(orders.expect("a stop").stops, [key]);
 }
--- a/toucangrade/src/hosting/mod.rs
+++ b/toucangrade/src/hosting/mod.rs
@@ -16,7 +16,7 @@
 pub(crate) use self::message::{Effect, Message};
 use self::orders::Handling;
 use crate::core::{Moment, Name, Span};
-use crate::dispatch::{Denial, Nature, Report, Runner};
+use crate::dispatch::{Denial, Nature, Report, Row, Runner};
 use crate::jobs::{Life, RunKey};
 use crate::pacing::Pacing;
 
@@ -284,7 +284,7 @@
             incarnation: self.incarnation,
             seq: self.seq,
             runner,
-            rows: listing.map(|listing| listing.rows.clone()).unwrap_or_default(),
+            rows: listing.map(|listing| self.paced(&listing.rows)).unwrap_or_default(),
             handling: keys(false),
             stopping: keys(true),
             ended: ended.filter(|ended| ended.number > self.noted).cloned().collect(),
@@ -294,6 +294,11 @@
         }
     }
 
+    fn paced(&self, rows: &[Row]) -> Vec<Row> {
+        let paced = |row: &Row| Row { share: self.pacing.share_of(row.key), ..row.clone() };
+        rows.iter().map(paced).collect()
+    }
+
     /// Runs that the runner lists, in whatever state.
     fn listed_runs(&self) -> BTreeSet<RunKey> {
         let Some(known) = &self.known else { return BTreeSet::new() };
--- a/toucangrade/src/pacing/mod.rs
+++ b/toucangrade/src/pacing/mod.rs
@@ -11,16 +11,8 @@
 use crate::core::{Moment, Span};
 use crate::dispatch::{Nature, Row};
 use crate::jobs::RunKey;
-use crate::pressure::Table;
+use crate::pressure::{Headroom, Serving, Table};
 
-/// Part of its target that a tail latency should stay below, in percent. Latency grows steeply near
-/// saturation and figures are half a second old.
-const AIM_PERCENT: u64 = 80;
-/// Pressures below this are taken for none, so that tasks which disturb nobody are never slowed
-/// down: at half of a runner's cores it adds 5% of load.
-const HARMLESS: f64 = 0.1;
-/// Standard deviations by which an estimate of pressure is taken higher.
-const CAUTION: f64 = 0.5;
 /// Points by which a share may grow at a time.
 const GROWTH: u8 = 30;
 /// A share below this is taken as none: the task would disturb others and get nowhere.
@@ -41,12 +33,6 @@
     used: f64,
 }
 
-/// Load that a task which serves may still be given.
-struct Headroom {
-    image: Arc<str>,
-    left: f64,
-}
-
 /// State of the control loop on one runner.
 #[derive(Debug, Default, Serialize)]
 pub(crate) struct Pacing {
@@ -89,10 +75,12 @@
         }
         self.changed = now;
         let filling = self.filling(rows, natures);
-        let mut headroom = self.headroom(rows, natures, &filling);
+        let used: Vec<_> = filling.iter().map(|t| (Arc::clone(&t.image), t.used)).collect();
+        let serving = serving(rows, natures);
+        let mut headroom = Headroom::new(&self.table, serving.iter(), &used);
         let harmed = self.over.values().any(|since| now.since(*since) >= PATIENCE);
         let mut order: Vec<(f64, &Filling)> =
-            filling.iter().map(|task| (self.clash(&task.image, &headroom), task)).collect();
+            filling.iter().map(|t| (headroom.clash(&self.table, &t.image), t)).collect();
         order.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.key.cmp(&b.1.key)));
         let mut changes = Vec::new();
         for (clash, task) in order {
@@ -104,7 +92,8 @@
             }
             let small = share.abs_diff(known) < LEAST_CHANGE && share != 0 && share != 100;
             let share = if small { known } else { share };
-            self.spend(task, share, &mut headroom);
+            let used = task.asked * f64::from(share) / 100.0;
+            headroom.spend(&self.table, &task.image, used);
             self.told.insert(task.key, share);
             if share != known {
                 tracing::info!(run = %task.key, share, before = known, clash, harmed, "pace");
@@ -138,53 +127,24 @@
         filling.collect()
     }
 
-    /// Load that each task which serves could be given if nothing filled.
-    fn headroom(
-        &self,
-        rows: &[Row],
-        natures: &BTreeMap<RunKey, Nature>,
-        filling: &[Filling],
-    ) -> Vec<Headroom> {
-        let serving = rows.iter().filter_map(|row| {
-            let nature = natures.get(&row.key).filter(|nature| nature.target > 0)?;
-            let image = nature.image.clone().unwrap_or_default();
-            let aim = nature.target * AIM_PERCENT / 100;
-            let allowed = self.table.load(&image, aim, nature.target);
-            let load = self.table.load(&image, u64::from(row.figure), nature.target);
-            let added: f64 =
-                filling.iter().map(|t| self.table.pressure(&image, &t.image).mean * t.used).sum();
-            Some(Headroom { image, left: allowed - (load - added).max(0.0) })
-        });
-        serving.collect()
-    }
-
-    fn pressure(&self, serving: &str, filling: &str) -> f64 {
-        let pressure = self.table.pressure(serving, filling);
-        let cautious = pressure.mean + CAUTION * pressure.variance.sqrt();
-        if pressure.mean < HARMLESS { 0.0 } else { cautious }
-    }
-
-    /// How much of the tightest headroom an image would take per share of the cores.
-    fn clash(&self, image: &str, headroom: &[Headroom]) -> f64 {
-        let clash = |h: &Headroom| self.pressure(&h.image, image) / h.left.max(0.01);
-        headroom.iter().map(clash).fold(0.0, f64::max)
-    }
-
-    /// The largest share of a task that every headroom allows, in percent.
-    fn share(&self, task: &Filling, headroom: &[Headroom]) -> u8 {
-        let allowed = |h: &Headroom| {
-            let added = self.pressure(&h.image, &task.image) * task.asked;
-            if added > 0.0 { h.left.max(0.0) / added } else { 1.0 }
-        };
-        let part = headroom.iter().map(allowed).fold(1.0, f64::min);
-        let share = (part * 100.0) as u8;
+    /// The largest share of a task that the headroom allows, in percent.
+    fn share(&self, task: &Filling, headroom: &Headroom) -> u8 {
+        let share = (headroom.part(&self.table, &task.image, task.asked) * 100.0) as u8;
         if share < LEAST_SHARE { 0 } else { share }
     }
 
-    fn spend(&self, task: &Filling, share: u8, headroom: &mut [Headroom]) {
-        for h in headroom {
-            let added = self.pressure(&h.image, &task.image) * task.asked;
-            h.left -= added * f64::from(share) / 100.0;
-        }
+    /// Share at which a run was last told to work, in percent.
+    pub(crate) fn share_of(&self, key: RunKey) -> u8 {
+        self.told.get(&key).copied().unwrap_or(100)
     }
 }
+
+fn serving(rows: &[Row], natures: &BTreeMap<RunKey, Nature>) -> Vec<Serving> {
+    let serving = rows.iter().filter_map(|row| {
+        let nature = natures.get(&row.key).filter(|nature| nature.target > 0)?;
+        let image = nature.image.clone().unwrap_or_default();
+        let (figure, target) = (u64::from(row.figure), nature.target);
+        Some(Serving { key: row.key, image, figure, target })
+    });
+    serving.collect()
+}
--- a/toucangrade/src/pressure/mod.rs
+++ b/toucangrade/src/pressure/mod.rs
@@ -6,14 +6,17 @@
 //! it uses. Differences between two samples leave the slow part out, and a Kalman filter with one
 //! variance for each pair attributes the rest to the images whose use changed.
 
+mod headroom;
+
 #[cfg(test)]
-pub(crate) mod tests;
+mod tests;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
+pub(crate) use self::headroom::Headroom;
 use crate::core::{Moment, Name, Span};
 use crate::jobs::RunKey;
 
