Move filling runs that are slowed down and runs that are stuck

New tasks worked at full speed until the next figures. Change: every half second, filling runs below 0.4 of their speed are stopped where another runner gives them at least 0.4 more, from their checkpoint; runs without progress at full speed are stopped and their runner is judged; a task that starts is paced at once from the headroom that the last shares left.

--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -8,6 +8,7 @@
 mod place;
 mod plan;
 mod reports;
+mod rescue;
 mod settings;
 
 #[cfg(test)]
@@ -79,6 +80,8 @@
     avoided: BTreeMap<TaskKey, Vec<Name>>,
     /// Whether something changed that may let a task start.
     dirty: bool,
+    /// Last look for runs that would go on better elsewhere.
+    rescued: Moment,
     /// Commands and their bytes since the last snapshot.
     growth: (usize, usize),
     #[serde(skip)]
@@ -105,6 +108,7 @@
             ended: BTreeMap::new(),
             avoided: BTreeMap::new(),
             dirty: false,
+            rescued: Moment::START,
             growth: (0, 0),
             out: Vec::new(),
         }
@@ -144,6 +148,7 @@
         self.expire_reports(now);
         self.open_rounds();
         self.forget();
+        self.rescue(now);
         self.dirty = true;
     }
 
@@ -253,6 +258,10 @@
         touched.extend(self.fleet.agent(life).cloned());
     }
 
+    fn step_of(&self, key: RunKey) -> Option<&crate::jobs::Step> {
+        self.book.jobs.get(&key.task.job)?.job.steps.get(usize::from(key.task.step))
+    }
+
     fn new_run(&self, now: Moment, key: RunKey) -> Option<Run> {
         let entry = self.book.jobs.get(&key.task.job)?;
         let step = entry.job.steps.get(usize::from(key.task.step))?;
--- a/toucangrade/src/dispatch/plan.rs
+++ b/toucangrade/src/dispatch/plan.rs
@@ -132,7 +132,7 @@
     }
 
     /// Runners that may take tasks, with the room that is left on each.
-    fn candidates(&self, now: Moment) -> Vec<Candidate> {
+    pub(super) fn candidates(&self, now: Moment) -> Vec<Candidate> {
         let usable = self.fleet.workers.iter().filter(|(_, worker)| worker.usable(now));
         let mut candidates: Vec<Candidate> =
             usable.filter_map(|(agent, _)| self.candidate(agent)).collect();
@@ -140,8 +140,7 @@
             candidates.iter().enumerate().map(|(at, c)| (c.life.clone(), at)).collect();
         for (key, life) in &self.assigning {
             let Some(&at) = index.get(life) else { continue };
-            let entry = self.book.jobs.get(&key.task.job);
-            if let Some(step) = entry.and_then(|e| e.job.steps.get(usize::from(key.task.step))) {
+            if let Some(step) = self.step_of(*key) {
                 candidates[at].take(&self.learner.table, step);
             }
         }
--- a/toucangrade/src/dispatch/settings.rs
+++ b/toucangrade/src/dispatch/settings.rs
@@ -30,3 +30,19 @@
 pub(crate) const SNAPSHOT_BYTES: usize = 8 * 1024 * 1024;
 /// Time between two tables of pressures for one agent, a few kilobytes each.
 pub(crate) const TABLE_EVERY: Span = Span::millis(1_500);
+/// Time between two looks for runs that would go on better elsewhere; figures are averages over
+/// half a second.
+pub(crate) const RESCUE_EVERY: Span = Span::millis(500);
+/// Time without progress after which a run at full speed is taken for stuck: the longest tasks seen
+/// take 5 s, so that a sound one advances a point every 50 ms.
+pub(crate) const STUCK_LIMIT: Span = Span::millis(2_500);
+/// Least share at which a run without progress is taken for stuck, in percent.
+pub(crate) const STUCK_SHARE: u8 = 50;
+/// Part of its full speed below which a filling run is moved if that helps.
+pub(crate) const MOVE_SPEED: f64 = 0.4;
+/// Gain of speed that is worth a move, which costs a restore and up to a checkpoint's interval.
+pub(crate) const MOVE_GAIN: f64 = 0.4;
+/// Least age of a run that is moved, so that its figures are its own.
+pub(crate) const MOVE_AGE: Span = Span::millis(1_200);
+/// Moves at a time, since each changes what the next would find.
+pub(crate) const MOVES_LIMIT: usize = 4;
--- a/toucangrade/src/hosting/orders.rs
+++ b/toucangrade/src/hosting/orders.rs
@@ -136,7 +136,10 @@
             return;
         }
         match result {
-            Ok(()) => handling.stage = Stage::Started { at: now },
+            Ok(()) => {
+                handling.stage = Stage::Started { at: now };
+                self.pace_new(key);
+            },
             Err(Fault::Silent) => give_no_answer(key, handling),
             // Whatever ended it is in the list of ends, or it was stopped before it began.
             Err(Fault::Denied(Denial::Old)) => {
@@ -157,6 +160,15 @@
         }
     }
 
+    /// Slows a run down at its start rather than after the first figures show what it disturbs.
+    fn pace_new(&mut self, key: RunKey) {
+        let Some(target) = self.target() else { return };
+        let Some(nature) = self.natures.get(&key) else { return };
+        if let Some(percent) = self.pacing.admit(key, nature) {
+            self.out.push(Effect::Pace { target, key, percent });
+        }
+    }
+
     pub(super) fn stopped(&mut self, now: Moment, key: RunKey, result: Result<(), Fault>) {
         let Some(handling) = self.handling.get_mut(&key) else { return };
         if !matches!(handling.stage, Stage::Stop) {
--- a/toucangrade/src/pacing/mod.rs
+++ b/toucangrade/src/pacing/mod.rs
@@ -40,6 +40,9 @@
     table: Table,
     /// Millicores of the runner.
     cores: u64,
+    /// What the shares leave to tasks that start before the next figures come.
+    #[serde(skip)]
+    headroom: Headroom,
     changed: Moment,
     /// Share that each run was last told.
     told: BTreeMap<RunKey, u8>,
@@ -65,7 +68,7 @@
         natures: &BTreeMap<RunKey, Nature>,
     ) -> Vec<(RunKey, u8)> {
         self.cores = cores;
-        self.told.retain(|key, _| rows.iter().any(|row| row.key == *key));
+        self.told.retain(|key, _| natures.contains_key(key));
         self.note_over(now, rows, natures);
         let fresh = rows.iter().any(|row| {
             !self.told.contains_key(&row.key) && natures.get(&row.key).is_some_and(|n| n.fills)
@@ -100,9 +103,25 @@
                 changes.push((task.key, share));
             }
         }
+        self.headroom = headroom;
         changes
     }
 
+    /// The share of a task that has just started, if it isn't its whole speed.
+    pub(crate) fn admit(&mut self, key: RunKey, nature: &Nature) -> Option<u8> {
+        if !nature.fills || self.told.contains_key(&key) {
+            return None;
+        }
+        let asked = nature.cores as f64 / self.cores.max(1) as f64;
+        let image = nature.image.clone().unwrap_or_default();
+        let task = Filling { key, image, asked, used: 0.0 };
+        let share = self.share(&task, &self.headroom);
+        let used = asked * f64::from(share) / 100.0;
+        self.headroom.spend(&self.table, &task.image, used);
+        self.told.insert(key, share);
+        (share < 100).then_some(share)
+    }
+
     fn note_over(&mut self, now: Moment, rows: &[Row], natures: &BTreeMap<RunKey, Nature>) {
         let target = |row: &Row| natures.get(&row.key).map_or(0, |nature| nature.target);
         let over = |row: &&Row| target(row) > 0 && u64::from(row.figure) >= target(row);
