--- a/toucangrade/src/agreement/tests/group.rs
+++ b/toucangrade/src/agreement/tests/group.rs
@@ -24,6 +24,8 @@
     /// Leaves the disk room for this many more bytes.
     Full(&'static str, usize),
     Heal(&'static str),
+    /// The instance asks the leader to take it in.
+    Join(&'static str),
     /// Delays all `Store` effects of the instance until `Release`.
     Hold(&'static str),
     /// Moves the instance's clock ahead by milliseconds.
@@ -47,6 +49,8 @@
     /// Removes bytes at the end of the last log file.
     Tear(&'static str, usize),
     Transfer(&'static str, &'static str),
+    /// Number of voters above which silent ones are removed.
+    Voters(usize),
     /// Loses all files of the stopped instance.
     Wipe(&'static str),
 
@@ -169,6 +173,20 @@
                 let used: usize = self.member(n).disk.sizes().values().sum();
                 self.member(n).disk.set_limit(Some(used + room));
             },
+            Do::Join(n) => {
+                let replica = self.running(n).agreement.me().clone();
+                for leader in self.leaders() {
+                    self.step(&leader, Message::Join(replica.clone()));
+                }
+                self.deliver();
+            },
+            Do::Voters(voters) => {
+                for member in self.members.values_mut() {
+                    if let Some(running) = &mut member.running {
+                        running.agreement.voters = Some(voters);
+                    }
+                }
+            },
             Do::Heal(n) => self.member(n).cut = false,
             Do::Hold(n) => self.member(n).held = true,
             Do::Jump(n, millis) => self.member(n).ahead += millis * 1_000,
--- a/toucangrade/src/agreement/tests/scripted.rs
+++ b/toucangrade/src/agreement/tests/scripted.rs
@@ -193,6 +193,24 @@
     Run(100), Cut("a"), Crash("b"), Start("b"), Jump("c", 2_000), Run(300), Leads("b", false),
     Leads("c", false),
 ] })]
+// An instance that lost its disk is taken in anew under its name and counts once it has caught up.
+#[case::lost_disk_joins(Case { script: &[
+    Propose("a", 1), Acknowledged(1), Stop("c"), Wipe("c"), Start("c"), Run(200), Join("c"),
+    Run(500), Voter("c", false), Join("c"), Run(1_000), Voter("c", true), Has("c", 1, true),
+] })]
+// A member that asks again changes nothing.
+#[case::member_joins(Case { script: &[
+    Join("c"), Run(500), Voter("c", true), Leads("a", true), SameTerm,
+] })]
+// A voter that never comes back is removed where there are more than the group needs.
+#[case::silent_voter_is_removed(Case { script: &[
+    Voters(2), Cut("c"), Run(7_000), Voter("c", false), Leads("a", true), Heal("c"), Voters(3),
+    Join("c"), Run(1_500), Voter("c", true),
+] })]
+// It stays where each voter is needed, so that a short loss costs no later one.
+#[case::needed_voter_stays(Case { script: &[
+    Voters(3), Cut("c"), Run(7_000), Voter("c", true), Heal("c"), Run(1_000), Leads("a", true),
+] })]
 fn failures_are_withstood(#[case] case: Case) {
     let mut group = Group::new();
     for step in case.script {
--- a/toucangrade/src/hosting/tests.rs
+++ b/toucangrade/src/hosting/tests.rs
@@ -1,1 +1,328 @@
+//! Tests of an agent against a runner and a leader that are played by hand.
 
+use std::collections::BTreeMap;
+
+use rstest::rstest;
+
+use super::*;
+use crate::dispatch::{Ended, Orders, Row, Start};
+use crate::jobs::{End, Need, TaskKey};
+
+fn key(index: u16) -> RunKey {
+    RunKey { task: TaskKey { job: 1, round: 0, step: 0, index }, run: 1 }
+}
+
+fn announcement(runner: &str, born: u64, sequence: u64) -> Announcement {
+    Announcement {
+        life: Life { runner: Name::new(runner).expect("a name"), born },
+        addr: "127.0.0.1:9".parse().expect("an address"),
+        service: "balcao".into(),
+        centre: "olinda".into(),
+        labels: vec!["a".into(), "r1".into()],
+        capacity: Need { millicores: 8_000, memory: 8_000, accelerators: 0 },
+        draining: false,
+        sequence,
+    }
+}
+
+/// How the runner answers orders.
+#[derive(Clone, Copy, Eq, PartialEq)]
+enum Manner {
+    /// Refuses for want of room.
+    Full,
+    /// Carries orders out but does not answer the first this many.
+    Mute(u32),
+    /// Carries everything out.
+    Sound,
+    /// Doesn't carry out or answer anything but listings.
+    Stubborn,
+}
+
+/// A runner, its agent, and what the agent reported last.
+struct World {
+    hosting: Hosting,
+    now: Moment,
+    manner: Manner,
+    life: Life,
+    rows: BTreeMap<RunKey, Row>,
+    ended: Vec<Ended>,
+    /// Runs that were stopped before they began.
+    buried: Vec<RunKey>,
+    starts: u32,
+    /// Greatest end of the lease that the runner was told.
+    until: Option<u64>,
+    tokens: Vec<u64>,
+    report: Option<Report>,
+    reports: u32,
+}
+
+impl World {
+    fn new(manner: Manner) -> Self {
+        let announced = announcement("i-1", 50, 1);
+        let mut world = Self {
+            hosting: Hosting::new(Name::new("10.0.0.1").expect("a name"), 1),
+            now: Moment::micros(1_000_000),
+            manner,
+            life: announced.life.clone(),
+            rows: BTreeMap::new(),
+            ended: Vec::new(),
+            buried: Vec::new(),
+            starts: 0,
+            until: None,
+            tokens: Vec::new(),
+            report: None,
+            reports: 0,
+        };
+        world.send(Message::Announce(Box::new(announced)));
+        world.pass(300);
+        world
+    }
+
+    fn send(&mut self, message: Message) {
+        let mut queue = vec![message];
+        let mut rounds = 0;
+        while let Some(message) = queue.pop() {
+            rounds += 1;
+            assert!(rounds < 10_000, "messages without end");
+            for effect in self.hosting.step(self.now, message) {
+                queue.extend(self.perform(effect));
+            }
+        }
+    }
+
+    fn perform(&mut self, effect: Effect) -> Option<Message> {
+        match effect {
+            Effect::List { seq, target, noted, until, .. } => {
+                self.tokens.push(target.life.born);
+                if target.life != self.life {
+                    return Some(Message::Listed { seq, listing: Err(Fault::Replaced) });
+                }
+                self.until = self.until.max(until);
+                self.ended.retain(|ended| ended.number > noted);
+                let rows = self.rows.values().cloned().collect();
+                let clock = self.now.as_micros() / 1_000;
+                let ended = self.ended.clone();
+                let listing = Listing { clock, born: self.life.born, rows, ended };
+                // The answer takes as long as the agent lets the runner wait.
+                self.held(seq, listing)
+            },
+            Effect::Pace { .. } => None,
+            Effect::Report(report) => {
+                self.reports += 1;
+                self.report = Some(*report);
+                None
+            },
+            Effect::Start { start, .. } => {
+                self.starts += 1;
+                let key = start.key;
+                if self.manner == Manner::Full {
+                    let result = Err(Fault::Denied(Denial::Room));
+                    return Some(Message::Started { key, result });
+                }
+                if self.manner == Manner::Stubborn {
+                    return None;
+                }
+                if self.buried.contains(&key) {
+                    let result = Err(Fault::Denied(Denial::Old));
+                    return Some(Message::Started { key, result });
+                }
+                let row = Row { key, saved: None, percent: 0, figure: 0, share: 100 };
+                self.rows.insert(key, row);
+                match self.manner {
+                    Manner::Mute(mute) if self.starts <= mute => None,
+                    _ => Some(Message::Started { key, result: Ok(()) }),
+                }
+            },
+            Effect::Stop { key, .. } => {
+                if self.manner == Manner::Stubborn {
+                    return None;
+                }
+                if self.rows.remove(&key).is_some() {
+                    self.finish(key, End::Stopped);
+                }
+                self.buried.push(key);
+                Some(Message::Stopped { key, result: Ok(()) })
+            },
+        }
+    }
+
+    fn held(&mut self, seq: u64, listing: Listing) -> Option<Message> {
+        // Listings are answered on the next pass of time.
+        self.pending(seq, listing);
+        None
+    }
+
+    fn pending(&mut self, seq: u64, listing: Listing) {
+        PENDING.with(|pending| pending.borrow_mut().push((seq, listing)));
+    }
+
+    fn finish(&mut self, key: RunKey, end: End) {
+        let number = self.ended.last().map_or(0, |ended| ended.number) + 1;
+        self.ended.push(Ended { number, key, end, saved: None });
+    }
+
+    fn pass(&mut self, millis: u64) {
+        for _ in 0..millis / 50 {
+            self.now = self.now + Span::millis(50);
+            let due = PENDING.with(|pending| std::mem::take(&mut *pending.borrow_mut()));
+            for (seq, listing) in due {
+                let listing = Ok(Box::new(listing));
+                self.send(Message::Listed { seq, listing });
+            }
+            if self.now.as_micros() % 100_000 == 0 {
+                self.send(Message::Tick);
+            }
+        }
+    }
+
+    fn order(&mut self, orders: Orders) {
+        let seq = self.report.as_ref().map_or(0, |report| report.seq);
+        self.send(Message::Ordered { seq, orders: Some(Box::new(orders)) });
+    }
+
+    fn start(&mut self, index: u16) {
+        let nature = Nature::default();
+        let start = Start { key: key(index), spec: "spec".into(), saved: None, nature };
+        let until = Some(self.now.as_micros() / 1_000 + 5_000);
+        self.order(Orders { until, starts: vec![start], ..Orders::default() });
+    }
+
+    fn last(&self) -> &Report {
+        self.report.as_ref().expect("a report")
+    }
+}
+
+thread_local! {
+    /// Listings that the runner has not answered; a test has one runner.
+    static PENDING: std::cell::RefCell<Vec<(u64, Listing)>> = const { std::cell::RefCell::new(Vec::new()) };
+}
+
+struct Case {
+    manner: Manner,
+    /// Times that the start is sent within 3 s.
+    starts: u32,
+    runs: bool,
+    denied: Option<Denial>,
+}
+
+/// A start is sent until it is answered; one that may have been carried out is never reported as
+/// denied before the runner has confirmed that it won't be.
+#[rstest]
+#[case::sound(Case { manner: Manner::Sound, starts: 1, runs: true, denied: None })]
+#[case::answer_lost(Case { manner: Manner::Mute(1), starts: 1, runs: true, denied: None })]
+#[case::full(Case { manner: Manner::Full, starts: 1, runs: false, denied: Some(Denial::Room) })]
+#[case::no_answer(Case { manner: Manner::Stubborn, starts: 4, runs: false, denied: None })]
+fn start_runs_or_is_denied(#[case] case: Case) {
+    let mut world = World::new(case.manner);
+    world.start(0);
+    world.pass(3_000);
+    assert_eq!(world.starts, case.starts);
+    let runs = world.last().rows.iter().any(|row| row.key == key(0));
+    assert_eq!(runs, case.runs);
+    assert_eq!(world.last().denied.first().map(|(_, denial)| *denial), case.denied);
+}
+
+/// A run that was denied is not started by a late copy of its order.
+#[test]
+fn denied_run_stays_denied() {
+    let mut world = World::new(Manner::Full);
+    world.start(0);
+    world.pass(500);
+    world.manner = Manner::Sound;
+    world.start(0);
+    world.pass(500);
+    assert!(world.rows.is_empty());
+    assert_eq!(world.last().denied, [(key(0), Denial::Room)]);
+}
+
+/// A stop of a run that is not there keeps it from being started, and is reported as such.
+#[test]
+fn stop_before_the_start_is_reported() {
+    let mut world = World::new(Manner::Sound);
+    world.order(Orders { until: Some(9_000), stops: vec![key(3)], ..Orders::default() });
+    world.pass(500);
+    assert_eq!(world.buried, [key(3)]);
+    assert_eq!(world.last().denied, [(key(3), Denial::Stopped)]);
+}
+
+/// Ends are reported until the leader has them recorded, and only then acknowledged.
+#[test]
+fn ends_are_reported_until_they_are_noted() {
+    let mut world = World::new(Manner::Sound);
+    world.start(0);
+    world.pass(500);
+    world.rows.clear();
+    world.finish(key(0), End::Done);
+    world.pass(1_500);
+    assert_eq!(world.last().ended.len(), 1);
+    assert_eq!(world.ended.len(), 1);
+    world.order(Orders { until: Some(9_000), noted: 1, ..Orders::default() });
+    world.pass(1_500);
+    assert!(world.last().ended.is_empty());
+    assert!(world.ended.is_empty());
+}
+
+/// Without the leader an agent keeps its runner's lease as it is, so that it ends.
+#[test]
+fn lease_is_extended_by_the_leader_alone() {
+    let mut world = World::new(Manner::Sound);
+    world.start(0);
+    world.pass(500);
+    let granted = world.until;
+    assert!(granted.is_some());
+    world.pass(5_000);
+    assert_eq!(world.until, granted);
+}
+
+struct Birth {
+    runner: &'static str,
+    born: u64,
+    sequence: u64,
+    /// The life that the agent reports afterwards.
+    life: (&'static str, u64),
+}
+
+/// A later life replaces an earlier one; late announcements of an earlier life do not.
+#[rstest]
+#[case::same_name_reborn(Birth { runner: "i-1", born: 60, sequence: 1, life: ("i-1", 60) })]
+#[case::other_name(Birth { runner: "i-2", born: 60, sequence: 1, life: ("i-2", 60) })]
+#[case::late(Birth { runner: "i-0", born: 40, sequence: 9, life: ("i-1", 50) })]
+#[case::repeated(Birth { runner: "i-1", born: 50, sequence: 1, life: ("i-1", 50) })]
+fn newest_life_counts(#[case] birth: Birth) {
+    let mut world = World::new(Manner::Sound);
+    world.start(0);
+    world.pass(500);
+    let announced = announcement(birth.runner, birth.born, birth.sequence);
+    if birth.life != ("i-1", 50) {
+        world.life = announced.life.clone();
+        world.rows.clear();
+    }
+    world.send(Message::Announce(Box::new(announced)));
+    world.pass(1_500);
+    let runner = world.last().runner.clone().expect("a runner");
+    assert_eq!((runner.life.runner.as_str(), runner.life.born), birth.life);
+    let reborn = birth.life != ("i-1", 50);
+    assert_eq!(world.last().rows.is_empty(), reborn);
+    // The first call to a new life raises its fencing token, so that late orders are refused.
+    assert_eq!(world.tokens.last(), Some(&birth.life.1));
+}
+
+/// Reports come at least every second and are few while nothing happens.
+#[test]
+fn reports_are_bounded() {
+    let mut world = World::new(Manner::Sound);
+    world.start(0);
+    world.pass(1_000);
+    let before = world.reports;
+    world.pass(10_000);
+    let sent = world.reports - before;
+    assert!((10..=20).contains(&sent), "{sent} reports in 10 s");
+}
+
+/// A runner that leaves is no longer reported.
+#[test]
+fn runner_that_left_is_forgotten() {
+    let mut world = World::new(Manner::Sound);
+    world.send(Message::Leave { runner: "i-1".to_owned() });
+    assert_eq!(world.last().runner, None);
+}
--- a/toucangrade/src/jobs/tests.rs
+++ b/toucangrade/src/jobs/tests.rs
@@ -1,1 +1,112 @@
+//! Tests of declared jobs and configurations.
 
+use rstest::rstest;
+
+use super::*;
+use crate::core::Span;
+
+fn step(count: u32, after: Vec<u16>) -> Step {
+    Step { count, after, estimate: Span::secs(1), ..Step::default() }
+}
+
+fn job(steps: Vec<Step>) -> Job {
+    Job { id: 1, queue: "quotes".into(), spec: "spec".into(), steps, schedule: None }
+}
+
+struct Declared {
+    steps: Vec<Step>,
+    refused: Option<&'static str>,
+}
+
+/// Refusals name the field, its value and what is allowed.
+#[rstest]
+#[case::sound(Declared { steps: vec![step(1, vec![]), step(2, vec![0])], refused: None })]
+#[case::no_steps(Declared {
+    steps: vec![], refused: Some("the job has 0 steps, allowed are 1 to 256"),
+})]
+#[case::no_tasks(Declared {
+    steps: vec![step(0, vec![])],
+    refused: Some("steps[0] has 0 tasks, allowed are 1 to 4096"),
+})]
+#[case::after_itself(Declared {
+    steps: vec![step(1, vec![0])],
+    refused: Some("steps[0].after names step 0, allowed are steps before 0"),
+})]
+#[case::after_a_later_one(Declared {
+    steps: vec![step(1, vec![]), step(1, vec![7])],
+    refused: Some("steps[1].after names step 7, allowed are steps before 1"),
+})]
+fn jobs_are_checked(#[case] case: Declared) {
+    let refused = job(case.steps).check().err().map(|bad| bad.to_string());
+    assert_eq!(refused.as_deref(), case.refused);
+}
+
+/// The chain of a job is the longest way through its steps.
+#[test]
+fn chains_follow_the_longest_way() {
+    let steps = vec![step(1, vec![]), step(1, vec![]), step(1, vec![0, 1]), step(1, vec![2])];
+    let chains: Vec<u64> = job(steps).chains().iter().map(|span| span.as_millis()).collect();
+    assert_eq!(chains, [3_000, 3_000, 2_000, 1_000]);
+}
+
+fn queue(name: &str, prefix: &str) -> Queue {
+    Queue {
+        name: name.into(),
+        host: "shop.example".into(),
+        prefix: prefix.into(),
+        service: "balcao".into(),
+        priority: 0,
+        attempts: 3,
+        stretch: 1.5,
+        objective: Span::ZERO,
+        timeout: Span::secs(3),
+    }
+}
+
+fn setup(queues: Vec<Queue>) -> Setup {
+    let services = vec![Service { name: "balcao".into(), guarded: true, standby: false }];
+    Setup { version: 1, queues, services, source: bytes::Bytes::new() }
+}
+
+struct Configured {
+    queues: Vec<Queue>,
+    refused: Option<&'static str>,
+}
+
+/// A configuration that breaks a rule is refused with the queue and the value.
+#[rstest]
+#[case::sound(Configured { queues: vec![queue("a", "/a/"), queue("b", "/b/")], refused: None })]
+#[case::same_place(Configured {
+    queues: vec![queue("a", "/a/"), queue("b", "/a/")],
+    refused: Some("queues \"a\" and \"b\" share host \"shop.example\" and prefix \"/a/\""),
+})]
+#[case::unknown_service(Configured {
+    queues: vec![Queue { service: "other".into(), ..queue("a", "/a/") }],
+    refused: Some("queue \"a\" names service \"other\", which is not declared"),
+})]
+#[case::no_timeout(Configured {
+    queues: vec![Queue { timeout: Span::ZERO, ..queue("a", "/a/") }],
+    refused: Some("queue \"a\" has a timeout of 0 ms, it must be at least 1"),
+})]
+fn configurations_are_checked(#[case] case: Configured) {
+    let refused = setup(case.queues).check().err().map(|bad| bad.to_string());
+    assert_eq!(refused.as_deref(), case.refused);
+}
+
+struct Found {
+    host: &'static str,
+    path: &'static str,
+    found: Option<(&'static str, &'static str)>,
+}
+
+/// The longest prefix of a path under its host selects the queue.
+#[rstest]
+#[case::shorter(Found { host: "shop.example", path: "/a/x", found: Some(("a", "x")) })]
+#[case::longer(Found { host: "shop.example", path: "/a/b/x", found: Some(("ab", "x")) })]
+#[case::other_host(Found { host: "other.example", path: "/a/x", found: None })]
+#[case::no_prefix(Found { host: "shop.example", path: "/c/x", found: None })]
+fn queues_are_found(#[case] case: Found) {
+    let setup = setup(vec![queue("a", "/a/"), queue("ab", "/a/b/")]);
+    let found = setup.find(case.host, case.path);
+    assert_eq!(found.map(|(queue, rest)| (&*queue.name, rest)), case.found);
+}
--- a/toucangrade/src/pacing/tests.rs
+++ b/toucangrade/src/pacing/tests.rs
@@ -1,1 +1,100 @@
+//! Tests of pacing on one runner of ten cores.
 
+use rstest::rstest;
+
+use super::*;
+use crate::jobs::TaskKey;
+use crate::pressure::Pressure;
+
+const CORES: u64 = 10_000;
+
+fn key(index: u16) -> RunKey {
+    RunKey { task: TaskKey { job: 1, round: 0, step: 0, index }, run: 1 }
+}
+
+fn row(index: u16, figure: u32) -> Row {
+    Row { key: key(index), saved: None, percent: 50, figure, share: 100 }
+}
+
+fn serves(target: u64) -> Nature {
+    Nature { image: Some("quotes".into()), cores: 2_000, target, fills: false }
+}
+
+fn fills(image: &str) -> Nature {
+    Nature { image: Some(image.into()), cores: 5_000, target: 0, fills: true }
+}
+
+/// Images whose pressure on `quotes` is known well.
+fn table() -> Table {
+    let certain = |mean| Pressure { mean, variance: 0.0 };
+    Table::known("quotes", 10.0, &[("heavy", certain(1.5)), ("light", certain(0.01))])
+}
+
+struct Case {
+    /// Tail latency in ms, against a target of 50 and 10 without load.
+    tail: u32,
+    /// Image and millicores in use of each filling task.
+    filling: Vec<(&'static str, u32)>,
+    /// Shares that are told.
+    told: Vec<u8>,
+}
+
+/// Replays what a runner showed on a calm day: the tail latency of a service rises with some
+/// images beside it and not with others.
+#[rstest]
+#[case::light_goes_on(Case { tail: 30, filling: vec![("light", 5_000)], told: vec![] })]
+#[case::heavy_fits(Case { tail: 12, filling: vec![("heavy", 0)], told: vec![77] })]
+#[case::heavy_is_slowed(Case { tail: 40, filling: vec![("heavy", 2_500)], told: vec![50] })]
+#[case::heavy_stops_without_room(Case { tail: 50, filling: vec![("heavy", 500)], told: vec![0] })]
+#[case::only_heavy_is_slowed(Case {
+    tail: 60,
+    filling: vec![("light", 2_500), ("heavy", 2_500)],
+    told: vec![39],
+})]
+#[case::nothing_serves(Case { tail: 0, filling: vec![("heavy", 5_000)], told: vec![] })]
+fn shares_follow_from_tail_latency(#[case] case: Case) {
+    let mut pacing = Pacing::default();
+    pacing.learn(table());
+    let mut rows = Vec::new();
+    let mut natures = BTreeMap::new();
+    if case.tail > 0 {
+        rows.push(row(0, case.tail));
+        natures.insert(key(0), serves(50));
+    }
+    for ((image, used), index) in case.filling.into_iter().zip(1..) {
+        rows.push(row(index, used));
+        natures.insert(key(index), fills(image));
+    }
+    let told = pacing.step(Moment::micros(1_000_000), CORES, &rows, &natures);
+    assert_eq!(told.iter().map(|(_, share)| *share).collect::<Vec<_>>(), case.told);
+}
+
+/// Whatever the estimates say, nothing that fills works on once a service has been over its target
+/// for two seconds, and it comes back step by step.
+#[test]
+fn service_over_its_target_stops_all_filling() {
+    let mut pacing = Pacing::default();
+    pacing.learn(table());
+    let natures = BTreeMap::from([(key(0), serves(50)), (key(1), fills("light"))]);
+    let mut shares = Vec::new();
+    for half in 0..10 {
+        let tail = if half < 6 { 80 } else { 15 };
+        let now = Moment::micros(1_000_000 + half * 500_000);
+        pacing.step(now, CORES, &[row(0, tail), row(1, 5_000)], &natures);
+        shares.push(pacing.share_of(key(1)));
+    }
+    assert_eq!(shares, [100, 100, 100, 100, 0, 0, 30, 60, 90, 100]);
+}
+
+/// A task that starts is slowed down before figures show what it disturbs.
+#[rstest]
+#[case::light("light", None)]
+#[case::heavy("heavy", Some(14))]
+fn new_task_is_paced_at_once(#[case] image: &str, #[case] told: Option<u8>) {
+    let mut pacing = Pacing::default();
+    pacing.learn(table());
+    let natures = BTreeMap::from([(key(0), serves(50))]);
+    pacing.step(Moment::micros(1_000_000), CORES, &[row(0, 28)], &natures);
+    assert_eq!(pacing.admit(key(1), &fills(image)), told);
+    assert_eq!(pacing.admit(key(1), &fills(image)), None);
+}
--- a/toucangrade/src/pressure/mod.rs
+++ b/toucangrade/src/pressure/mod.rs
@@ -79,6 +79,17 @@
         self.bases.get(image).copied().unwrap_or(target as f64 * BASE_GUESS)
     }
 
+    /// A table that knows one image that serves.
+    #[cfg(test)]
+    pub(crate) fn known(serving: &str, base: f64, pairs: &[(&str, Pressure)]) -> Self {
+        let pairs = pairs.iter().map(|(image, pressure)| ((*image).into(), *pressure)).collect();
+        let serving: Arc<str> = serving.into();
+        Self {
+            bases: BTreeMap::from([(Arc::clone(&serving), base)]),
+            pairs: BTreeMap::from([(serving, pairs)]),
+        }
+    }
+
     /// What `filling` adds to the load of `serving`.
     pub(crate) fn pressure(&self, serving: &str, filling: &str) -> Pressure {
         self.pairs.get(serving).and_then(|pairs| pairs.get(filling)).copied().unwrap_or_default()
