Keep ended jobs that were replayed before the first tick

Ruled out: the log (no entry was lost), membership (the wiped instance voted only after it was taken in anew), renamed queues. Change: a new leader counts from its election.

--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -337,7 +337,15 @@
     /// Derives everything anew from the agreed state.
     fn derive(&mut self, now: Moment) {
         let active = |entry: &crate::jobs::Entry| entry.phase == crate::jobs::Phase::Active;
-        self.active = self.book.jobs.iter().filter(|(_, e)| active(e)).map(|(id, _)| *id).collect();
+        (self.active, self.ended) = (BTreeSet::new(), BTreeMap::new());
+        for (id, entry) in &self.book.jobs {
+            if active(entry) {
+                self.active.insert(*id);
+            } else {
+                // Before the first tick the time is not known, so this counts from the election.
+                self.ended.insert(*id, self.wall);
+            }
+        }
         self.fleet.holds.clear();
         let mut live = Vec::new();
         for (id, entry) in &self.book.jobs {
--- a/toucangrade/src/dispatch/tests.rs
+++ b/toucangrade/src/dispatch/tests.rs
@@ -598,6 +598,28 @@
     assert_eq!(world.state("match", 7), Some(Told::Gone));
 }
 
+/// An instance that replays the log before its first tick does not take what ended then for old. On
+/// a played day a new leader forgot 139 jobs whose callers were still asking for them.
+#[test]
+fn replayed_ends_are_remembered() {
+    let mut world = World::new();
+    world.submit("match", 7, vec![step(1, 1_000)]);
+    world.ask("/match/0000000000000007", Verb::Cancel, Some(7));
+    let job = Arc::clone(&world.dispatch.book.jobs[&7].job);
+    let mut other = World::new();
+    other.dispatch = Dispatch::new();
+    let commands = vec![
+        Command::Configure(Arc::new(setup(1))),
+        Command::Accept { job, wall: 1_700_000_000_000 },
+        Command::Cancel { job: 7 },
+    ];
+    other.send(Message::Commit { index: 1, ticket: None, commands, bytes: 0 });
+    other.pass(500);
+    other.send(Message::Lead { leading: true });
+    other.pass(500);
+    assert_eq!(other.state("match", 7), Some(Told::State(JobState::Cancelled)));
+}
+
 /// An instance that does not lead decides nothing.
 #[test]
 fn follower_sends_everybody_elsewhere() {
