Order jobs by what they can still earn and by the work that is left

Cause: under load jobs got room in the order in which they came, so all of them became late together. Change: within a priority, jobs that can still meet their objective come first, then those that are late, then those that are worth nothing; among equals the one with least work left. The mean duration of a queue's tasks replaces the declared estimates, which are off by up to ten times.

--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -24,7 +24,9 @@
     Ask, Denial, Ended, JobState, Nature, Orders, Report, Row, Runner, Start, Told, Verb,
 };
 pub(crate) use self::message::{Effect, Message};
-use self::settings::{BATCH_LIMIT, FLIGHTS_LIMIT, SNAPSHOT_BYTES, SNAPSHOT_COMMANDS};
+use self::settings::{
+    BATCH_LIMIT, DURATION_WEIGHT_PERCENT, FLIGHTS_LIMIT, SNAPSHOT_BYTES, SNAPSHOT_COMMANDS,
+};
 use crate::core::{Moment, Name, Span};
 use crate::jobs::{Applied, Book, Command, End, Life, RunKey, TaskKey};
 use crate::pressure::Learner;
@@ -75,6 +77,8 @@
     /// When this leader learned that a job is over, in ms since 1970.
     #[serde(skip)]
     ended: BTreeMap<u64, u64>,
+    /// Mean time from the assignment of a task to its end, by queue.
+    durations: BTreeMap<Arc<str>, Span>,
     /// Agents on which each task has failed.
     #[serde(skip)]
     avoided: BTreeMap<TaskKey, Vec<Name>>,
@@ -106,6 +110,7 @@
             closing: BTreeSet::new(),
             opening: BTreeSet::new(),
             ended: BTreeMap::new(),
+            durations: BTreeMap::new(),
             avoided: BTreeMap::new(),
             dirty: false,
             rescued: Moment::START,
@@ -293,8 +298,11 @@
         life: &Life,
         touched: &mut BTreeSet<Name>,
     ) {
-        if let Some(hold) = self.fleet.holds.get_mut(life) {
-            hold.runs.remove(&key);
+        let run = self.fleet.holds.get_mut(life).and_then(|hold| hold.runs.remove(&key));
+        if let Some(run) = run
+            && end == End::Done
+        {
+            self.measure(key, now.since(run.since));
         }
         let Some(agent) = self.fleet.agent(life).cloned() else { return };
         let failed = end == End::Failed;
@@ -312,6 +320,14 @@
         touched.insert(agent);
     }
 
+    /// Takes the time that a run took into its queue's mean.
+    fn measure(&mut self, key: RunKey, took: Span) {
+        let Some(entry) = self.book.jobs.get(&key.task.job) else { return };
+        let mean = self.durations.entry(Arc::clone(&entry.job.queue)).or_insert(took);
+        let weight = DURATION_WEIGHT_PERCENT;
+        *mean = mean.percent(100 - weight) + took.percent(weight);
+    }
+
     /// Stops counting a job that is over, and has its runs stopped.
     fn retire(&mut self, job: u64, touched: &mut BTreeSet<Name>) {
         let over = |entry: &crate::jobs::Entry| entry.phase != crate::jobs::Phase::Active;
--- a/toucangrade/src/dispatch/plan.rs
+++ b/toucangrade/src/dispatch/plan.rs
@@ -1,6 +1,5 @@
 //! Order in which tasks get runners.
 
-use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -10,6 +9,17 @@
 use crate::jobs::{Command, Entry, Job, Life, Phase, Queue, RunKey, Setup, TaskKey};
 use crate::pressure::{Headroom, Serving};
 
+/// Objectives after which a late job is worth nothing.
+const LATE_FACTOR: u64 = 3;
+
+/// How a job stands to its objective.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Lateness {
+    OnTime,
+    Late,
+    Hopeless,
+}
+
 /// A task that may start, with its next run.
 type Waiting = (RunKey, u64);
 
@@ -38,11 +48,39 @@
         let mut turn: Vec<_> = entries
             .filter_map(|entry| {
                 let queue = setup.queue(&entry.job.queue)?;
-                Some((queue.priority, Reverse(entry.begun), entry.wall, entry.job.id))
+                let lateness = self.lateness(entry, queue);
+                let work = self.work_left(entry);
+                Some((queue.priority, lateness, work, entry.wall, entry.job.id))
             })
             .collect();
         turn.sort_unstable();
-        turn.into_iter().map(|(_, _, _, id)| id).collect()
+        turn.into_iter().map(|(_, _, _, _, id)| id).collect()
+    }
+
+    /// Whether a job can still meet its objective, or earn something as a late one.
+    fn lateness(&self, entry: &Entry, queue: &Queue) -> Lateness {
+        if entry.job.lasting() || entry.job.schedule.is_some() {
+            return Lateness::OnTime;
+        }
+        let task = self.durations.get(&queue.name).copied().unwrap_or_default();
+        let depth = entry.job.depth() as f64;
+        let chain = depth * task.as_micros() as f64 * queue.stretch;
+        let objective = chain as u64 / 1_000 + queue.objective.as_millis();
+        let age = self.wall.saturating_sub(entry.wall);
+        if age <= objective {
+            Lateness::OnTime
+        } else if age <= LATE_FACTOR * objective {
+            Lateness::Late
+        } else {
+            Lateness::Hopeless
+        }
+    }
+
+    /// Millicores asked for by all tasks that are not done.
+    fn work_left(&self, entry: &Entry) -> u64 {
+        let rounds = entry.rounds.values();
+        let open = rounds.flat_map(|round| round.open.iter().zip(&entry.job.steps));
+        open.map(|(open, step)| u64::from(*open) * step.need.millicores).sum()
     }
 
     /// Tasks of a job that may start, by round and step.
--- a/toucangrade/src/jobs/declared.rs
+++ b/toucangrade/src/jobs/declared.rs
@@ -179,6 +179,16 @@
         self.steps.iter().any(|step| step.lasting)
     }
 
+    /// Number of steps in the longest chain.
+    pub fn depth(&self) -> usize {
+        let mut depths: Vec<usize> = Vec::with_capacity(self.steps.len());
+        for step in &self.steps {
+            let before = step.after.iter().filter_map(|&after| depths.get(usize::from(after)));
+            depths.push(before.max().copied().unwrap_or(0) + 1);
+        }
+        depths.into_iter().max().unwrap_or(0)
+    }
+
     /// Longest chain of work from the start of each step to the end of the job.
     pub fn chains(&self) -> Vec<Span> {
         let mut chains: Vec<Span> = self.steps.iter().map(|step| step.estimate).collect();
