--- /dev/null
+++ b/scripts/trace.py
@@ -0,0 +1,69 @@
+#!/usr/bin/env python3
+"""Joins what all processes logged about one job into one story.
+
+Usage: scripts/trace.py JOB LOG...
+
+JOB is the job's 16 hexadecimal digits or the beginning of them. Each line of a LOG is a JSON object
+as the processes write them; text before it, such as a time or a host name, is kept. Lines about
+roles, runners and settings that fall into the job's lifetime are shown as well, marked with `~`.
+"""
+
+import json
+import sys
+
+# Changes of what a process believes, which concern every job of their time.
+SHARED = {
+    "agent found", "control", "dispatch", "leader", "role", "runner found", "runner left",
+    "runner lost", "started", "stopping",
+}
+
+
+def records(paths):
+    """Yields (time, source, fields, target) of every line that holds a JSON object."""
+    for path in paths:
+        with open(path, encoding="utf-8", errors="replace") as lines:
+            for line in lines:
+                start = line.find("{")
+                if start < 0:
+                    continue
+                try:
+                    record = json.loads(line[start:])
+                except json.JSONDecodeError:
+                    continue
+                source = line[:start].split()
+                fields = record.get("fields", {})
+                yield record.get("timestamp", ""), source[-1] if source else path, fields
+
+
+def concerns(fields, job):
+    """Whether the fields name the job or one of its runs."""
+    return any(str(fields.get(name, "")).startswith(job) for name in ("job", "run"))
+
+
+def show(mark, time, source, fields):
+    rest = " ".join(f"{k}={v}" for k, v in fields.items() if k != "message")
+    print(f"{mark} {time[11:23]} {source:28} {fields.get('message', '')}: {rest}")
+
+
+def main():
+    if len(sys.argv) < 3:
+        sys.exit(__doc__)
+    job, paths = sys.argv[1], sys.argv[2:]
+    found = sorted(records(paths), key=lambda record: record[0])
+    own = [record for record in found if concerns(record[2], job)]
+    if not own:
+        sys.exit(f"no line about {job}; was it handed in at these processes, and at that time?")
+    first, last = own[0][0], own[-1][0]
+    for time, source, fields in found:
+        if concerns(fields, job):
+            show(" ", time, source, fields)
+        elif first <= time <= last and fields.get("message") in SHARED:
+            show("~", time, source, fields)
+
+
+if __name__ == "__main__":
+    try:
+        main()
+    except BrokenPipeError:
+        # The reader, such as head, has seen enough.
+        sys.stderr.close()
