Give up connections to instances without power after 250 ms

Change: the processes of a node make connections within 250 ms, after which the request is known not to be taken: 503 after 850 ms at most. Two cases of the relay.

--- a/toucangrade/src/http/client.rs
+++ b/toucangrade/src/http/client.rs
@@ -141,9 +141,21 @@
     ///
     /// The error of the operating system when the thread or its runtime can't be started.
     pub fn start() -> io::Result<Self> {
+        Self::connecting_within(CONNECT_TIMEOUT)
+    }
+
+    /// Starts the client thread; a connection that is not made within `limit` is given up, and
+    /// nothing of its request was sent.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::start`].
+    pub fn connecting_within(limit: Duration) -> io::Result<Self> {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
         let (queue, exchanges) = mpsc::channel(QUEUE_LIMIT);
-        Builder::new().name("client".to_owned()).spawn(move || runtime.block_on(run(exchanges)))?;
+        Builder::new()
+            .name("client".to_owned())
+            .spawn(move || runtime.block_on(run(exchanges, limit)))?;
         Ok(Self { queue })
     }
 
@@ -173,10 +185,10 @@
 
 type Pool = legacy::Client<HttpConnector, Full<Bytes>>;
 
-async fn run(mut exchanges: mpsc::Receiver<(Exchange, Done)>) {
+async fn run(mut exchanges: mpsc::Receiver<(Exchange, Done)>, connecting: Duration) {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
-    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+    connector.set_connect_timeout(Some(connecting));
     // A repeated request is a decision of the execution duty, so a request is sent once and a
     // connection that closes is reported.
     let pool = legacy::Client::builder(TokioExecutor::new())
--- a/toucangrade/src/node/mod.rs
+++ b/toucangrade/src/node/mod.rs
@@ -12,7 +12,7 @@
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use serde::Serialize;
 
@@ -23,6 +23,10 @@
 pub use self::control::{Control, Elsewhere};
 pub use self::entry::{Entry, Failed};
 
+/// Time that a connection to another process may take: some ten round trips between data centres. An
+/// instance without power answers nothing, and what was never sent can be sent elsewhere.
+const CONNECT_LIMIT: Duration = Duration::from_millis(250);
+
 /// What a process is told at its start.
 #[derive(Clone, Debug, Serialize)]
 pub struct NodeSettings {
@@ -114,7 +118,7 @@
     fn new(settings: NodeSettings) -> io::Result<Self> {
         let name = name_of(&settings.ip)
             .ok_or_else(|| io::Error::other(format!("{} can't be a name", settings.ip)))?;
-        let (clock, client) = (Clock::suspend_aware(), Client::start()?);
+        let (clock, client) = (Clock::suspend_aware(), Client::connecting_within(CONNECT_LIMIT)?);
         Ok(Self { settings, name, clock, client })
     }
 }
--- a/toucangrade/src/relay/tests.rs
+++ b/toucangrade/src/relay/tests.rs
@@ -14,6 +14,8 @@
 enum Act {
     /// Leads and answers.
     Answers,
+    /// Has no power: a connection is given up after 250 ms.
+    Dark,
     /// Can't be reached.
     Down,
     /// Names another instance as the leader.
@@ -44,14 +46,16 @@
     let patient = case.patient;
     let mut queue =
         relay.step(Moment::START, Message::Send { ticket: 1, request, deadline, patient });
-    let mut timeouts: Vec<(u64, u64)> = Vec::new();
+    let mut timeouts: Vec<(u64, u64, CallError)> = Vec::new();
     for millis in (0..3_000u64).step_by(10) {
         let now = Moment::micros(millis * 1_000);
         if millis % 50 == 0 {
             queue.extend(relay.step(now, Message::Tick));
         }
-        for (_, call) in timeouts.extract_if(.., |(at, _)| *at <= millis).collect::<Vec<_>>() {
-            let result = Err(CallError::Timeout);
+        for (_, call, error) in
+            timeouts.extract_if(.., |(at, ..)| *at <= millis).collect::<Vec<_>>()
+        {
+            let result = Err(error);
             queue.extend(relay.step(now, Message::Answered { call, result }));
         }
         while !queue.is_empty() {
@@ -82,8 +86,12 @@
                     Act::Names(leader) => refused(Some(leader)),
                     Act::Unknown => Ok(Reply::Told(Told::Unknown)),
                     Act::Waits => refused(None),
+                    Act::Dark => {
+                        timeouts.push((millis + 250, call, CallError::Connect));
+                        continue;
+                    },
                     Act::Silent => {
-                        timeouts.push((millis + timeout.as_millis(), call));
+                        timeouts.push((millis + timeout.as_millis(), call, CallError::Timeout));
                         continue;
                     },
                 };
@@ -112,6 +120,12 @@
 #[case::nobody_leads(Case {
     a: Act::Waits, b: Act::Waits, patient: false, outcome: "not taken", within: 600,
 })]
+#[case::all_without_power(Case {
+    a: Act::Dark, b: Act::Dark, patient: false, outcome: "not taken", within: 850,
+})]
+#[case::one_without_power(Case {
+    a: Act::Dark, b: Act::Answers, patient: false, outcome: "reply", within: 400,
+})]
 #[case::all_down_and_patient(Case {
     a: Act::Down, b: Act::Down, patient: true, outcome: "not taken", within: 2_050,
 })]
