Evacuate runners that are about to leave

Cause: lasting tasks and tasks with checkpoints stayed on a runner that said it was leaving, and were lost with it; a runner that deregistered kept its tasks for a lease of 6 s, since its agent forgot it at once. Change: the leader stops them while the runner drains, so that they go on elsewhere; an agent lists a runner that left until its port refuses connections.

--- a/toucangrade/src/dispatch/rescue.rs
+++ b/toucangrade/src/dispatch/rescue.rs
@@ -16,10 +16,34 @@
             return;
         }
         self.rescued = now;
+        self.evacuate(now);
         self.stop_stuck(now);
         self.move_slow(now);
     }
 
+    /// Stops what would lose most on runners that are about to leave: lasting tasks, which go on at
+    /// once elsewhere, and tasks with a checkpoint. Others may still end before the runner does.
+    fn evacuate(&mut self, now: Moment) {
+        let workers = self.fleet.workers.iter();
+        let leaving: Vec<(Name, Life)> = workers
+            .filter_map(|(agent, worker)| Some((agent.clone(), worker.runner()?)))
+            .filter(|(_, runner)| runner.draining)
+            .map(|(agent, runner)| (agent, runner.life.clone()))
+            .collect();
+        for (agent, life) in leaving {
+            let Some(hold) = self.fleet.holds.get(&life) else { continue };
+            let moves = |run: &Run| !run.stop && (run.lasting || run.saves);
+            let keys: Vec<RunKey> =
+                hold.runs.iter().filter(|(_, run)| moves(run)).map(|(key, _)| *key).collect();
+            if !keys.is_empty() {
+                tracing::info!(runner = %life.runner, runs = keys.len(), "runner leaves, moving");
+            }
+            for key in keys {
+                self.order_stop(&life, key, &agent, now);
+            }
+        }
+    }
+
     /// Stops runs that make no progress though they may work at full speed: their runner hangs.
     fn stop_stuck(&mut self, now: Moment) {
         let mut stuck: Vec<(Life, RunKey)> = Vec::new();
--- a/toucangrade/src/dispatch/tests.rs
+++ b/toucangrade/src/dispatch/tests.rs
@@ -462,6 +462,31 @@
     assert_eq!(!world.live(&other).is_empty(), case.moved);
 }
 
+struct Leaving {
+    step: Step,
+    stopped: bool,
+}
+
+/// On a runner that is about to leave, what would lose most is stopped while there is time.
+#[rstest]
+#[case::lasting(Leaving { step: Step { lasting: true, ..step(1, 500) }, stopped: true })]
+#[case::with_checkpoint(Leaving { step: Step { checkpoints: true, ..step(1, 500) }, stopped: true })]
+#[case::short(Leaving { step: step(1, 500), stopped: false })]
+fn runner_that_leaves_is_evacuated(#[case] case: Leaving) {
+    let mut world = World::new();
+    let runner = life("i-1", 10);
+    world.report(report("10.0.0.1", 1, &runner));
+    world.submit("match", 7, vec![case.step]);
+    let key = key(7, 0, 0, 1);
+    let mut report = report("10.0.0.1", 2, &runner);
+    report.rows = vec![Row { key, saved: None, percent: 1, figure: 0, share: 100 }];
+    report.runner.as_mut().expect("a runner").draining = true;
+    world.report(report);
+    world.pass(600);
+    let stops = world.answered().map(|orders| orders.stops).unwrap_or_default();
+    assert_eq!(stops.contains(&key), case.stopped);
+}
+
 /// A new life of a runner shows that all runs of the one before are over.
 #[test]
 fn reborn_runner_gets_its_runs_anew() {
--- a/toucangrade/src/hosting/mod.rs
+++ b/toucangrade/src/hosting/mod.rs
@@ -17,7 +17,7 @@
 use self::orders::Handling;
 use crate::core::{Moment, Name, Span};
 use crate::dispatch::{Denial, Nature, Report, Row, Runner};
-use crate::jobs::{Life, RunKey};
+use crate::jobs::RunKey;
 use crate::pacing::Pacing;
 
 /// Time between two ticks.
@@ -136,10 +136,6 @@
         std::mem::take(&mut self.out)
     }
 
-    fn life(&self) -> Option<&Life> {
-        self.known.as_ref().map(|known| &known.announced.life)
-    }
-
     fn target(&self) -> Option<Target> {
         let announced = &self.known.as_ref()?.announced;
         Some(Target { addr: announced.addr, life: announced.life.clone() })
@@ -185,10 +181,13 @@
         (self.failed, self.refused) = (None, 0);
     }
 
+    /// The runner ends now; it is listed until its port refuses connections, which shows that
+    /// nothing runs there any more.
     fn leave(&mut self, runner: &str) {
-        if self.life().is_some_and(|life| life.runner.as_str() == runner) {
+        let known = self.known.as_mut().filter(|k| k.announced.life.runner.as_str() == runner);
+        if let Some(known) = known {
             tracing::info!(runner, "runner left");
-            self.forget_runner();
+            known.announced.draining = true;
             self.news = true;
         }
     }
