--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -28,7 +28,7 @@
     BATCH_LIMIT, DURATION_WEIGHT_PERCENT, FLIGHTS_LIMIT, SNAPSHOT_BYTES, SNAPSHOT_COMMANDS,
 };
 use crate::core::{Moment, Name, Span};
-use crate::jobs::{Applied, Book, Command, End, Life, RunKey, TaskKey};
+use crate::jobs::{Applied, Book, Command, End, Entry, Life, Phase, RunKey, Step, TaskKey};
 use crate::pressure::Learner;
 
 /// Time between two ticks.
@@ -263,7 +263,7 @@
         touched.extend(self.fleet.agent(life).cloned());
     }
 
-    fn step_of(&self, key: RunKey) -> Option<&crate::jobs::Step> {
+    fn step_of(&self, key: RunKey) -> Option<&Step> {
         self.book.jobs.get(&key.task.job)?.job.steps.get(usize::from(key.task.step))
     }
 
@@ -330,7 +330,7 @@
 
     /// Stops counting a job that is over, and has its runs stopped.
     fn retire(&mut self, job: u64, touched: &mut BTreeSet<Name>) {
-        let over = |entry: &crate::jobs::Entry| entry.phase != crate::jobs::Phase::Active;
+        let over = |entry: &Entry| entry.phase != Phase::Active;
         if self.book.jobs.get(&job).is_none_or(over) && self.active.remove(&job) {
             self.avoided.retain(|task, _| task.job != job);
             self.ended.insert(job, self.wall);
@@ -352,7 +352,7 @@
 
     /// Derives everything anew from the agreed state.
     fn derive(&mut self, now: Moment) {
-        let active = |entry: &crate::jobs::Entry| entry.phase == crate::jobs::Phase::Active;
+        let active = |entry: &Entry| entry.phase == Phase::Active;
         (self.active, self.ended) = (BTreeSet::new(), BTreeMap::new());
         for (id, entry) in &self.book.jobs {
             if active(entry) {
--- a/toucangrade/src/dispatch/plan.rs
+++ b/toucangrade/src/dispatch/plan.rs
@@ -20,9 +20,6 @@
     Hopeless,
 }
 
-/// A task that may start, with its next run.
-type Waiting = (RunKey, u64);
-
 impl Dispatch {
     /// Assigns tasks whose turn has come to runners with room.
     pub(super) fn plan(&mut self, now: Moment) {
@@ -84,8 +81,8 @@
     }
 
     /// Tasks of a job that may start, by round and step.
-    fn waiting(&self, entry: &Entry) -> BTreeMap<(u32, u16), Vec<Waiting>> {
-        let mut waiting: BTreeMap<(u32, u16), Vec<Waiting>> = BTreeMap::new();
+    fn waiting(&self, entry: &Entry) -> BTreeMap<(u32, u16), Vec<RunKey>> {
+        let mut waiting: BTreeMap<(u32, u16), Vec<RunKey>> = BTreeMap::new();
         if entry.phase != Phase::Active {
             return waiting;
         }
@@ -102,7 +99,7 @@
                     let key = TaskKey { job: entry.job.id, round, step, index: index as u16 };
                     let key = RunKey { task: key, run: task.runs + 1 };
                     if !self.assigning.contains_key(&key) {
-                        waiting.entry((round, step)).or_default().push((key, 0));
+                        waiting.entry((round, step)).or_default().push(key);
                     }
                 }
             }
@@ -117,7 +114,7 @@
         queue: &Queue,
         job: &Job,
         (round, step): (u32, u16),
-        tasks: &[Waiting],
+        tasks: &[RunKey],
     ) {
         let declared = &job.steps[usize::from(step)];
         let whole = declared.count as usize;
@@ -128,8 +125,8 @@
         let before = declared.gang.then(|| candidates.clone());
         let mut chosen: Vec<(RunKey, Life)> = Vec::new();
         // Members of a gang start with the same number.
-        let common = tasks.iter().map(|(key, _)| key.run).max().unwrap_or(1);
-        for &(mut key, _) in tasks {
+        let common = tasks.iter().map(|key| key.run).max().unwrap_or(1);
+        for mut key in tasks.iter().copied() {
             if declared.gang {
                 key.run = common;
             }
--- a/toucangrade/src/hosting/tests.rs
+++ b/toucangrade/src/hosting/tests.rs
@@ -56,6 +56,8 @@
     tokens: Vec<u64>,
     report: Option<Report>,
     reports: u32,
+    /// Listings that the runner has not answered.
+    pending: Vec<(u64, Listing)>,
 }
 
 impl World {
@@ -74,6 +76,7 @@
             tokens: Vec::new(),
             report: None,
             reports: 0,
+            pending: Vec::new(),
         };
         world.send(Message::Announce(Box::new(announced)));
         world.pass(300);
@@ -108,8 +111,9 @@
                 let clock = self.now.as_micros() / 1_000;
                 let ended = self.ended.clone();
                 let listing = Listing { clock, born: self.life.born, rows, ended };
-                // The answer takes as long as the agent lets the runner wait.
-                self.held(seq, listing)
+                // It is answered when time passes next.
+                self.pending.push((seq, listing));
+                None
             },
             Effect::Pace { .. } => None,
             Effect::Report(report) => {
@@ -151,16 +155,6 @@
         }
     }
 
-    fn held(&mut self, seq: u64, listing: Listing) -> Option<Message> {
-        // Listings are answered on the next pass of time.
-        self.pending(seq, listing);
-        None
-    }
-
-    fn pending(&mut self, seq: u64, listing: Listing) {
-        PENDING.with(|pending| pending.borrow_mut().push((seq, listing)));
-    }
-
     fn finish(&mut self, key: RunKey, end: End) {
         let number = self.ended.last().map_or(0, |ended| ended.number) + 1;
         self.ended.push(Ended { number, key, end, saved: None });
@@ -169,12 +163,11 @@
     fn pass(&mut self, millis: u64) {
         for _ in 0..millis / 50 {
             self.now = self.now + Span::millis(50);
-            let due = PENDING.with(|pending| std::mem::take(&mut *pending.borrow_mut()));
-            for (seq, listing) in due {
+            for (seq, listing) in std::mem::take(&mut self.pending) {
                 let listing = Ok(Box::new(listing));
                 self.send(Message::Listed { seq, listing });
             }
-            if self.now.as_micros() % 100_000 == 0 {
+            if self.now.as_micros().is_multiple_of(100_000) {
                 self.send(Message::Tick);
             }
         }
@@ -197,11 +190,6 @@
     }
 }
 
-thread_local! {
-    /// Listings that the runner has not answered; a test has one runner.
-    static PENDING: std::cell::RefCell<Vec<(u64, Listing)>> = const { std::cell::RefCell::new(Vec::new()) };
-}
-
 struct Case {
     manner: Manner,
     /// Times that the start is sent within 3 s.
--- a/toucangrade/src/jobs/declared.rs
+++ b/toucangrade/src/jobs/declared.rs
@@ -188,16 +188,4 @@
         }
         depths.into_iter().max().unwrap_or(0)
     }
-
-    /// Longest chain of work from the start of each step to the end of the job.
-    pub fn chains(&self) -> Vec<Span> {
-        let mut chains: Vec<Span> = self.steps.iter().map(|step| step.estimate).collect();
-        for later in (0..self.steps.len()).rev() {
-            for &earlier in &self.steps[later].after {
-                let earlier = usize::from(earlier);
-                chains[earlier] = chains[earlier].max(self.steps[earlier].estimate + chains[later]);
-            }
-        }
-        chains
-    }
 }
--- a/toucangrade/src/jobs/tests.rs
+++ b/toucangrade/src/jobs/tests.rs
@@ -41,12 +41,24 @@
     assert_eq!(refused.as_deref(), case.refused);
 }
 
-/// The chain of a job is the longest way through its steps.
-#[test]
-fn chains_follow_the_longest_way() {
-    let steps = vec![step(1, vec![]), step(1, vec![]), step(1, vec![0, 1]), step(1, vec![2])];
-    let chains: Vec<u64> = job(steps).chains().iter().map(|span| span.as_millis()).collect();
-    assert_eq!(chains, [3_000, 3_000, 2_000, 1_000]);
+struct Depth {
+    steps: Vec<Step>,
+    depth: usize,
+}
+
+/// The depth of a job is the number of steps on its longest way.
+#[rstest]
+#[case::side_by_side(Depth { steps: vec![step(1, vec![]), step(1, vec![])], depth: 1 })]
+#[case::joined(Depth {
+    steps: vec![step(1, vec![]), step(1, vec![]), step(1, vec![0, 1]), step(1, vec![2])],
+    depth: 3,
+})]
+#[case::shortcut(Depth {
+    steps: vec![step(1, vec![]), step(1, vec![0]), step(1, vec![0])],
+    depth: 2,
+})]
+fn depth_follows_the_longest_way(#[case] case: Depth) {
+    assert_eq!(job(case.steps).depth(), case.depth);
 }
 
 fn queue(name: &str, prefix: &str) -> Queue {
--- a/toucangrade/src/pressure/tests.rs
+++ b/toucangrade/src/pressure/tests.rs
@@ -20,7 +20,7 @@
         let mut filling = BTreeMap::new();
         for (index, (image, _)) in (0u32..).zip(&self.pressures) {
             // Each image has its own rhythm.
-            if half / (3 + index) % 2 == 0 {
+            if (half / (3 + index)).is_multiple_of(2) {
                 filling.insert((*image).into(), 0.2);
             }
         }
