Test the whole path of a job over real sockets

Change: an entry, an agent with a played runner and a control instance on loopback addresses of their own; a configuration is accepted and read back, and a job of two steps completes, fails or goes on. Ruled out: ports that are freed and bound again, which made a test fail by chance earlier; the address is the process's own, so the port can be fixed.

--- a/toucangrade/src/node/tests.rs
+++ b/toucangrade/src/node/tests.rs
@@ -1,1 +1,147 @@
+//! The whole path over real sockets: an entry, an agent and a control instance.
 
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+
+use super::*;
+use crate::core::Span;
+use crate::dispatch::{Ask, Ended, JobState, Row, Told, Verb};
+use crate::hosting::{Announcement, Listing};
+use crate::jobs::{End, Life, Need, Queue, RunKey, Service, Setup, Step};
+
+/// Longest wait for anything; a sound run takes about two seconds.
+const LIMIT: Duration = Duration::from_secs(60);
+const PORT: u16 = 7_720;
+
+/// An address of this machine that no other test or run uses, so that the port can be fixed.
+fn address(part: u8) -> IpAddr {
+    let id = std::process::id();
+    Ipv4Addr::new(127, 80 + part, (id >> 8) as u8, id as u8).into()
+}
+
+fn queue() -> Queue {
+    Queue {
+        name: "quotes".into(),
+        host: "shop.example".into(),
+        prefix: "/quotes/".into(),
+        service: "balcao".into(),
+        priority: 0,
+        attempts: 2,
+        stretch: 1.5,
+        objective: Span::millis(300),
+        timeout: Span::secs(3),
+    }
+}
+
+fn setup() -> Setup {
+    let services = vec![Service { name: "balcao".into(), guarded: true, standby: false }];
+    let source = bytes::Bytes::from_static(b"{}");
+    Setup { version: 3, queues: vec![queue()], services, source }
+}
+
+/// Runs of a runner that ends each of them at once in the same way.
+#[derive(Default)]
+struct Runs {
+    rows: BTreeMap<RunKey, Row>,
+    ended: Vec<Ended>,
+    /// Ends so far.
+    count: u64,
+}
+
+fn port(end: Option<End>) -> RunnerPort {
+    let runs = std::sync::Arc::new(Mutex::new(Runs::default()));
+    let lists = std::sync::Arc::clone(&runs);
+    RunnerPort {
+        list: Box::new(move |target, noted, _, _, done| {
+            let mut runs = lists.lock().expect("no panic");
+            runs.ended.retain(|ended| ended.number > noted);
+            let rows = runs.rows.values().cloned().collect();
+            let ended = runs.ended.clone();
+            drop(runs);
+            done(Ok(Listing { clock: 1_000, born: target.life.born, rows, ended }));
+        }),
+        pace: Box::new(|_, _, _| {}),
+        start: Box::new(move |_, start, _, done| {
+            let (key, saved) = (start.key, None);
+            let mut runs = runs.lock().expect("no panic");
+            match end {
+                Some(end) => {
+                    runs.count += 1;
+                    let number = runs.count;
+                    runs.ended.push(Ended { number, key, end, saved });
+                },
+                None => {
+                    let row = Row { key, saved, percent: 1, figure: 0, share: 100 };
+                    runs.rows.insert(key, row);
+                },
+            }
+            drop(runs);
+            done(Ok(()));
+        }),
+        stop: Box::new(|_, _, done| done(Ok(()))),
+    }
+}
+
+struct Case {
+    part: u8,
+    /// How each run ends; it goes on without.
+    end: Option<End>,
+    state: JobState,
+}
+
+/// A configuration and a job of two steps go through the log, and the job's state comes back.
+#[rstest]
+#[case::done(Case { part: 0, end: Some(End::Done), state: JobState::Completed })]
+#[case::failed(Case { part: 10, end: Some(End::Failed), state: JobState::Failed })]
+#[case::running(Case { part: 20, end: None, state: JobState::Running })]
+fn job_goes_the_whole_way(#[case] case: Case) {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (control, agent, entry) =
+        (address(case.part), address(case.part + 1), address(case.part + 2));
+    let settings = |ip| NodeSettings::builder(ip, PORT).seeds(vec![control]).first(true).losses(0);
+    let data = Some(folder.path().to_owned());
+    let control = Control::start(settings(control).data(data).build()).expect("control");
+    let agent = Agent::start(settings(agent).build(), port(case.end)).expect("agent");
+    let entry = Entry::start(settings(entry).build()).expect("entry");
+    assert!(agent.announce(Announcement {
+        life: Life { runner: Name::new("i-1").expect("a name"), born: 5 },
+        addr: "127.0.0.1:9".parse().expect("an address"),
+        service: "balcao".into(),
+        centre: "olinda".into(),
+        labels: vec!["a".into(), "r1".into()],
+        capacity: Need { millicores: 8_000, memory: 8_000, accelerators: 0 },
+        draining: false,
+        sequence: 1,
+    }));
+    let runtime = tokio::runtime::Builder::new_current_thread().build().expect("a runtime");
+    let ask = |job: Option<u64>, verb: Verb| {
+        let path = job.map_or_else(String::new, |job| format!("/quotes/{job:016x}"));
+        let ask = Ask { host: "shop.example".into(), path: path.into(), job, verb };
+        runtime.block_on(entry.ask(ask, Span::secs(10)))
+    };
+    let began = Instant::now();
+    let until = |job: Option<u64>, verb: Verb, wanted: Told| {
+        loop {
+            let told = ask(job, verb.clone());
+            if told == Ok(wanted.clone()) {
+                return;
+            }
+            assert!(began.elapsed() < LIMIT, "told {told:?}, expected {wanted:?}");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    };
+    until(None, Verb::Configure(std::sync::Arc::new(setup())), Told::Configured);
+    until(None, Verb::ReadSetup, Told::Setup(setup().source));
+    let step =
+        Step { count: 1, need: Need { millicores: 500, ..Need::default() }, ..Step::default() };
+    let steps = vec![step.clone(), Step { after: vec![0], ..step }];
+    let verb = Verb::Submit { spec: "spec".into(), steps, schedule: None };
+    until(Some(7), verb, Told::Accepted);
+    until(Some(7), Verb::Show, Told::State(case.state));
+    until(Some(8), Verb::Show, Told::Gone);
+    control.stop();
+}
