Divide large commands among proposals that the log takes

Cause: reading the diff: 256 jobs of 4,000 bytes and eight steps made a proposal above the log's limit of 1 MiB, which refuses it whole, and all of them again when they were sent again. Change: proposals are limited by their approximate bytes as well. The test was seen to fail with the limit taken out. Ruled out: a larger limit of the log, since one append is to stay small. Also a constant for slow syncs in place of a bare number.

--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -25,7 +25,8 @@
 };
 pub(crate) use self::message::{Effect, Message};
 use self::settings::{
-    BATCH_LIMIT, DURATION_WEIGHT_PERCENT, FLIGHTS_LIMIT, SNAPSHOT_BYTES, SNAPSHOT_COMMANDS,
+    BATCH_BYTES, BATCH_LIMIT, DURATION_WEIGHT_PERCENT, FLIGHTS_LIMIT, SNAPSHOT_BYTES,
+    SNAPSHOT_COMMANDS, STEP_BYTES,
 };
 use crate::core::{Moment, Name, Span};
 use crate::jobs::{Applied, Book, Command, End, Entry, Life, Phase, RunKey, Step, TaskKey};
@@ -167,7 +168,7 @@
 
     fn flush(&mut self) {
         while !self.batch.is_empty() && self.flights.len() < FLIGHTS_LIMIT {
-            let rest = self.batch.split_off(self.batch.len().min(BATCH_LIMIT));
+            let rest = self.batch.split_off(batch_length(&self.batch));
             let commands = std::mem::replace(&mut self.batch, rest);
             let taken = commands.len();
             let (waiters, later): (Vec<_>, Vec<_>) =
@@ -444,6 +445,21 @@
     }
 }
 
+/// Number of commands that fit into one proposal, at least one.
+fn batch_length(commands: &[Command]) -> usize {
+    let mut bytes = 0;
+    let fits = |command: &&Command| {
+        bytes += match command {
+            Command::Accept { job, .. } => job.spec.len() + STEP_BYTES * job.steps.len(),
+            // The queues are held beside the text that they were read from.
+            Command::Configure(setup) => 2 * setup.source.len(),
+            _ => STEP_BYTES,
+        };
+        bytes <= BATCH_BYTES
+    };
+    commands.iter().take(BATCH_LIMIT).take_while(fits).count().max(1)
+}
+
 /// All runs of a job.
 fn run_range(job: u64) -> std::ops::RangeInclusive<RunKey> {
     let first = TaskKey { job, round: 0, step: 0, index: 0 };
--- a/toucangrade/src/dispatch/rescue.rs
+++ b/toucangrade/src/dispatch/rescue.rs
@@ -92,7 +92,7 @@
         let mut moves = 0;
         for (speed, life, key) in slow {
             let Some(step) = self.step_of(key).cloned() else { continue };
-            let others: Vec<Name> = Vec::new();
+            // Spread and earlier failures are respected when the run is placed anew.
             let beside = vec![0; candidates.len()];
             let service = self
                 .fleet
@@ -100,7 +100,7 @@
                 .and_then(|agent| Some(self.fleet.workers.get(agent)?.runner()?.service.clone()));
             let Some(service) = service else { continue };
             let table = &self.learner.table;
-            let limits = Limits { service: &service, beside: &beside, avoided: &others, table };
+            let limits = Limits { service: &service, beside: &beside, avoided: &[], table };
             let Some(at) = choose(&candidates, &step, &limits) else { continue };
             let better = candidates[at].speed(table, &step);
             if candidates[at].life == life || better < speed + MOVE_GAIN {
--- a/toucangrade/src/dispatch/settings.rs
+++ b/toucangrade/src/dispatch/settings.rs
@@ -20,8 +20,12 @@
 pub(crate) const QUARANTINE: Span = Span::millis(2_000);
 /// Proposals that may be open at once; the log makes those that wait durable with one sync.
 pub(crate) const FLIGHTS_LIMIT: usize = 4;
-/// Commands in one proposal, which keeps it far below the log's limit of 1 MiB.
+/// Commands in one proposal.
 pub(crate) const BATCH_LIMIT: usize = 256;
+/// Approximate bytes of one proposal, half of the log's limit of 1 MiB.
+pub(crate) const BATCH_BYTES: usize = 512 * 1024;
+/// Bytes that a step of a job, or a small command, takes at most when encoded.
+pub(crate) const STEP_BYTES: usize = 256;
 /// Time for which the state of an ended job is kept: 120 s are promised.
 pub(crate) const STATUS_KEPT_MS: u64 = 150_000;
 /// Commands and bytes after which a snapshot is taken, so that the log stays far below a disk of
--- a/toucangrade/src/dispatch/tests.rs
+++ b/toucangrade/src/dispatch/tests.rs
@@ -645,6 +645,30 @@
     assert_eq!(other.state("match", 7), Some(Told::State(JobState::Cancelled)));
 }
 
+/// Large jobs that wait together are divided among proposals that the log takes, which refuses
+/// those above 1 MiB.
+#[test]
+fn proposals_stay_below_the_limit_of_the_log() {
+    let mut world = World::new();
+    world.hold = true;
+    let spec: Arc<str> = "x".repeat(4_000).into();
+    for job in 1..=600u64 {
+        let steps = vec![step(1, 500); 8];
+        let verb = Verb::Submit { spec: Arc::clone(&spec), steps, schedule: None };
+        world.ask(&format!("/match/{job:016x}"), verb, Some(job));
+    }
+    let mut proposed = 0;
+    while let Some((ticket, commands)) = world.held.pop() {
+        let bytes = crate::peer::encode(&commands).len();
+        assert!(bytes <= 1024 * 1024, "a proposal of {bytes} bytes");
+        proposed += commands.len();
+        world.index += 1;
+        let index = world.index;
+        world.send(Message::Commit { index, ticket: Some(ticket), commands, bytes });
+    }
+    assert_eq!(proposed, 600);
+}
+
 /// An instance that does not lead decides nothing.
 #[test]
 fn follower_sends_everybody_elsewhere() {
--- a/toucangrade/src/node/control.rs
+++ b/toucangrade/src/node/control.rs
@@ -29,6 +29,8 @@
 const HANDOVER_LOOK: Duration = Duration::from_millis(25);
 /// Longest time that answers under way get when this process ends.
 const STOP_LIMIT: Duration = Duration::from_millis(1_000);
+/// Time of a sync that is logged; sound disks take 4 to 9 ms.
+const SLOW_SYNC: Span = Span::millis(100);
 /// Exit status after agreed state that can't be read, `EX_DATAERR` of sysexits.
 const EXIT_DATA: i32 = 65;
 
@@ -124,9 +126,8 @@
         });
         let control = self.clone();
         let deliver = Box::new(move |_, effect| control.deliver(effect));
-        let slow = Span::millis(100);
         let synced = Box::new(move |took: Span| {
-            if took > slow {
+            if took > SLOW_SYNC {
                 info!(took_ms = took.as_millis(), "slow sync");
             }
         });
