Take in control instances whose seeds don't lead

Cause: an instance with an empty disk asked its seeds alone to be taken in, and followers dropped the request. Change: whoever is asked names the leader and the members, and the newcomer asks those as well; changed seeds reach control instances. Ruled out: removal of too many voters (the group counted five throughout), a slow transfer of state (no request of the newcomer reached the leader). The second case of node::tests::newcomer_is_taken_in failed before. Conclusion: sites with three control instances could not show it, as all are seeds there.

--- a/toucangrade/src/daemon/link.rs
+++ b/toucangrade/src/daemon/link.rs
@@ -69,12 +69,7 @@
         done: impl FnOnce(Result<Reply, CallError>) + Send + 'static,
     ) {
         let exchange = Exchange::post(to, peer::PATH, peer::encode(request), timeout);
-        self.client.send(exchange, move |result| {
-            done(result.and_then(|response| {
-                // A response that can't be read says nothing about what the receiver did.
-                peer::decode(&response.body).ok_or(CallError::Lost)
-            }));
-        });
+        self.client.send(exchange, move |result| done(peer::reply(result)));
     }
 
     /// Sends a heartbeat to the control instance that leads, as far as is known, and at once to
--- a/toucangrade/src/node/control.rs
+++ b/toucangrade/src/node/control.rs
@@ -231,35 +231,41 @@
 
     fn spawn_quorum(&self) -> io::Result<()> {
         let control = self.clone();
-        let state = Quorum::new(!self.founders().is_empty());
+        let founder = !self.founders().is_empty();
+        let state = Quorum::new(self.context.name.clone(), founder, self.context.settings.seeds());
         let tick = || quorum::Message::Tick;
         let duty = Duty { state, step: Quorum::step, tick, period: quorum::TICK };
         let clock = self.context.clock.clone();
         duty.spawn(&self.quorum, clock, move |_, effect| match effect {
-            quorum::Effect::Join => control.join(),
+            quorum::Effect::Join { to } => control.join(&to),
         })?;
         Ok(())
     }
 
-    fn join(&self) {
+    fn join(&self, to: &[Name]) {
         let Some(me) = lock(&self.driver).as_ref().map(|driver| driver.me().clone()) else {
             return;
         };
-        let known: Vec<Name> = {
-            let group = lock(&self.group);
-            group.members.iter().map(|(name, _)| name.clone()).collect()
-        };
-        let mut to = self.context.settings.seeds();
-        to.extend(known);
-        to.sort_unstable();
-        to.dedup();
-        to.retain(|name| *name != me.name);
         info!(asked = to.len(), "asking to be taken into the control group");
+        let body = peer::encode(&Request::Join(me));
         for name in to {
-            self.post(&name, &Request::Join(me.clone()), JOIN_TIMEOUT);
+            let Some(addr) = self.context.settings.addr(name) else { continue };
+            let exchange = Exchange::post(addr, peer::PATH, body.clone(), JOIN_TIMEOUT);
+            let quorum = self.quorum.clone();
+            self.context.client.send(exchange, move |result| {
+                if let Ok(Reply::Found { leader, mut members }) = peer::reply(result) {
+                    members.extend(leader);
+                    quorum.push(quorum::Message::Found(members));
+                }
+            });
         }
     }
 
+    /// Replaces the addresses at which other control instances are looked for.
+    pub fn seeds(&self, seeds: &[IpAddr]) {
+        self.quorum.push(quorum::Message::Seeds(seeds.iter().filter_map(name_of).collect()));
+    }
+
     /// Answers a request of a caller or operator, if this instance leads.
     ///
     /// # Errors
@@ -337,11 +343,7 @@
                 if taken.is_ok() { Reply::Agreed } else { refused(self.elsewhere()) }
             },
             Request::Ask(ask) => self.ask(*ask).await.map_or_else(refused, Reply::Told),
-            Request::Find => {
-                let group = lock(&self.group);
-                let members = group.members.iter().map(|(name, _)| name.clone()).collect();
-                Reply::Found { leader: group.leader.clone(), members }
-            },
+            Request::Find => self.found(),
             Request::Join(replica) => self.taken_in(replica),
             Request::Report(report) => {
                 self.report(report).await.map_or_else(refused, Reply::Ordered)
@@ -354,7 +356,14 @@
         info!(name = %replica.name, identity = format!("{:016x}", replica.identity), "join asked");
         // The instance asks again until it is a member.
         drop(self.agreement.offer(agreement::Message::Join(replica)));
-        Reply::Agreed
+        // Only the leader takes it in, and it may not know the leader yet.
+        self.found()
+    }
+
+    fn found(&self) -> Reply {
+        let group = lock(&self.group);
+        let members = group.members.iter().map(|(name, _)| name.clone()).collect();
+        Reply::Found { leader: group.leader.clone(), members }
     }
 
     /// Hands leadership over and ends the replicated log once what it was given is on disk.
--- a/toucangrade/src/node/leader.rs
+++ b/toucangrade/src/node/leader.rs
@@ -53,13 +53,7 @@
                     return answer(Err(CallError::Connect));
                 };
                 let exchange = Exchange::post(addr, peer::PATH, peer::encode(&*request), timeout);
-                context.client.send(exchange, move |result| {
-                    answer(
-                        result.and_then(|response| {
-                            peer::decode(&response.body).ok_or(CallError::Lost)
-                        }),
-                    );
-                });
+                context.client.send(exchange, move |result| answer(peer::reply(result)));
             },
             Effect::Done { ticket, outcome } => {
                 let finish = self.lock().waiting.remove(&ticket);
--- a/toucangrade/src/node/tests.rs
+++ b/toucangrade/src/node/tests.rs
@@ -145,3 +145,52 @@
     until(Some(8), Verb::Show, Told::Gone);
     control.stop();
 }
+
+struct Newcomer {
+    part: u8,
+    /// Whether its only seed is the leader.
+    knows_leader: bool,
+}
+
+/// An instance with an empty disk hears from the leader though it is only told of another one.
+#[rstest]
+#[case::knows_the_leader(Newcomer { part: 30, knows_leader: true })]
+#[case::knows_a_follower(Newcomer { part: 40, knows_leader: false })]
+fn newcomer_is_taken_in(#[case] case: Newcomer) {
+    let founders = [0, 1, 2].map(|part| address(case.part + part));
+    let folders = [0; 4].map(|_| tempfile::tempdir().expect("a folder"));
+    let start = |ip, seeds: &[IpAddr], folder: &tempfile::TempDir, first| {
+        let settings = NodeSettings::builder(ip, PORT).seeds(seeds.to_vec()).first(first);
+        Control::start(settings.data(Some(folder.path().to_owned())).build()).expect("control")
+    };
+    let group: Vec<Control> =
+        founders.iter().zip(&folders).map(|(ip, f)| start(*ip, &founders, f, true)).collect();
+    let runtime = tokio::runtime::Builder::new_current_thread().build().expect("a runtime");
+    let leader_of = |control: &Control| {
+        let ask = Ask { host: "".into(), path: "".into(), job: None, verb: Verb::ReadSetup };
+        runtime.block_on(control.ask(ask)).err().and_then(|elsewhere| elsewhere.leader)
+    };
+    let began = Instant::now();
+    let wait = |control: &Control| loop {
+        if let Some(leader) = leader_of(control) {
+            return leader;
+        }
+        assert!(began.elapsed() < LIMIT, "no leader is known");
+        std::thread::sleep(Duration::from_millis(20));
+    };
+    // Of two instances at least one follows.
+    let leader = loop {
+        if let Some(leader) = group.iter().find_map(leader_of) {
+            break leader;
+        }
+        assert!(began.elapsed() < LIMIT, "no leader is elected");
+        std::thread::sleep(Duration::from_millis(20));
+    };
+    let wanted = |ip: &&IpAddr| (**ip == leader) == case.knows_leader;
+    let seed = founders.iter().find(wanted).copied().expect("three instances");
+    let newcomer = start(address(case.part + 3), &[seed], &folders[3], false);
+    assert!(founders.contains(&wait(&newcomer)));
+    for control in group.iter().chain([&newcomer]) {
+        control.stop();
+    }
+}
--- a/toucangrade/src/peer/mod.rs
+++ b/toucangrade/src/peer/mod.rs
@@ -13,7 +13,7 @@
 use crate::dispatch::{Ask, Orders, Report, Told};
 use crate::execution::{Completion, Hop};
 use crate::history::{Event, Held, Item};
-use crate::http::CallError;
+use crate::http::{CallError, Response};
 use crate::limits::Admitted;
 use crate::membership::{Beat, Beaten, Poll, View};
 use crate::scheduling::{Order, Work};
@@ -149,6 +149,16 @@
     }
 }
 
+/// Reads the reply to a call.
+///
+/// # Errors
+///
+/// The error of the call, or [`CallError::Lost`] when the response is not a reply.
+pub(crate) fn reply(result: Result<Response, CallError>) -> Result<Reply, CallError> {
+    // A response that can't be read says nothing about what the receiver did.
+    result.and_then(|response| decode(&response.body).ok_or(CallError::Lost))
+}
+
 /// Decodes a message; `None` when it is none.
 pub(crate) fn decode<T: for<'a> Deserialize<'a>>(bytes: &[u8]) -> Option<T> {
     rmp_serde::from_slice(bytes).ok()
--- a/toucangrade/src/quorum/mod.rs
+++ b/toucangrade/src/quorum/mod.rs
@@ -4,9 +4,11 @@
 #[cfg(test)]
 mod tests;
 
+use std::collections::BTreeSet;
+
 use serde::Serialize;
 
-use crate::core::{Moment, Span};
+use crate::core::{Moment, Name, Span};
 
 /// Time between two ticks.
 pub(crate) const TICK: Span = Span::millis(250);
@@ -19,8 +21,13 @@
 /// Input of the duty.
 #[derive(Debug)]
 pub(crate) enum Message {
+    /// Control instances that an answer or the agreed membership names. Only the leader changes the
+    /// membership, and it may be none of the seeds.
+    Found(Vec<Name>),
     /// Whether the newest committed membership holds this instance as a voter.
     Member(bool),
+    /// Other seeds are configured.
+    Seeds(Vec<Name>),
     /// Time passes.
     Tick,
 }
@@ -28,28 +35,35 @@
 /// Output of the duty.
 #[derive(Debug, Eq, PartialEq)]
 pub(crate) enum Effect {
-    /// Asks the known control instances to take this one in.
-    Join,
+    /// Asks control instances to take this one in.
+    Join { to: Vec<Name> },
 }
 
 /// State of the duty.
 #[derive(Debug, Serialize)]
 pub(crate) struct Quorum {
+    /// Name of this instance.
+    me: Name,
     founder: bool,
     member: bool,
     asked: Moment,
+    seeds: Vec<Name>,
+    /// The newest control instances that others have named.
+    found: Vec<Name>,
 }
 
 impl Quorum {
     /// `founder` tells whether this instance may found a new group with others.
-    pub(crate) fn new(founder: bool) -> Self {
-        Self { founder, member: false, asked: Moment::START }
+    pub(crate) fn new(me: Name, founder: bool, seeds: Vec<Name>) -> Self {
+        Self { me, founder, member: false, asked: Moment::START, seeds, found: Vec::new() }
     }
 
     /// Takes a message and gives the effects to perform.
     pub(crate) fn step(&mut self, now: Moment, message: Message) -> Vec<Effect> {
         match message {
+            Message::Found(names) => self.found = names,
             Message::Member(member) => self.member = member,
+            Message::Seeds(seeds) => self.seeds = seeds,
             Message::Tick => {},
         }
         let founding = self.founder && now.since(Moment::START) < FOUNDING;
@@ -57,6 +71,11 @@
             return Vec::new();
         }
         self.asked = now;
-        vec![Effect::Join]
+        vec![Effect::Join { to: self.known() }]
+    }
+
+    fn known(&self) -> Vec<Name> {
+        let known: BTreeSet<&Name> = self.seeds.iter().chain(&self.found).collect();
+        known.into_iter().filter(|name| **name != self.me).cloned().collect()
     }
 }
--- a/toucangrade/src/quorum/tests.rs
+++ b/toucangrade/src/quorum/tests.rs
@@ -4,6 +4,10 @@
 
 use super::*;
 
+fn name(text: &str) -> Name {
+    Name::new(text).expect("a name")
+}
+
 struct Case {
     founder: bool,
     /// Whether the instance learns at 1 s that it is a member.
@@ -19,7 +23,7 @@
 #[case::empty_disk(Case { founder: false, member: true, asks: 1 })]
 #[case::never_taken_in(Case { founder: false, member: false, asks: 12 })]
 fn asks_until_it_is_a_member(#[case] case: Case) {
-    let mut quorum = Quorum::new(case.founder);
+    let mut quorum = Quorum::new(name("10.0.0.1"), case.founder, vec![name("10.0.0.2")]);
     let mut asks = 0;
     for quarter in 1..=24u64 {
         let now = Moment::micros(quarter * 250_000);
@@ -30,3 +34,40 @@
     }
     assert_eq!(asks, case.asks);
 }
+
+struct Known {
+    /// What is learned before the request.
+    learned: Vec<Message>,
+    /// Instances that are asked.
+    asked: Vec<&'static str>,
+}
+
+fn found(names: &[&str]) -> Message {
+    Message::Found(names.iter().copied().map(name).collect())
+}
+
+/// The leader is asked though no seed leads, and an instance never asks itself.
+#[rstest]
+#[case::seeds_alone(Known { learned: vec![], asked: vec!["10.0.0.2", "10.0.0.3"] })]
+#[case::leader_is_no_seed(Known {
+    learned: vec![found(&["10.0.0.1", "10.0.0.3", "10.0.0.5"])],
+    asked: vec!["10.0.0.2", "10.0.0.3", "10.0.0.5"],
+})]
+#[case::group_has_moved_on(Known {
+    learned: vec![found(&["10.0.0.5"]), found(&["10.0.0.6"])],
+    asked: vec!["10.0.0.2", "10.0.0.3", "10.0.0.6"],
+})]
+#[case::seeds_change(Known {
+    learned: vec![Message::Seeds(vec![name("10.0.0.9")])],
+    asked: vec!["10.0.0.9"],
+})]
+fn asks_whoever_is_known(#[case] case: Known) {
+    let seeds = ["10.0.0.1", "10.0.0.2", "10.0.0.3"].map(name).to_vec();
+    let mut quorum = Quorum::new(name("10.0.0.1"), false, seeds);
+    for message in case.learned {
+        quorum.step(Moment::START, message);
+    }
+    let effects = quorum.step(Moment::START + ASK_EVERY, Message::Tick);
+    let to = case.asked.into_iter().map(name).collect();
+    assert_eq!(effects, vec![Effect::Join { to }]);
+}
