Let runs that are held back compete with waiting tasks

Up to 8 moves at a time. Ruled out: a lack of room (27 to 50 of 60 to 98 runs worked at full speed), moves that never pay (a stop and a restore take about 1.2 s).

--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -69,6 +69,9 @@
     /// Assignments that are proposed, with the agent.
     #[serde(skip)]
     assigning: BTreeMap<RunKey, Life>,
+    /// Runs that are stopped to go on elsewhere, with the runner whose room they will take.
+    #[serde(skip)]
+    moving: BTreeMap<RunKey, Life>,
     /// Runs whose end is proposed.
     #[serde(skip)]
     closing: BTreeSet<RunKey>,
@@ -108,6 +111,7 @@
             flights: BTreeMap::new(),
             next_ticket: FLIGHT_BASE,
             assigning: BTreeMap::new(),
+            moving: BTreeMap::new(),
             closing: BTreeSet::new(),
             opening: BTreeSet::new(),
             ended: BTreeMap::new(),
@@ -243,6 +247,7 @@
             },
             Command::Close { key, end, .. } => {
                 self.closing.remove(key);
+                self.moving.remove(key);
                 if let Some(life) = ended {
                     self.end(now, *key, *end, &life, touched);
                 }
@@ -412,6 +417,7 @@
     fn step_down(&mut self) {
         self.batch.clear();
         self.assigning.clear();
+        self.moving.clear();
         self.closing.clear();
         self.opening.clear();
         for (_, ticket) in self.waiters.drain(..) {
--- a/toucangrade/src/dispatch/plan.rs
+++ b/toucangrade/src/dispatch/plan.rs
@@ -28,11 +28,16 @@
             return;
         }
         let setup = Arc::clone(&self.book.setup);
+        let mut slow = self.slow_runs(now);
         for id in self.turn(&setup) {
             let Some(entry) = self.book.jobs.get(&id) else { continue };
             let Some(queue) = setup.queue(&entry.job.queue) else { continue };
             let job = Arc::clone(&entry.job);
             let waiting = self.waiting(entry);
+            // A run that is held back where it is competes for room like a task that waits.
+            if let Some(runs) = slow.remove(&id) {
+                self.move_slow(now, &mut candidates, &queue.service, runs);
+            }
             for ((round, step), tasks) in waiting {
                 self.place(&mut candidates, queue, &job, (round, step), &tasks);
             }
@@ -173,7 +178,7 @@
             usable.filter_map(|(agent, _)| self.candidate(agent)).collect();
         let index: BTreeMap<Life, usize> =
             candidates.iter().enumerate().map(|(at, c)| (c.life.clone(), at)).collect();
-        for (key, life) in &self.assigning {
+        for (key, life) in self.assigning.iter().chain(&self.moving) {
             let Some(&at) = index.get(life) else { continue };
             if let Some(step) = self.step_of(*key) {
                 candidates[at].take(&self.learner.table, step);
--- a/toucangrade/src/dispatch/rescue.rs
+++ b/toucangrade/src/dispatch/rescue.rs
@@ -1,14 +1,24 @@
 //! Runs that get nowhere where they are, and are moved.
 
+use std::collections::BTreeMap;
+
 use super::Dispatch;
 use super::fleet::Run;
-use super::place::{Limits, choose};
+use super::place::{Candidate, Limits, choose};
 use super::settings::{
     MOVE_AGE, MOVE_GAIN, MOVE_SPEED, MOVES_LIMIT, RESCUE_EVERY, STUCK_LIMIT, STUCK_SHARE,
 };
 use crate::core::{Moment, Name};
 use crate::jobs::{Life, RunKey};
 
+/// A filling run that works slowly where it is.
+pub(super) struct Slow {
+    /// Part of its full speed at which it works.
+    speed: f64,
+    life: Life,
+    key: RunKey,
+}
+
 impl Dispatch {
     /// Stops runs that would go on better elsewhere.
     pub(super) fn rescue(&mut self, now: Moment) {
@@ -18,7 +28,6 @@
         self.rescued = now;
         self.evacuate(now);
         self.stop_stuck(now);
-        self.move_slow(now);
     }
 
     /// Stops what would lose most on runners that are about to leave: lasting tasks, which go on at
@@ -70,38 +79,45 @@
         }
     }
 
-    /// Stops filling runs that are slowed down for others' sake, if another runner lets them work
-    /// much faster.
-    fn move_slow(&mut self, now: Moment) {
-        let mut slow: Vec<(f64, Life, RunKey)> = Vec::new();
+    /// Filling runs that are slowed down for others' sake, slowest first, by job.
+    pub(super) fn slow_runs(&self, now: Moment) -> BTreeMap<u64, Vec<Slow>> {
+        let mut slow: BTreeMap<u64, Vec<Slow>> = BTreeMap::new();
         for (life, hold) in &self.fleet.holds {
             for (key, run) in &hold.runs {
                 let speed = f64::from(run.figure) / run.cores.max(1) as f64;
                 let early = run.percent < 10;
                 let settled = run.listed && now.since(run.since) >= MOVE_AGE;
                 if run.fills && !run.stop && settled && speed < MOVE_SPEED && (run.saves || early) {
-                    slow.push((speed, life.clone(), *key));
+                    let found = Slow { speed, life: life.clone(), key: *key };
+                    slow.entry(key.task.job).or_default().push(found);
                 }
             }
         }
-        if slow.is_empty() {
-            return;
+        for runs in slow.values_mut() {
+            runs.sort_by(|a, b| a.speed.total_cmp(&b.speed).then_with(|| a.key.cmp(&b.key)));
         }
-        slow.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.2.cmp(&b.2)));
-        let mut candidates = self.candidates(now);
-        let mut moves = 0;
-        for (speed, life, key) in slow {
+        slow
+    }
+
+    /// Stops slow runs of one job if another runner lets them work much faster, and keeps the room
+    /// there for them until they have stopped.
+    pub(super) fn move_slow(
+        &mut self,
+        now: Moment,
+        candidates: &mut [Candidate],
+        service: &str,
+        runs: Vec<Slow>,
+    ) {
+        for Slow { speed, life, key } in runs {
+            if self.moving.len() >= MOVES_LIMIT {
+                return;
+            }
             let Some(step) = self.step_of(key).cloned() else { continue };
             // Spread and earlier failures are respected when the run is placed anew.
             let beside = vec![0; candidates.len()];
-            let service = self
-                .fleet
-                .agent(&life)
-                .and_then(|agent| Some(self.fleet.workers.get(agent)?.runner()?.service.clone()));
-            let Some(service) = service else { continue };
             let table = &self.learner.table;
-            let limits = Limits { service: &service, beside: &beside, avoided: &[], table };
-            let Some(at) = choose(&candidates, &step, &limits) else { continue };
+            let limits = Limits { service, beside: &beside, avoided: &[], table };
+            let Some(at) = choose(candidates, &step, &limits) else { continue };
             let better = candidates[at].speed(table, &step);
             if candidates[at].life == life || better < speed + MOVE_GAIN {
                 continue;
@@ -109,11 +125,8 @@
             candidates[at].take(table, &step);
             let Some(agent) = self.fleet.agent(&life).cloned() else { continue };
             tracing::info!(run = %key, runner = %life.runner, speed, better, "moving");
+            self.moving.insert(key, candidates[at].life.clone());
             self.order_stop(&life, key, &agent, now);
-            moves += 1;
-            if moves == MOVES_LIMIT {
-                return;
-            }
         }
     }
 
--- a/toucangrade/src/dispatch/settings.rs
+++ b/toucangrade/src/dispatch/settings.rs
@@ -48,8 +48,8 @@
 pub(crate) const MOVE_GAIN: f64 = 0.4;
 /// Least age of a run that is moved, so that its figures are its own.
 pub(crate) const MOVE_AGE: Span = Span::millis(1_200);
-/// Moves at a time, since each changes what the next would find.
-pub(crate) const MOVES_LIMIT: usize = 4;
+/// Runs that are moved at a time, since each move changes what the next would find.
+pub(crate) const MOVES_LIMIT: usize = 8;
 /// Weight of the newest run in the mean duration of a queue's tasks, in percent: the mean follows
 /// the last hundred runs.
 pub(crate) const DURATION_WEIGHT_PERCENT: u64 = 2;
--- a/toucangrade/src/dispatch/tests.rs
+++ b/toucangrade/src/dispatch/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of dispatch against a log that commits at once and agents that are played by hand.
 
 mod answers;
+mod load;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -177,7 +178,7 @@
     }
 
     /// The orders that the newest report got since.
-    fn answered(&mut self) -> Option<Orders> {
+    pub(super) fn answered(&mut self) -> Option<Orders> {
         self.orders.remove(&self.ticket).flatten().map(|orders| *orders)
     }
 
@@ -189,7 +190,7 @@
     }
 
     /// Runs that the log assigns to a life.
-    fn live(&self, life: &Life) -> Vec<RunKey> {
+    pub(super) fn live(&self, life: &Life) -> Vec<RunKey> {
         let hold = self.dispatch.fleet.holds.get(life);
         hold.map(|hold| hold.runs.keys().copied().collect()).unwrap_or_default()
     }
--- /dev/null
+++ b/toucangrade/src/dispatch/tests/load.rs
@@ -0,0 +1,49 @@
+//! Replays of load patterns that played days have shown.
+
+use rstest::rstest;
+
+use super::*;
+
+/// A filling task that makes checkpoints.
+fn filling(millicores: u64) -> Step {
+    Step { fills: true, checkpoints: true, ..step(1, millicores) }
+}
+
+struct HeldBack {
+    /// Cores that the task which waits asks for; the one with less work left goes first.
+    waiting: u64,
+    /// Whether the run that is held back gets the free runner.
+    moves: bool,
+}
+
+/// A run that is held back where it is competes with tasks that wait, in the order of their jobs.
+/// On days with bursts old jobs waited 20 s for a last task that was paced down, while newer ones
+/// took every runner that became free.
+#[rstest]
+#[case::first_in_turn(HeldBack { waiting: 6_000, moves: true })]
+#[case::second_in_turn(HeldBack { waiting: 4_500, moves: false })]
+fn held_back_run_competes_with_waiting_tasks(#[case] case: HeldBack) {
+    let mut world = World::new();
+    let (full, free) = (life("i-1", 10), life("i-2", 10));
+    world.report(report("10.0.0.1", 1, &full));
+    world.submit("recon", 1, vec![filling(5_000)]);
+    world.submit("match", 2, vec![step(1, 4_000)]);
+    world.submit("recon", 3, vec![filling(case.waiting)]);
+    let (slow, other) = (key(1, 0, 0, 1), key(2, 0, 0, 1));
+    assert_eq!(world.live(&full), [slow, other]);
+    let row = |key| Row { key, saved: None, percent: 50, figure: 0, share: 0 };
+    for seq in 2..18 {
+        world.pass(100);
+        let rows = vec![row(slow), row(other)];
+        world.report(Report { rows, ..report("10.0.0.1", seq, &full) });
+    }
+    let waits = world.ticket;
+    world.report(report("10.0.0.2", 1, &free));
+    let stops = world.orders.remove(&waits).flatten().map(|orders| orders.stops);
+    assert_eq!(stops.is_some_and(|stops| stops == [slow]), case.moves);
+    assert_eq!(world.live(&free).is_empty(), case.moves);
+    if case.moves {
+        world.end(&full, 18, &[(1, slow, End::Stopped)]);
+        assert_eq!(world.live(&free), [key(1, 0, 0, 2)]);
+    }
+}
