Let runs of late jobs give way on their runner

Change: orders name the runs of late jobs, and pacing deals shares to the others first. Ruled out: nothing yet about the estimate of the objective; it uses mean durations under load.

--- a/toucangrade/src/dispatch/message.rs
+++ b/toucangrade/src/dispatch/message.rs
@@ -227,6 +227,9 @@
     pub stops: Vec<RunKey>,
     /// What runs are like that the agent does not know.
     pub natures: Vec<(RunKey, Nature)>,
+    /// Filling runs of jobs that have missed their objective, if anything was decided: they get what
+    /// the others on the runner leave.
+    pub late: Option<Vec<RunKey>>,
     /// New estimates of how images disturb each other.
     pub table: Option<Box<Table>>,
 }
--- a/toucangrade/src/dispatch/plan.rs
+++ b/toucangrade/src/dispatch/plan.rs
@@ -78,6 +78,13 @@
         }
     }
 
+    /// Whether a job has missed its objective.
+    pub(super) fn is_late(&self, job: u64) -> bool {
+        let entry = self.book.jobs.get(&job);
+        let queue = entry.and_then(|entry| self.book.setup.queue(&entry.job.queue));
+        entry.zip(queue).is_some_and(|(e, queue)| self.lateness(e, queue) != Lateness::OnTime)
+    }
+
     /// Millicores asked for by all tasks that are not done.
     fn work_left(&self, entry: &Entry) -> u64 {
         let rounds = entry.rounds.values();
--- a/toucangrade/src/dispatch/reports.rs
+++ b/toucangrade/src/dispatch/reports.rs
@@ -189,6 +189,7 @@
         let mut orders = Orders { until, table, ..Orders::default() };
         let hold = self.fleet.holds.get(&runner.life);
         let live = |key: &RunKey| hold.is_some_and(|hold| hold.runs.contains_key(key));
+        orders.late = Some(self.late_runs(&runner.life));
         let mut ended: Vec<_> = worker.report.ended.iter().map(|e| (e.number, e.key)).collect();
         ended.sort_unstable();
         for (number, key) in ended {
@@ -220,6 +221,12 @@
         orders
     }
 
+    fn late_runs(&self, life: &Life) -> Vec<RunKey> {
+        let runs = self.fleet.holds.get(life).into_iter().flat_map(|hold| &hold.runs);
+        let filling = runs.filter(|(_, run)| run.fills).map(|(key, _)| *key);
+        filling.filter(|key| self.is_late(key.task.job)).collect()
+    }
+
     /// The table of pressures if the agent lacks the newest.
     fn table_for(&mut self, agent: &Name, now: Moment) -> Option<Box<Table>> {
         let worker = self.fleet.workers.get_mut(agent)?;
--- a/toucangrade/src/hosting/orders.rs
+++ b/toucangrade/src/hosting/orders.rs
@@ -70,6 +70,9 @@
             self.amnesia = false;
         }
         self.natures.extend(orders.natures);
+        if let Some(late) = orders.late {
+            self.pacing.note_late(late);
+        }
         if let Some(table) = orders.table {
             self.pacing.learn(*table);
         }
--- a/toucangrade/src/pacing/mod.rs
+++ b/toucangrade/src/pacing/mod.rs
@@ -3,7 +3,7 @@
 #[cfg(test)]
 mod tests;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use serde::Serialize;
@@ -48,6 +48,8 @@
     told: BTreeMap<RunKey, u8>,
     /// Since when each run is over its target.
     over: BTreeMap<RunKey, Moment>,
+    /// Runs whose jobs have missed their objective.
+    late: BTreeSet<RunKey>,
 }
 
 impl Pacing {
@@ -56,10 +58,16 @@
         self.table = table;
     }
 
+    /// Replaces the runs that give way to others.
+    pub(crate) fn note_late(&mut self, late: Vec<RunKey>) {
+        self.late = late.into_iter().collect();
+    }
+
     /// Takes the newest figures and gives the runs whose share changes.
     ///
-    /// Images that disturb least are served first: each gets the largest share that leaves every
-    /// task that serves below its aim, as far as the estimates tell.
+    /// Runs of jobs that can still meet their objective are served first, and among them images that
+    /// disturb least: each gets the largest share that leaves every task that serves below its aim,
+    /// as far as the estimates tell.
     pub(crate) fn step(
         &mut self,
         now: Moment,
@@ -84,7 +92,11 @@
         let harmed = self.over.values().any(|since| now.since(*since) >= PATIENCE);
         let mut order: Vec<(f64, &Filling)> =
             filling.iter().map(|t| (headroom.clash(&self.table, &t.image), t)).collect();
-        order.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.key.cmp(&b.1.key)));
+        let late = |task: &Filling| self.late.contains(&task.key);
+        order.sort_by(|a, b| {
+            let turn = late(a.1).cmp(&late(b.1)).then(a.0.total_cmp(&b.0));
+            turn.then(a.1.key.cmp(&b.1.key))
+        });
         let mut changes = Vec::new();
         for (clash, task) in order {
             let before = self.told.get(&task.key).copied();
