Serve metrics as text on the platform

Cause: on the users' platform a process had logs and no metrics; the daemon's go to a StatsD server. Entries count answers by outcome with latency histograms by verb, agents count calls to the runner, faults and reports, control counts commands by kind, the time of syncs, members, term and leadership; all show the rings of their duties. Ruled out: a registry of another library, as the duty exists and counts without a lock for each request.

--- a/toucangrade/src/daemon/telemetry.rs
+++ b/toucangrade/src/daemon/telemetry.rs
@@ -44,6 +44,8 @@
                 let _ = metrics.offer(Message::Loads(loads));
             },
             Effect::Send(stat) => send(&client, stat),
+            // The daemon has no address for scrapes.
+            Effect::Text { .. } => {},
         })?;
         let telemetry = Self { duty: Some(handle), watched };
         Ok(telemetry)
--- a/toucangrade/src/jobs/mod.rs
+++ b/toucangrade/src/jobs/mod.rs
@@ -82,6 +82,21 @@
     Stopped,
 }
 
+impl End {
+    fn word(self) -> &'static str {
+        match self {
+            Self::Alone => "end_alone",
+            Self::Broken => "end_broken",
+            Self::Done => "end_done",
+            Self::Failed => "end_failed",
+            Self::Lapsed => "end_lapsed",
+            Self::Lost => "end_lost",
+            Self::Refused => "end_refused",
+            Self::Stopped => "end_stopped",
+        }
+    }
+}
+
 /// Opaque position from which a task can be resumed.
 pub type Checkpoint = Arc<str>;
 
@@ -103,3 +118,18 @@
     /// Begins a repetition that is due.
     Open { job: u64, round: u32 },
 }
+
+impl Command {
+    /// One word for metrics.
+    pub(crate) fn kind(&self) -> &'static str {
+        match self {
+            Self::Accept { .. } => "accept",
+            Self::Assign { .. } => "assign",
+            Self::Cancel { .. } => "cancel",
+            Self::Close { end, .. } => end.word(),
+            Self::Configure(_) => "configure",
+            Self::Forget(_) => "forget",
+            Self::Open { .. } => "open",
+        }
+    }
+}
--- a/toucangrade/src/lib.rs
+++ b/toucangrade/src/lib.rs
@@ -58,7 +58,8 @@
     Step, TaskKey,
 };
 pub use crate::node::{
-    Agent, Control, Done, Elsewhere, Entry, Failed, NodeSettings, NodeSettingsBuilder, RunnerPort,
+    Agent, Control, Done, Elsewhere, Entry, Failed, Meter, NodeSettings, NodeSettingsBuilder,
+    RunnerPort,
 };
 pub use crate::pressure::{Pressure, Table};
 pub use crate::simulation::{Report as SimulationReport, try_run as try_simulation};
--- a/toucangrade/src/metrics/message.rs
+++ b/toucangrade/src/metrics/message.rs
@@ -24,6 +24,8 @@
     Gauge { name: &'static str, value: u64 },
     /// Loads of all rings.
     Loads(Vec<Load>),
+    /// Asks for everything counted so far as text.
+    Scrape { ticket: u64 },
     /// Time passed.
     Tick,
     /// Something took this long.
@@ -58,4 +60,6 @@
     Sample,
     /// Sends a value.
     Send(Stat),
+    /// Answers a scrape.
+    Text { ticket: u64, text: String },
 }
--- a/toucangrade/src/metrics/mod.rs
+++ b/toucangrade/src/metrics/mod.rs
@@ -1,7 +1,8 @@
-//! Counters, gauges and timers for a StatsD server, gathered by duties and sent on ticks.
+//! Counters, gauges and timers, gathered by duties: sent to a StatsD server on ticks, or read as text.
 
 mod answers;
 mod message;
+mod text;
 
 #[cfg(test)]
 mod tests;
@@ -12,6 +13,7 @@
 
 pub(crate) use self::answers::Answers;
 pub(crate) use self::message::{Effect, Load, Message, Stat};
+use self::text::Totals;
 use crate::core::{Moment, Name, Span};
 use crate::history::Tally;
 
@@ -29,6 +31,8 @@
     timers: BTreeMap<&'static str, Tally>,
     /// Messages each duty had shed when its load was last sent.
     shed: BTreeMap<&'static str, u64>,
+    #[serde(skip)]
+    totals: Totals,
     next: Moment,
 }
 
@@ -50,17 +54,25 @@
                     self.answers.entry((service, kind)).or_default().merge(&summary);
                 }
             },
-            Message::Count { name, by } => *self.counts.entry(name).or_default() += by,
+            Message::Count { name, by } => {
+                self.totals.count(&name, by);
+                *self.counts.entry(name).or_default() += by;
+            },
             Message::Gauge { name, value } => {
+                self.totals.gauge(name, value);
                 self.gauges.insert(name, value);
             },
             Message::Loads(loads) => return self.loads(loads),
+            Message::Scrape { ticket } => {
+                return vec![Effect::Text { ticket, text: self.totals.render() }];
+            },
             Message::Tick if now >= self.next => {
                 self.next = now + SEND_EVERY;
                 return self.send();
             },
             Message::Tick => {},
             Message::Timer { name, span } => {
+                self.totals.time(name, span);
                 self.timers.entry(name).or_default().time(span.as_micros());
             },
         }
@@ -71,6 +83,9 @@
         let mut effects = Vec::new();
         for Load { duty, waiting, shed } in loads {
             let before = self.shed.insert(duty, shed).unwrap_or(0);
+            let label = format!("{{duty=\"{duty}\"}}");
+            self.totals.gauge(&format!("ring_waiting{label}"), waiting as u64);
+            self.totals.count(&format!("ring_shed_total{label}"), shed.saturating_sub(before));
             let name = format!("duty.{duty}.waiting");
             effects.push(Effect::Send(Stat::Gauge { name, value: waiting as u64 }));
             let name = format!("duty.{duty}.shed");
--- a/toucangrade/src/metrics/tests.rs
+++ b/toucangrade/src/metrics/tests.rs
@@ -30,6 +30,7 @@
         Effect::Send(Stat::Count { name, value }) => format!("{name} {value}c"),
         Effect::Send(Stat::Gauge { name, value }) => format!("{name} {value}g"),
         Effect::Send(Stat::Timer { name, micros, count }) => format!("{name} {micros}us x{count}"),
+        Effect::Text { text, .. } => text,
     };
     effects.into_iter().map(word).collect()
 }
@@ -142,3 +143,89 @@
     let counts: Vec<_> = total.counts().iter().map(|(r, n)| (r.as_str(), *n)).collect();
     assert_eq!(counts, [("not-run queue-full", 100), ("ran", 200)]);
 }
+
+struct Scraped {
+    messages: Vec<Message>,
+    /// Lines of the text.
+    lines: Vec<&'static str>,
+}
+
+/// Totals grow from the start of the process, whatever is sent to a StatsD server meanwhile, and
+/// each name has one line with its type.
+#[rstest]
+#[case::nothing(Scraped { messages: vec![], lines: vec![] })]
+#[case::counts_go_on_after_a_sending(Scraped {
+    messages: vec![
+        Message::Count { name: "answers_total{outcome=\"gone\"}".into(), by: 2 },
+        Message::Tick,
+        Message::Count { name: "answers_total{outcome=\"gone\"}".into(), by: 1 },
+        Message::Count { name: "answers_total{outcome=\"shown\"}".into(), by: 1 },
+    ],
+    lines: vec![
+        "# TYPE toucangrade_answers_total counter",
+        "toucangrade_answers_total{outcome=\"gone\"} 3",
+        "toucangrade_answers_total{outcome=\"shown\"} 1",
+    ],
+})]
+#[case::newest_gauge(Scraped {
+    messages: vec![
+        Message::Gauge { name: "leading", value: 1 },
+        Message::Gauge { name: "leading", value: 0 },
+    ],
+    lines: vec!["# TYPE toucangrade_leading gauge", "toucangrade_leading 0"],
+})]
+#[case::shed_messages(Scraped {
+    messages: vec![
+        Message::Loads(vec![Load { duty: "dispatch", waiting: 3, shed: 5 }]),
+        Message::Loads(vec![Load { duty: "dispatch", waiting: 0, shed: 7 }]),
+    ],
+    lines: vec![
+        "# TYPE toucangrade_ring_shed_total counter",
+        "toucangrade_ring_shed_total{duty=\"dispatch\"} 7",
+        "# TYPE toucangrade_ring_waiting gauge",
+        "toucangrade_ring_waiting{duty=\"dispatch\"} 0",
+    ],
+})]
+fn totals_are_scraped(#[case] case: Scraped) {
+    let mut metrics = Metrics::new(&[]);
+    let now = Moment::micros(10_000_000);
+    for message in case.messages {
+        metrics.step(now, message);
+    }
+    let effects = metrics.step(now, Message::Scrape { ticket: 4 });
+    let mut text = case.lines.join("\n");
+    if !text.is_empty() {
+        text.push('\n');
+    }
+    assert_eq!(effects, vec![Effect::Text { ticket: 4, text }]);
+}
+
+struct Bucket {
+    micros: u64,
+    /// Bound of the first bucket that counts it.
+    bound: &'static str,
+    /// Sum in seconds.
+    sum: &'static str,
+}
+
+/// Buckets are cumulative and hold times up to their bound.
+#[rstest]
+#[case::shortest(Bucket { micros: 0, bound: "0.001", sum: "0" })]
+#[case::on_a_bound(Bucket { micros: 5_000, bound: "0.005", sum: "0.005" })]
+#[case::above_a_bound(Bucket { micros: 5_001, bound: "0.01", sum: "0.005001" })]
+#[case::longer_than_all(Bucket { micros: 12_000_000, bound: "+Inf", sum: "12" })]
+fn times_are_put_into_buckets(#[case] case: Bucket) {
+    let mut metrics = Metrics::new(&[]);
+    let name = "answer_seconds{verb=\"show\"}";
+    metrics.step(Moment::START, Message::Timer { name, span: Span::micros(case.micros) });
+    let text = words(metrics.step(Moment::START, Message::Scrape { ticket: 1 })).concat();
+    let bucket = |bound: &str, count: u32| {
+        format!("toucangrade_answer_seconds_bucket{{verb=\"show\",le=\"{bound}\"}} {count}\n")
+    };
+    let first = text.lines().find(|line| line.contains("_bucket") && line.ends_with(" 1"));
+    assert_eq!(first.map(|line| format!("{line}\n")), Some(bucket(case.bound, 1)), "{text}");
+    assert!(text.contains(&bucket("+Inf", 1)), "{text}");
+    let sum = format!("toucangrade_answer_seconds_sum{{verb=\"show\"}} {}\n", case.sum);
+    assert!(text.contains(&sum), "{text}");
+    assert!(text.ends_with("toucangrade_answer_seconds_count{verb=\"show\"} 1\n"), "{text}");
+}
--- a/toucangrade/src/node/agent.rs
+++ b/toucangrade/src/node/agent.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 
 use super::leader::{self, Leader};
-use super::{Context, NodeSettings, name_of, wall_ms};
-use crate::core::{Duty, Handle, Span};
+use super::{Context, Meter, NodeSettings, name_of, wall_ms};
+use crate::core::{Duty, Handle, Moment, Span};
 use crate::dispatch::Start;
 use crate::hosting::{
     self, Announcement, Effect, Fault, Hosting, Listing, Message, RunnerTarget as Target,
@@ -52,12 +52,13 @@
     /// # Errors
     ///
     /// The error of the operating system when a thread can't be started.
-    pub fn start(settings: NodeSettings, port: RunnerPort) -> io::Result<Self> {
-        let context = Context::new(settings)?;
+    pub fn start(settings: NodeSettings, meter: Meter, port: RunnerPort) -> io::Result<Self> {
+        let context = Context::new(settings, meter)?;
         let agent = Self { hosting: Handle::new("hosting"), leader: Leader::start(&context)? };
         let state = Hosting::new(context.name.clone(), wall_ms());
         let tick = || Message::Tick;
         let duty = Duty { state, step: Hosting::step, tick, period: hosting::TICK };
+        context.meter.watch(&agent.hosting);
         let (this, clock, port) = (agent.clone(), context.clock.clone(), Arc::new(port));
         duty.spawn(&agent.hosting, clock, move |_, effect| this.perform(&context, &port, effect))?;
         Ok(agent)
@@ -65,9 +66,12 @@
 
     fn perform(&self, context: &Context, port: &RunnerPort, effect: Effect) {
         let hosting = self.hosting.clone();
+        let meter = context.meter.clone();
+        let began = meter.now();
         match effect {
             Effect::List { seq, target, noted, until, wait } => {
                 let done: Done<Listing> = Box::new(move |result| {
+                    called(&meter, "list", began, &result);
                     let listing = result.map(Box::new);
                     hosting.push(Message::Listed { seq, listing });
                 });
@@ -85,16 +89,24 @@
                         },
                         Outcome::NotTaken | Outcome::Unknown => None,
                     };
+                    let result = if orders.is_some() { "ordered" } else { "lost" };
+                    meter.count("reports_total", "result", result);
                     hosting.push(Message::Ordered { seq, orders });
                 });
             },
             Effect::Start { target, start, until } => {
                 let key = start.key;
-                let done = Box::new(move |result| hosting.push(Message::Started { key, result }));
+                let done = Box::new(move |result| {
+                    called(&meter, "start", began, &result);
+                    hosting.push(Message::Started { key, result });
+                });
                 (port.start)(target, &start, until, done);
             },
             Effect::Stop { target, key } => {
-                let done = Box::new(move |result| hosting.push(Message::Stopped { key, result }));
+                let done = Box::new(move |result| {
+                    called(&meter, "stop", began, &result);
+                    hosting.push(Message::Stopped { key, result });
+                });
                 (port.stop)(target, key, done);
             },
         }
@@ -115,3 +127,17 @@
         self.leader.seeds(seeds.iter().filter_map(name_of).collect());
     }
 }
+
+/// Counts a call to the runner.
+fn called<T>(meter: &Meter, call: &str, began: Moment, result: &Result<T, Fault>) {
+    let time = match call {
+        "list" => "runner_list_seconds",
+        "start" => "runner_start_seconds",
+        _ => "runner_stop_seconds",
+    };
+    meter.since(time, began);
+    if let Err(fault) = result {
+        let fault = format!("{call} {fault:?}").to_lowercase().replace([' ', '(', ')'], "_");
+        meter.count("runner_faults_total", "fault", fault.trim_end_matches('_'));
+    }
+}
--- a/toucangrade/src/node/control.rs
+++ b/toucangrade/src/node/control.rs
@@ -10,7 +10,7 @@
 use thiserror::Error;
 use tracing::{error, info};
 
-use super::{Context, NodeSettings, name_of, wall_ms};
+use super::{Context, Meter, NodeSettings, name_of, wall_ms};
 use crate::agreement::{self, Disk, Driver, Members, Outlets, Replica};
 use crate::core::{Duty, Handle, Name, Span};
 use crate::dispatch::{self, Ask, Dispatch, Orders, Report, Told};
@@ -79,8 +79,8 @@
     ///
     /// The error of the operating system when the folder, a port or a thread can't be had, or when
     /// the folder is damaged.
-    pub fn start(settings: NodeSettings) -> io::Result<Self> {
-        let context = Context::new(settings)?;
+    pub fn start(settings: NodeSettings, meter: Meter) -> io::Result<Self> {
+        let context = Context::new(settings, meter)?;
         let data = context.settings.data.clone();
         let data = data.ok_or_else(|| io::Error::other("control needs a folder for its data"))?;
         let control = Self {
@@ -96,6 +96,8 @@
             leading: Arc::default(),
             context,
         };
+        control.context.meter.watch(&control.agreement);
+        control.context.meter.watch(&control.dispatch);
         control.spawn_dispatch()?;
         control.spawn_agreement(Disk::directory(&data)?)?;
         control.spawn_quorum()?;
@@ -126,7 +128,9 @@
         });
         let control = self.clone();
         let deliver = Box::new(move |_, effect| control.deliver(effect));
+        let meter = self.context.meter.clone();
         let synced = Box::new(move |took: Span| {
+            meter.time("log_sync_seconds", took);
             if took > SLOW_SYNC {
                 info!(took_ms = took.as_millis(), "slow sync");
             }
@@ -152,6 +156,10 @@
             agreement::Effect::Commit { index, ticket, command } => {
                 let bytes = command.len();
                 let commands: Vec<Command> = readable(index, &command);
+                for command in &commands {
+                    self.context.meter.count("commands_total", "kind", command.kind());
+                }
+                self.context.meter.gauge("log_index", index);
                 let message = dispatch::Message::Commit { index, ticket, commands, bytes };
                 self.dispatch.push(message);
             },
@@ -162,6 +170,7 @@
             },
             agreement::Effect::Members { index, members, .. } => {
                 let me = lock(&self.driver).as_ref().map(|driver| driver.me().clone());
+                self.context.meter.gauge("members", members.len() as u64);
                 let voter = me.is_none_or(|me| members.is_voter(&me));
                 info!(index, members = members.len(), voter, "members of the control group");
                 lock(&self.group).members = members;
@@ -183,6 +192,8 @@
             agreement::Effect::Role { term, leader, leading } => {
                 info!(term, leading, leader = leader.as_ref().map(Name::as_str), "role");
                 lock(&self.group).leader = leader;
+                self.context.meter.gauge("leading", u64::from(leading));
+                self.context.meter.gauge("term", term);
                 if leading {
                     let (ticket, _) = self.reads.open();
                     *lock(&self.leading) = Some(ticket);
--- a/toucangrade/src/node/entry.rs
+++ b/toucangrade/src/node/entry.rs
@@ -7,7 +7,7 @@
 use tokio::sync::oneshot;
 
 use super::leader::{self, Leader};
-use super::{Context, NodeSettings, name_of};
+use super::{Context, Meter, NodeSettings, name_of};
 use crate::core::Span;
 use crate::dispatch::{Ask, Told, Verb};
 use crate::peer::{Reply, Request};
@@ -37,8 +37,8 @@
     /// # Errors
     ///
     /// The error of the operating system when a thread can't be started.
-    pub fn start(settings: NodeSettings) -> io::Result<Self> {
-        let context = Context::new(settings)?;
+    pub fn start(settings: NodeSettings, meter: Meter) -> io::Result<Self> {
+        let context = Context::new(settings, meter)?;
         let leader = Leader::start(&context)?;
         Ok(Self { context, leader })
     }
@@ -49,6 +49,15 @@
     ///
     /// [`Failed`] tells whether it may have had an effect.
     pub async fn ask(&self, ask: Ask, within: Span) -> Result<Told, Failed> {
+        let (meter, time) = (&self.context.meter, time_name(&ask.verb));
+        let began = meter.now();
+        let answer = self.forward(ask, within).await;
+        meter.since(time, began);
+        meter.count("answers_total", "outcome", outcome(&answer));
+        answer
+    }
+
+    async fn forward(&self, ask: Ask, within: Span) -> Result<Told, Failed> {
         let deadline = leader::deadline(&self.context, within);
         // Once a cancellation or a question was sent, nobody gains from an early refusal.
         let patient = !matches!(ask.verb, Verb::Submit { .. });
@@ -75,3 +84,27 @@
         self.leader.seeds(seeds.iter().filter_map(name_of).collect());
     }
 }
+
+fn time_name(verb: &Verb) -> &'static str {
+    match verb {
+        Verb::Cancel => "answer_seconds{verb=\"cancel\"}",
+        Verb::Configure(_) | Verb::ReadSetup => "answer_seconds{verb=\"configure\"}",
+        Verb::Show => "answer_seconds{verb=\"show\"}",
+        Verb::Submit { .. } => "answer_seconds{verb=\"submit\"}",
+    }
+}
+
+fn outcome(answer: &Result<Told, Failed>) -> &'static str {
+    match answer {
+        Ok(Told::Accepted) => "accepted",
+        Ok(Told::Bad(_)) => "bad",
+        Ok(Told::Cancelled) => "cancelled",
+        Ok(Told::Configured | Told::Setup(_)) => "configuration",
+        Ok(Told::Gone) => "gone",
+        Ok(Told::NoQueue) => "no_queue",
+        Ok(Told::Pending(_) | Told::State(_)) => "shown",
+        Ok(Told::Refused { .. }) => "refused",
+        Ok(Told::Unknown) | Err(Failed::Unknown) => "unknown",
+        Err(Failed::NotTaken) => "not_taken",
+    }
+}
--- a/toucangrade/src/node/mod.rs
+++ b/toucangrade/src/node/mod.rs
@@ -5,6 +5,7 @@
 mod control;
 mod entry;
 mod leader;
+mod meter;
 
 #[cfg(test)]
 mod tests;
@@ -22,6 +23,7 @@
 pub use self::agent::{Agent, Done, RunnerPort};
 pub use self::control::{Control, Elsewhere};
 pub use self::entry::{Entry, Failed};
+pub use self::meter::Meter;
 
 /// Time that a connection to another process may take: some ten round trips between data centres. An
 /// instance without power answers nothing, and what was never sent can be sent elsewhere.
@@ -112,14 +114,15 @@
     name: Name,
     clock: Clock,
     client: Client,
+    meter: Meter,
 }
 
 impl Context {
-    fn new(settings: NodeSettings) -> io::Result<Self> {
+    fn new(settings: NodeSettings, meter: Meter) -> io::Result<Self> {
         let name = name_of(&settings.ip)
             .ok_or_else(|| io::Error::other(format!("{} can't be a name", settings.ip)))?;
         let (clock, client) = (Clock::suspend_aware(), Client::connecting_within(CONNECT_LIMIT)?);
-        Ok(Self { settings, name, clock, client })
+        Ok(Self { settings, name, clock, client, meter })
     }
 }
 
--- a/toucangrade/src/node/tests.rs
+++ b/toucangrade/src/node/tests.rs
@@ -23,6 +23,10 @@
     Ipv4Addr::new(127, 80 + part, (id >> 8) as u8, id as u8).into()
 }
 
+fn meter() -> Meter {
+    Meter::start().expect("a thread")
+}
+
 fn queue() -> Queue {
     Queue {
         name: "quotes".into(),
@@ -104,9 +108,10 @@
         (address(case.part), address(case.part + 1), address(case.part + 2));
     let settings = |ip| NodeSettings::builder(ip, PORT).seeds(vec![control]).first(true).losses(0);
     let data = Some(folder.path().to_owned());
-    let control = Control::start(settings(control).data(data).build()).expect("control");
-    let agent = Agent::start(settings(agent).build(), port(case.end)).expect("agent");
-    let entry = Entry::start(settings(entry).build()).expect("entry");
+    let control = Control::start(settings(control).data(data).build(), meter()).expect("control");
+    let agent = Agent::start(settings(agent).build(), meter(), port(case.end)).expect("agent");
+    let counted = meter();
+    let entry = Entry::start(settings(entry).build(), counted.clone()).expect("entry");
     assert!(agent.announce(Announcement {
         life: Life { runner: Name::new("i-1").expect("a name"), born: 5 },
         addr: "127.0.0.1:9".parse().expect("an address"),
@@ -143,6 +148,9 @@
     until(Some(7), verb, Told::Accepted);
     until(Some(7), Verb::Show, Told::State(case.state));
     until(Some(8), Verb::Show, Told::Gone);
+    let text = runtime.block_on(counted.text()).expect("no overload");
+    assert!(text.contains("toucangrade_answers_total{outcome=\"accepted\"} 1\n"), "{text}");
+    assert!(text.contains("toucangrade_answer_seconds_count{verb=\"submit\"} "), "{text}");
     control.stop();
 }
 
@@ -161,7 +169,8 @@
     let folders = [0; 4].map(|_| tempfile::tempdir().expect("a folder"));
     let start = |ip, seeds: &[IpAddr], folder: &tempfile::TempDir, first| {
         let settings = NodeSettings::builder(ip, PORT).seeds(seeds.to_vec()).first(first);
-        Control::start(settings.data(Some(folder.path().to_owned())).build()).expect("control")
+        let settings = settings.data(Some(folder.path().to_owned())).build();
+        Control::start(settings, meter()).expect("control")
     };
     let group: Vec<Control> =
         founders.iter().zip(&folders).map(|(ip, f)| start(*ip, &founders, f, true)).collect();
