--- a/toucangrade/src/dispatch/message.rs
+++ b/toucangrade/src/dispatch/message.rs
@@ -227,8 +227,8 @@
     pub stops: Vec<RunKey>,
     /// What runs are like that the agent does not know.
     pub natures: Vec<(RunKey, Nature)>,
-    /// Filling runs of jobs that have missed their objective, if anything was decided: they get what
-    /// the others on the runner leave.
+    /// Filling runs of jobs that have missed their objective, which get what the others on the runner
+    /// leave; `None` when the report was not taken in.
     pub late: Option<Vec<RunKey>>,
     /// New estimates of how images disturb each other.
     pub table: Option<Box<Table>>,
--- a/toucangrade/src/dispatch/tests/load.rs
+++ b/toucangrade/src/dispatch/tests/load.rs
@@ -47,3 +47,30 @@
         assert_eq!(world.live(&free), [key(1, 0, 0, 2)]);
     }
 }
+
+struct Overdue {
+    /// Time since the job was accepted, in ms, against an objective of 1 s.
+    age: u64,
+    late: bool,
+}
+
+/// Agents learn which runs belong to jobs that have missed their objective.
+#[rstest]
+#[case::on_time(Overdue { age: 300, late: false })]
+#[case::late(Overdue { age: 1_500, late: true })]
+fn orders_name_runs_of_late_jobs(#[case] case: Overdue) {
+    let mut world = World::new();
+    let runner = life("i-1", 10);
+    // The time of day is known from the first tick on.
+    world.pass(100);
+    world.report(report("10.0.0.1", 1, &runner));
+    world.submit("recon", 1, vec![filling(2_000)]);
+    world.submit("match", 2, vec![step(1, 1_000)]);
+    let (filling, other) = (key(1, 0, 0, 1), key(2, 0, 0, 1));
+    let row = |key| Row { key, saved: None, percent: 50, figure: 2_000, share: 100 };
+    world.pass(case.age);
+    world.report(Report { rows: vec![row(filling), row(other)], ..report("10.0.0.1", 2, &runner) });
+    world.pass(600);
+    let expected = if case.late { vec![filling] } else { vec![] };
+    assert_eq!(world.answered().and_then(|orders| orders.late), Some(expected));
+}
--- a/toucangrade/src/pacing/tests.rs
+++ b/toucangrade/src/pacing/tests.rs
@@ -98,3 +98,25 @@
     assert_eq!(pacing.admit(key(1), &fills(image)), told);
     assert_eq!(pacing.admit(key(1), &fills(image)), None);
 }
+
+struct Late {
+    late: Vec<u16>,
+    /// Shares of the two tasks.
+    shares: [u8; 2],
+}
+
+/// With headroom for one task, the one whose job can still meet its objective gets it.
+#[rstest]
+#[case::both_on_time(Late { late: vec![], shares: [77, 0] })]
+#[case::late_run_gives_way(Late { late: vec![1], shares: [0, 77] })]
+#[case::both_late(Late { late: vec![1, 2], shares: [77, 0] })]
+fn late_run_gives_way(#[case] case: Late) {
+    let mut pacing = Pacing::default();
+    pacing.learn(table());
+    pacing.note_late(case.late.into_iter().map(key).collect());
+    let natures =
+        BTreeMap::from([(key(0), serves(50)), (key(1), fills("heavy")), (key(2), fills("heavy"))]);
+    let rows = [row(0, 12), row(1, 0), row(2, 0)];
+    pacing.step(Moment::micros(1_000_000), CORES, &rows, &natures);
+    assert_eq!([1, 2].map(|index| pacing.share_of(key(index))), case.shares);
+}
