Log why lasting tasks wait and which runners are barred

What callers saw: a lasting task that does not run, while no log line said why. Change: a line when a runner is barred, with the age of the report that it rests on; a line each 2 s for each lasting task that waits, with the runners passed over by reason and the version of the agreed state, 16 lines a look at most; the gauges lasting_waiting and runners_barred. No decision changes: why a runner is passed over is now one function for placement and for the log.

--- a/toucangrade/src/dispatch/fleet.rs
+++ b/toucangrade/src/dispatch/fleet.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use super::message::{Report, Runner};
+use super::place::Passed;
 use super::settings::{
     FAILURES_LIMIT, GRANT, LEASE_MARGIN, QUARANTINE, SILENCE_LIMIT, SLOW_CLOCK_PERCENT,
 };
@@ -118,13 +119,16 @@
         self.runner().map(|runner| &runner.life)
     }
 
-    /// Whether new work may be placed there.
-    pub(crate) fn usable(&self, now: Moment) -> bool {
-        self.runner().is_some_and(|runner| !runner.draining)
-            && now.since(self.heard) < SILENCE_LIMIT
-            && self.report.silent < SILENCE_LIMIT
-            && !self.report.gone
-            && now >= self.shunned
+    /// Why no new work is placed there.
+    pub(crate) fn passed(&self, now: Moment) -> Option<Passed> {
+        let silent = now.since(self.heard).max(self.report.silent) >= SILENCE_LIMIT;
+        match self.runner() {
+            None => Some(Passed::Silent),
+            Some(_) if silent || self.report.gone => Some(Passed::Silent),
+            Some(runner) if runner.draining => Some(Passed::Leaving),
+            Some(_) if now < self.shunned => Some(Passed::Barred),
+            Some(_) => None,
+        }
     }
 
     /// Notes how a task ended that had not failed before.
@@ -136,7 +140,15 @@
         self.failures += 1;
         if self.failures >= FAILURES_LIMIT {
             let exponent = (self.failures - FAILURES_LIMIT).min(3);
-            self.shunned = now + QUARANTINE.percent(100 << exponent);
+            let barred = QUARANTINE.percent(100 << exponent);
+            self.shunned = now + barred;
+            tracing::info!(
+                runner = self.life().map(|life| life.runner.as_str()),
+                failures = self.failures,
+                barred_ms = barred.as_millis(),
+                heard_ms = now.since(self.heard).as_millis(),
+                "runner barred"
+            );
         }
     }
 }
--- a/toucangrade/src/dispatch/message.rs
+++ b/toucangrade/src/dispatch/message.rs
@@ -256,6 +256,8 @@
 /// Output of dispatch.
 #[derive(Debug, PartialEq)]
 pub(crate) enum Effect {
+    /// Sets a gauge of the process.
+    Gauge { name: &'static str, value: u64 },
     /// Proposes commands to the log.
     Propose { ticket: u64, commands: Vec<Command> },
     /// Answers a report.
--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -10,6 +10,7 @@
 mod reports;
 mod rescue;
 mod settings;
+mod waits;
 
 #[cfg(test)]
 mod tests;
@@ -28,6 +29,7 @@
     BATCH_BYTES, BATCH_LIMIT, DURATION_WEIGHT_PERCENT, FLIGHTS_LIMIT, SNAPSHOT_BYTES,
     SNAPSHOT_COMMANDS, STEP_BYTES,
 };
+use self::waits::Waits;
 use crate::core::{Moment, Name, Span};
 use crate::jobs::{Applied, Book, Command, End, Entry, Life, Phase, RunKey, Step, TaskKey};
 use crate::pressure::Learner;
@@ -90,6 +92,7 @@
     dirty: bool,
     /// Last look for runs that would go on better elsewhere.
     rescued: Moment,
+    waits: Waits,
     /// Commands and their bytes since the last snapshot.
     growth: (usize, usize),
     #[serde(skip)]
@@ -119,6 +122,7 @@
             avoided: BTreeMap::new(),
             dirty: false,
             rescued: Moment::START,
+            waits: Waits::default(),
             growth: (0, 0),
             out: Vec::new(),
         }
@@ -159,6 +163,7 @@
         self.open_rounds();
         self.forget();
         self.rescue(now);
+        self.note_waits(now);
         self.dirty = true;
     }
 
@@ -420,6 +425,7 @@
         self.moving.clear();
         self.closing.clear();
         self.opening.clear();
+        self.forget_waits();
         for (_, ticket) in self.waiters.drain(..) {
             self.out.push(Effect::Told { ticket, told: None });
         }
--- a/toucangrade/src/dispatch/place.rs
+++ b/toucangrade/src/dispatch/place.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use serde::Serialize;
+
 use crate::core::Name;
 use crate::jobs::{Life, Need, Step};
 use crate::pressure::{Headroom, Table};
@@ -13,6 +15,25 @@
 /// and hold memory that another could use.
 const LEAST_SPEED: f64 = 0.5;
 
+/// Why a runner does not get a task.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub(crate) enum Passed {
+    /// It failed too many tasks.
+    Barred,
+    /// It lacks the label that the step asks for.
+    Label,
+    /// It is about to leave.
+    Leaving,
+    /// The task does not fit into what is left.
+    Room,
+    /// It belongs to another service.
+    Service,
+    /// Nothing was heard of it for too long, or its port refuses connections.
+    Silent,
+    /// It runs as many tasks of the step as the step allows.
+    Spread,
+}
+
 /// A runner that may take tasks, with what is left on it.
 #[derive(Clone, Debug)]
 pub(super) struct Candidate {
@@ -60,6 +81,21 @@
         self.labels.iter().any(|own| **own == *label)
     }
 
+    /// Why this runner can't take a task of the step; `beside` is how many of them it runs.
+    pub(super) fn misfit(&self, step: &Step, service: &str, beside: u32) -> Option<Passed> {
+        if *self.service != *service {
+            Some(Passed::Service)
+        } else if step.label.as_ref().is_some_and(|label| !self.label(label)) {
+            Some(Passed::Label)
+        } else if step.spread > 0 && beside >= step.spread {
+            Some(Passed::Spread)
+        } else if !self.free.holds(&step.counted()) {
+            Some(Passed::Room)
+        } else {
+            None
+        }
+    }
+
     fn rack(&self) -> Option<&Arc<str>> {
         self.labels.get(1)
     }
@@ -101,10 +137,7 @@
 pub(super) fn choose(candidates: &[Candidate], step: &Step, limits: &Limits<'_>) -> Option<usize> {
     let counted = step.counted();
     let fits = |at: usize, candidate: &Candidate| {
-        *candidate.service == *limits.service
-            && candidate.free.holds(&counted)
-            && step.label.as_ref().is_none_or(|label| candidate.label(label))
-            && (step.spread == 0 || limits.beside[at] < step.spread)
+        candidate.misfit(step, limits.service, limits.beside[at]).is_none()
     };
     let open = candidates.iter().enumerate().filter(|(at, c)| fits(*at, c));
     let scored = open.filter_map(|(at, candidate)| {
--- a/toucangrade/src/dispatch/plan.rs
+++ b/toucangrade/src/dispatch/plan.rs
@@ -93,7 +93,7 @@
     }
 
     /// Tasks of a job that may start, by round and step.
-    fn waiting(&self, entry: &Entry) -> BTreeMap<(u32, u16), Vec<RunKey>> {
+    pub(super) fn waiting(&self, entry: &Entry) -> BTreeMap<(u32, u16), Vec<RunKey>> {
         let mut waiting: BTreeMap<(u32, u16), Vec<RunKey>> = BTreeMap::new();
         if entry.phase != Phase::Active {
             return waiting;
@@ -164,7 +164,13 @@
     }
 
     /// Tasks of a step on each candidate.
-    fn beside(&self, candidates: &[Candidate], job: u64, round: u32, step: u16) -> Vec<u32> {
+    pub(super) fn beside(
+        &self,
+        candidates: &[Candidate],
+        job: u64,
+        round: u32,
+        step: u16,
+    ) -> Vec<u32> {
         let first = TaskKey { job, round, step, index: 0 };
         let last = TaskKey { index: u16::MAX, ..first };
         let range = RunKey { task: first, run: 0 }..=RunKey { task: last, run: u32::MAX };
@@ -180,9 +186,15 @@
 
     /// Runners that may take tasks, with the room that is left on each.
     pub(super) fn candidates(&self, now: Moment) -> Vec<Candidate> {
-        let usable = self.fleet.workers.iter().filter(|(_, worker)| worker.usable(now));
+        let workers = self.fleet.workers.iter();
+        let open = workers.filter(|(_, worker)| worker.passed(now).is_none());
+        self.survey(open.map(|(agent, _)| agent))
+    }
+
+    /// The room that is left on runners, beside what is about to start there.
+    pub(super) fn survey<'a>(&self, agents: impl Iterator<Item = &'a Name>) -> Vec<Candidate> {
         let mut candidates: Vec<Candidate> =
-            usable.filter_map(|(agent, _)| self.candidate(agent)).collect();
+            agents.filter_map(|agent| self.candidate(agent)).collect();
         let index: BTreeMap<Life, usize> =
             candidates.iter().enumerate().map(|(at, c)| (c.life.clone(), at)).collect();
         for (key, life) in self.assigning.iter().chain(&self.moving) {
--- a/toucangrade/src/dispatch/reports.rs
+++ b/toucangrade/src/dispatch/reports.rs
@@ -43,11 +43,18 @@
                     let orders = Some(Box::default());
                     self.out.push(Effect::Orders { ticket: parked.ticket, orders });
                 }
-                self.dirty |= worker.life() != life.as_ref() || !worker.usable(now);
+                self.dirty |= worker.life() != life.as_ref() || worker.passed(now).is_some();
                 worker.update(report, now);
             },
             std::collections::btree_map::Entry::Vacant(free) => {
-                tracing::info!(agent = %agent, runner = life.as_ref().map(|l| l.runner.as_str()), "agent found");
+                let runner = report.runner.as_ref();
+                tracing::info!(
+                    agent = %agent,
+                    runner = runner.map(|runner| runner.life.runner.as_str()),
+                    millicores = runner.map(|runner| runner.capacity.millicores),
+                    memory_mb = runner.map(|runner| runner.capacity.memory),
+                    "agent found"
+                );
                 free.insert(Worker::new(report, now));
                 self.dirty = true;
             },
--- a/toucangrade/src/dispatch/rescue.rs
+++ b/toucangrade/src/dispatch/rescue.rs
@@ -70,7 +70,8 @@
         }
         for (life, key) in stuck {
             let Some(agent) = self.fleet.agent(&life).cloned() else { continue };
-            tracing::info!(run = %key, runner = %life.runner, "no progress, stopping");
+            let heard_ms = self.heard_ms(&agent, now);
+            tracing::info!(run = %key, runner = %life.runner, heard_ms, "no progress, stopping");
             self.avoided.entry(key.task).or_default().push(agent.clone());
             if let Some(worker) = self.fleet.workers.get_mut(&agent) {
                 worker.judge(true, now);
--- a/toucangrade/src/dispatch/tests.rs
+++ b/toucangrade/src/dispatch/tests.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod load;
+mod waits;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -21,6 +22,7 @@
     index: u64,
     told: BTreeMap<u64, Option<Told>>,
     orders: BTreeMap<u64, Option<Box<Orders>>>,
+    gauges: BTreeMap<&'static str, u64>,
     ticket: u64,
     /// Whether proposals are held back.
     hold: bool,
@@ -101,6 +103,7 @@
             index: 0,
             told: BTreeMap::new(),
             orders: BTreeMap::new(),
+            gauges: BTreeMap::new(),
             ticket: 0,
             hold: false,
             held: Vec::new(),
@@ -124,6 +127,7 @@
                     Effect::Orders { ticket, orders } => {
                         self.orders.insert(ticket, orders);
                     },
+                    Effect::Gauge { name, value } => drop(self.gauges.insert(name, value)),
                     Effect::Snapshot { .. } => {},
                     Effect::Told { ticket, told } => {
                         self.told.insert(ticket, told);
--- a/toucangrade/src/node/control.rs
+++ b/toucangrade/src/node/control.rs
@@ -225,6 +225,7 @@
                     control.dispatch.push(dispatch::Message::Rejected { ticket, lost });
                 }
             },
+            dispatch::Effect::Gauge { name, value } => control.context.meter.gauge(name, value),
             dispatch::Effect::Orders { ticket, orders } => {
                 control.orders.close(ticket, orders);
             },
