Take runs for stuck only on reports that show it

What callers saw: a lasting task waited for 9.7 s beside runners with room, and sound runs were stopped and begun anew. Cause: the leader compared the time of a run's last progress with the present, so that silence counted as lack of progress. While agents were cut off from control for 3.7 s, all runs beside them were taken for stuck, and so were runs that their agent had held at a share of 0. A thawed leader did the same with reports 7.2 s old. Ruled out: a hanging runner. Both runners of the incident ended 28 tasks well within a second of the cut's end, and their agents had no failed listing.

--- a/toucangrade/src/dispatch/fleet.rs
+++ b/toucangrade/src/dispatch/fleet.rs
@@ -5,10 +5,11 @@
 
 use serde::Serialize;
 
-use super::message::{Report, Runner};
+use super::message::{Report, Row, Runner};
 use super::place::Passed;
 use super::settings::{
     FAILURES_LIMIT, GRANT, LEASE_MARGIN, QUARANTINE, SILENCE_LIMIT, SLOW_CLOCK_PERCENT,
+    STUCK_LIMIT, STUCK_SHARE,
 };
 use crate::core::{Moment, Name};
 use crate::jobs::{Checkpoint, Life, Need, RunKey};
@@ -32,8 +33,10 @@
     pub(crate) listed: bool,
     pub(crate) saved: Option<Checkpoint>,
     pub(crate) percent: u8,
-    /// When `percent` last changed.
-    pub(crate) moved: Moment,
+    /// Start of the time in which reports show it at full speed without progress.
+    pub(crate) still: Moment,
+    /// When the runner's newest listing of it was read.
+    pub(crate) seen: Moment,
     pub(crate) figure: u32,
     /// Share of its speed at which its agent lets it work, in percent.
     pub(crate) share: u8,
@@ -41,6 +44,29 @@
     pub(crate) stop: bool,
 }
 
+impl Run {
+    /// Takes the runner's listing of this run, read at `read`.
+    pub(crate) fn list(&mut self, row: &Row, read: Moment) {
+        // What happened while nothing was heard is not known.
+        let gap = read.since(self.seen) >= SILENCE_LIMIT;
+        if row.percent != self.percent || row.share < STUCK_SHARE || gap {
+            self.still = read;
+        }
+        self.listed = true;
+        self.seen = read;
+        (self.percent, self.figure, self.share) = (row.percent, row.figure, row.share);
+        if row.saved.is_some() {
+            self.saved.clone_from(&row.saved);
+        }
+    }
+
+    /// Whether reports show that it makes no progress though it may work.
+    pub(crate) fn stuck(&self) -> bool {
+        let still = self.seen.since(self.still) >= STUCK_LIMIT;
+        self.listed && !self.stop && !self.lasting && self.percent < 100 && still
+    }
+}
+
 /// Runs of one life of a runner.
 #[derive(Debug, Serialize)]
 pub(crate) struct Hold {
--- a/toucangrade/src/dispatch/reports.rs
+++ b/toucangrade/src/dispatch/reports.rs
@@ -27,7 +27,7 @@
             let read = now - report.silent;
             let hold = self.fleet.hold(life, now);
             hold.bound = hold.bound.max(lease_bound(read));
-            self.take_rows(now, life, &report);
+            self.take_rows(read, life, &report);
             self.learn(now, &report);
             self.take_ends(life, &report);
             if report.gone {
@@ -65,18 +65,11 @@
         self.answer_parked(&agent, now);
     }
 
-    /// Notes progress and checkpoints of what runs.
-    fn take_rows(&mut self, now: Moment, life: &Life, report: &Report) {
+    /// Notes progress and checkpoints of what runs, from a listing read at `read`.
+    fn take_rows(&mut self, read: Moment, life: &Life, report: &Report) {
         for row in &report.rows {
-            let Some(run) = self.fleet.run_mut(life, row.key) else { continue };
-            run.listed = true;
-            (run.figure, run.share) = (row.figure, row.share);
-            if row.percent != run.percent {
-                run.percent = row.percent;
-                run.moved = now;
-            }
-            if row.saved.is_some() {
-                run.saved.clone_from(&row.saved);
+            if let Some(run) = self.fleet.run_mut(life, row.key) {
+                run.list(row, read);
             }
         }
     }
--- a/toucangrade/src/dispatch/rescue.rs
+++ b/toucangrade/src/dispatch/rescue.rs
@@ -5,9 +5,7 @@
 use super::Dispatch;
 use super::fleet::Run;
 use super::place::{Candidate, Limits, choose};
-use super::settings::{
-    MOVE_AGE, MOVE_GAIN, MOVE_SPEED, MOVES_LIMIT, RESCUE_EVERY, STUCK_LIMIT, STUCK_SHARE,
-};
+use super::settings::{MOVE_AGE, MOVE_GAIN, MOVE_SPEED, MOVES_LIMIT, RESCUE_EVERY};
 use crate::core::{Moment, Name};
 use crate::jobs::{Life, RunKey};
 
@@ -57,15 +55,7 @@
     fn stop_stuck(&mut self, now: Moment) {
         let mut stuck: Vec<(Life, RunKey)> = Vec::new();
         for (life, hold) in &self.fleet.holds {
-            let hangs = |run: &Run| {
-                run.listed
-                    && !run.stop
-                    && !run.lasting
-                    && run.share >= STUCK_SHARE
-                    && run.percent < 100
-                    && now.since(run.moved) >= STUCK_LIMIT
-            };
-            let runs = hold.runs.iter().filter(|(_, run)| hangs(run));
+            let runs = hold.runs.iter().filter(|(_, run)| run.stuck());
             stuck.extend(runs.map(|(key, _)| (life.clone(), *key)));
         }
         for (life, key) in stuck {
