Try barred runners again, and keep no lasting task from the only room

Cause: an exclusion that outlasts its evidence. Each run of one fault counted as a failure of its own, so that 8 runs barred a runner for 16 s at once; a task that ended well afterwards did not lift it; nothing was tried meanwhile; and it held for lasting tasks as well, which must run wherever there is room. Ruled out: the leader's picture of room and runs. The runners reported 42 to 228 ms before, and what was assigned and not closed there agrees with the room that the leader found. Lack of precedence is a fault of its own (others waited for room), but runners with room were passed over here. Change: a circuit breaker of its own (dispatch/health.rs). Runs that began before a runner was barred say nothing new when they fail; one that ends well allows a trial at once; a trial is one task at a time, at most 4 s after the last, and one that works restores trust. A lasting task that finds no other runner is tried 1 s after the failure. One that does not get to work within 5 s is begun anew. A task that was at work, or failed elsewhere before, is not held against a runner; where a task failed is forgotten once it works.

--- a/toucangrade/src/dispatch/fleet.rs
+++ b/toucangrade/src/dispatch/fleet.rs
@@ -5,11 +5,11 @@
 
 use serde::Serialize;
 
+use super::health::{Health, Trust};
 use super::message::{Report, Row, Runner};
 use super::place::Passed;
 use super::settings::{
-    FAILURES_LIMIT, GRANT, LEASE_MARGIN, QUARANTINE, SILENCE_LIMIT, SLOW_CLOCK_PERCENT,
-    STUCK_LIMIT, STUCK_SHARE,
+    GRANT, LEASE_MARGIN, SILENCE_LIMIT, SLOW_CLOCK_PERCENT, STARTUP_LIMIT, STUCK_LIMIT, STUCK_SHARE,
 };
 use crate::core::{Moment, Name};
 use crate::jobs::{Checkpoint, Life, Need, RunKey};
@@ -60,10 +60,16 @@
         }
     }
 
+    /// Whether it is a lasting task that does its work.
+    pub(crate) fn at_work(&self) -> bool {
+        self.lasting && self.percent >= 100
+    }
+
     /// Whether reports show that it makes no progress though it may work.
     pub(crate) fn stuck(&self) -> bool {
-        let still = self.seen.since(self.still) >= STUCK_LIMIT;
-        self.listed && !self.stop && !self.lasting && self.percent < 100 && still
+        let limit = if self.lasting { STARTUP_LIMIT } else { STUCK_LIMIT };
+        let still = self.seen.since(self.still) >= limit;
+        self.listed && !self.stop && self.percent < 100 && still
     }
 }
 
@@ -96,9 +102,7 @@
     pub(crate) known: BTreeSet<RunKey>,
     pub(crate) heard: Moment,
     pub(crate) parked: Option<Parked>,
-    /// Failures of tasks that had not failed elsewhere, since a task last ended well.
-    pub(crate) failures: u32,
-    pub(crate) shunned: Moment,
+    pub(crate) health: Health,
     /// Version of the estimates of pressure that the agent was sent, and when.
     pub(crate) table: (u64, Moment),
     /// Estimated slowness against other runners, in percent.
@@ -112,8 +116,7 @@
             report,
             heard: now,
             parked: None,
-            failures: 0,
-            shunned: Moment::START,
+            health: Health::default(),
             table: (0, Moment::START),
             slowness: 100,
         }
@@ -130,7 +133,7 @@
 
     pub(crate) fn update(&mut self, report: Report, now: Moment) {
         if self.life() != report.runner.as_ref().map(|runner| &runner.life) {
-            (self.failures, self.slowness, self.shunned) = (0, 100, Moment::START);
+            (self.health, self.slowness) = (Health::default(), 100);
         }
         self.known = known(&report);
         self.report = report;
@@ -152,31 +155,32 @@
             None => Some(Passed::Silent),
             Some(_) if silent || self.report.gone => Some(Passed::Silent),
             Some(runner) if runner.draining => Some(Passed::Leaving),
-            Some(_) if now < self.shunned => Some(Passed::Barred),
             Some(_) => None,
         }
     }
 
-    /// Notes how a task ended that had not failed before.
-    pub(crate) fn judge(&mut self, failed: bool, now: Moment) {
-        if !failed {
-            self.failures = 0;
-            return;
-        }
-        self.failures += 1;
-        if self.failures >= FAILURES_LIMIT {
-            let exponent = (self.failures - FAILURES_LIMIT).min(3);
-            let barred = QUARANTINE.percent(100 << exponent);
-            self.shunned = now + barred;
-            tracing::info!(
-                runner = self.life().map(|life| life.runner.as_str()),
-                failures = self.failures,
-                barred_ms = barred.as_millis(),
-                heard_ms = now.since(self.heard).as_millis(),
-                "runner barred"
-            );
+    /// Takes that a run which began at `began` works or ended well.
+    pub(crate) fn worked(&mut self, began: Moment, now: Moment) {
+        if self.health.worked(began, now) {
+            tracing::info!(runner = self.runner_name(), "runner trusted again");
         }
     }
+
+    /// Takes that a run which began at `began` failed through the runner, as far as is known.
+    pub(crate) fn failed(&mut self, began: Moment, now: Moment) {
+        let Some(barred) = self.health.failed(began, now) else { return };
+        tracing::info!(
+            runner = self.runner_name(),
+            failures = self.health.failures(),
+            barred_ms = barred.as_millis(),
+            heard_ms = now.since(self.heard).as_millis(),
+            "runner barred"
+        );
+    }
+
+    fn runner_name(&self) -> Option<&str> {
+        self.life().map(|life| life.runner.as_str())
+    }
 }
 
 fn known(report: &Report) -> BTreeSet<RunKey> {
@@ -212,6 +216,13 @@
         self.holds.get_mut(life)?.runs.get_mut(&key)
     }
 
+    /// What a runner may be given.
+    pub(crate) fn trust(&self, worker: &Worker, now: Moment) -> Trust {
+        let runs = worker.life().and_then(|life| self.holds.get(life)).map(|hold| &hold.runs);
+        let later = |since| runs.is_some_and(|runs| runs.values().any(|run| run.since > since));
+        worker.health.trust(now, later)
+    }
+
     /// The agent of a runner.
     pub(crate) fn agent(&self, life: &Life) -> Option<&Name> {
         let mut found = self.workers.iter().filter(|(_, worker)| worker.life() == Some(life));
--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -3,6 +3,7 @@
 
 mod answers;
 mod fleet;
+mod health;
 mod log;
 mod message;
 mod place;
@@ -87,7 +88,7 @@
     durations: BTreeMap<Arc<str>, Span>,
     /// Agents on which each task has failed.
     #[serde(skip)]
-    avoided: BTreeMap<TaskKey, Vec<Name>>,
+    avoided: BTreeMap<TaskKey, BTreeSet<Name>>,
     /// Whether something changed that may let a task start.
     dirty: bool,
     /// Last look for runs that would go on better elsewhere.
@@ -311,25 +312,38 @@
         touched: &mut BTreeSet<Name>,
     ) {
         let run = self.fleet.holds.get_mut(life).and_then(|hold| hold.runs.remove(&key));
-        if let Some(run) = run
+        if let Some(run) = &run
             && end == End::Done
         {
             self.measure(key, now.since(run.since));
         }
         let Some(agent) = self.fleet.agent(life).cloned() else { return };
-        let failed = end == End::Failed;
-        if failed {
-            self.avoided.entry(key.task).or_default().push(agent.clone());
+        if let Some(run) = run {
+            match end {
+                End::Done => {
+                    if let Some(worker) = self.fleet.workers.get_mut(&agent) {
+                        worker.worked(run.since, now);
+                    }
+                },
+                // A lasting task that was at work fails by itself sooner or later.
+                End::Failed if !run.at_work() => self.blame(now, key, &agent, run.since),
+                _ => {},
+            }
         }
-        let task = self.book.jobs.get(&key.task.job).and_then(|entry| entry.task(key.task));
+        touched.insert(agent);
+    }
+
+    /// Takes that a run which began at `began` failed on a runner.
+    fn blame(&mut self, now: Moment, key: RunKey, agent: &Name, began: Moment) {
+        let avoided = self.avoided.entry(key.task).or_default();
+        avoided.insert(agent.clone());
         // A task that failed elsewhere before says little about this runner.
-        let first = task.is_none_or(|task| task.failed <= 1);
-        if let Some(worker) = self.fleet.workers.get_mut(&agent)
-            && (end == End::Done || (failed && first))
+        let first = avoided.len() <= 1;
+        if let Some(worker) = self.fleet.workers.get_mut(agent)
+            && first
         {
-            worker.judge(failed, now);
+            worker.failed(began, now);
         }
-        touched.insert(agent);
     }
 
     /// Takes the time that a run took into its queue's mean.
--- a/toucangrade/src/dispatch/place.rs
+++ b/toucangrade/src/dispatch/place.rs
@@ -1,9 +1,11 @@
 //! Choice of a runner for a task.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use serde::Serialize;
 
+use super::health::Trust;
 use crate::core::Name;
 use crate::jobs::{Life, Need, Step};
 use crate::pressure::{Headroom, Table};
@@ -18,7 +20,7 @@
 /// Why a runner does not get a task.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub(crate) enum Passed {
-    /// It failed too many tasks.
+    /// It failed too many tasks, or is on trial with another.
     Barred,
     /// It lacks the label that the step asks for.
     Label,
@@ -54,6 +56,8 @@
     pub(super) headroom: Headroom,
     /// Slowness in percent.
     pub(super) slowness: u64,
+    /// What it may be given.
+    pub(super) trust: Trust,
 }
 
 impl Candidate {
@@ -96,6 +100,15 @@
         }
     }
 
+    /// Whether earlier failures keep a task of the step away.
+    pub(super) fn barred(&self, step: &Step) -> bool {
+        match self.trust {
+            Trust::Full | Trust::Trial => false,
+            Trust::LastResort => !step.lasting,
+            Trust::Barred => true,
+        }
+    }
+
     fn rack(&self) -> Option<&Arc<str>> {
         self.labels.get(1)
     }
@@ -113,6 +126,9 @@
             self.reserved += step.need.millicores;
         }
         self.serving += u32::from(step.target > 0);
+        if self.trust != Trust::Full {
+            self.trust = Trust::Barred;
+        }
     }
 }
 
@@ -123,7 +139,7 @@
     /// Tasks of the step on each candidate.
     pub(super) beside: &'a [u32],
     /// Agents on which the task has failed.
-    pub(super) avoided: &'a [Name],
+    pub(super) avoided: &'a BTreeSet<Name>,
     /// How images disturb each other.
     pub(super) table: &'a Table,
 }
@@ -133,11 +149,12 @@
 /// Tasks that serve are packed on few runners, so that others stay free for tasks that fill, which
 /// would disturb them. Tasks that fill go to where they work fastest: where cores are left unused,
 /// and where they disturb nothing that serves. Other tasks go where the largest share of the cores
-/// stays free.
+/// stays free. Runners on trial come last.
 pub(super) fn choose(candidates: &[Candidate], step: &Step, limits: &Limits<'_>) -> Option<usize> {
     let counted = step.counted();
     let fits = |at: usize, candidate: &Candidate| {
-        candidate.misfit(step, limits.service, limits.beside[at]).is_none()
+        !candidate.barred(step)
+            && candidate.misfit(step, limits.service, limits.beside[at]).is_none()
     };
     let open = candidates.iter().enumerate().filter(|(at, c)| fits(*at, c));
     let scored = open.filter_map(|(at, candidate)| {
@@ -158,7 +175,7 @@
         } else {
             (left * 100 / candidate.slowness.max(1), 0, 0)
         };
-        Some(((!failed, !away, rank), at))
+        Some(((candidate.trust, !failed, !away, rank), at))
     });
     scored.max_by_key(|(score, _)| *score).map(|(_, at)| at)
 }
--- a/toucangrade/src/dispatch/plan.rs
+++ b/toucangrade/src/dispatch/plan.rs
@@ -1,6 +1,6 @@
 //! Order in which tasks get runners.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use super::Dispatch;
@@ -142,7 +142,7 @@
             if declared.gang {
                 key.run = common;
             }
-            let none = Vec::new();
+            let none = BTreeSet::new();
             let avoided = self.avoided.get(&key.task).unwrap_or(&none);
             let table = &self.learner.table;
             let limits = Limits { service: &queue.service, beside: &beside, avoided, table };
@@ -188,13 +188,17 @@
     pub(super) fn candidates(&self, now: Moment) -> Vec<Candidate> {
         let workers = self.fleet.workers.iter();
         let open = workers.filter(|(_, worker)| worker.passed(now).is_none());
-        self.survey(open.map(|(agent, _)| agent))
+        self.survey(now, open.map(|(agent, _)| agent))
     }
 
     /// The room that is left on runners, beside what is about to start there.
-    pub(super) fn survey<'a>(&self, agents: impl Iterator<Item = &'a Name>) -> Vec<Candidate> {
+    pub(super) fn survey<'a>(
+        &self,
+        now: Moment,
+        agents: impl Iterator<Item = &'a Name>,
+    ) -> Vec<Candidate> {
         let mut candidates: Vec<Candidate> =
-            agents.filter_map(|agent| self.candidate(agent)).collect();
+            agents.filter_map(|agent| self.candidate(now, agent)).collect();
         let index: BTreeMap<Life, usize> =
             candidates.iter().enumerate().map(|(at, c)| (c.life.clone(), at)).collect();
         for (key, life) in self.assigning.iter().chain(&self.moving) {
@@ -206,7 +210,7 @@
         candidates
     }
 
-    fn candidate(&self, agent: &Name) -> Option<Candidate> {
+    fn candidate(&self, now: Moment, agent: &Name) -> Option<Candidate> {
         let worker = self.fleet.workers.get(agent)?;
         let runner = worker.runner()?;
         let mut candidate = Candidate {
@@ -221,6 +225,7 @@
             serving: 0,
             headroom: Headroom::default(),
             slowness: worker.slowness,
+            trust: self.fleet.trust(worker, now),
         };
         let cores = runner.capacity.millicores.max(1) as f64;
         let (mut serving, mut used, mut asked) = (Vec::new(), Vec::new(), Vec::new());
--- a/toucangrade/src/dispatch/reports.rs
+++ b/toucangrade/src/dispatch/reports.rs
@@ -27,7 +27,7 @@
             let read = now - report.silent;
             let hold = self.fleet.hold(life, now);
             hold.bound = hold.bound.max(lease_bound(read));
-            self.take_rows(read, life, &report);
+            self.take_rows(now, read, life, &report);
             self.learn(now, &report);
             self.take_ends(life, &report);
             if report.gone {
@@ -66,10 +66,18 @@
     }
 
     /// Notes progress and checkpoints of what runs, from a listing read at `read`.
-    fn take_rows(&mut self, read: Moment, life: &Life, report: &Report) {
+    fn take_rows(&mut self, now: Moment, read: Moment, life: &Life, report: &Report) {
         for row in &report.rows {
-            if let Some(run) = self.fleet.run_mut(life, row.key) {
-                run.list(row, read);
+            let Some(run) = self.fleet.run_mut(life, row.key) else { continue };
+            let before = run.at_work();
+            run.list(row, read);
+            if run.at_work() && !before {
+                let began = run.since;
+                // Where it failed before says nothing about its next run.
+                self.avoided.remove(&row.key.task);
+                if let Some(worker) = self.fleet.workers.get_mut(&report.agent) {
+                    worker.worked(began, now);
+                }
             }
         }
     }
--- a/toucangrade/src/dispatch/rescue.rs
+++ b/toucangrade/src/dispatch/rescue.rs
@@ -1,9 +1,10 @@
 //! Runs that get nowhere where they are, and are moved.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::Dispatch;
 use super::fleet::Run;
+use super::health::Trust;
 use super::place::{Candidate, Limits, choose};
 use super::settings::{MOVE_AGE, MOVE_GAIN, MOVE_SPEED, MOVES_LIMIT, RESCUE_EVERY};
 use crate::core::{Moment, Name};
@@ -62,10 +63,8 @@
             let Some(agent) = self.fleet.agent(&life).cloned() else { continue };
             let heard_ms = self.heard_ms(&agent, now);
             tracing::info!(run = %key, runner = %life.runner, heard_ms, "no progress, stopping");
-            self.avoided.entry(key.task).or_default().push(agent.clone());
-            if let Some(worker) = self.fleet.workers.get_mut(&agent) {
-                worker.judge(true, now);
-            }
+            let began = self.fleet.run(&life, key).map_or(now, |run| run.since);
+            self.blame(now, key, &agent, began);
             self.order_stop(&life, key, &agent, now);
         }
     }
@@ -106,11 +105,12 @@
             let Some(step) = self.step_of(key).cloned() else { continue };
             // Spread and earlier failures are respected when the run is placed anew.
             let beside = vec![0; candidates.len()];
-            let table = &self.learner.table;
-            let limits = Limits { service, beside: &beside, avoided: &[], table };
+            let (avoided, table) = (&BTreeSet::new(), &self.learner.table);
+            let limits = Limits { service, beside: &beside, avoided, table };
             let Some(at) = choose(candidates, &step, &limits) else { continue };
             let better = candidates[at].speed(table, &step);
-            if candidates[at].life == life || better < speed + MOVE_GAIN {
+            let trusted = candidates[at].trust == Trust::Full;
+            if candidates[at].life == life || better < speed + MOVE_GAIN || !trusted {
                 continue;
             }
             candidates[at].take(table, &step);
--- a/toucangrade/src/dispatch/settings.rs
+++ b/toucangrade/src/dispatch/settings.rs
@@ -14,10 +14,15 @@
 /// Time for which a report waits for orders; it leaves room for a round trip within the 900 ms that
 /// an agent's call may take.
 pub(crate) const PARK_LIMIT: Span = Span::millis(500);
-/// First failures of different tasks in a row after which a runner gets no work for a while.
+/// First failures of different tasks in a row after which a runner is barred.
 pub(crate) const FAILURES_LIMIT: u32 = 3;
-/// First time for which such a runner gets no work; it doubles up to eight times this.
+/// First time for which it is barred; it doubles with each trial that fails.
 pub(crate) const QUARANTINE: Span = Span::millis(2_000);
+/// Longest time between two trials, so that a fault that is over costs no more than this.
+pub(crate) const QUARANTINE_LIMIT: Span = Span::millis(4_000);
+/// Shortest time between a failure and a lasting task as a trial. A lasting task is to run within
+/// 3 s where there is room, and the log takes a few commands for each attempt.
+pub(crate) const TRIAL_PAUSE: Span = Span::millis(1_000);
 /// Proposals that may be open at once; the log makes those that wait durable with one sync.
 pub(crate) const FLIGHTS_LIMIT: usize = 4;
 /// Commands in one proposal.
@@ -40,6 +45,9 @@
 /// Time without progress after which a run at full speed is taken for stuck: the longest tasks seen
 /// take 5 s, so that a sound one advances a point every 50 ms.
 pub(crate) const STUCK_LIMIT: Span = Span::millis(2_500);
+/// Time without progress after which a lasting task that is not at work is taken for stuck. It starts
+/// within half a second, eight times as long on runners that turn slow.
+pub(crate) const STARTUP_LIMIT: Span = Span::millis(5_000);
 /// Least share at which a run without progress is taken for stuck, in percent.
 pub(crate) const STUCK_SHARE: u8 = 50;
 /// Part of its full speed below which a filling run is moved if that helps.
--- a/toucangrade/src/dispatch/tests.rs
+++ b/toucangrade/src/dispatch/tests.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod exclusion;
+mod health;
 mod load;
 mod waits;
 
@@ -321,7 +322,6 @@
         assert_eq!(world.live(&runner), [key(7, 0, 0, run)]);
         let number = u64::from(run);
         world.end(&runner, number + 1, &[(number, key(7, 0, 0, run), end)]);
-        world.dispatch.fleet.workers.values_mut().for_each(|w| w.shunned = Moment::START);
         world.pass(100);
     }
     assert_eq!(world.state("match", 7), Some(Told::State(JobState::Failed)));
--- a/toucangrade/src/dispatch/tests/exclusion.rs
+++ b/toucangrade/src/dispatch/tests/exclusion.rs
@@ -82,6 +82,20 @@
     assert_eq!(stopped, case.stopped);
 }
 
+/// A lasting task that does not get to work is begun anew, as its runner may hang; one at work is
+/// left alone.
+#[rstest]
+#[case::starting(0, true)]
+#[case::at_work(100, false)]
+fn lasting_task_that_does_not_start_is_begun_anew(#[case] percent: u8, #[case] stopped: bool) {
+    let mut world = World::new();
+    let runner = life("i-1", 10);
+    world.report(report(AGENT, 1, &runner));
+    world.submit("match", 7, vec![Step { lasting: true, ..step(1, 500) }]);
+    world.reports(AGENT, &runner, 7_000, |_| vec![row(key(7, 0, 0, 1), percent, 100)]);
+    assert_eq!(world.dispatch.fleet.holds[&runner].runs[&key(7, 0, 0, 1)].stop, stopped);
+}
+
 struct Exclusion {
     /// Tasks whose first runs stand still or fail.
     tasks: u16,
--- a/toucangrade/src/dispatch/waits.rs
+++ b/toucangrade/src/dispatch/waits.rs
@@ -80,15 +80,15 @@
         let tasks: Vec<TaskKey> = waiting.keys().copied().collect();
         let due = self.waits.note(now, &tasks);
         if !due.is_empty() {
-            let survey = self.survey(self.fleet.workers.keys());
+            let survey = self.survey(now, self.fleet.workers.keys());
             for (task, waited) in due {
                 let (key, service, step) = &waiting[&task];
                 let account = self.account(now, task, service, step, &survey);
                 self.tell_wait(now, *key, waited, step, &account);
             }
         }
-        let barred = |worker: &&super::fleet::Worker| worker.passed(now) == Some(Passed::Barred);
-        let barred = self.fleet.workers.values().filter(barred).count() as u64;
+        let suspects = self.fleet.workers.values().filter(|worker| worker.health.suspect());
+        let barred = suspects.count() as u64;
         self.gauge_waits(self.waits.long(now), barred);
     }
 
@@ -109,7 +109,7 @@
     /// Why runners were passed over for each lasting task that waits.
     #[cfg(test)]
     pub(super) fn accounts(&self, now: Moment) -> Vec<(TaskKey, BTreeMap<Passed, u32>, u32)> {
-        let survey = self.survey(self.fleet.workers.keys());
+        let survey = self.survey(now, self.fleet.workers.keys());
         let waiting = self.lasting_waiting();
         let accounts = waiting.iter().map(|(task, (_, service, step))| {
             let account = self.account(now, *task, service, step, &survey);
@@ -148,6 +148,8 @@
         for (candidate, beside) in survey.iter().zip(beside) {
             let worker = self.fleet.workers.get(&candidate.agent);
             let excluded = worker.and_then(|worker| worker.passed(now));
+            let barred = candidate.barred(step).then_some(Passed::Barred);
+            let excluded = excluded.or(barred);
             let misfit = candidate.misfit(step, service, beside);
             let most = account.best.map_or(0, |(best, _): (&Candidate, _)| best.free.millicores);
             if misfit.is_none() && (account.best.is_none() || candidate.free.millicores > most) {
