Drop orders that answer a report on an earlier life

Cause: an agent applied every answer to the runner that it knows now. A report waits at the leader for up to 500 ms, so the answer to one on the life before can arrive after the next life announced itself. The new runner was then given the end of a lease on the other clock, which it shortens to its maximum again with each listing, so it kept its tasks when the agent was cut off; ends were acknowledged by the other's numbers and lost; and runs were started that the leader closes and starts elsewhere. Ruled out: the leader answers a parked report with empty orders when the next report comes, so only an answer that is already under way does this. Change: the agent notes the number of its last report when it finds a runner and ignores answers to reports up to it.

--- a/toucangrade/src/hosting/orders.rs
+++ b/toucangrade/src/hosting/orders.rs
@@ -61,7 +61,7 @@
         if newest {
             self.reporting = None;
         }
-        let Some(orders) = orders else { return };
+        let Some(orders) = orders.filter(|_| seq > self.since) else { return };
         // The next report waits at the leader for further orders.
         self.news |= newest && orders.until.is_some();
         self.until = self.until.max(orders.until);
--- a/toucangrade/src/hosting/tests.rs
+++ b/toucangrade/src/hosting/tests.rs
@@ -12,6 +12,11 @@
     RunKey { task: TaskKey { job: 1, round: 0, step: 0, index }, run: 1 }
 }
 
+fn order(index: u16) -> Start {
+    let nature = Nature::default();
+    Start { key: key(index), spec: "spec".into(), saved: None, nature }
+}
+
 fn announcement(runner: &str, born: u64, sequence: u64) -> Announcement {
     Announcement {
         life: Life { runner: Name::new(runner).expect("a name"), born },
@@ -179,10 +184,8 @@
     }
 
     fn start(&mut self, index: u16) {
-        let nature = Nature::default();
-        let start = Start { key: key(index), spec: "spec".into(), saved: None, nature };
         let until = Some(self.now.as_micros() / 1_000 + 5_000);
-        self.order(Orders { until, starts: vec![start], ..Orders::default() });
+        self.order(Orders { until, starts: vec![order(index)], ..Orders::default() });
     }
 
     fn last(&self) -> &Report {
@@ -324,3 +327,38 @@
     world.pass(2_000);
     assert_eq!((draining(&world), world.last().gone), (Some(true), true));
 }
+
+struct Overtaken {
+    /// What the leader ordered for the life before.
+    orders: Orders,
+}
+
+/// Orders that answer a report on an earlier life don't reach the next one. Its numbers of ends and
+/// its clock begin anew, so it would forget ends that nobody has recorded and keep its tasks beyond
+/// its lease; and the leader closes runs of the life before and starts them elsewhere.
+#[rstest]
+#[case::end_of_lease(Overtaken {
+    orders: Orders { until: Some(900_000), ..Orders::default() },
+})]
+#[case::recorded_ends(Overtaken {
+    orders: Orders { noted: 57, ..Orders::default() },
+})]
+#[case::start(Overtaken {
+    orders: Orders { starts: vec![order(0)], ..Orders::default() },
+})]
+fn orders_for_an_earlier_life_are_dropped(#[case] case: Overtaken) {
+    let mut world = World::new(Manner::Sound);
+    let seq = world.last().seq;
+    let announced = announcement("i-1", 60, 1);
+    world.life = announced.life.clone();
+    world.send(Message::Announce(Box::new(announced)));
+    world.finish(key(5), End::Done);
+    world.until = None;
+    let orders = Some(Box::new(case.orders));
+    world.send(Message::Ordered { seq, orders });
+    world.pass(1_000);
+    assert_eq!(world.starts, 0, "the run was assigned to the life before");
+    assert_eq!(world.until, None, "no lease was granted to this life");
+    assert_eq!(world.ended.len(), 1, "the end was not recorded");
+    assert_eq!(world.last().ended.len(), 1);
+}
