Ask to be taken in again after a removal

Seen by callers: an instance that was removed answers nobody for the rest of its life, and the group is one loss nearer to losing its majority. Cause: the leader removes a voter that is silent for 5 s when there are more than the group needs, and sends it nothing from then on. The log of the removed one still names it, so it counted itself a member, was refused every election and never asked to be taken in. Change: a member that knows no leader for 5 s asks as well. The leader ignores a request of somebody who is a member, so one that was not removed changes nothing. Evidence: node::tests::removed_voter_is_taken_in_again plays it over sockets with four voters; before, the voter that came back heard of no leader within 60 s. Two cases of asks_until_it_is_a_member cover the wait.

--- a/toucangrade/src/node/control.rs
+++ b/toucangrade/src/node/control.rs
@@ -172,8 +172,10 @@
                 let me = lock(&self.driver).as_ref().map(|driver| driver.me().clone());
                 self.context.meter.gauge("members", members.len() as u64);
                 let voter = me.is_none_or(|me| members.is_voter(&me));
+                let names = members.iter().map(|(name, _)| name.clone()).collect();
                 info!(index, members = members.len(), voter, "members of the control group");
                 lock(&self.group).members = members;
+                self.quorum.push(quorum::Message::Found(names));
                 self.quorum.push(quorum::Message::Member(voter));
             },
             agreement::Effect::ReadReady { ticket, .. } => {
@@ -191,6 +193,7 @@
             },
             agreement::Effect::Role { term, leader, leading } => {
                 info!(term, leading, leader = leader.as_ref().map(Name::as_str), "role");
+                self.quorum.push(quorum::Message::Led(leader.is_some()));
                 lock(&self.group).leader = leader;
                 self.context.meter.gauge("leading", u64::from(leading));
                 self.context.meter.gauge("term", term);
--- a/toucangrade/src/node/tests.rs
+++ b/toucangrade/src/node/tests.rs
@@ -12,6 +12,7 @@
 use crate::dispatch::{Ask, Ended, JobState, Row, Told, Verb};
 use crate::hosting::{Announcement, Listing};
 use crate::jobs::{End, Life, Need, Queue, RunKey, Service, Setup, Step};
+use crate::peer;
 
 /// Longest wait for anything; a sound run takes about two seconds.
 const LIMIT: Duration = Duration::from_secs(60);
@@ -154,6 +155,60 @@
     control.stop();
 }
 
+/// Number of the members that a control instance knows.
+fn members(control: IpAddr) -> usize {
+    let client = crate::http::Client::start().expect("a thread");
+    let body = peer::encode(&peer::Request::Find);
+    let addr = SocketAddr::new(control, PORT);
+    let exchange = crate::http::Exchange::post(addr, peer::PATH, body, Span::secs(1));
+    match peer::reply(client.call(exchange)) {
+        Ok(peer::Reply::Found { members, .. }) => members.len(),
+        _ => 0,
+    }
+}
+
+/// A voter that was silent for a while and was removed is taken in again when it comes back. Nobody
+/// tells it of its removal, so it counted itself a member and never heard of a leader again.
+#[test]
+fn removed_voter_is_taken_in_again() {
+    let ips = [0, 1, 2, 3].map(|part| address(50 + part));
+    let folders = [0; 4].map(|_| tempfile::tempdir().expect("a folder"));
+    let start = |at: usize, first| {
+        let settings = NodeSettings::builder(ips[at], PORT).seeds(ips[..3].to_vec()).first(first);
+        let settings = settings.data(Some(folders[at].path().to_owned())).build();
+        Control::start(settings, meter()).expect("control")
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread().build().expect("a runtime");
+    let began = Instant::now();
+    let until = |wanted: &dyn Fn() -> bool, what: &str| {
+        while !wanted() {
+            assert!(began.elapsed() < LIMIT, "{what}");
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    };
+    let leader_of = |control: &Control| {
+        let ask = Ask { host: "".into(), path: "".into(), job: None, verb: Verb::ReadSetup };
+        runtime.block_on(control.ask(ask)).err().and_then(|elsewhere| elsewhere.leader)
+    };
+    let mut group: Vec<Option<Control>> = (0..3).map(|at| Some(start(at, true))).collect();
+    until(&|| group.iter().flatten().any(|c| leader_of(c).is_some()), "no leader is elected");
+    group.push(Some(start(3, false)));
+    let known = |at: usize, count| members(ips[at]) == count;
+    until(&|| (0..4).all(|at| known(at, 4)), "the newcomer is no member");
+    let follows = |at: &usize| group[*at].as_ref().and_then(leader_of).is_some();
+    let silent = (0..3).find(follows).expect("two founders follow");
+    if let Some(control) = group[silent].take() {
+        control.stop();
+    }
+    let others: Vec<usize> = (0..4).filter(|at| *at != silent).collect();
+    until(&|| others.iter().all(|at| known(*at, 3)), "the silent voter is no member any more");
+    let returned = start(silent, false);
+    until(&|| leader_of(&returned).is_some(), "the voter that came back hears of no leader");
+    for control in group.iter().flatten().chain([&returned]) {
+        control.stop();
+    }
+}
+
 struct Newcomer {
     part: u8,
     /// Whether its only seed is the leader.
--- a/toucangrade/src/quorum/mod.rs
+++ b/toucangrade/src/quorum/mod.rs
@@ -18,12 +18,18 @@
 /// Time that the founders of a new group get to find each other.
 const FOUNDING: Span = Span::secs(3);
 
+/// Time without a leader after which a member asks as well. A voter is removed after as long a
+/// silence, and nobody tells it.
+const UNLED: Span = Span::secs(5);
+
 /// Input of the duty.
 #[derive(Debug)]
 pub(crate) enum Message {
     /// Control instances that an answer or the agreed membership names. Only the leader changes the
     /// membership, and it may be none of the seeds.
     Found(Vec<Name>),
+    /// Whether this instance knows a leader.
+    Led(bool),
     /// Whether the newest committed membership holds this instance as a voter.
     Member(bool),
     /// Other seeds are configured.
@@ -46,6 +52,8 @@
     me: Name,
     founder: bool,
     member: bool,
+    /// Since when no leader is known, if none is.
+    unled: Option<Moment>,
     asked: Moment,
     seeds: Vec<Name>,
     /// The newest control instances that others have named.
@@ -55,19 +63,23 @@
 impl Quorum {
     /// `founder` tells whether this instance may found a new group with others.
     pub(crate) fn new(me: Name, founder: bool, seeds: Vec<Name>) -> Self {
-        Self { me, founder, member: false, asked: Moment::START, seeds, found: Vec::new() }
+        let (member, unled, asked) = (false, Some(Moment::START), Moment::START);
+        Self { me, founder, member, unled, asked, seeds, found: Vec::new() }
     }
 
     /// Takes a message and gives the effects to perform.
     pub(crate) fn step(&mut self, now: Moment, message: Message) -> Vec<Effect> {
         match message {
             Message::Found(names) => self.found = names,
+            Message::Led(false) => drop(self.unled.get_or_insert(now)),
+            Message::Led(true) => self.unled = None,
             Message::Member(member) => self.member = member,
             Message::Seeds(seeds) => self.seeds = seeds,
             Message::Tick => {},
         }
         let founding = self.founder && now.since(Moment::START) < FOUNDING;
-        if self.member || founding || now.since(self.asked) < ASK_EVERY {
+        let led = self.unled.is_none_or(|since| now.since(since) < UNLED);
+        if (self.member && led) || founding || now.since(self.asked) < ASK_EVERY {
             return Vec::new();
         }
         self.asked = now;
--- a/toucangrade/src/quorum/tests.rs
+++ b/toucangrade/src/quorum/tests.rs
@@ -10,18 +10,23 @@
 
 struct Case {
     founder: bool,
-    /// Whether the instance learns at 1 s that it is a member.
+    /// Whether the instance learns at 1 s that it is a member, and of the leader.
     member: bool,
+    /// Quarter of a second from which on it knows no leader.
+    unled: u64,
     /// Requests within 6 s.
     asks: usize,
 }
 
-/// A founder waits for the others first; a member does not ask.
+/// A founder waits for the others first. A member does not ask until it has known no leader for so
+/// long that it may have been removed.
 #[rstest]
-#[case::founder_found(Case { founder: true, member: true, asks: 0 })]
-#[case::founder_alone(Case { founder: true, member: false, asks: 7 })]
-#[case::empty_disk(Case { founder: false, member: true, asks: 1 })]
-#[case::never_taken_in(Case { founder: false, member: false, asks: 12 })]
+#[case::founder_found(Case { founder: true, member: true, unled: 99, asks: 0 })]
+#[case::founder_alone(Case { founder: true, member: false, unled: 99, asks: 7 })]
+#[case::empty_disk(Case { founder: false, member: true, unled: 99, asks: 1 })]
+#[case::never_taken_in(Case { founder: false, member: false, unled: 99, asks: 12 })]
+#[case::election(Case { founder: true, member: true, unled: 8, asks: 0 })]
+#[case::removed(Case { founder: true, member: true, unled: 4, asks: 1 })]
 fn asks_until_it_is_a_member(#[case] case: Case) {
     let mut quorum = Quorum::new(name("10.0.0.1"), case.founder, vec![name("10.0.0.2")]);
     let mut asks = 0;
@@ -29,6 +34,10 @@
         let now = Moment::micros(quarter * 250_000);
         if quarter == 4 && case.member {
             asks += quorum.step(now, Message::Member(true)).len();
+            asks += quorum.step(now, Message::Led(true)).len();
+        }
+        if quarter == case.unled {
+            asks += quorum.step(now, Message::Led(false)).len();
         }
         asks += quorum.step(now, Message::Tick).len();
     }
