Keep known members when an instance names none

Seen by callers: with seeds that were replaced, entries answer 503 and agents don't report for as long as such answers come. Change: an empty list changes nothing. Evidence: members_are_kept_until_others_are_named (no_members) and asks_whoever_is_known (newcomer_names_nobody) failed before: only the seeds were asked.

--- a/toucangrade/src/quorum/mod.rs
+++ b/toucangrade/src/quorum/mod.rs
@@ -70,6 +70,8 @@
     /// Takes a message and gives the effects to perform.
     pub(crate) fn step(&mut self, now: Moment, message: Message) -> Vec<Effect> {
         match message {
+            // An instance that belongs to no group names nobody.
+            Message::Found(names) if names.is_empty() => {},
             Message::Found(names) => self.found = names,
             Message::Led(false) => drop(self.unled.get_or_insert(now)),
             Message::Led(true) => self.unled = None,
--- a/toucangrade/src/quorum/tests.rs
+++ b/toucangrade/src/quorum/tests.rs
@@ -66,6 +66,10 @@
     learned: vec![found(&["10.0.0.5"]), found(&["10.0.0.6"])],
     asked: vec!["10.0.0.2", "10.0.0.3", "10.0.0.6"],
 })]
+#[case::newcomer_names_nobody(Known {
+    learned: vec![found(&["10.0.0.5"]), found(&[])],
+    asked: vec!["10.0.0.2", "10.0.0.3", "10.0.0.5"],
+})]
 #[case::seeds_change(Known {
     learned: vec![Message::Seeds(vec![name("10.0.0.9")])],
     asked: vec!["10.0.0.9"],
--- a/toucangrade/src/relay/tests.rs
+++ b/toucangrade/src/relay/tests.rs
@@ -166,3 +166,40 @@
     }
     assert_eq!(reached, [true, false, true]);
 }
+
+struct Find {
+    /// Members that instance `a` names when it is asked, and those that `b` names later.
+    named: [Vec<&'static str>; 2],
+    /// Instances that are asked afterwards.
+    asked: Vec<&'static str>,
+}
+
+/// An instance that belongs to no group names nobody, which says nothing about those that do: with
+/// seeds that were replaced, entries and agents lost every instance that could answer.
+#[rstest]
+#[case::newer_members(Find { named: [vec!["c", "d"], vec!["e"]], asked: vec!["a", "b", "e"] })]
+#[case::no_members(Find { named: [vec!["c", "d"], vec![]], asked: vec!["a", "b", "c", "d"] })]
+fn members_are_kept_until_others_are_named(#[case] case: Find) {
+    let mut relay = Relay::new(vec![name("a"), name("b")]);
+    let mut named = case.named.into_iter();
+    let mut asked = BTreeSet::new();
+    for step in 0..200u64 {
+        let now = Moment::micros(step * 1_001_000);
+        for effect in relay.step(now, Message::Tick) {
+            let Effect::Call { call, to, .. } = effect else { continue };
+            let result = match named.next() {
+                Some(members) => {
+                    let members = members.into_iter().map(name).collect();
+                    Ok(Reply::Found { leader: None, members })
+                },
+                None => {
+                    asked.insert(to);
+                    Err(CallError::Connect)
+                },
+            };
+            relay.step(now, Message::Answered { call, result });
+        }
+    }
+    let asked: Vec<&str> = asked.iter().map(Name::as_str).collect();
+    assert_eq!(asked, case.asked);
+}
