Let a runner that goes on announcing itself be found

Seen by callers: lasting tasks of that runner do not run, and nothing is placed there, until its agent restarts. Cause: an announcement with an earlier birth or a lower number counts as late, for ever. One stray announcement with a later birth or a high number, or a runner that restarts after its clock stepped back, excluded the runner, though nothing repeated the evidence against it. Ruled out: late announcements must not bring an earlier life back while the present one answers, so the listings of the known runner count as its sign of life. Change: an earlier birth is taken in once nothing was announced and nothing answered for 3 s; a lower number once nothing was announced for 3 s. A runner that said that it leaves stays so.

--- a/toucangrade/src/hosting/mod.rs
+++ b/toucangrade/src/hosting/mod.rs
@@ -39,6 +39,9 @@
 const REPORT_EVERY: Span = Span::millis(900);
 /// Time after which a report without an answer is given up: longer than the leader holds it.
 const REPORT_TIMEOUT: Span = Span::millis(1_500);
+/// Time without a sign of the known runner after which announcements count that seem late: three
+/// times as long as sound runners take between two.
+const UNCONFIRMED: Span = Span::secs(3);
 /// Time for which refused starts are remembered, longer than any lease, so that a late order for
 /// one is not carried out.
 const DENIED_KEPT: Span = Span::secs(15);
@@ -47,6 +50,8 @@
 #[derive(Debug, Serialize)]
 struct Known {
     announced: Announcement,
+    /// When that was taken in.
+    heard: Moment,
     listing: Listing,
     /// When the runner last answered.
     answered: Moment,
@@ -146,16 +151,22 @@
 
     fn announce(&mut self, now: Moment, announced: Announcement) {
         if let Some(known) = &mut self.known {
+            // What nobody repeats may come from another writer, or from before a step of the clock.
+            let unheard = now.since(known.heard) >= UNCONFIRMED;
+            let silent = now.since(known.answered) >= UNCONFIRMED;
             let (old, new) = (&known.announced, &announced);
             if new.life == old.life {
-                if new.sequence <= old.sequence {
+                let late = new.sequence <= old.sequence;
+                if late && !unheard {
                     return;
                 }
-                self.news |= new.draining != old.draining || new.capacity != old.capacity;
-                known.announced = announced;
+                let draining = new.draining || (late && old.draining);
+                self.news |= draining != old.draining || new.capacity != old.capacity;
+                known.announced = Announcement { draining, ..announced };
+                known.heard = now;
                 return;
             }
-            if new.life.born < old.life.born {
+            if new.life.born < old.life.born && !(unheard && silent) {
                 tracing::info!(runner = %new.life.runner, born = new.life.born, "late announcement");
                 return;
             }
@@ -169,7 +180,7 @@
         );
         self.forget_runner();
         let listing = Listing::default();
-        self.known = Some(Known { announced, listing, answered: now, listed: false });
+        self.known = Some(Known { announced, heard: now, listing, answered: now, listed: false });
         self.news = true;
     }
 
--- a/toucangrade/src/hosting/tests.rs
+++ b/toucangrade/src/hosting/tests.rs
@@ -362,3 +362,40 @@
     assert_eq!(world.ended.len(), 1, "the end was not recorded");
     assert_eq!(world.last().ended.len(), 1);
 }
+
+struct Claim {
+    /// What is announced once, before the runner goes on announcing itself.
+    stray: Announcement,
+    /// The runner that is there from then on.
+    life: (&'static str, u64),
+}
+
+/// An announcement counts as late only while the one that is held against it is confirmed: one that
+/// nobody stands behind must not exclude the runner for ever.
+#[rstest]
+#[case::runner_that_never_was(Claim {
+    stray: announcement("i-9", 99, 1),
+    life: ("i-1", 50),
+})]
+#[case::sequence_far_ahead(Claim {
+    stray: Announcement { service: "other".into(), ..announcement("i-1", 50, 1_000_000) },
+    life: ("i-1", 50),
+})]
+#[case::restarted_after_its_clock_stepped_back(Claim {
+    stray: announcement("i-1", 50, 2),
+    life: ("i-1", 40),
+})]
+fn runner_that_goes_on_announcing_itself_is_found(#[case] claim: Claim) {
+    let mut world = World::new(Manner::Sound);
+    world.send(Message::Announce(Box::new(claim.stray)));
+    let (runner, born) = claim.life;
+    for sequence in 2..9 {
+        let announced = announcement(runner, born, sequence);
+        world.life = announced.life.clone();
+        world.send(Message::Announce(Box::new(announced)));
+        world.pass(1_000);
+    }
+    let found = world.last().runner.clone().expect("a runner");
+    assert_eq!((found.life.runner.as_str(), found.life.born), claim.life);
+    assert_eq!(&*found.service, "balcao");
+}
