Tell a run its share until the runner has taken it

Seen by callers: a heavy job whose task stands still although nothing is disturbed any more; the other way round a lasting task over its target. Cause: the runner keeps the share that a run was last told. An agent that restarted took every run for one at full speed, so it told nothing when full speed was what it wanted. Change: runs that the agent did not start itself, and those whose call failed, are told their share with the next figures whether it changes or not.

--- a/toucangrade/src/hosting/message.rs
+++ b/toucangrade/src/hosting/message.rs
@@ -76,6 +76,8 @@
     Listed { seq: u64, listing: Result<Box<Listing>, Fault> },
     /// Answer to `Effect::Report`; `None` when there was none.
     Ordered { seq: u64, orders: Option<Box<Orders>> },
+    /// Answer to `Effect::Pace`.
+    Paced { key: RunKey, result: Result<(), Fault> },
     /// Answer to `Effect::Start`.
     Started { key: RunKey, result: Result<(), Fault> },
     /// Answer to `Effect::Stop`.
--- a/toucangrade/src/hosting/mod.rs
+++ b/toucangrade/src/hosting/mod.rs
@@ -131,6 +131,7 @@
             Message::Leave { runner } => self.leave(&runner),
             Message::Listed { seq, listing } => self.take_listing(now, seq, listing),
             Message::Ordered { seq, orders } => self.ordered(seq, orders),
+            Message::Paced { key, result } => self.paced(key, result),
             Message::Started { key, result } => self.started(now, key, result),
             Message::Stopped { key, result } => self.stopped(now, key, result),
             Message::Tick => {
@@ -315,7 +316,7 @@
             incarnation: self.incarnation,
             seq: self.seq,
             runner,
-            rows: listing.map(|listing| self.paced(&listing.rows)).unwrap_or_default(),
+            rows: listing.map(|listing| self.with_shares(&listing.rows)).unwrap_or_default(),
             handling: keys(false),
             stopping: keys(true),
             ended: ended.filter(|ended| ended.number > self.noted).cloned().collect(),
@@ -326,7 +327,7 @@
         }
     }
 
-    fn paced(&self, rows: &[Row]) -> Vec<Row> {
+    fn with_shares(&self, rows: &[Row]) -> Vec<Row> {
         let paced = |row: &Row| Row { share: self.pacing.share_of(row.key), ..row.clone() };
         rows.iter().map(paced).collect()
     }
--- a/toucangrade/src/hosting/orders.rs
+++ b/toucangrade/src/hosting/orders.rs
@@ -69,7 +69,11 @@
         if newest && orders.until.is_some() {
             self.amnesia = false;
         }
-        self.natures.extend(orders.natures);
+        for (key, nature) in orders.natures {
+            // An earlier process may have told the runner another share.
+            self.pacing.doubt(key);
+            self.natures.insert(key, nature);
+        }
         if let Some(late) = orders.late {
             self.pacing.note_late(late);
         }
@@ -172,6 +176,13 @@
         }
     }
 
+    /// A share that the runner may not have taken is told again with the next figures.
+    pub(super) fn paced(&mut self, key: RunKey, result: Result<(), Fault>) {
+        if result.is_err() {
+            self.pacing.doubt(key);
+        }
+    }
+
     pub(super) fn stopped(&mut self, now: Moment, key: RunKey, result: Result<(), Fault>) {
         let Some(handling) = self.handling.get_mut(&key) else { return };
         if !matches!(handling.stage, Stage::Stop) {
--- a/toucangrade/src/hosting/tests.rs
+++ b/toucangrade/src/hosting/tests.rs
@@ -63,6 +63,10 @@
     reports: u32,
     /// Listings that the runner has not answered.
     pending: Vec<(u64, Listing)>,
+    /// Shares that the runner was told.
+    shares: Vec<u8>,
+    /// Such calls that it does not answer.
+    lost: usize,
 }
 
 impl World {
@@ -82,6 +86,8 @@
             report: None,
             reports: 0,
             pending: Vec::new(),
+            shares: Vec::new(),
+            lost: 0,
         };
         world.send(Message::Announce(Box::new(announced)));
         world.pass(300);
@@ -120,7 +126,12 @@
                 self.pending.push((seq, listing));
                 None
             },
-            Effect::Pace { .. } => None,
+            Effect::Pace { key, percent, .. } => {
+                self.shares.push(percent);
+                let lost = self.shares.len() <= self.lost;
+                let result = if lost { Err(Fault::Silent) } else { Ok(()) };
+                Some(Message::Paced { key, result })
+            },
             Effect::Report(report) => {
                 self.reports += 1;
                 self.report = Some(*report);
@@ -399,3 +410,27 @@
     assert_eq!((found.life.runner.as_str(), found.life.born), claim.life);
     assert_eq!(&*found.service, "balcao");
 }
+
+struct Share {
+    /// Calls with a share that get no answer.
+    lost: usize,
+    told: Vec<u8>,
+}
+
+/// A run keeps the share that it was last told, which an agent that restarts does not know, and one
+/// whose call got no answer neither: a task that stood still stood still for ever.
+#[rstest]
+#[case::told_by_an_earlier_process(Share { lost: 0, told: vec![100] })]
+#[case::answer_lost(Share { lost: 1, told: vec![100, 100] })]
+fn share_is_told_until_it_is_taken(#[case] case: Share) {
+    let mut world = World::new(Manner::Sound);
+    world.lost = case.lost;
+    let row = Row { key: key(0), saved: None, percent: 40, figure: 0, share: 100 };
+    world.rows.insert(key(0), row);
+    world.pass(1_000);
+    let nature = Nature { cores: 1_000, fills: true, ..Nature::default() };
+    let natures = vec![(key(0), nature)];
+    world.order(Orders { until: Some(9_000), natures, ..Orders::default() });
+    world.pass(1_500);
+    assert_eq!(world.shares, case.told);
+}
--- a/toucangrade/src/node/agent.rs
+++ b/toucangrade/src/node/agent.rs
@@ -32,7 +32,7 @@
     /// the runner's clock, and lets the runner wait for the next end.
     pub list: List,
     /// Lets a task work at a share, in percent.
-    pub pace: Box<dyn Fn(Target, RunKey, u8) + Send + Sync>,
+    pub pace: Box<dyn Fn(Target, RunKey, u8, Done<()>) + Send + Sync>,
     /// Starts a run under a lease that ends at a time in ms on the runner's clock.
     pub start: Begin,
     /// Stops a run, or keeps it from being started.
@@ -77,7 +77,13 @@
                 });
                 (port.list)(target, noted, until, wait, done);
             },
-            Effect::Pace { target, key, percent } => (port.pace)(target, key, percent),
+            Effect::Pace { target, key, percent } => {
+                let done = Box::new(move |result| {
+                    called(&meter, "pace", began, &result);
+                    hosting.push(Message::Paced { key, result });
+                });
+                (port.pace)(target, key, percent, done);
+            },
             Effect::Report(report) => {
                 let seq = report.seq;
                 let deadline = leader::deadline(context, REPORT_LIMIT);
@@ -132,6 +138,7 @@
 fn called<T>(meter: &Meter, call: &str, began: Moment, result: &Result<T, Fault>) {
     let time = match call {
         "list" => "runner_list_seconds",
+        "pace" => "runner_pace_seconds",
         "start" => "runner_start_seconds",
         _ => "runner_stop_seconds",
     };
--- a/toucangrade/src/node/tests.rs
+++ b/toucangrade/src/node/tests.rs
@@ -69,7 +69,7 @@
             drop(runs);
             done(Ok(Listing { clock: 1_000, born: target.life.born, rows, ended }));
         }),
-        pace: Box::new(|_, _, _| {}),
+        pace: Box::new(|_, _, _, done| done(Ok(()))),
         start: Box::new(move |_, start, _, done| {
             let (key, saved) = (start.key, None);
             let mut runs = runs.lock().expect("no panic");
--- a/toucangrade/src/pacing/mod.rs
+++ b/toucangrade/src/pacing/mod.rs
@@ -46,6 +46,8 @@
     changed: Moment,
     /// Share that each run was last told.
     told: BTreeMap<RunKey, u8>,
+    /// Runs that may work at another share than they were told.
+    unsure: BTreeSet<RunKey>,
     /// Since when each run is over its target.
     over: BTreeMap<RunKey, Moment>,
     /// Runs whose jobs have missed their objective.
@@ -77,6 +79,7 @@
     ) -> Vec<(RunKey, u8)> {
         self.cores = cores;
         self.told.retain(|key, _| natures.contains_key(key));
+        self.unsure.retain(|key| natures.contains_key(key));
         self.note_over(now, rows, natures);
         let fresh = rows.iter().any(|row| {
             !self.told.contains_key(&row.key) && natures.get(&row.key).is_some_and(|n| n.fills)
@@ -110,7 +113,7 @@
             let used = task.asked * f64::from(share) / 100.0;
             headroom.spend(&self.table, &task.image, used);
             self.told.insert(task.key, share);
-            if share != known {
+            if self.unsure.remove(&task.key) || share != known {
                 tracing::info!(run = %task.key, share, before = known, clash, harmed, "pace");
                 changes.push((task.key, share));
             }
@@ -119,6 +122,11 @@
         changes
     }
 
+    /// Has a run told its share again, since the runner may not have taken it.
+    pub(crate) fn doubt(&mut self, key: RunKey) {
+        self.unsure.insert(key);
+    }
+
     /// The share of a task that has just started, if it isn't its whole speed.
     pub(crate) fn admit(&mut self, key: RunKey, nature: &Nature) -> Option<u8> {
         if !nature.fills || self.told.contains_key(&key) {
