Pause between listings of a runner that was born again

Seen by callers: nothing; the agent and its runner spend their processor time on listings, with a log line each, until the runner announces itself. Cause: a listing of another life changed nothing, also not the time of the last one, so with ends left from the life before the next was asked for at once. Change: it counts as a listing that failed, so the next follows after 150 ms. Evidence: reborn_runner_is_asked_with_pauses failed before (asked again at once).

--- a/toucangrade/src/hosting/mod.rs
+++ b/toucangrade/src/hosting/mod.rs
@@ -223,6 +223,7 @@
         };
         if listing.born != 0 && listing.born != known.announced.life.born {
             // A new life answers under the old name; its announcement will follow.
+            self.failed = Some(now);
             tracing::info!(runner = %known.announced.life.runner, born = listing.born, "reborn");
             return;
         }
--- a/toucangrade/src/hosting/tests.rs
+++ b/toucangrade/src/hosting/tests.rs
@@ -434,3 +434,23 @@
     world.pass(1_500);
     assert_eq!(world.shares, case.told);
 }
+
+/// A runner that was born again under its name answers before it announces itself. It was asked
+/// without a pause until then, with a log line for each answer.
+#[test]
+fn reborn_runner_is_asked_with_pauses() {
+    let mut world = World::new(Manner::Sound);
+    world.finish(key(0), End::Done);
+    world.pass(1_000);
+    let listing = Listing { clock: 5, born: 60, ..Listing::default() };
+    let mut asked = Vec::new();
+    while let Some((seq, _)) = world.pending.pop() {
+        let listing = Ok(Box::new(listing.clone()));
+        world.send(Message::Listed { seq, listing });
+        asked.push(seq);
+        assert!(asked.len() < 3, "asked again at once");
+    }
+    let calls = world.tokens.len();
+    world.pass(300);
+    assert!(world.tokens.len() > calls, "asked again after a while");
+}
