Take a farewell for the life that sends it

Seen by callers: lasting tasks are stopped on a sound runner. Cause: a runner may start again under its name. A farewell of the life before that arrives late marked the new one as leaving, and the leader evacuates such a runner within half a second. Change: a farewell that tells its sender's birth counts for that life alone. Evidence: farewell_counts_for_its_own_life (earlier_life) failed before.

--- a/toucangrade/src/hosting/message.rs
+++ b/toucangrade/src/hosting/message.rs
@@ -71,7 +71,7 @@
     /// The runner announced itself.
     Announce(Box<Announcement>),
     /// The runner says that it ends now.
-    Leave { runner: String },
+    Leave { runner: String, born: Option<u64> },
     /// Answer to `Effect::List`.
     Listed { seq: u64, listing: Result<Box<Listing>, Fault> },
     /// Answer to `Effect::Report`; `None` when there was none.
--- a/toucangrade/src/hosting/mod.rs
+++ b/toucangrade/src/hosting/mod.rs
@@ -128,7 +128,7 @@
     pub(crate) fn step(&mut self, now: Moment, message: Message) -> Vec<Effect> {
         match message {
             Message::Announce(announced) => self.announce(now, *announced),
-            Message::Leave { runner } => self.leave(&runner),
+            Message::Leave { runner, born } => self.leave(&runner, born),
             Message::Listed { seq, listing } => self.take_listing(now, seq, listing),
             Message::Ordered { seq, orders } => self.ordered(seq, orders),
             Message::Paced { key, result } => self.paced(key, result),
@@ -199,9 +199,12 @@
 
     /// The runner ends now; it is listed until its port refuses connections, which shows that
     /// nothing runs there any more.
-    fn leave(&mut self, runner: &str) {
-        let known = self.known.as_mut().filter(|k| k.announced.life.runner.as_str() == runner);
-        if let Some(known) = known {
+    fn leave(&mut self, runner: &str, born: Option<u64>) {
+        let own = |known: &&mut Known| {
+            let life = &known.announced.life;
+            life.runner.as_str() == runner && born.is_none_or(|born| born == life.born)
+        };
+        if let Some(known) = self.known.as_mut().filter(own) {
             tracing::info!(runner, "runner left");
             known.announced.draining = true;
             self.news = true;
--- a/toucangrade/src/hosting/tests.rs
+++ b/toucangrade/src/hosting/tests.rs
@@ -330,7 +330,7 @@
 #[test]
 fn runner_that_left_is_gone_once_its_port_is() {
     let mut world = World::new(Manner::Sound);
-    world.send(Message::Leave { runner: "i-1".to_owned() });
+    world.send(Message::Leave { runner: "i-1".to_owned(), born: None });
     world.pass(500);
     let draining = |world: &World| world.last().runner.as_ref().map(|runner| runner.draining);
     assert_eq!((draining(&world), world.last().gone), (Some(true), false));
@@ -454,3 +454,21 @@
     world.pass(300);
     assert!(world.tokens.len() > calls, "asked again after a while");
 }
+
+struct Farewell {
+    born: Option<u64>,
+    draining: bool,
+}
+
+/// A runner's late farewell does not count for its next life under the same name, whose lasting tasks
+/// would all be stopped.
+#[rstest]
+#[case::own(Farewell { born: Some(50), draining: true })]
+#[case::unnamed(Farewell { born: None, draining: true })]
+#[case::earlier_life(Farewell { born: Some(40), draining: false })]
+fn farewell_counts_for_its_own_life(#[case] case: Farewell) {
+    let mut world = World::new(Manner::Sound);
+    world.send(Message::Leave { runner: "i-1".to_owned(), born: case.born });
+    world.pass(500);
+    assert_eq!(world.last().runner.as_ref().map(|runner| runner.draining), Some(case.draining));
+}
--- a/toucangrade/src/node/agent.rs
+++ b/toucangrade/src/node/agent.rs
@@ -123,9 +123,10 @@
         self.hosting.offer(Message::Announce(Box::new(announcement))).is_ok()
     }
 
-    /// Takes in that the runner ends now; false when this process sheds load.
-    pub fn leave(&self, runner: &str) -> bool {
-        self.hosting.offer(Message::Leave { runner: runner.to_owned() }).is_ok()
+    /// Takes in that the runner ends now, which started at `born` if it says so; false when this
+    /// process sheds load.
+    pub fn leave(&self, runner: &str, born: Option<u64>) -> bool {
+        self.hosting.offer(Message::Leave { runner: runner.to_owned(), born }).is_ok()
     }
 
     /// Replaces the control instances that the settings name.
