Plan anew on the next tick after a refused proposal

Seen by callers: nothing; while a leader hands over, up to a second long, its dispatch and its log call each other without a pause and write a line each time. Cause: a refusal marked the state as changed, so the same step proposed the same assignment again. Ruled out: proposals can't be held back for good by this limit of four; the log answers each once, also when leadership is lost. Change: the next tick plans anew, within 100 ms. Evidence: refused_proposals_are_not_repeated_at_once failed before.

--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -446,8 +446,8 @@
         for (_, ticket) in flight.waiters {
             self.out.push(Effect::Told { ticket, told: told.clone() });
         }
+        // The next tick plans anew; while leadership is handed over every proposal is refused.
         tracing::warn!(commands = flight.commands.len(), lost, "proposal refused");
-        self.dirty = true;
     }
 }
 
--- a/toucangrade/src/dispatch/tests.rs
+++ b/toucangrade/src/dispatch/tests.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod load;
+mod log;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
