Keep ended jobs for a time that no step of the clock shortens

Seen by callers: after a step of the leader's clock by 150 s or more every job that has ended is answered with 410. Cause: the time for which the state of an ended job is kept was counted on the time of day. Change: it is counted on the clock that only goes forward. Evidence: step_of_the_clock_forgets_no_job failed before (Gone instead of Cancelled).

--- a/toucangrade/src/dispatch/answers.rs
+++ b/toucangrade/src/dispatch/answers.rs
@@ -4,7 +4,8 @@
 
 use super::Dispatch;
 use super::message::{Ask, Effect, JobState, Told, Verb};
-use super::settings::STATUS_KEPT_MS;
+use super::settings::STATUS_KEPT;
+use crate::core::Moment;
 use crate::jobs::{Applied, Command, Job, Phase, Queue};
 
 /// Jobs that are forgotten with one command.
@@ -129,10 +130,10 @@
     }
 
     /// Forgets jobs that ended long ago.
-    pub(super) fn forget(&mut self) {
-        let old = |id: &u64, ended: u64| {
+    pub(super) fn forget(&mut self, now: Moment) {
+        let old = |id: &u64, ended: Moment| {
             let live = self.book.jobs.get(id).is_some_and(|entry| !entry.rounds.is_empty());
-            ended + STATUS_KEPT_MS < self.wall && !live
+            now.since(ended) > STATUS_KEPT && !live
         };
         let old = self.ended.iter().filter(|(id, ended)| old(id, **ended));
         let jobs: Vec<u64> = old.map(|(id, _)| *id).take(FORGET_LIMIT).collect();
--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -78,9 +78,9 @@
     /// Cancellations and repetitions that are proposed.
     #[serde(skip)]
     opening: BTreeSet<(u64, u32)>,
-    /// When this leader learned that a job is over, in ms since 1970.
+    /// When this leader learned that a job is over.
     #[serde(skip)]
-    ended: BTreeMap<u64, u64>,
+    ended: BTreeMap<u64, Moment>,
     /// Mean time from the assignment of a task to its end, by queue.
     durations: BTreeMap<Arc<str>, Span>,
     /// Agents on which each task has failed.
@@ -157,7 +157,7 @@
         self.expire_leases(now);
         self.expire_reports(now);
         self.open_rounds();
-        self.forget();
+        self.forget(now);
         self.rescue(now);
         self.dirty = true;
     }
@@ -243,7 +243,7 @@
             },
             Command::Cancel { job } => {
                 self.opening.remove(&(*job, u32::MAX));
-                self.retire(*job, touched);
+                self.retire(now, *job, touched);
             },
             Command::Close { key, end, .. } => {
                 self.closing.remove(key);
@@ -251,7 +251,7 @@
                 if let Some(life) = ended {
                     self.end(now, *key, *end, &life, touched);
                 }
-                self.retire(key.task.job, touched);
+                self.retire(now, key.task.job, touched);
             },
             Command::Open { job, round } => {
                 self.opening.remove(&(*job, *round));
@@ -335,11 +335,11 @@
     }
 
     /// Stops counting a job that is over, and has its runs stopped.
-    fn retire(&mut self, job: u64, touched: &mut BTreeSet<Name>) {
+    fn retire(&mut self, now: Moment, job: u64, touched: &mut BTreeSet<Name>) {
         let over = |entry: &Entry| entry.phase != Phase::Active;
         if self.book.jobs.get(&job).is_none_or(over) && self.active.remove(&job) {
             self.avoided.retain(|task, _| task.job != job);
-            self.ended.insert(job, self.wall);
+            self.ended.insert(job, now);
             let range = run_range(job);
             for (life, hold) in &self.fleet.holds {
                 if hold.runs.range(range.clone()).next().is_some() {
@@ -364,8 +364,8 @@
             if active(entry) {
                 self.active.insert(*id);
             } else {
-                // Before the first tick the time is not known, so this counts from the election.
-                self.ended.insert(*id, self.wall);
+                // When it ended is not known here, so this counts from the election.
+                self.ended.insert(*id, now);
             }
         }
         self.fleet.holds.clear();
--- a/toucangrade/src/dispatch/settings.rs
+++ b/toucangrade/src/dispatch/settings.rs
@@ -27,7 +27,7 @@
 /// Bytes that a step of a job, or a small command, takes at most when encoded.
 pub(crate) const STEP_BYTES: usize = 256;
 /// Time for which the state of an ended job is kept: 120 s are promised.
-pub(crate) const STATUS_KEPT_MS: u64 = 150_000;
+pub(crate) const STATUS_KEPT: Span = Span::secs(150);
 /// Commands and bytes after which a snapshot is taken, so that the log stays far below a disk of
 /// 128 MB and is replayed in well under a second.
 pub(crate) const SNAPSHOT_COMMANDS: usize = 20_000;
--- a/toucangrade/src/dispatch/tests/log.rs
+++ b/toucangrade/src/dispatch/tests/log.rs
@@ -17,3 +17,14 @@
     world.pass(100);
     assert_eq!(world.held.len(), 1);
 }
+
+/// The time for which an ended job is remembered does not follow the time of day, which may step.
+#[test]
+fn step_of_the_clock_forgets_no_job() {
+    let mut world = World::new();
+    world.submit("match", 7, vec![step(1, 1_000)]);
+    world.ask("/match/0000000000000007", Verb::Cancel, Some(7));
+    world.pass(1_000);
+    world.send(Message::Tick { wall: 1_700_000_000_000 + 3_600_000 });
+    assert_eq!(world.state("match", 7), Some(Told::State(JobState::Cancelled)));
+}
