Leave runs of an earlier leader out of the mean duration

Seen by callers: after a change of leader jobs count as late too early; their heavy tasks get what the others leave, and their turn comes later. Cause: a new leader counts the age of each run from its election, and took that for the time that the run needed. The first of them sets the mean of its queue. Change: only runs that began under this leader are measured. Evidence: runs_of_an_earlier_leader_are_not_measured failed before.

--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -88,6 +88,8 @@
     avoided: BTreeMap<TaskKey, Vec<Name>>,
     /// Whether something changed that may let a task start.
     dirty: bool,
+    /// When this instance began to lead.
+    led: Moment,
     /// Last look for runs that would go on better elsewhere.
     rescued: Moment,
     /// Commands and their bytes since the last snapshot.
@@ -118,6 +120,7 @@
             durations: BTreeMap::new(),
             avoided: BTreeMap::new(),
             dirty: false,
+            led: Moment::START,
             rescued: Moment::START,
             growth: (0, 0),
             out: Vec::new(),
@@ -305,8 +308,10 @@
         touched: &mut BTreeSet<Name>,
     ) {
         let run = self.fleet.holds.get_mut(life).and_then(|hold| hold.runs.remove(&key));
+        // Runs of an earlier leader began at a time that is not known here.
         if let Some(run) = run
             && end == End::Done
+            && run.since > self.led
         {
             self.measure(key, now.since(run.since));
         }
@@ -402,6 +407,7 @@
         }
         self.leading = leading;
         if leading {
+            self.led = now;
             self.fleet.workers.clear();
             self.learner.pause();
             self.derive(now);
--- a/toucangrade/src/dispatch/tests/log.rs
+++ b/toucangrade/src/dispatch/tests/log.rs
@@ -28,3 +28,20 @@
     world.send(Message::Tick { wall: 1_700_000_000_000 + 3_600_000 });
     assert_eq!(world.state("match", 7), Some(Told::State(JobState::Cancelled)));
 }
+
+/// Runs that began under another leader say nothing about how long runs take: measured from the
+/// election they made all tasks of their queue look short, and its jobs late.
+#[test]
+fn runs_of_an_earlier_leader_are_not_measured() {
+    let mut world = World::new();
+    let runner = life("i-1", 10);
+    world.report(report("10.0.0.1", 1, &runner));
+    world.submit("match", 7, vec![step(1, 1_000)]);
+    world.pass(4_000);
+    world.send(Message::Lead { leading: false });
+    world.send(Message::Lead { leading: true });
+    world.pass(100);
+    world.report(report("10.0.0.1", 2, &runner));
+    world.end(&runner, 3, &[(1, key(7, 0, 0, 1), End::Done)]);
+    assert!(world.dispatch.durations.is_empty());
+}
