Send a restarted agent the estimates of pressure

Seen by callers: heavy tasks beside a restarted agent are paced by guesses, too slow or too fast, until some estimate changes. Cause: the leader notes which version an agent was sent, and did not notice that another process has none. Change: a report of another incarnation resets the note. Evidence: restarted_agent_gets_the_estimates failed before. An answer that is lost still loses its table until the next version.

--- a/toucangrade/src/dispatch/reports.rs
+++ b/toucangrade/src/dispatch/reports.rs
@@ -43,6 +43,9 @@
                     let orders = Some(Box::default());
                     self.out.push(Effect::Orders { ticket: parked.ticket, orders });
                 }
+                if worker.report.incarnation != report.incarnation {
+                    worker.table = (0, Moment::START);
+                }
                 self.dirty |= worker.life() != life.as_ref() || !worker.usable(now);
                 worker.update(report, now);
             },
--- a/toucangrade/src/dispatch/tests/log.rs
+++ b/toucangrade/src/dispatch/tests/log.rs
@@ -45,3 +45,18 @@
     world.end(&runner, 3, &[(1, key(7, 0, 0, 1), End::Done)]);
     assert!(world.dispatch.durations.is_empty());
 }
+
+/// An agent that restarts knows no estimates of pressure; it gets the newest though its predecessor
+/// had them.
+#[test]
+fn restarted_agent_gets_the_estimates() {
+    let mut world = World::new();
+    let runner = life("i-1", 10);
+    world.dispatch.learner.version = 3;
+    let told = |orders: Option<Orders>| orders.is_some_and(|orders| orders.table.is_some());
+    assert!(told(world.report(report("10.0.0.1", 1, &runner))));
+    world.pass(3_000);
+    world.report(report("10.0.0.1", 2, &runner));
+    assert!(!told(world.answered()));
+    assert!(told(world.report(Report { incarnation: 2, ..report("10.0.0.1", 1, &runner) })));
+}
