Note a runner once on which a lasting task has failed

Seen by callers: nothing; the list grew with each failure for as long as the task lasts. Cause: each failure added the agent again. Change: it is added once. The list is only an order of preference, so it keeps no task from running. Evidence: failures_of_a_lasting_task_are_noted_once_a_runner failed before (five entries for five failures).

--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -318,7 +318,7 @@
         let Some(agent) = self.fleet.agent(life).cloned() else { return };
         let failed = end == End::Failed;
         if failed {
-            self.avoided.entry(key.task).or_default().push(agent.clone());
+            self.avoid(key.task, &agent);
         }
         let task = self.book.jobs.get(&key.task.job).and_then(|entry| entry.task(key.task));
         // A task that failed elsewhere before says little about this runner.
@@ -331,6 +331,14 @@
         touched.insert(agent);
     }
 
+    /// Notes that a task has failed beside an agent.
+    fn avoid(&mut self, task: TaskKey, agent: &Name) {
+        let agents = self.avoided.entry(task).or_default();
+        if !agents.contains(agent) {
+            agents.push(agent.clone());
+        }
+    }
+
     /// Takes the time that a run took into its queue's mean.
     fn measure(&mut self, key: RunKey, took: Span) {
         let Some(entry) = self.book.jobs.get(&key.task.job) else { return };
--- a/toucangrade/src/dispatch/tests/log.rs
+++ b/toucangrade/src/dispatch/tests/log.rs
@@ -60,3 +60,20 @@
     assert!(!told(world.answered()));
     assert!(told(world.report(Report { incarnation: 2, ..report("10.0.0.1", 1, &runner) })));
 }
+
+/// The runners on which a lasting task has failed are noted once each, however long it lasts.
+#[test]
+fn failures_of_a_lasting_task_are_noted_once_a_runner() {
+    let mut world = World::new();
+    let runner = life("i-1", 10);
+    world.report(report("10.0.0.1", 1, &runner));
+    world.submit("match", 7, vec![Step { lasting: true, ..step(1, 500) }]);
+    for run in 1..6u32 {
+        let number = u64::from(run);
+        world.end(&runner, number + 1, &[(number, key(7, 0, 0, run), End::Failed)]);
+        world.dispatch.fleet.workers.values_mut().for_each(|w| w.shunned = Moment::START);
+        world.pass(100);
+    }
+    assert_eq!(world.live(&runner), [key(7, 0, 0, 6)]);
+    assert_eq!(world.dispatch.avoided[&key(7, 0, 0, 1).task], [name("10.0.0.1")]);
+}
