--- a/toucangrade/src/dispatch/tests/log.rs
+++ b/toucangrade/src/dispatch/tests/log.rs
@@ -77,3 +77,43 @@
     assert_eq!(world.live(&runner), [key(7, 0, 0, 6)]);
     assert_eq!(world.dispatch.avoided[&key(7, 0, 0, 1).task], [name("10.0.0.1")]);
 }
+
+/// Proposals of an earlier leadership take no place from later ones once the log has refused them.
+#[test]
+fn proposals_of_an_earlier_leadership_are_given_up() {
+    let mut world = World::new();
+    world.hold = true;
+    for job in 1..=8 {
+        world.submit("match", job, vec![step(1, 500)]);
+    }
+    world.send(Message::Lead { leading: false });
+    for (ticket, _) in std::mem::take(&mut world.held) {
+        world.send(Message::Rejected { ticket, lost: true });
+    }
+    world.hold = false;
+    world.send(Message::Lead { leading: true });
+    assert_eq!(world.submit("match", 9, vec![step(1, 500)]), Some(Told::Accepted));
+}
+
+/// A follower that lagged and got a snapshot leads like any other: runs of runners that it never
+/// hears from end with the lease that an earlier leader may have granted.
+#[test]
+fn follower_that_installed_a_snapshot_leads_on() {
+    let mut world = World::new();
+    let (lost, other) = (life("i-1", 10), life("i-2", 10));
+    world.report(report("10.0.0.1", 1, &lost));
+    world.submit("match", 7, vec![step(1, 1_000)]);
+    let mut follower = World::new();
+    follower.send(Message::Lead { leading: false });
+    let book = Box::new(world.dispatch.book.clone());
+    follower.send(Message::Install { index: 9, book });
+    follower.pass(9_000);
+    follower.send(Message::Lead { leading: true });
+    for seq in 1..=64 {
+        follower.report(report("10.0.0.2", seq, &other));
+        let early = seq < 58;
+        assert!(!early || follower.live(&other).is_empty(), "the lease may go on");
+        follower.pass(100);
+    }
+    assert_eq!(follower.live(&other), [key(7, 0, 0, 2)]);
+}
--- a/toucangrade/src/hosting/tests.rs
+++ b/toucangrade/src/hosting/tests.rs
@@ -39,6 +39,8 @@
     Full,
     /// Carries orders out but does not answer the first this many.
     Mute(u32),
+    /// Doesn't answer or carry out stops.
+    Restless,
     /// Carries everything out.
     Sound,
     /// Doesn't carry out or answer anything but listings.
@@ -159,7 +161,7 @@
                 }
             },
             Effect::Stop { key, .. } => {
-                if self.manner == Manner::Stubborn {
+                if matches!(self.manner, Manner::Restless | Manner::Stubborn) {
                     return None;
                 }
                 if self.rows.remove(&key).is_some() {
@@ -374,6 +376,18 @@
     assert_eq!(world.last().ended.len(), 1);
 }
 
+/// Orders that get no answer don't hold others back: a lasting task whose start waits behind stops
+/// that the runner does not answer would not run.
+#[test]
+fn unanswered_orders_hold_nothing_back() {
+    let mut world = World::new(Manner::Restless);
+    let stops = (0..4).map(key).collect();
+    world.order(Orders { until: Some(9_000), stops, ..Orders::default() });
+    world.start(9);
+    world.pass(1_500);
+    assert!(world.last().rows.iter().any(|row| row.key == key(9)));
+}
+
 struct Claim {
     /// What is announced once, before the runner goes on announcing itself.
     stray: Announcement,
