Leave agents out of the view that have been silent beyond their lease

Seen by callers: requests go to agents that are gone; each costs an attempt. Cause: control keeps its view when half of the agents fall silent at once, as it is then likely cut off itself. Agents that are gone counted as silent for the rest of its leadership, so after half of them had been replaced, one by one, all that ever were came back into the view. Evidence: view_holds_live_agents (agents_that_are_gone_are_no_isolation) failed before; half_silent_means_isolated is unchanged.

--- a/toucangrade/src/membership/control.rs
+++ b/toucangrade/src/membership/control.rs
@@ -241,6 +241,11 @@
 
     /// Recomputes the live agents and counts a new version of the view when they changed.
     fn refresh(&mut self, now: Moment) {
+        // An agent without a lease takes no new work, so it is not missed in a view; if none is heard
+        // the view stays as it is.
+        if self.agents.values().any(|heard| now.since(heard.seen) <= LAPSE) {
+            self.agents.retain(|_, heard| now.since(heard.seen) <= CONFIG_LEASE);
+        }
         let total = self.agents.len();
         let silent = self.agents.values().filter(|h| now.since(h.seen) > LAPSE).count();
         // When half of several agents fall silent at once this instance is likely cut off itself.
--- a/toucangrade/src/membership/tests.rs
+++ b/toucangrade/src/membership/tests.rs
@@ -79,6 +79,13 @@
     ],
     view: Some(vec![("a", 1), ("b", 1), ("c", 1), ("d", 1)]),
 })]
+#[case::agents_that_are_gone_are_no_isolation(Case {
+    acts: [Act::Beat("a", 1), Act::Beat("b", 1)]
+        .into_iter()
+        .chain((0..6).flat_map(|_| [Act::Beat("c", 1), Act::Beat("d", 1), Act::Wait(2_000)]))
+        .collect(),
+    view: Some(vec![("c", 1), ("d", 1)]),
+})]
 #[case::leaving_agent_is_dropped_at_once(Case {
     acts: vec![Act::Wait(4_000), Act::Beat("a", 1), Act::Beat("b", 1), Act::Leave("a", 1)],
     view: Some(vec![("b", 1)]),
