Tell routing of every agent that was chosen in vain

Seen by callers: an agent that was ejected gets no requests any more, and others count one request too many for good. Cause: when a claim is answered by a newer owner, or granted after the lease of the partition, the attempt is not sent, and routing was not told. A probe of an ejected agent then stays under way for ever, and nothing is sent beside it until the agent restarts. Change: each target is either called, kept for a claim that is repeated, or given back. Evidence: newer_owner and grant_after_the_partition_lease of agents_chosen_in_vain_are_told failed before.

--- a/toucangrade/src/execution/attempt.rs
+++ b/toucangrade/src/execution/attempt.rs
@@ -195,8 +195,12 @@
             self.timers.insert((record.resend, key));
             return;
         };
+        let called = matches!(reply, Reply::Granted { .. }) && epoch == Some(record.epoch);
+        let newer = epoch.is_some_and(|epoch| epoch > record.epoch);
+        let repeated = matches!(reply, Reply::Outdated) && newer;
         if let Phase::Claiming { target } = &record.phase
-            && !matches!(reply, Reply::Granted { .. } | Reply::Outdated)
+            && !called
+            && !repeated
         {
             out.push(Effect::Unused { agent: target.agent.clone() });
         }
--- a/toucangrade/src/execution/tests.rs
+++ b/toucangrade/src/execution/tests.rs
@@ -478,6 +478,52 @@
     assert_eq!(seen, case.words);
 }
 
+struct Unused {
+    messages: Vec<(u64, Message)>,
+    /// Agents that were chosen and get no call.
+    unused: usize,
+}
+
+/// Routing learns of each agent that it chose in vain. One that was chosen as a probe after its
+/// ejection counted as being probed for ever, and got no request any more.
+#[rstest]
+#[case::called(Unused {
+    messages: vec![(0, chosen(1)), (1, granted(1, 9, None))],
+    unused: 0,
+})]
+#[case::key_used_elsewhere(Unused {
+    messages: vec![(0, chosen(1)), (1, claimed(1, Some(Reply::Mismatch)))],
+    unused: 1,
+})]
+#[case::newer_owner(Unused {
+    messages: vec![(0, chosen(1)), (1, claimed(1, Some(Reply::Outdated)))],
+    unused: 1,
+})]
+#[case::claim_is_repeated(Unused {
+    messages: vec![
+        (0, chosen(1)), (1, owners("me", 3, true, 9_000, vec![])),
+        (2, claimed(1, Some(Reply::Outdated))), (3, granted(1, 9, None)),
+    ],
+    unused: 0,
+})]
+#[case::grant_after_the_partition_lease(Unused {
+    messages: vec![
+        (0, chosen(1)), (0, owners("me", 1, true, 500, vec![])), (600, granted(1, 9, None)),
+    ],
+    unused: 1,
+})]
+fn agents_chosen_in_vain_are_told(#[case] case: Unused) {
+    let mut execution = Execution::new(name("me"), 1);
+    execution.step(Moment::START, owners("me", 1, true, 9_000, vec![]));
+    execution.step(Moment::START, begin(Class::Once, 1, "q"));
+    let mut unused = 0;
+    for (millis, message) in case.messages {
+        let effects = execution.step(at(millis), message);
+        unused += effects.iter().filter(|e| matches!(e, Effect::Unused { .. })).count();
+    }
+    assert_eq!(unused, case.unused);
+}
+
 /// Guards against keys that would have to be forwarded.
 #[test]
 fn made_keys_belong_to_the_entry() {
