--- a/toucangrade/src/dispatch/tests.rs
+++ b/toucangrade/src/dispatch/tests.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod load;
 mod log;
+mod picture;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
