--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -81,9 +81,9 @@
     /// Cancellations and repetitions that are proposed.
     #[serde(skip)]
     opening: BTreeSet<(u64, u32)>,
-    /// When this leader learned that a job is over, in ms since 1970.
+    /// When this leader learned that a job is over.
     #[serde(skip)]
-    ended: BTreeMap<u64, u64>,
+    ended: BTreeMap<u64, Moment>,
     /// Mean time from the assignment of a task to its end, by queue.
     durations: BTreeMap<Arc<str>, Span>,
     /// Agents on which each task has failed.
@@ -91,6 +91,8 @@
     avoided: BTreeMap<TaskKey, BTreeSet<Name>>,
     /// Whether something changed that may let a task start.
     dirty: bool,
+    /// When this instance began to lead.
+    led: Moment,
     /// Last look for runs that would go on better elsewhere.
     rescued: Moment,
     waits: Waits,
@@ -122,6 +124,7 @@
             durations: BTreeMap::new(),
             avoided: BTreeMap::new(),
             dirty: false,
+            led: Moment::START,
             rescued: Moment::START,
             waits: Waits::default(),
             growth: (0, 0),
@@ -162,7 +165,7 @@
         self.expire_leases(now);
         self.expire_reports(now);
         self.open_rounds();
-        self.forget();
+        self.forget(now);
         self.rescue(now);
         self.note_waits(now);
         self.dirty = true;
@@ -249,7 +252,7 @@
             },
             Command::Cancel { job } => {
                 self.opening.remove(&(*job, u32::MAX));
-                self.retire(*job, touched);
+                self.retire(now, *job, touched);
             },
             Command::Close { key, end, .. } => {
                 self.closing.remove(key);
@@ -257,7 +260,7 @@
                 if let Some(life) = ended {
                     self.end(now, *key, *end, &life, touched);
                 }
-                self.retire(key.task.job, touched);
+                self.retire(now, key.task.job, touched);
             },
             Command::Open { job, round } => {
                 self.opening.remove(&(*job, *round));
@@ -312,8 +315,10 @@
         touched: &mut BTreeSet<Name>,
     ) {
         let run = self.fleet.holds.get_mut(life).and_then(|hold| hold.runs.remove(&key));
+        // Runs of an earlier leader began at a time that is not known here.
         if let Some(run) = &run
             && end == End::Done
+            && run.since > self.led
         {
             self.measure(key, now.since(run.since));
         }
@@ -355,11 +360,11 @@
     }
 
     /// Stops counting a job that is over, and has its runs stopped.
-    fn retire(&mut self, job: u64, touched: &mut BTreeSet<Name>) {
+    fn retire(&mut self, now: Moment, job: u64, touched: &mut BTreeSet<Name>) {
         let over = |entry: &Entry| entry.phase != Phase::Active;
         if self.book.jobs.get(&job).is_none_or(over) && self.active.remove(&job) {
             self.avoided.retain(|task, _| task.job != job);
-            self.ended.insert(job, self.wall);
+            self.ended.insert(job, now);
             let range = run_range(job);
             for (life, hold) in &self.fleet.holds {
                 if hold.runs.range(range.clone()).next().is_some() {
@@ -384,8 +389,8 @@
             if active(entry) {
                 self.active.insert(*id);
             } else {
-                // Before the first tick the time is not known, so this counts from the election.
-                self.ended.insert(*id, self.wall);
+                // When it ended is not known here, so this counts from the election.
+                self.ended.insert(*id, now);
             }
         }
         self.fleet.holds.clear();
@@ -422,6 +427,7 @@
         }
         self.leading = leading;
         if leading {
+            self.led = now;
             self.fleet.workers.clear();
             self.learner.pause();
             self.derive(now);
@@ -467,8 +473,8 @@
         for (_, ticket) in flight.waiters {
             self.out.push(Effect::Told { ticket, told: told.clone() });
         }
+        // The next tick plans anew; while leadership is handed over every proposal is refused.
         tracing::warn!(commands = flight.commands.len(), lost, "proposal refused");
-        self.dirty = true;
     }
 }
 
--- a/toucangrade/src/dispatch/tests.rs
+++ b/toucangrade/src/dispatch/tests.rs
@@ -4,6 +4,8 @@
 mod exclusion;
 mod health;
 mod load;
+mod log;
+mod picture;
 mod waits;
 
 use std::collections::BTreeMap;
--- a/toucangrade/src/hosting/message.rs
+++ b/toucangrade/src/hosting/message.rs
@@ -71,11 +71,13 @@
     /// The runner announced itself.
     Announce(Box<Announcement>),
     /// The runner says that it ends now.
-    Leave { runner: String },
+    Leave { runner: String, born: Option<u64> },
     /// Answer to `Effect::List`.
     Listed { seq: u64, listing: Result<Box<Listing>, Fault> },
     /// Answer to `Effect::Report`; `None` when there was none.
     Ordered { seq: u64, orders: Option<Box<Orders>> },
+    /// Answer to `Effect::Pace`.
+    Paced { key: RunKey, result: Result<(), Fault> },
     /// Answer to `Effect::Start`.
     Started { key: RunKey, result: Result<(), Fault> },
     /// Answer to `Effect::Stop`.
--- a/toucangrade/src/hosting/mod.rs
+++ b/toucangrade/src/hosting/mod.rs
@@ -39,6 +39,9 @@
 const REPORT_EVERY: Span = Span::millis(900);
 /// Time after which a report without an answer is given up: longer than the leader holds it.
 const REPORT_TIMEOUT: Span = Span::millis(1_500);
+/// Time without a sign of the known runner after which announcements count that seem late: three
+/// times as long as sound runners take between two.
+const UNCONFIRMED: Span = Span::secs(3);
 /// Time for which refused starts are remembered, longer than any lease, so that a late order for
 /// one is not carried out.
 const DENIED_KEPT: Span = Span::secs(15);
@@ -47,6 +50,8 @@
 #[derive(Debug, Serialize)]
 struct Known {
     announced: Announcement,
+    /// When that was taken in.
+    heard: Moment,
     listing: Listing,
     /// When the runner last answered.
     answered: Moment,
@@ -82,6 +87,8 @@
     refused: u32,
     /// Number of the last report or listing.
     seq: u64,
+    /// The same when the runner was found; answers to earlier reports are about another one.
+    since: u64,
     /// Whether there is something to report at once.
     news: bool,
     /// Whether runs go on that this process was not ordered to start.
@@ -110,6 +117,7 @@
             reported: Moment::START,
             refused: 0,
             seq: 0,
+            since: 0,
             news: true,
             amnesia: true,
             out: Vec::new(),
@@ -120,9 +128,10 @@
     pub(crate) fn step(&mut self, now: Moment, message: Message) -> Vec<Effect> {
         match message {
             Message::Announce(announced) => self.announce(now, *announced),
-            Message::Leave { runner } => self.leave(&runner),
+            Message::Leave { runner, born } => self.leave(&runner, born),
             Message::Listed { seq, listing } => self.take_listing(now, seq, listing),
             Message::Ordered { seq, orders } => self.ordered(seq, orders),
+            Message::Paced { key, result } => self.paced(key, result),
             Message::Started { key, result } => self.started(now, key, result),
             Message::Stopped { key, result } => self.stopped(now, key, result),
             Message::Tick => {
@@ -143,16 +152,22 @@
 
     fn announce(&mut self, now: Moment, announced: Announcement) {
         if let Some(known) = &mut self.known {
+            // What nobody repeats may come from another writer, or from before a step of the clock.
+            let unheard = now.since(known.heard) >= UNCONFIRMED;
+            let silent = now.since(known.answered) >= UNCONFIRMED;
             let (old, new) = (&known.announced, &announced);
             if new.life == old.life {
-                if new.sequence <= old.sequence {
+                let late = new.sequence <= old.sequence;
+                if late && !unheard {
                     return;
                 }
-                self.news |= new.draining != old.draining || new.capacity != old.capacity;
-                known.announced = announced;
+                let draining = new.draining || (late && old.draining);
+                self.news |= draining != old.draining || new.capacity != old.capacity;
+                known.announced = Announcement { draining, ..announced };
+                known.heard = now;
                 return;
             }
-            if new.life.born < old.life.born {
+            if new.life.born < old.life.born && !(unheard && silent) {
                 tracing::info!(runner = %new.life.runner, born = new.life.born, "late announcement");
                 return;
             }
@@ -166,7 +181,7 @@
         );
         self.forget_runner();
         let listing = Listing::default();
-        self.known = Some(Known { announced, listing, answered: now, listed: false });
+        self.known = Some(Known { announced, heard: now, listing, answered: now, listed: false });
         self.news = true;
     }
 
@@ -179,13 +194,17 @@
         self.pacing = Pacing::default();
         (self.until, self.noted, self.listing) = (None, 0, None);
         (self.failed, self.refused) = (None, 0);
+        self.since = self.seq;
     }
 
     /// The runner ends now; it is listed until its port refuses connections, which shows that
     /// nothing runs there any more.
-    fn leave(&mut self, runner: &str) {
-        let known = self.known.as_mut().filter(|k| k.announced.life.runner.as_str() == runner);
-        if let Some(known) = known {
+    fn leave(&mut self, runner: &str, born: Option<u64>) {
+        let own = |known: &&mut Known| {
+            let life = &known.announced.life;
+            life.runner.as_str() == runner && born.is_none_or(|born| born == life.born)
+        };
+        if let Some(known) = self.known.as_mut().filter(own) {
             tracing::info!(runner, "runner left");
             known.announced.draining = true;
             self.news = true;
@@ -207,6 +226,7 @@
         };
         if listing.born != 0 && listing.born != known.announced.life.born {
             // A new life answers under the old name; its announcement will follow.
+            self.failed = Some(now);
             tracing::info!(runner = %known.announced.life.runner, born = listing.born, "reborn");
             return;
         }
@@ -300,7 +320,7 @@
             incarnation: self.incarnation,
             seq: self.seq,
             runner,
-            rows: listing.map(|listing| self.paced(&listing.rows)).unwrap_or_default(),
+            rows: listing.map(|listing| self.with_shares(&listing.rows)).unwrap_or_default(),
             handling: keys(false),
             stopping: keys(true),
             ended: ended.filter(|ended| ended.number > self.noted).cloned().collect(),
@@ -311,7 +331,7 @@
         }
     }
 
-    fn paced(&self, rows: &[Row]) -> Vec<Row> {
+    fn with_shares(&self, rows: &[Row]) -> Vec<Row> {
         let paced = |row: &Row| Row { share: self.pacing.share_of(row.key), ..row.clone() };
         rows.iter().map(paced).collect()
     }
--- a/toucangrade/src/hosting/tests.rs
+++ b/toucangrade/src/hosting/tests.rs
@@ -12,6 +12,11 @@
     RunKey { task: TaskKey { job: 1, round: 0, step: 0, index }, run: 1 }
 }
 
+fn order(index: u16) -> Start {
+    let nature = Nature::default();
+    Start { key: key(index), spec: "spec".into(), saved: None, nature }
+}
+
 fn announcement(runner: &str, born: u64, sequence: u64) -> Announcement {
     Announcement {
         life: Life { runner: Name::new(runner).expect("a name"), born },
@@ -34,6 +39,8 @@
     Full,
     /// Carries orders out but does not answer the first this many.
     Mute(u32),
+    /// Doesn't answer or carry out stops.
+    Restless,
     /// Carries everything out.
     Sound,
     /// Doesn't carry out or answer anything but listings.
@@ -58,6 +65,10 @@
     reports: u32,
     /// Listings that the runner has not answered.
     pending: Vec<(u64, Listing)>,
+    /// Shares that the runner was told.
+    shares: Vec<u8>,
+    /// Such calls that it does not answer.
+    lost: usize,
 }
 
 impl World {
@@ -77,6 +88,8 @@
             report: None,
             reports: 0,
             pending: Vec::new(),
+            shares: Vec::new(),
+            lost: 0,
         };
         world.send(Message::Announce(Box::new(announced)));
         world.pass(300);
@@ -115,7 +128,12 @@
                 self.pending.push((seq, listing));
                 None
             },
-            Effect::Pace { .. } => None,
+            Effect::Pace { key, percent, .. } => {
+                self.shares.push(percent);
+                let lost = self.shares.len() <= self.lost;
+                let result = if lost { Err(Fault::Silent) } else { Ok(()) };
+                Some(Message::Paced { key, result })
+            },
             Effect::Report(report) => {
                 self.reports += 1;
                 self.report = Some(*report);
@@ -143,7 +161,7 @@
                 }
             },
             Effect::Stop { key, .. } => {
-                if self.manner == Manner::Stubborn {
+                if matches!(self.manner, Manner::Restless | Manner::Stubborn) {
                     return None;
                 }
                 if self.rows.remove(&key).is_some() {
@@ -179,10 +197,8 @@
     }
 
     fn start(&mut self, index: u16) {
-        let nature = Nature::default();
-        let start = Start { key: key(index), spec: "spec".into(), saved: None, nature };
         let until = Some(self.now.as_micros() / 1_000 + 5_000);
-        self.order(Orders { until, starts: vec![start], ..Orders::default() });
+        self.order(Orders { until, starts: vec![order(index)], ..Orders::default() });
     }
 
     fn last(&self) -> &Report {
@@ -316,7 +332,7 @@
 #[test]
 fn runner_that_left_is_gone_once_its_port_is() {
     let mut world = World::new(Manner::Sound);
-    world.send(Message::Leave { runner: "i-1".to_owned() });
+    world.send(Message::Leave { runner: "i-1".to_owned(), born: None });
     world.pass(500);
     let draining = |world: &World| world.last().runner.as_ref().map(|runner| runner.draining);
     assert_eq!((draining(&world), world.last().gone), (Some(true), false));
@@ -324,3 +340,149 @@
     world.pass(2_000);
     assert_eq!((draining(&world), world.last().gone), (Some(true), true));
 }
+
+struct Overtaken {
+    /// What the leader ordered for the life before.
+    orders: Orders,
+}
+
+/// Orders that answer a report on an earlier life don't reach the next one. Its numbers of ends and
+/// its clock begin anew, so it would forget ends that nobody has recorded and keep its tasks beyond
+/// its lease; and the leader closes runs of the life before and starts them elsewhere.
+#[rstest]
+#[case::end_of_lease(Overtaken {
+    orders: Orders { until: Some(900_000), ..Orders::default() },
+})]
+#[case::recorded_ends(Overtaken {
+    orders: Orders { noted: 57, ..Orders::default() },
+})]
+#[case::start(Overtaken {
+    orders: Orders { starts: vec![order(0)], ..Orders::default() },
+})]
+fn orders_for_an_earlier_life_are_dropped(#[case] case: Overtaken) {
+    let mut world = World::new(Manner::Sound);
+    let seq = world.last().seq;
+    let announced = announcement("i-1", 60, 1);
+    world.life = announced.life.clone();
+    world.send(Message::Announce(Box::new(announced)));
+    world.finish(key(5), End::Done);
+    world.until = None;
+    let orders = Some(Box::new(case.orders));
+    world.send(Message::Ordered { seq, orders });
+    world.pass(1_000);
+    assert_eq!(world.starts, 0, "the run was assigned to the life before");
+    assert_eq!(world.until, None, "no lease was granted to this life");
+    assert_eq!(world.ended.len(), 1, "the end was not recorded");
+    assert_eq!(world.last().ended.len(), 1);
+}
+
+/// Orders that get no answer don't hold others back: a lasting task whose start waits behind stops
+/// that the runner does not answer would not run.
+#[test]
+fn unanswered_orders_hold_nothing_back() {
+    let mut world = World::new(Manner::Restless);
+    let stops = (0..4).map(key).collect();
+    world.order(Orders { until: Some(9_000), stops, ..Orders::default() });
+    world.start(9);
+    world.pass(1_500);
+    assert!(world.last().rows.iter().any(|row| row.key == key(9)));
+}
+
+struct Claim {
+    /// What is announced once, before the runner goes on announcing itself.
+    stray: Announcement,
+    /// The runner that is there from then on.
+    life: (&'static str, u64),
+}
+
+/// An announcement counts as late only while the one that is held against it is confirmed: one that
+/// nobody stands behind must not exclude the runner for ever.
+#[rstest]
+#[case::runner_that_never_was(Claim {
+    stray: announcement("i-9", 99, 1),
+    life: ("i-1", 50),
+})]
+#[case::sequence_far_ahead(Claim {
+    stray: Announcement { service: "other".into(), ..announcement("i-1", 50, 1_000_000) },
+    life: ("i-1", 50),
+})]
+#[case::restarted_after_its_clock_stepped_back(Claim {
+    stray: announcement("i-1", 50, 2),
+    life: ("i-1", 40),
+})]
+fn runner_that_goes_on_announcing_itself_is_found(#[case] claim: Claim) {
+    let mut world = World::new(Manner::Sound);
+    world.send(Message::Announce(Box::new(claim.stray)));
+    let (runner, born) = claim.life;
+    for sequence in 2..9 {
+        let announced = announcement(runner, born, sequence);
+        world.life = announced.life.clone();
+        world.send(Message::Announce(Box::new(announced)));
+        world.pass(1_000);
+    }
+    let found = world.last().runner.clone().expect("a runner");
+    assert_eq!((found.life.runner.as_str(), found.life.born), claim.life);
+    assert_eq!(&*found.service, "balcao");
+}
+
+struct Share {
+    /// Calls with a share that get no answer.
+    lost: usize,
+    told: Vec<u8>,
+}
+
+/// A run keeps the share that it was last told, which an agent that restarts does not know, and one
+/// whose call got no answer neither: a task that stood still stood still for ever.
+#[rstest]
+#[case::told_by_an_earlier_process(Share { lost: 0, told: vec![100] })]
+#[case::answer_lost(Share { lost: 1, told: vec![100, 100] })]
+fn share_is_told_until_it_is_taken(#[case] case: Share) {
+    let mut world = World::new(Manner::Sound);
+    world.lost = case.lost;
+    let row = Row { key: key(0), saved: None, percent: 40, figure: 0, share: 100 };
+    world.rows.insert(key(0), row);
+    world.pass(1_000);
+    let nature = Nature { cores: 1_000, fills: true, ..Nature::default() };
+    let natures = vec![(key(0), nature)];
+    world.order(Orders { until: Some(9_000), natures, ..Orders::default() });
+    world.pass(1_500);
+    assert_eq!(world.shares, case.told);
+}
+
+/// A runner that was born again under its name answers before it announces itself. It was asked
+/// without a pause until then, with a log line for each answer.
+#[test]
+fn reborn_runner_is_asked_with_pauses() {
+    let mut world = World::new(Manner::Sound);
+    world.finish(key(0), End::Done);
+    world.pass(1_000);
+    let listing = Listing { clock: 5, born: 60, ..Listing::default() };
+    let mut asked = Vec::new();
+    while let Some((seq, _)) = world.pending.pop() {
+        let listing = Ok(Box::new(listing.clone()));
+        world.send(Message::Listed { seq, listing });
+        asked.push(seq);
+        assert!(asked.len() < 3, "asked again at once");
+    }
+    let calls = world.tokens.len();
+    world.pass(300);
+    assert!(world.tokens.len() > calls, "asked again after a while");
+}
+
+struct Farewell {
+    born: Option<u64>,
+    draining: bool,
+}
+
+/// A runner's late farewell does not count for its next life under the same name, whose lasting tasks
+/// would all be stopped.
+#[rstest]
+#[case::own(Farewell { born: Some(50), draining: true })]
+#[case::unnamed(Farewell { born: None, draining: true })]
+#[case::earlier_life(Farewell { born: Some(40), draining: false })]
+fn farewell_counts_for_its_own_life(#[case] case: Farewell) {
+    let mut world = World::new(Manner::Sound);
+    world.send(Message::Leave { runner: "i-1".to_owned(), born: case.born });
+    world.pass(500);
+    assert_eq!(world.last().runner.as_ref().map(|runner| runner.draining), Some(case.draining));
+}
