--- a/toucangrade/src/hosting/message.rs
+++ b/toucangrade/src/hosting/message.rs
@@ -41,6 +41,9 @@
     pub rows: Vec<Row>,
     /// Ends that were not acknowledged.
     pub ended: Vec<Ended>,
+    /// Whether there are ends that can't be read. Those are never acknowledged, so the runner may go
+    /// on listing them.
+    pub unread: bool,
 }
 
 /// Where an order goes, and under which identity.
--- a/toucangrade/src/hosting/mod.rs
+++ b/toucangrade/src/hosting/mod.rs
@@ -244,7 +244,8 @@
         if self.failed.is_some_and(|failed| now.since(failed) < LIST_RETRY) {
             return;
         }
-        let waiting = known.listing.ended.iter().any(|ended| ended.number > self.noted);
+        let listed = known.listing.ended.iter().any(|ended| ended.number > self.noted);
+        let waiting = listed || known.listing.unread;
         if waiting && now.since(self.listed) < LIST_PAUSE {
             return;
         }
--- a/toucangrade/src/hosting/tests.rs
+++ b/toucangrade/src/hosting/tests.rs
@@ -56,6 +56,9 @@
     tokens: Vec<u64>,
     report: Option<Report>,
     reports: u32,
+    /// Whether the runner lists an end that can't be read.
+    unread: bool,
+    lists: u32,
     /// Listings that the runner has not answered.
     pending: Vec<(u64, Listing)>,
 }
@@ -76,6 +79,8 @@
             tokens: Vec::new(),
             report: None,
             reports: 0,
+            unread: false,
+            lists: 0,
             pending: Vec::new(),
         };
         world.send(Message::Announce(Box::new(announced)));
@@ -98,6 +103,7 @@
     fn perform(&mut self, effect: Effect) -> Option<Message> {
         match effect {
             Effect::List { seq, target, noted, until, .. } => {
+                self.lists += 1;
                 self.tokens.push(target.life.born);
                 if self.manner == Manner::Ended {
                     return Some(Message::Listed { seq, listing: Err(Fault::Gone) });
@@ -110,7 +116,8 @@
                 let rows = self.rows.values().cloned().collect();
                 let clock = self.now.as_micros() / 1_000;
                 let ended = self.ended.clone();
-                let listing = Listing { clock, born: self.life.born, rows, ended };
+                let listing =
+                    Listing { clock, born: self.life.born, rows, ended, unread: self.unread };
                 // It is answered when time passes next.
                 self.pending.push((seq, listing));
                 None
@@ -255,6 +262,19 @@
     assert!(world.ended.is_empty());
 }
 
+/// A runner answers at once while it lists ends, and one that can't be read is listed for good. The
+/// agent used to ask again with each answer.
+#[test]
+fn unread_ends_are_not_asked_for_without_a_pause() {
+    let mut world = World::new(Manner::Sound);
+    world.unread = true;
+    world.pass(500);
+    let before = world.lists;
+    world.pass(10_000);
+    let lists = world.lists - before;
+    assert!((20..=170).contains(&lists), "{lists} listings in 10 s");
+}
+
 /// Without the leader an agent keeps its runner's lease as it is, so that it ends.
 #[test]
 fn lease_is_extended_by_the_leader_alone() {
--- a/toucangrade/src/node/tests.rs
+++ b/toucangrade/src/node/tests.rs
@@ -66,7 +66,7 @@
             let rows = runs.rows.values().cloned().collect();
             let ended = runs.ended.clone();
             drop(runs);
-            done(Ok(Listing { clock: 1_000, born: target.life.born, rows, ended }));
+            done(Ok(Listing { clock: 1_000, born: target.life.born, rows, ended, unread: false }));
         }),
         pace: Box::new(|_, _, _| {}),
         start: Box::new(move |_, start, _, done| {
