Let the runner's own answers decide who is beside an agent

Seen: a heartbeat of another writer, with another id or a later start, takes the place of the real runner. The real one's heartbeats are then dropped as late for ever, its runs are closed as lost, and with the same id every order is refused, since the false start was sent as fencing token. A runner that starts anew after its clock was set back is dropped as late as well.

Cause: the announcement with the greatest start won. That start was also the fencing token, of which a runner keeps the greatest it has seen.

Ruled out: asking each announced life before it counts, also while the known one answers. An instance has one runner, so those calls gain nothing.

Change: an announcement only says where to ask. The runner is the life that answered the last list; others are asked when it doesn't answer, each in turn, a new one at once. A list from another life makes that one the runner once it is announced. Within a life only draining changes at once, other facts when they are announced twice in a row, and a number is compared with the one received before, so that a false one doesn't outdate all others. The token begins at the start of the agent's process, rises with each life, and is doubled when a list is refused for a greater one.

The agent also knew the last of a thousand announced runners instead of its own. newest_life_counts now compares tokens of the two lives; it asserted that a token is the start of a life, which this change ends.

--- a/toucangrade/src/hosting/message.rs
+++ b/toucangrade/src/hosting/message.rs
@@ -51,8 +51,10 @@
 pub struct Target {
     /// Address of the runner.
     pub addr: SocketAddr,
-    /// Name and start of the runner that is meant; its start is the fencing token.
+    /// Name and start of the runner that is meant.
     pub life: Life,
+    /// Fencing token: calls with a lower one than the runner has seen are refused.
+    pub token: u64,
 }
 
 /// Why an order was not carried out.
--- a/toucangrade/src/hosting/mod.rs
+++ b/toucangrade/src/hosting/mod.rs
@@ -1,6 +1,7 @@
 //! One runner as its agent sees it: starts and stops what the leader ordered, keeps its lease, and
 //! reports what runs and what has ended.
 
+mod heard;
 mod message;
 mod orders;
 
@@ -11,6 +12,7 @@
 
 use serde::Serialize;
 
+use self::heard::Heard;
 use self::message::Target;
 pub use self::message::{Announcement, Fault, Listing, Target as RunnerTarget};
 pub(crate) use self::message::{Effect, Message};
@@ -43,15 +45,29 @@
 /// one is not carried out.
 const DENIED_KEPT: Span = Span::secs(15);
 
-/// What is known of the runner.
+/// The runner that answered last.
 #[derive(Debug, Serialize)]
 struct Known {
-    announced: Announcement,
+    heard: Heard,
     listing: Listing,
-    /// When the runner last answered.
+    /// When it last answered.
     answered: Moment,
-    /// Whether it answered at all.
-    listed: bool,
+}
+
+impl Known {
+    fn target(&self, token: u64) -> Target {
+        let Announcement { addr, life, .. } = &self.heard.announced;
+        Target { addr: *addr, life: life.clone(), token }
+    }
+}
+
+/// A listing under way.
+#[derive(Debug, Serialize)]
+struct Asked {
+    seq: u64,
+    since: Moment,
+    #[serde(skip)]
+    target: Target,
 }
 
 /// State of the duty.
@@ -60,6 +76,14 @@
     agent: Name,
     incarnation: u64,
     known: Option<Known>,
+    /// Runners that are announced beside the known one.
+    others: Vec<Heard>,
+    /// Whether the known runner failed to answer, or none is known, so that others are asked too.
+    seeking: bool,
+    /// Position, among the known runner and the others, of the one that is asked next then.
+    turn: usize,
+    /// Fencing token of all calls to the runner.
+    token: u64,
     /// Orders that are being carried out.
     handling: BTreeMap<RunKey, Handling>,
     /// Starts that were refused, and when.
@@ -70,10 +94,9 @@
     until: Option<u64>,
     /// Ends up to this number are recorded.
     noted: u64,
-    /// Listing under way, with the time it was asked for.
-    listing: Option<(u64, Moment)>,
+    listing: Option<Asked>,
     listed: Moment,
-    /// When the last listing failed, if it did.
+    /// When the last listing failed, if it did and the next waits for that reason.
     failed: Option<Moment>,
     /// Report under way, with the time it was sent.
     reporting: Option<(u64, Moment)>,
@@ -92,11 +115,19 @@
 
 impl Hosting {
     /// An agent that knows no runner; `incarnation` is the start of its process in ms since 1970.
+    ///
+    /// Fencing tokens begin there too, so that calls of an earlier process are refused once one of
+    /// this process has come through. No announcement has a part in them: a runner keeps the greatest
+    /// that it has seen, and one that is too great could not be taken back.
     pub(crate) fn new(agent: Name, incarnation: u64) -> Self {
         Self {
             agent,
             incarnation,
             known: None,
+            others: Vec::new(),
+            seeking: true,
+            turn: 0,
+            token: incarnation,
             handling: BTreeMap::new(),
             denied: BTreeMap::new(),
             natures: BTreeMap::new(),
@@ -127,6 +158,7 @@
             Message::Stopped { key, result } => self.stopped(now, key, result),
             Message::Tick => {
                 self.denied.retain(|_, (_, at)| now.since(*at) < DENIED_KEPT);
+                self.expire_others(now);
                 self.retry_orders(now);
             },
         }
@@ -137,37 +169,7 @@
     }
 
     fn target(&self) -> Option<Target> {
-        let announced = &self.known.as_ref()?.announced;
-        Some(Target { addr: announced.addr, life: announced.life.clone() })
-    }
-
-    fn announce(&mut self, now: Moment, announced: Announcement) {
-        if let Some(known) = &mut self.known {
-            let (old, new) = (&known.announced, &announced);
-            if new.life == old.life {
-                if new.sequence <= old.sequence {
-                    return;
-                }
-                self.news |= new.draining != old.draining || new.capacity != old.capacity;
-                known.announced = announced;
-                return;
-            }
-            if new.life.born < old.life.born {
-                tracing::info!(runner = %new.life.runner, born = new.life.born, "late announcement");
-                return;
-            }
-        }
-        tracing::info!(
-            runner = %announced.life.runner,
-            born = announced.life.born,
-            addr = %announced.addr,
-            service = &*announced.service,
-            "runner found"
-        );
-        self.forget_runner();
-        let listing = Listing::default();
-        self.known = Some(Known { announced, listing, answered: now, listed: false });
-        self.news = true;
+        self.known.as_ref().map(|known| known.target(self.token))
     }
 
     /// Drops all that belonged to the runner before.
@@ -184,37 +186,35 @@
     /// The runner ends now; it is listed until its port refuses connections, which shows that
     /// nothing runs there any more.
     fn leave(&mut self, runner: &str) {
-        let known = self.known.as_mut().filter(|k| k.announced.life.runner.as_str() == runner);
-        if let Some(known) = known {
+        let known = self.known.as_mut().map(|known| &mut known.heard.announced);
+        if let Some(known) = known.filter(|known| known.life.runner.as_str() == runner) {
             tracing::info!(runner, "runner left");
-            known.announced.draining = true;
+            known.draining = true;
             self.news = true;
         }
     }
 
     fn take_listing(&mut self, now: Moment, seq: u64, listing: Result<Box<Listing>, Fault>) {
-        let Some((_, asked)) = self.listing.take_if(|(asked, _)| *asked == seq) else { return };
-        let Some(known) = &mut self.known else { return };
+        let Some(Asked { since: asked, target, .. }) =
+            self.listing.take_if(|asked| asked.seq == seq)
+        else {
+            return;
+        };
         let listing = match listing {
             Ok(listing) => *listing,
-            Err(fault) => {
-                self.failed = Some(now);
-                self.refused = if fault == Fault::Gone { self.refused + 1 } else { 0 };
-                self.news |= self.refused == REFUSALS;
-                tracing::info!(runner = %known.announced.life.runner, ?fault, "no listing");
-                return;
-            },
+            Err(fault) => return self.unanswered(now, &target, fault),
         };
-        if listing.born != 0 && listing.born != known.announced.life.born {
+        if !self.settle(now, &target, &listing) {
             // A new life answers under the old name; its announcement will follow.
-            tracing::info!(runner = %known.announced.life.runner, born = listing.born, "reborn");
+            tracing::info!(runner = %target.life.runner, born = listing.born, "reborn");
+            (self.failed, self.seeking) = (Some(now), true);
             return;
         }
-        (self.failed, self.refused) = (None, 0);
-        let first = !known.listed;
+        (self.failed, self.refused, self.seeking) = (None, 0, false);
+        let Some(known) = &mut self.known else { return };
         let ended = |listing: &Listing| listing.ended.iter().map(|e| e.number).max();
-        self.news |= first || ended(&listing) > ended(&known.listing);
-        (known.answered, known.listed) = (now, true);
+        self.news |= ended(&listing) > ended(&known.listing);
+        known.answered = now;
         known.listing = listing;
         self.listed = now;
         self.settle_orders(asked);
@@ -226,7 +226,7 @@
         if rows.iter().any(|row| !self.natures.contains_key(&row.key)) {
             self.amnesia = true;
         }
-        let cores = known.announced.capacity.millicores;
+        let cores = known.heard.announced.capacity.millicores;
         let changes = self.pacing.step(now, cores, rows, &self.natures);
         let Some(target) = self.target() else { return };
         for (key, percent) in changes {
@@ -234,27 +234,46 @@
         }
     }
 
+    /// Notes that a runner gave no listing.
+    fn unanswered(&mut self, now: Moment, target: &Target, fault: Fault) {
+        self.failed = Some(now);
+        tracing::info!(runner = %target.life.runner, ?fault, "no listing");
+        if fault == Fault::Denied(Denial::Fenced) && target.token == self.token {
+            // An earlier process of this agent used greater tokens, as its clock was ahead. By how
+            // much is not known.
+            self.token = self.token.saturating_mul(2).saturating_add(1);
+            return tracing::info!(token = self.token, "fencing token raised");
+        }
+        if self.target().is_some_and(|known| known == *target) {
+            self.seeking = true;
+            self.refused = if fault == Fault::Gone { self.refused + 1 } else { 0 };
+            self.news |= self.refused == REFUSALS;
+        }
+    }
+
     /// Asks for the next listing when none is under way.
     fn list(&mut self, now: Moment) {
-        if self.listing.is_some_and(|(_, since)| now.since(since) < LIST_TIMEOUT) {
+        if self.listing.as_ref().is_some_and(|asked| now.since(asked.since) < LIST_TIMEOUT) {
             return;
         }
-        let Some(target) = self.target() else { return };
-        let Some(known) = &self.known else { return };
         if self.failed.is_some_and(|failed| now.since(failed) < LIST_RETRY) {
             return;
         }
-        let listed = known.listing.ended.iter().any(|ended| ended.number > self.noted);
-        let waiting = listed || known.listing.unread;
+        let ended = self.known.as_ref().map(|known| &known.listing);
+        let waiting = ended.is_some_and(|listing| {
+            listing.unread || listing.ended.iter().any(|ended| ended.number > self.noted)
+        });
         if waiting && now.since(self.listed) < LIST_PAUSE {
             return;
         }
+        let Some(target) = self.whom() else { return };
         self.seq += 1;
-        self.listing = Some((self.seq, now));
-        // The first listing raises the fencing token, so that orders for an earlier life under the
-        // same name are refused.
-        let wait = if known.listed && !waiting { LIST_WAIT } else { Span::ZERO };
-        let (seq, noted, until) = (self.seq, self.noted, self.until);
+        let seq = self.seq;
+        self.listing = Some(Asked { seq, since: now, target: target.clone() });
+        let wait = if waiting || self.seeking { Span::ZERO } else { LIST_WAIT };
+        // A lease and acknowledgements are for the runner that they were granted for.
+        let known = self.target().is_some_and(|known| known == target);
+        let (noted, until) = if known { (self.noted, self.until) } else { (0, None) };
         self.out.push(Effect::List { seq, target, noted, until, wait });
     }
 
@@ -277,9 +296,9 @@
     }
 
     fn account(&self, now: Moment) -> Report {
-        let known = self.known.as_ref().filter(|known| known.listed);
+        let known = self.known.as_ref();
         let runner = known.map(|known| {
-            let announced = &known.announced;
+            let announced = &known.heard.announced;
             Runner {
                 life: announced.life.clone(),
                 service: announced.service.clone(),
--- a/toucangrade/src/hosting/tests.rs
+++ b/toucangrade/src/hosting/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of an agent against a runner and a leader that are played by hand.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use rstest::rstest;
 
@@ -46,6 +47,9 @@
     now: Moment,
     manner: Manner,
     life: Life,
+    addr: SocketAddr,
+    /// Greatest fencing token that the runner has seen.
+    seen: u64,
     rows: BTreeMap<RunKey, Row>,
     ended: Vec<Ended>,
     /// Runs that were stopped before they began.
@@ -65,12 +69,22 @@
 
 impl World {
     fn new(manner: Manner) -> Self {
+        let mut world = Self { manner, ..Self::unannounced() };
+        world.send(Message::Announce(Box::new(announcement("i-1", 50, 1))));
+        world.pass(300);
+        world
+    }
+
+    /// A runner that its agent has not heard of.
+    fn unannounced() -> Self {
         let announced = announcement("i-1", 50, 1);
-        let mut world = Self {
+        Self {
             hosting: Hosting::new(Name::new("10.0.0.1").expect("a name"), 1),
             now: Moment::micros(1_000_000),
-            manner,
+            manner: Manner::Sound,
             life: announced.life.clone(),
+            addr: announced.addr,
+            seen: 0,
             rows: BTreeMap::new(),
             ended: Vec::new(),
             buried: Vec::new(),
@@ -82,10 +96,7 @@
             unread: false,
             lists: 0,
             pending: Vec::new(),
-        };
-        world.send(Message::Announce(Box::new(announced)));
-        world.pass(300);
-        world
+        }
     }
 
     fn send(&mut self, message: Message) {
@@ -104,12 +115,9 @@
         match effect {
             Effect::List { seq, target, noted, until, .. } => {
                 self.lists += 1;
-                self.tokens.push(target.life.born);
-                if self.manner == Manner::Ended {
-                    return Some(Message::Listed { seq, listing: Err(Fault::Gone) });
-                }
-                if target.life != self.life {
-                    return Some(Message::Listed { seq, listing: Err(Fault::Replaced) });
+                self.tokens.push(target.token);
+                if let Err(fault) = self.reach(&target) {
+                    return Some(Message::Listed { seq, listing: Err(fault) });
                 }
                 self.until = self.until.max(until);
                 self.ended.retain(|ended| ended.number > noted);
@@ -128,9 +136,12 @@
                 self.report = Some(*report);
                 None
             },
-            Effect::Start { start, .. } => {
+            Effect::Start { target, start, .. } => {
                 self.starts += 1;
                 let key = start.key;
+                if let Err(fault) = self.reach(&target) {
+                    return Some(Message::Started { key, result: Err(fault) });
+                }
                 if self.manner == Manner::Full {
                     let result = Err(Fault::Denied(Denial::Room));
                     return Some(Message::Started { key, result });
@@ -162,6 +173,29 @@
         }
     }
 
+    /// What a call gets before it is carried out.
+    fn reach(&mut self, target: &Target) -> Result<(), Fault> {
+        if self.manner == Manner::Ended || target.addr != self.addr {
+            return Err(Fault::Gone);
+        }
+        if target.life.runner != self.life.runner {
+            return Err(Fault::Replaced);
+        }
+        if target.token < self.seen {
+            return Err(Fault::Denied(Denial::Fenced));
+        }
+        self.seen = target.token;
+        Ok(())
+    }
+
+    /// The runner ends, and another life begins at its address.
+    fn bear(&mut self, life: Life) {
+        self.life = life;
+        self.seen = 0;
+        self.rows.clear();
+        self.ended.clear();
+    }
+
     fn finish(&mut self, key: RunKey, end: End) {
         let number = self.ended.last().map_or(0, |ended| ended.number) + 1;
         self.ended.push(Ended { number, key, end, saved: None });
@@ -298,6 +332,12 @@
 /// A later life replaces an earlier one; late announcements of an earlier life do not.
 #[rstest]
 #[case::same_name_reborn(Birth { runner: "i-1", born: 60, sequence: 1, life: ("i-1", 60) })]
+#[case::reborn_after_a_clock_step(
+    Birth { runner: "i-1", born: 40, sequence: 1, life: ("i-1", 40) }
+)]
+#[case::other_name_after_a_clock_step(
+    Birth { runner: "i-2", born: 40, sequence: 1, life: ("i-2", 40) }
+)]
 #[case::other_name(Birth { runner: "i-2", born: 60, sequence: 1, life: ("i-2", 60) })]
 #[case::late(Birth { runner: "i-0", born: 40, sequence: 9, life: ("i-1", 50) })]
 #[case::repeated(Birth { runner: "i-1", born: 50, sequence: 1, life: ("i-1", 50) })]
@@ -305,10 +345,10 @@
     let mut world = World::new(Manner::Sound);
     world.start(0);
     world.pass(500);
+    let before = world.tokens.last().copied();
     let announced = announcement(birth.runner, birth.born, birth.sequence);
     if birth.life != ("i-1", 50) {
-        world.life = announced.life.clone();
-        world.rows.clear();
+        world.bear(announced.life.clone());
     }
     world.send(Message::Announce(Box::new(announced)));
     world.pass(1_500);
@@ -316,8 +356,154 @@
     assert_eq!((runner.life.runner.as_str(), runner.life.born), birth.life);
     let reborn = birth.life != ("i-1", 50);
     assert_eq!(world.last().rows.is_empty(), reborn);
-    // The first call to a new life raises its fencing token, so that late orders are refused.
-    assert_eq!(world.tokens.last(), Some(&birth.life.1));
+    // The first calls to a new life raise its fencing token, so that late orders are refused.
+    let last = world.tokens.last().copied();
+    assert_eq!(last > before, reborn, "{before:?} {last:?}");
+    assert_eq!(last, Some(world.seen));
+}
+
+/// An announcement of another writer, beside those of the runner i-1 that started at 50.
+struct Odd {
+    alter: fn(&mut Announcement),
+    /// It comes before the first announcement of the runner.
+    first: bool,
+    /// It is repeated, rather than sent once.
+    again: bool,
+}
+
+const ONCE: Odd = Odd { alter: |_| {}, first: false, again: false };
+const AGAIN: Odd = Odd { again: true, ..ONCE };
+const FIRST: Odd = Odd { first: true, ..ONCE };
+
+fn rename(odd: &mut Announcement) {
+    odd.life = Life { runner: Name::new("i-9").expect("a name"), born: 70 };
+}
+
+fn rename_elsewhere(odd: &mut Announcement) {
+    rename(odd);
+    odd.addr = "127.0.0.1:10".parse().expect("an address");
+}
+
+fn later(odd: &mut Announcement) {
+    odd.life.born = 70;
+}
+
+fn never(odd: &mut Announcement) {
+    odd.life.born = u64::MAX;
+}
+
+fn earlier(odd: &mut Announcement) {
+    odd.life.born = 0;
+}
+
+fn elsewhere(odd: &mut Announcement) {
+    odd.addr = "127.0.0.1:10".parse().expect("an address");
+}
+
+fn other_service(odd: &mut Announcement) {
+    odd.service = "nowhere".into();
+}
+
+fn other_room(odd: &mut Announcement) {
+    odd.capacity.millicores = 1;
+}
+
+fn last_sequence(odd: &mut Announcement) {
+    other_service(odd);
+    odd.sequence = u64::MAX;
+}
+
+/// An announcement alone displaces no runner that answers, takes none of its runs from it, and
+/// leaves nothing behind: later announcements count, and orders are carried out.
+#[rstest]
+#[case::other_name(Odd { alter: rename, ..ONCE })]
+#[case::other_name_again(Odd { alter: rename, ..AGAIN })]
+#[case::other_name_first(Odd { alter: rename, ..FIRST })]
+#[case::other_name_elsewhere(Odd { alter: rename_elsewhere, ..AGAIN })]
+#[case::other_name_elsewhere_first(Odd { alter: rename_elsewhere, ..FIRST })]
+#[case::later_start(Odd { alter: later, ..ONCE })]
+#[case::later_start_again(Odd { alter: later, ..AGAIN })]
+#[case::later_start_first(Odd { alter: later, ..FIRST })]
+#[case::last_start(Odd { alter: never, ..AGAIN })]
+#[case::last_start_first(Odd { alter: never, ..FIRST })]
+#[case::no_start(Odd { alter: earlier, ..AGAIN })]
+#[case::no_start_first(Odd { alter: earlier, ..FIRST })]
+#[case::other_address(Odd { alter: elsewhere, ..ONCE })]
+#[case::other_address_again(Odd { alter: elsewhere, ..AGAIN })]
+#[case::other_address_first(Odd { alter: elsewhere, ..FIRST })]
+#[case::other_service(Odd { alter: other_service, ..ONCE })]
+#[case::other_room(Odd { alter: other_room, ..ONCE })]
+#[case::last_sequence(Odd { alter: last_sequence, ..ONCE })]
+#[case::last_sequence_first(Odd { alter: last_sequence, ..FIRST })]
+fn announcement_displaces_no_runner_that_answers(#[case] case: Odd) {
+    let real = announcement("i-1", 50, 1);
+    let mut odd = announcement("i-1", 50, 2);
+    (case.alter)(&mut odd);
+    let mut world = if case.first { World::unannounced() } else { World::new(Manner::Sound) };
+    world.start(0);
+    let undisturbed = |world: &World| {
+        let runner = world.last().runner.as_ref().expect("a runner");
+        assert_eq!(runner.life, real.life);
+        assert_eq!((&runner.service, runner.capacity), (&real.service, real.capacity));
+        assert!(!world.last().gone);
+        assert!(world.rows.contains_key(&key(0)));
+    };
+    for beat in 0..8 {
+        // The odd one comes first, or between two others.
+        let once = if case.first { 0 } else { 1 };
+        if beat == once || (case.again && beat > once) {
+            let sequence = odd.sequence.max(3 * beat + 2);
+            world.send(Message::Announce(Box::new(Announcement { sequence, ..odd.clone() })));
+            world.pass(700);
+            if !case.first {
+                undisturbed(&world);
+            }
+        }
+        let sequence = 3 * beat + 3;
+        world.send(Message::Announce(Box::new(Announcement { sequence, ..real.clone() })));
+        world.pass(800);
+        if !case.first {
+            undisturbed(&world);
+        }
+    }
+    let runner = world.last().runner.clone().expect("a runner");
+    assert_eq!((runner.life, runner.service), (real.life, real.service));
+    // A draining that is announced now counts at once.
+    let leaving = Announcement { sequence: 90, draining: true, ..announcement("i-1", 50, 90) };
+    world.send(Message::Announce(Box::new(leaving)));
+    world.pass(200);
+    assert!(world.last().runner.as_ref().is_some_and(|runner| runner.draining));
+    world.start(1);
+    world.pass(600);
+    assert!(world.rows.contains_key(&key(1)), "denied {:?}", world.last().denied);
+}
+
+/// An agent whose clock was set back between two of its processes begins with a lower fencing token
+/// than the runner has seen, and finds one that counts.
+#[test]
+fn runner_that_has_seen_a_greater_token_takes_orders() {
+    let mut world = World::unannounced();
+    world.seen = 1_000;
+    world.send(Message::Announce(Box::new(announcement("i-1", 50, 1))));
+    world.pass(4_000);
+    world.start(0);
+    world.pass(500);
+    assert!(world.rows.contains_key(&key(0)), "{:?}", world.tokens);
+}
+
+/// Announcements of many runners that don't exist leave the one that does in use.
+#[test]
+fn many_announcements_are_bounded() {
+    let mut world = World::new(Manner::Sound);
+    for number in 0..1_000_u64 {
+        let odd = announcement(&format!("i-odd-{number}"), 60 + number, 1);
+        world.send(Message::Announce(Box::new(odd)));
+        world.pass(50);
+    }
+    world.start(0);
+    world.pass(500);
+    assert!(world.rows.contains_key(&key(0)));
+    assert!(world.hosting.others.len() <= 8, "{} are kept", world.hosting.others.len());
 }
 
 /// Reports come at least every second and are few while nothing happens.
