Drop orders that answer a report about an earlier runner

Seen: nothing yet. Read while the runner's replacement was changed: orders on their way when another life replaces the runner were carried out on the new one, under the lease of the old one's clock.

Cause: only the answer to the newest report was told apart, and only for what is reported next.

Change: answers to reports before the replacement are dropped.

orders_for_the_runner_before_are_dropped failed before: the run was started on the new runner.

--- a/toucangrade/src/hosting/mod.rs
+++ b/toucangrade/src/hosting/mod.rs
@@ -105,6 +105,8 @@
     refused: u32,
     /// Number of the last report or listing.
     seq: u64,
+    /// Reports up to this number were about an earlier runner.
+    outdated: u64,
     /// Whether there is something to report at once.
     news: bool,
     /// Whether runs go on that this process was not ordered to start.
@@ -141,6 +143,7 @@
             reported: Moment::START,
             refused: 0,
             seq: 0,
+            outdated: 0,
             news: true,
             amnesia: true,
             out: Vec::new(),
@@ -181,6 +184,7 @@
         self.pacing = Pacing::default();
         (self.until, self.noted, self.listing) = (None, 0, None);
         (self.failed, self.refused) = (None, 0);
+        self.outdated = self.seq;
     }
 
     /// The runner ends now; it is listed until its port refuses connections, which shows that
--- a/toucangrade/src/hosting/tests.rs
+++ b/toucangrade/src/hosting/tests.rs
@@ -491,6 +491,24 @@
     assert!(world.rows.contains_key(&key(0)), "{:?}", world.tokens);
 }
 
+/// Orders that answer a report of the runner before are not given to the next one, whose leases and
+/// runs are others.
+#[test]
+fn orders_for_the_runner_before_are_dropped() {
+    let mut world = World::new(Manner::Sound);
+    let (seq, now) = (world.last().seq, world.now.as_micros() / 1_000);
+    world.bear(announcement("i-2", 60, 1).life);
+    world.send(Message::Announce(Box::new(announcement("i-2", 60, 1))));
+    world.pass(400);
+    assert_eq!(world.last().runner.as_ref().map(|runner| runner.life.born), Some(60));
+    let start = Start { key: key(0), spec: "spec".into(), saved: None, nature: Nature::default() };
+    let orders = Orders { until: Some(now + 5_000), starts: vec![start], ..Orders::default() };
+    world.send(Message::Ordered { seq, orders: Some(Box::new(orders)) });
+    world.pass(500);
+    assert!(world.rows.is_empty());
+    assert_eq!(world.until, None);
+}
+
 /// Announcements of many runners that don't exist leave the one that does in use.
 #[test]
 fn many_announcements_are_bounded() {
