Refuse figures out of range and keep sums from overflowing

Seen: a runner with a capacity near 2^64 ended the leader in placement, one with such a clock in its orders, and a job with such a target in the estimate of pressures (builds with overflow checks; without them the results were nonsense). A job of 256 steps with 4,096 tasks each was accepted; every control instance holds all of them in memory, also after each restart.

Cause: numbers were taken as announced or declared, and sums and products of them were plain.

Jobs have a greatest need, text, number of predecessors and number of tasks. Placement, orders, pressures and rooms saturate.

--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -456,7 +456,13 @@
     let mut bytes = 0;
     let fits = |command: &&Command| {
         bytes += match command {
-            Command::Accept { job, .. } => job.spec.len() + STEP_BYTES * job.steps.len(),
+            Command::Accept { job, .. } => {
+                job.spec.len()
+                    + job.steps.iter().map(|step| STEP_BYTES + step.bytes()).sum::<usize>()
+            },
+            Command::Close { saved, .. } => {
+                STEP_BYTES + saved.as_ref().map_or(0, |saved| saved.len())
+            },
             // The queues are held beside the text that they were read from.
             Command::Configure(setup) => 2 * setup.source.len(),
             _ => STEP_BYTES,
--- a/toucangrade/src/dispatch/place.rs
+++ b/toucangrade/src/dispatch/place.rs
@@ -38,8 +38,8 @@
 impl Candidate {
     /// Millicores that tasks which fill can share.
     fn leftover(&self) -> u64 {
-        let unused = self.reserved * (100 - RESERVED_USE_PERCENT) / 100;
-        self.free.millicores + unused
+        let unused = self.reserved.saturating_mul(100 - RESERVED_USE_PERCENT) / 100;
+        self.free.millicores.saturating_add(unused)
     }
 
     fn part(&self, millicores: u64) -> f64 {
@@ -51,7 +51,7 @@
         let image = step.image.as_deref().unwrap_or_default();
         let asked = self.part(step.need.millicores);
         let allowed = self.headroom.part(table, image, asked);
-        let wanted = (self.filling + step.need.millicores).max(1);
+        let wanted = self.filling.saturating_add(step.need.millicores).max(1);
         let cores = self.leftover() as f64 / wanted as f64;
         allowed.min(cores).min(1.0) * 100.0 / self.slowness.max(1) as f64
     }
@@ -68,18 +68,24 @@
     pub(super) fn take(&mut self, table: &Table, step: &Step) {
         self.free.remove(&step.counted());
         if step.fills {
-            self.filling += step.need.millicores;
+            self.filling = self.filling.saturating_add(step.need.millicores);
             let image = step.image.as_deref().unwrap_or_default();
             let asked = self.part(step.need.millicores);
             self.headroom.spend(table, image, asked);
         }
         if step.lasting {
-            self.reserved += step.need.millicores;
+            self.reserved = self.reserved.saturating_add(step.need.millicores);
         }
         self.serving += u32::from(step.target > 0);
     }
 }
 
+/// `part` of `whole` as a share of `scale`, at most `scale`.
+fn share(part: u64, whole: u64, scale: u64) -> u64 {
+    let share = u128::from(part) * u128::from(scale) / u128::from(whole.max(1));
+    u64::try_from(share).unwrap_or(u64::MAX).min(scale)
+}
+
 /// What a choice for one task has to respect beside room.
 pub(super) struct Limits<'a> {
     /// Service whose runners may do the work.
@@ -108,10 +114,10 @@
     };
     let open = candidates.iter().enumerate().filter(|(at, c)| fits(*at, c));
     let scored = open.filter_map(|(at, candidate)| {
-        let cores = candidate.capacity.millicores.max(1);
+        let cores = candidate.capacity.millicores;
         let away = step.rack.is_some() && step.rack.as_ref() != candidate.rack();
         let failed = limits.avoided.contains(&candidate.agent);
-        let left = (candidate.free.millicores - counted.millicores) * 1_000 / cores;
+        let left = share(candidate.free.millicores - counted.millicores, cores, 1_000);
         let rank = if step.fills {
             let speed = candidate.speed(limits.table, step);
             if speed < LEAST_SPEED {
--- a/toucangrade/src/dispatch/reports.rs
+++ b/toucangrade/src/dispatch/reports.rs
@@ -185,7 +185,7 @@
         let table = self.table_for(agent, now);
         let Some(worker) = self.fleet.workers.get(agent) else { return Orders::default() };
         let Some(runner) = worker.runner() else { return Orders::default() };
-        let until = Some(runner.clock + GRANT.as_millis());
+        let until = Some(runner.clock.saturating_add(GRANT.as_millis()));
         let mut orders = Orders { until, table, ..Orders::default() };
         let hold = self.fleet.holds.get(&runner.life);
         let live = |key: &RunKey| hold.is_some_and(|hold| hold.runs.contains_key(key));
--- a/toucangrade/src/dispatch/settings.rs
+++ b/toucangrade/src/dispatch/settings.rs
@@ -24,7 +24,7 @@
 pub(crate) const BATCH_LIMIT: usize = 256;
 /// Approximate bytes of one proposal, half of the log's limit of 1 MiB.
 pub(crate) const BATCH_BYTES: usize = 512 * 1024;
-/// Bytes that a step of a job, or a small command, takes at most when encoded.
+/// Bytes that a step of a job without its texts, or a small command, takes at most when encoded.
 pub(crate) const STEP_BYTES: usize = 256;
 /// Time for which the state of an ended job is kept: 120 s are promised.
 pub(crate) const STATUS_KEPT_MS: u64 = 150_000;
--- a/toucangrade/src/dispatch/tests.rs
+++ b/toucangrade/src/dispatch/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of dispatch against a log that commits at once and agents that are played by hand.
 
 mod answers;
+mod extremes;
 mod load;
 
 use std::collections::BTreeMap;
--- /dev/null
+++ b/toucangrade/src/dispatch/tests/extremes.rs
@@ -0,0 +1,148 @@
+//! Tests of figures at the ends of their ranges. An agent of an earlier version may still report
+//! what the adapter refuses now.
+
+use rstest::rstest;
+
+use super::*;
+use crate::jobs::Checkpoint;
+
+struct Extreme {
+    alter: fn(&mut Runner),
+    step: Step,
+}
+
+fn most() -> Need {
+    Need { millicores: u64::MAX, memory: u64::MAX, accelerators: u64::MAX }
+}
+
+fn filling() -> Step {
+    Step { fills: true, image: Some("film".into()), ..step(2, 4_000) }
+}
+
+/// Sums and products of what is reported overflowed, which ended a process built with checks and
+/// gave nonsense otherwise.
+#[rstest]
+#[case::room(Extreme { alter: |runner| runner.capacity = most(), step: step(2, 500) })]
+#[case::room_for_filling(Extreme { alter: |runner| runner.capacity = most(), step: filling() })]
+#[case::room_for_lasting(Extreme {
+    alter: |runner| runner.capacity = most(), step: Step { lasting: true, ..step(2, 500) },
+})]
+#[case::room_for_serving(Extreme {
+    alter: |runner| runner.capacity = most(), step: Step { target: u64::MAX, ..step(2, 500) },
+})]
+#[case::clock(Extreme { alter: |runner| runner.clock = u64::MAX, step: step(2, 500) })]
+#[case::start(Extreme { alter: |runner| runner.life.born = u64::MAX, step: step(2, 500) })]
+#[case::no_room(Extreme { alter: |runner| runner.capacity = Need::default(), step: step(2, 500) })]
+fn extreme_runner_is_survived(#[case] case: Extreme) {
+    let mut world = World::new();
+    let (sound, odd) = (life("i-1", 10), life("i-2", 20));
+    let mut extreme = report("10.0.0.2", 1, &odd);
+    extreme.runner.iter_mut().for_each(case.alter);
+    extreme.rows.push(Row {
+        key: key(9, 0, 0, 1),
+        saved: None,
+        percent: 255,
+        figure: u32::MAX,
+        share: 0,
+    });
+    extreme.ended.push(Ended {
+        number: u64::MAX,
+        key: key(9, 0, 1, u32::MAX),
+        end: End::Done,
+        saved: None,
+    });
+    assert_eq!(world.submit("match", 7, vec![case.step]), Some(Told::Accepted));
+    world.report(extreme.clone());
+    world.report(report("10.0.0.1", 1, &sound));
+    world.pass(700);
+    world.report(Report { seq: 2, ..extreme });
+    world.report(report("10.0.0.1", 2, &sound));
+    world.pass(700);
+    let runs: usize = world.dispatch.fleet.holds.values().map(|hold| hold.runs.len()).sum();
+    assert_eq!(runs, 2);
+}
+
+struct Declared {
+    step: Step,
+    refused: &'static str,
+}
+
+/// A job that no log entry and no runner holds is refused rather than tried for ever: its proposal
+/// was refused together with whatever shared it.
+#[rstest]
+#[case::millicores(Declared {
+    step: step(1, u64::MAX),
+    refused: "steps[0] needs 18446744073709551615 millicores, allowed are 0 to 10000000",
+})]
+#[case::image(Declared {
+    step: Step { image: Some("x".repeat(70_000).into()), ..step(1, 1) },
+    refused: "steps[0].image has 70000 bytes, allowed are 0 to 255",
+})]
+#[case::after(Declared {
+    step: Step { after: vec![0; 600_000], ..step(1, 1) },
+    refused: "steps[0].after names 600000 steps, allowed are 0 to 256",
+})]
+fn oversized_job_is_refused(#[case] case: Declared) {
+    let mut world = World::new();
+    let told = world.submit("match", 7, vec![case.step]);
+    assert_eq!(told, Some(Told::Bad(case.refused.to_owned())));
+}
+
+/// Large jobs that are sent at once are divided among proposals that the log takes.
+#[test]
+fn largest_jobs_fit_the_log() {
+    let text: Arc<str> = "x".repeat(255).into();
+    let large = |at: u16| Step {
+        after: (0..at).collect(),
+        image: Some(Arc::clone(&text)),
+        label: Some(Arc::clone(&text)),
+        rack: Some(Arc::clone(&text)),
+        ..step(1, 10_000_000)
+    };
+    let mut world = World::new();
+    world.hold = true;
+    for job in 0..24 {
+        world.submit("match", job, (0..256).map(large).collect());
+    }
+    commit_all(&mut world);
+    assert_eq!(world.dispatch.book.jobs.len(), 24);
+}
+
+/// So are ends with long checkpoints that come at once. They are proposed again when the log refuses
+/// them, together with whatever else has ended.
+#[test]
+fn longest_checkpoints_fit_the_log() {
+    let mut world = World::new();
+    let runner = life("i-1", 10);
+    world.report(report("10.0.0.1", 1, &runner));
+    world.submit("match", 7, vec![step(400, 1)]);
+    let runs = world.live(&runner);
+    assert!(runs.len() > 90, "{} runs", runs.len());
+    let saved: Option<Checkpoint> = Some("x".repeat(12_000).into());
+    let ended = runs.iter().zip(1..).map(|(key, number)| Ended {
+        number,
+        key: *key,
+        end: End::Stopped,
+        saved: saved.clone(),
+    });
+    world.hold = true;
+    world.report(Report { ended: ended.collect(), ..report("10.0.0.1", 2, &runner) });
+    commit_all(&mut world);
+    let closed = |key: &RunKey| world.dispatch.book.live(*key).is_none();
+    assert!(runs.iter().all(closed));
+}
+
+/// Commits proposals until there are no more; each has to fit into the log's limit of 1 MiB.
+fn commit_all(world: &mut World) {
+    for _ in 0..32 {
+        for (ticket, commands) in std::mem::take(&mut world.held) {
+            let bytes = crate::peer::encode(&commands).len();
+            assert!(bytes < 1024 * 1024, "{bytes} bytes");
+            for effect in world.commit(ticket, commands) {
+                if let Effect::Propose { ticket, commands } = effect {
+                    world.held.push((ticket, commands));
+                }
+            }
+        }
+    }
+}
--- a/toucangrade/src/jobs/declared.rs
+++ b/toucangrade/src/jobs/declared.rs
@@ -11,6 +11,12 @@
 const STEPS_LIMIT: usize = 256;
 /// Most tasks of a step.
 const TASKS_LIMIT: u32 = 4_096;
+/// Most tasks of a job, since each control instance holds them all in memory.
+const JOB_TASKS_LIMIT: u64 = 16_384;
+/// Longest text for the runners in bytes, so that a job fits one log entry. Callers send up to 4,000.
+const SPEC_LIMIT: usize = 65_536;
+/// Longest image, label or rack in bytes.
+const LABEL_LIMIT: usize = 255;
 
 /// Room that a task needs on a runner.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -24,6 +30,11 @@
 }
 
 impl Need {
+    /// Most that a task may need and that a runner may offer, some hundred times the largest
+    /// instance. Products of these stay far below 64 bits.
+    pub const LIMIT: Self =
+        Self { millicores: 10_000_000, memory: 100_000_000, accelerators: 10_000 };
+
     /// Whether `other` fits into this room.
     pub fn holds(&self, other: &Self) -> bool {
         self.millicores >= other.millicores
@@ -31,11 +42,11 @@
             && self.accelerators >= other.accelerators
     }
 
-    /// Adds `other`.
+    /// Adds `other`, up to the greatest number.
     pub fn add(&mut self, other: &Self) {
-        self.millicores += other.millicores;
-        self.memory += other.memory;
-        self.accelerators += other.accelerators;
+        self.millicores = self.millicores.saturating_add(other.millicores);
+        self.memory = self.memory.saturating_add(other.memory);
+        self.accelerators = self.accelerators.saturating_add(other.accelerators);
     }
 
     /// Takes `other` away, down to nothing.
@@ -88,6 +99,37 @@
     pub fn counted(&self) -> Need {
         if self.fills { Need { millicores: 0, ..self.need } } else { self.need }
     }
+
+    /// Bytes of the parts whose length varies.
+    pub(crate) fn bytes(&self) -> usize {
+        let texts = [&self.image, &self.label, &self.rack].into_iter().flatten();
+        texts.map(|text| text.len()).sum::<usize>() + 3 * self.after.len()
+    }
+
+    fn check_size(&self, step: usize) -> Result<(), BadJob> {
+        let (need, limit) = (self.need, Need::LIMIT);
+        let needs = [
+            (need.millicores, "millicores", limit.millicores),
+            (need.memory, "MB of memory", limit.memory),
+            (need.accelerators, "accelerators", limit.accelerators),
+        ];
+        if let Some(&(amount, what, limit)) = needs.iter().find(|(amount, _, most)| amount > most) {
+            return Err(BadJob::Need { step, amount, what, limit });
+        }
+        for (name, text) in [("image", &self.image), ("label", &self.label), ("rack", &self.rack)] {
+            let text = text.as_deref().unwrap_or_default();
+            check_text(|| format!("steps[{step}].{name}"), text, LABEL_LIMIT)?;
+        }
+        Ok(())
+    }
+}
+
+fn check_text(field: impl Fn() -> String, text: &str, limit: usize) -> Result<(), BadJob> {
+    let length = text.len();
+    if length > limit {
+        return Err(BadJob::Text { field: field(), length, limit });
+    }
+    Ok(())
 }
 
 /// When a job repeats.
@@ -134,6 +176,14 @@
         /// The step named.
         after: u16,
     },
+    /// A step comes after more steps than a job may have.
+    #[error("steps[{step}].after names {count} steps, allowed are 0 to {STEPS_LIMIT}")]
+    Afters {
+        /// The step.
+        step: usize,
+        /// The number of steps named.
+        count: usize,
+    },
     /// The number of tasks is out of range.
     #[error("steps[{step}] has {count} tasks, allowed are 1 to {TASKS_LIMIT}")]
     Count {
@@ -142,9 +192,34 @@
         /// The number of tasks.
         count: u32,
     },
+    /// A task needs more than any runner has.
+    #[error("steps[{step}] needs {amount} {what}, allowed are 0 to {limit}")]
+    Need {
+        /// The step.
+        step: usize,
+        /// The amount.
+        amount: u64,
+        /// What it is an amount of.
+        what: &'static str,
+        /// Greatest amount.
+        limit: u64,
+    },
     /// The number of steps is out of range.
     #[error("the job has {0} steps, allowed are 1 to {STEPS_LIMIT}")]
     Steps(usize),
+    /// The steps have too many tasks together.
+    #[error("the job has {0} tasks, allowed are 1 to {JOB_TASKS_LIMIT}")]
+    Tasks(u64),
+    /// A text is too long.
+    #[error("{field} has {length} bytes, allowed are 0 to {limit}")]
+    Text {
+        /// The field.
+        field: String,
+        /// Its length in bytes.
+        length: usize,
+        /// Greatest length in bytes.
+        limit: usize,
+    },
 }
 
 impl Job {
@@ -157,14 +232,24 @@
         if self.steps.is_empty() || self.steps.len() > STEPS_LIMIT {
             return Err(BadJob::Steps(self.steps.len()));
         }
+        check_text(|| "spec".to_owned(), &self.spec, SPEC_LIMIT)?;
         for (step, declared) in self.steps.iter().enumerate() {
             let count = declared.count;
             if count == 0 || count > TASKS_LIMIT {
                 return Err(BadJob::Count { step, count });
             }
+            let count = declared.after.len();
+            if count > STEPS_LIMIT {
+                return Err(BadJob::Afters { step, count });
+            }
             if let Some(&after) = declared.after.iter().find(|&&after| usize::from(after) >= step) {
                 return Err(BadJob::After { step, after });
             }
+            declared.check_size(step)?;
+        }
+        let tasks = self.steps.iter().map(|step| u64::from(step.count)).sum();
+        if tasks > JOB_TASKS_LIMIT {
+            return Err(BadJob::Tasks(tasks));
         }
         Ok(())
     }
--- a/toucangrade/src/jobs/tests.rs
+++ b/toucangrade/src/jobs/tests.rs
@@ -36,11 +36,49 @@
     steps: vec![step(1, vec![]), step(1, vec![7])],
     refused: Some("steps[1].after names step 7, allowed are steps before 1"),
 })]
+#[case::too_many_tasks(Declared {
+    steps: vec![step(4_096, vec![]); 5],
+    refused: Some("the job has 20480 tasks, allowed are 1 to 16384"),
+})]
+#[case::too_much_memory(Declared {
+    steps: vec![Step { need: Need { memory: 100_000_001, ..Need::default() }, ..step(1, vec![]) }],
+    refused: Some("steps[0] needs 100000001 MB of memory, allowed are 0 to 100000000"),
+})]
+#[case::too_many_accelerators(Declared {
+    steps: vec![Step { need: Need { accelerators: u64::MAX, ..Need::default() }, ..step(1, vec![]) }],
+    refused: Some("steps[0] needs 18446744073709551615 accelerators, allowed are 0 to 10000"),
+})]
+#[case::long_label(Declared {
+    steps: vec![Step { label: Some("x".repeat(256).into()), ..step(1, vec![]) }],
+    refused: Some("steps[0].label has 256 bytes, allowed are 0 to 255"),
+})]
+#[case::long_rack(Declared {
+    steps: vec![step(1, vec![]), Step { rack: Some("x".repeat(256).into()), ..step(1, vec![]) }],
+    refused: Some("steps[1].rack has 256 bytes, allowed are 0 to 255"),
+})]
 fn jobs_are_checked(#[case] case: Declared) {
     let refused = job(case.steps).check().err().map(|bad| bad.to_string());
     assert_eq!(refused.as_deref(), case.refused);
 }
 
+/// A text for the runners that no log entry holds is refused.
+#[test]
+fn long_texts_are_refused() {
+    let spec = "x".repeat(65_537).into();
+    let refused = Job { spec, ..job(vec![step(1, vec![])]) }.check().err();
+    let refused = refused.map(|bad| bad.to_string());
+    assert_eq!(refused.as_deref(), Some("spec has 65537 bytes, allowed are 0 to 65536"));
+}
+
+/// Sums of rooms end at the greatest number rather than begin anew.
+#[test]
+fn rooms_add_up_without_overflow() {
+    let most = Need { millicores: u64::MAX, memory: u64::MAX, accelerators: u64::MAX };
+    let mut sum = Need { millicores: 1, memory: 1, accelerators: 1 };
+    sum.add(&most);
+    assert_eq!(sum, most);
+}
+
 struct Depth {
     steps: Vec<Step>,
     depth: usize,
--- a/toucangrade/src/pressure/headroom.rs
+++ b/toucangrade/src/pressure/headroom.rs
@@ -32,7 +32,7 @@
     ) -> Self {
         let left = serving.map(|task| {
             let Serving { image, figure, target, .. } = task;
-            let allowed = table.load(image, target * AIM_PERCENT / 100, *target);
+            let allowed = table.load(image, target.saturating_mul(AIM_PERCENT) / 100, *target);
             if *figure == 0 {
                 return (Arc::clone(image), allowed - TYPICAL_LOAD);
             }
