Drop messages of the replicated log that no instance sends

A message of a member with a term near 2^64 raised the term for good, as it is stored, and the next election overflowed.

Cause: messages that could be decoded were taken for those of the protocol, and what can't be was an invariant.

What fails is dropped and reported once for each sender. The randomised runs take such a report for a violation, so they find as much as before.

--- a/toucangrade/src/agreement/election.rs
+++ b/toucangrade/src/agreement/election.rs
@@ -13,6 +13,12 @@
         if self.failed.is_some() || !self.admit(&message) {
             return;
         }
+        let asked = (self.leading() == Some(message.term)).then(|| (now, self.log.last()));
+        if let Some(flaw) = message.flaw(asked) {
+            let Replica { name, identity } = message.from;
+            let report = Report::Unsound { name: name.clone(), flaw };
+            return self.report(&name, identity, report);
+        }
         let PeerMessage { from, term, body, .. } = message;
         match body {
             Body::Hello => return self.greet(&from),
--- a/toucangrade/src/agreement/message.rs
+++ b/toucangrade/src/agreement/message.rs
@@ -7,7 +7,12 @@
 use thiserror::Error;
 
 use super::membership::Members;
-use crate::core::{Name, Verdict};
+use crate::core::{Moment, Name, Verdict};
+
+/// Greatest term or index. Both rise by one, so that no group comes near it.
+const COUNT_LIMIT: u64 = 1 << 62;
+/// Flaw of an answer to what the recipient can't have sent.
+const BEYOND: &str = "it answers something that was not sent";
 
 /// Content of a log entry.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -144,6 +149,54 @@
     VoteReply { pre: bool, granted: bool },
 }
 
+impl PeerMessage {
+    /// What shows that no instance of the group sent this, if anything does.
+    ///
+    /// `asked` holds the clock and the last index of a recipient that leads in the term of the
+    /// message; only then can answers be compared with what was sent.
+    pub(super) fn flaw(&self, asked: Option<(Moment, u64)>) -> Option<&'static str> {
+        let beyond = |index: u64| asked.is_some_and(|(_, last)| index > last);
+        if self.term > COUNT_LIMIT || self.members_at > COUNT_LIMIT {
+            return Some("its term or membership is out of range");
+        }
+        match &self.body {
+            Body::Append { prev_index, prev_term, entries, .. } => {
+                let mut before = (*prev_index, *prev_term);
+                let follows = |entry: &Entry| {
+                    let (index, term) = std::mem::replace(&mut before, (entry.index, entry.term));
+                    index < COUNT_LIMIT
+                        && entry.index == index + 1
+                        && (term..=self.term).contains(&entry.term)
+                };
+                let sound = *prev_index <= COUNT_LIMIT && entries.iter().all(follows);
+                (!sound).then_some("its entries don't follow each other")
+            },
+            Body::Appended { matched } => beyond(*matched).then_some(BEYOND),
+            Body::Chunk { part, offset, total } => {
+                let end = offset.checked_add(part.state.len() as u64);
+                let sound = part.index <= COUNT_LIMIT
+                    && part.members_at <= part.index
+                    && part.term <= self.term
+                    && !part.members.is_empty()
+                    && end.is_some_and(|end| end <= *total);
+                (!sound).then_some("it is no part of a snapshot")
+            },
+            Body::ChunkReply { index, .. } => beyond(*index).then_some(BEYOND),
+            Body::Conflict { prev_index, .. } => beyond(*prev_index).then_some(BEYOND),
+            Body::HeartbeatReply { matched, sent } => {
+                let ahead = asked.is_some_and(|(now, _)| Moment::micros(*sent) > now);
+                (ahead || beyond(*matched)).then_some(BEYOND)
+            },
+            Body::Heartbeat { .. }
+            | Body::Hello
+            | Body::HelloReply { .. }
+            | Body::TimeoutNow
+            | Body::Vote { .. }
+            | Body::VoteReply { .. } => None,
+        }
+    }
+}
+
 /// Work for the storage.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum Store {
@@ -173,6 +226,9 @@
          be removed and added again"
     )]
     Target { name: Name, found: u64 },
+    /// A message can't be one of the group.
+    #[error("refused a message of {name}: {flaw}")]
+    Unsound { name: Name, flaw: &'static str },
 }
 
 /// Why a proposal, a read or a change was refused.
--- a/toucangrade/src/agreement/random_run/mod.rs
+++ b/toucangrade/src/agreement/random_run/mod.rs
@@ -421,6 +421,10 @@
                 let states = self.dump();
                 invariant!(false, "{name} is reported to have lost entry {index}: {states}");
             },
+            Effect::Report(Report::Unsound { name, flaw }) => {
+                let states = self.dump();
+                invariant!(false, "a message of {name} is refused, {flaw}: {states}");
+            },
             Effect::Members { .. } | Effect::Report(_) | Effect::Role { .. } => {},
         }
     }
--- a/toucangrade/src/agreement/tests/mod.rs
+++ b/toucangrade/src/agreement/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod driver;
 mod group;
+mod odd;
 mod random;
 mod scripted;
 mod steps;
--- a/toucangrade/src/agreement/tests/steps.rs
+++ b/toucangrade/src/agreement/tests/steps.rs
@@ -10,16 +10,16 @@
 use crate::agreement::*;
 use crate::core::{Moment, Verdict};
 
-fn replica(n: &str, identity: u64) -> Replica {
+pub(super) fn replica(n: &str, identity: u64) -> Replica {
     Replica { name: name(n), identity }
 }
 
-fn at(millis: u64) -> Moment {
+pub(super) fn at(millis: u64) -> Moment {
     Moment::micros(millis * 1_000)
 }
 
 /// Instance `a` of a group of three with entries of these terms after the first.
-fn instance(term: u64, terms: &[u64]) -> Agreement {
+pub(super) fn instance(term: u64, terms: &[u64]) -> Agreement {
     let entry = |(n, term): (usize, &u64)| Entry {
         index: n as u64 + 2,
         term: *term,
@@ -37,12 +37,12 @@
     Agreement::new(settings, recovered, at(0))
 }
 
-fn peer(from: Replica, term: u64, body: Body) -> Message {
+pub(super) fn peer(from: Replica, term: u64, body: Body) -> Message {
     Message::Peer(PeerMessage { from, target: 1, term, members_at: 1, body })
 }
 
 /// Makes `a` leader of the term after `term` with the votes of `b`.
-fn leader(term: u64, terms: &[u64]) -> Agreement {
+pub(super) fn leader(term: u64, terms: &[u64]) -> Agreement {
     let mut a = instance(term, terms);
     a.step(at(1_100), Message::Tick);
     for pre in [true, false] {
