Leave files alone whose names only look like the log's

Cause: names were taken for those of the log by prefix and number, without the padding.

Change: only names that the log itself gives to a number are its files.

Three of six cases failed before.

--- a/toucangrade/src/agreement/storage.rs
+++ b/toucangrade/src/agreement/storage.rs
@@ -114,11 +114,13 @@
         for name in names.extract_if(.., |name| name.ends_with(TEMPORARY)) {
             (disk.remove)(&name)?;
         }
-        let numbers = |prefix: &str| -> Vec<u64> {
-            let suffixes = names.iter().filter_map(|name| name.strip_prefix(prefix));
-            suffixes.filter_map(|suffix| suffix.parse().ok()).collect()
+        // Files with other names are not of the log.
+        let numbers = |file: fn(u64) -> String| -> Vec<u64> {
+            let suffixes = names.iter().filter_map(|name| Some((name, name.split_once('-')?.1)));
+            let numbered = suffixes.filter_map(|(name, suffix)| Some((name, suffix.parse().ok()?)));
+            numbered.filter(|(name, number)| file(*number) == **name).map(|(_, n)| n).collect()
         };
-        let (segments, snapshots) = (numbers("log-"), numbers("snapshot-"));
+        let (segments, snapshots) = (numbers(segment_file), numbers(snapshot_file));
         let known = names.iter().any(|name| name == META);
         let meta = if known {
             read_file(&mut disk, META)?
--- a/toucangrade/src/agreement/tests/storage.rs
+++ b/toucangrade/src/agreement/tests/storage.rs
@@ -133,3 +133,22 @@
         assert!(done == 0 || found.vote == Some(me()), "fuse {fuse}: the vote is lost");
     }
 }
+
+/// Files beside those of the log, whose names only look like theirs, are left alone. A start used to
+/// fail on them, each time.
+#[rstest]
+#[case::unpadded("log-7")]
+#[case::last("log-18446744073709551616")]
+#[case::signed("log-+0000000000000000007")]
+#[case::no_number("snapshot-")]
+#[case::snapshot_unpadded("snapshot-9")]
+#[case::empty_snapshot("snapshot-0x00000000000000000")]
+fn foreign_files_are_left_alone(#[case] file: &str) {
+    let disk = FakeDisk::default();
+    let (mut storage, _) = Storage::open(disk.disk(), me()).expect("opens empty");
+    storage.perform(&Store::Append(vec![entry(1, 1), entry(2, 1)])).expect("stored");
+    (disk.disk().append)(file, b"something else").expect("written");
+    let (_, recovered) = Storage::open(disk.disk(), me()).expect("opens");
+    assert_eq!(recovered.entries.len(), 2);
+    assert_eq!((disk.disk().read)(file).expect("still there"), b"something else");
+}
