--- a/toucangrade/src/http/mod.rs
+++ b/toucangrade/src/http/mod.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod client;
+mod parts;
 mod replies;
 mod server;
 
@@ -9,6 +10,7 @@
 mod tests;
 
 pub use self::client::{CallError, Client, Exchange, Response};
+pub use self::parts::Parts;
 pub(crate) use self::replies::Replies;
 pub use self::server::{Handler, Inbound, Outbound, Payload, Server};
 
--- a/toucangrade/src/lib.rs
+++ b/toucangrade/src/lib.rs
@@ -51,7 +51,7 @@
 };
 pub use crate::hosting::{Announcement, Fault, Listing, RunnerTarget};
 pub use crate::http::{
-    CallError, Client, Exchange, Handler, Inbound, Outbound, Payload, Response, Server,
+    CallError, Client, Exchange, Handler, Inbound, Outbound, Parts, Payload, Response, Server,
 };
 pub use crate::jobs::{
     BadJob, BadSetup, Checkpoint, End, Job, Life, Need, Queue, RunKey, Schedule, Service, Setup,
