Keep room for a run that moves no longer than its stop takes

What callers could see: a lasting task waits for room that is kept on a free runner for a run whose stop is not carried out, as long as that run goes on. Cause: a reservation ended with its run alone; lack of an answer kept it. Change: it ends 2.5 s after the order to stop.

--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -27,7 +27,7 @@
 };
 pub(crate) use self::message::{Effect, Message};
 use self::settings::{
-    BATCH_BYTES, BATCH_LIMIT, DURATION_WEIGHT_PERCENT, FLIGHTS_LIMIT, SNAPSHOT_BYTES,
+    BATCH_BYTES, BATCH_LIMIT, DURATION_WEIGHT_PERCENT, FLIGHTS_LIMIT, MOVE_KEPT, SNAPSHOT_BYTES,
     SNAPSHOT_COMMANDS, STEP_BYTES,
 };
 use self::waits::Waits;
@@ -72,9 +72,10 @@
     /// Assignments that are proposed, with the agent.
     #[serde(skip)]
     assigning: BTreeMap<RunKey, Life>,
-    /// Runs that are stopped to go on elsewhere, with the runner whose room they will take.
+    /// Runs that are stopped to go on elsewhere, with the runner whose room is kept for them, and
+    /// since when.
     #[serde(skip)]
-    moving: BTreeMap<RunKey, Life>,
+    moving: BTreeMap<RunKey, (Life, Moment)>,
     /// Runs whose end is proposed.
     #[serde(skip)]
     closing: BTreeSet<RunKey>,
@@ -166,6 +167,7 @@
         self.expire_reports(now);
         self.open_rounds();
         self.forget(now);
+        self.moving.retain(|_, (_, since)| now.since(*since) < MOVE_KEPT);
         self.rescue(now);
         self.note_waits(now);
         self.dirty = true;
@@ -338,7 +340,7 @@
         touched.insert(agent);
     }
 
-    /// Takes that a run which began at `began` failed on a runner.
+    /// Takes that a run which began at `began` failed on a runner, or was refused there.
     fn blame(&mut self, now: Moment, key: RunKey, agent: &Name, began: Moment) {
         let avoided = self.avoided.entry(key.task).or_default();
         avoided.insert(agent.clone());
--- a/toucangrade/src/dispatch/plan.rs
+++ b/toucangrade/src/dispatch/plan.rs
@@ -201,7 +201,8 @@
             agents.filter_map(|agent| self.candidate(now, agent)).collect();
         let index: BTreeMap<Life, usize> =
             candidates.iter().enumerate().map(|(at, c)| (c.life.clone(), at)).collect();
-        for (key, life) in self.assigning.iter().chain(&self.moving) {
+        let moving = self.moving.iter().map(|(key, (life, _))| (key, life));
+        for (key, life) in self.assigning.iter().chain(moving) {
             let Some(&at) = index.get(life) else { continue };
             if let Some(step) = self.step_of(*key) {
                 candidates[at].take(&self.learner.table, step);
--- a/toucangrade/src/dispatch/rescue.rs
+++ b/toucangrade/src/dispatch/rescue.rs
@@ -116,7 +116,7 @@
             candidates[at].take(table, &step);
             let Some(agent) = self.fleet.agent(&life).cloned() else { continue };
             tracing::info!(run = %key, runner = %life.runner, speed, better, "moving");
-            self.moving.insert(key, candidates[at].life.clone());
+            self.moving.insert(key, (candidates[at].life.clone(), now));
             self.order_stop(&life, key, &agent, now);
         }
     }
--- a/toucangrade/src/dispatch/settings.rs
+++ b/toucangrade/src/dispatch/settings.rs
@@ -20,8 +20,8 @@
 pub(crate) const QUARANTINE: Span = Span::millis(2_000);
 /// Longest time between two trials, so that a fault that is over costs no more than this.
 pub(crate) const QUARANTINE_LIMIT: Span = Span::millis(4_000);
-/// Shortest time between a failure and a lasting task as a trial. A lasting task is to run within
-/// 3 s where there is room, and the log takes a few commands for each attempt.
+/// Time after a failure in which lasting tasks are not tried either, twice as long once a trial has
+/// failed. They are to run within 3 s where there is room, and each attempt costs the log two entries.
 pub(crate) const TRIAL_PAUSE: Span = Span::millis(1_000);
 /// Proposals that may be open at once; the log makes those that wait durable with one sync.
 pub(crate) const FLIGHTS_LIMIT: usize = 4;
@@ -56,6 +56,9 @@
 pub(crate) const MOVE_GAIN: f64 = 0.4;
 /// Least age of a run that is moved, so that its figures are its own.
 pub(crate) const MOVE_AGE: Span = Span::millis(1_200);
+/// Time for which room is kept for a run that moves: a stop takes up to 0.9 s, and a lost order is
+/// repeated with the next report.
+pub(crate) const MOVE_KEPT: Span = Span::millis(2_500);
 /// Runs that are moved at a time, since each move changes what the next would find.
 pub(crate) const MOVES_LIMIT: usize = 8;
 /// Weight of the newest run in the mean duration of a queue's tasks, in percent: the mean follows
