Keep what is known of a runner while its agent restarts

What callers could see: tasks that fail again on a runner that fails everything. Cause: the first report of a restarted agent names no runner, which was taken for another life, so the runner was trusted at once. Change: what is known of a life is dropped when another life is reported.

--- a/toucangrade/src/dispatch/fleet.rs
+++ b/toucangrade/src/dispatch/fleet.rs
@@ -103,6 +103,8 @@
     pub(crate) heard: Moment,
     pub(crate) parked: Option<Parked>,
     pub(crate) health: Health,
+    /// The life that `health` and `slowness` are about; an agent that restarts names none at first.
+    judged: Option<Life>,
     /// Version of the estimates of pressure that the agent was sent, and when.
     pub(crate) table: (u64, Moment),
     /// Estimated slowness against other runners, in percent.
@@ -113,6 +115,7 @@
     pub(crate) fn new(report: Report, now: Moment) -> Self {
         Self {
             known: known(&report),
+            judged: report.runner.as_ref().map(|runner| runner.life.clone()),
             report,
             heard: now,
             parked: None,
@@ -132,8 +135,11 @@
     }
 
     pub(crate) fn update(&mut self, report: Report, now: Moment) {
-        if self.life() != report.runner.as_ref().map(|runner| &runner.life) {
+        if let Some(runner) = &report.runner
+            && self.judged.as_ref() != Some(&runner.life)
+        {
             (self.health, self.slowness) = (Health::default(), 100);
+            self.judged = Some(runner.life.clone());
         }
         self.known = known(&report);
         self.report = report;
@@ -166,7 +172,8 @@
         }
     }
 
-    /// Takes that a run which began at `began` failed through the runner, as far as is known.
+    /// Takes that a run which began at `began` failed or was refused, through the runner as far as is
+    /// known.
     pub(crate) fn failed(&mut self, began: Moment, now: Moment) {
         let Some(barred) = self.health.failed(began, now) else { return };
         tracing::info!(
