Hold refused starts against a runner, and try all lasting tasks at a time

What callers could see: a lasting task does not run though another runner has room, since the one that refuses it looks the emptiest; and each refusal costs two entries of the log, 200 in 10 s for one task. Cause: a refusal was held against nobody. Change: starts that are refused for room or health, or get no answer, count like failed ones. A barred runner takes any number of lasting tasks that find no other one, after 1 s, and every 2 s once a trial has failed: one at a time would have made the second wait for over 3 s.

--- a/toucangrade/src/dispatch/health.rs
+++ b/toucangrade/src/dispatch/health.rs
@@ -1,8 +1,9 @@
 //! Whether a runner is trusted with work, from how its tasks end: a circuit breaker with trials.
 //!
-//! A runner that fails several tasks in a row is barred. When that time is over it gets one task at
-//! a time until one of them works, and is barred again, for longer, if one fails. Runs that began
-//! before it was barred say nothing new about it when they fail.
+//! A runner that fails or refuses several tasks in a row is barred. When that time is over it gets
+//! one task at a time until one of them works, and is barred again, for longer, if one fails. Runs
+//! that began before it was barred say nothing new about it when they fail. Lasting tasks that find no
+//! other runner are tried sooner.
 
 use serde::Serialize;
 
@@ -14,10 +15,10 @@
 pub(crate) enum Trust {
     /// Nothing.
     Barred,
-    /// One lasting task, if no other runner has room for it: it has to run somewhere, and loses
-    /// nothing if it fails.
+    /// Lasting tasks that no other runner has room for: they have to run somewhere, and lose nothing
+    /// if they fail.
     LastResort,
-    /// One task.
+    /// One task, and such lasting tasks.
     Trial,
     /// As much as there is room for.
     #[default]
@@ -46,11 +47,10 @@
     /// goes on there.
     pub(crate) fn trust(&self, now: Moment, on_trial: impl FnOnce(Moment) -> bool) -> Trust {
         let Some(bar) = self.bar else { return Trust::Full };
-        if on_trial(bar.since) {
-            Trust::Barred
-        } else if now >= bar.until {
+        let pause = if self.bars > 1 { TRIAL_PAUSE + TRIAL_PAUSE } else { TRIAL_PAUSE };
+        if now >= bar.until && !on_trial(bar.since) {
             Trust::Trial
-        } else if now.since(bar.since) >= TRIAL_PAUSE {
+        } else if now >= bar.until || now.since(bar.since) >= pause {
             Trust::LastResort
         } else {
             Trust::Barred
--- a/toucangrade/src/dispatch/place.rs
+++ b/toucangrade/src/dispatch/place.rs
@@ -126,8 +126,8 @@
             self.reserved = self.reserved.saturating_add(step.need.millicores);
         }
         self.serving += u32::from(step.target > 0);
-        if self.trust != Trust::Full {
-            self.trust = Trust::Barred;
+        if self.trust == Trust::Trial {
+            self.trust = Trust::LastResort;
         }
     }
 }
--- a/toucangrade/src/dispatch/reports.rs
+++ b/toucangrade/src/dispatch/reports.rs
@@ -2,7 +2,7 @@
 
 use super::Dispatch;
 use super::fleet::{Parked, Worker, lease_bound};
-use super::message::{Effect, Nature, Orders, Report, Start};
+use super::message::{Denial, Effect, Nature, Orders, Report, Start};
 use super::settings::{GRANT, PARK_LIMIT, TABLE_EVERY};
 use crate::core::{Moment, Name};
 use crate::jobs::{Checkpoint, Command, End, Life, Phase, RunKey};
@@ -29,7 +29,7 @@
             hold.bound = hold.bound.max(lease_bound(read));
             self.take_rows(now, read, life, &report);
             self.learn(now, &report);
-            self.take_ends(life, &report);
+            self.take_ends(now, life, &report);
             if report.gone {
                 self.close_all(life);
             }
@@ -106,13 +106,17 @@
     }
 
     /// Has the ends of runs recorded.
-    fn take_ends(&mut self, life: &Life, report: &Report) {
+    fn take_ends(&mut self, now: Moment, life: &Life, report: &Report) {
         for ended in &report.ended {
             self.close(life, ended.key, ended.end, ended.saved.clone());
         }
         for (key, denial) in &report.denied {
-            if self.fleet.run(life, *key).is_some() && !self.closing.contains(key) {
+            let began = self.fleet.run(life, *key).map(|run| run.since);
+            if let Some(began) = began.filter(|_| !self.closing.contains(key)) {
                 tracing::info!(run = %key, runner = %life.runner, ?denial, "start denied");
+                if matches!(denial, Denial::Room | Denial::Silent | Denial::Unhealthy) {
+                    self.blame(now, *key, &report.agent, began);
+                }
             }
             self.close(life, *key, End::Refused, None);
         }
