Repeat a share while a lost call may still be carried out

Cause: a call without an answer was repeated once. The lost one may be carried out after it and has the last word. Only changes are logged.

--- a/toucangrade/src/hosting/mod.rs
+++ b/toucangrade/src/hosting/mod.rs
@@ -131,7 +131,7 @@
             Message::Leave { runner, born } => self.leave(&runner, born),
             Message::Listed { seq, listing } => self.take_listing(now, seq, listing),
             Message::Ordered { seq, orders } => self.ordered(seq, orders),
-            Message::Paced { key, result } => self.paced(key, result),
+            Message::Paced { key, result } => self.paced(now, key, result),
             Message::Started { key, result } => self.started(now, key, result),
             Message::Stopped { key, result } => self.stopped(now, key, result),
             Message::Tick => {
--- a/toucangrade/src/hosting/orders.rs
+++ b/toucangrade/src/hosting/orders.rs
@@ -12,6 +12,8 @@
 const RESEND: Span = Span::millis(250);
 /// Times that a start is sent before it is given up.
 const SENDS_LIMIT: u32 = 4;
+/// Latest time after which a call without an answer has been carried out, or never is.
+const CARRIED_OUT: Span = Span::secs(12);
 /// Orders that may be open at the runner at once, which bounds the connections to it.
 const OPEN_LIMIT: usize = 4;
 
@@ -71,7 +73,7 @@
         }
         for (key, nature) in orders.natures {
             // An earlier process may have told the runner another share.
-            self.pacing.doubt(key);
+            self.pacing.doubt(key, Moment::START);
             self.natures.insert(key, nature);
         }
         if let Some(late) = orders.late {
@@ -176,10 +178,12 @@
         }
     }
 
-    /// A share that the runner may not have taken is told again with the next figures.
-    pub(super) fn paced(&mut self, key: RunKey, result: Result<(), Fault>) {
-        if result.is_err() {
-            self.pacing.doubt(key);
+    /// A share that the runner may not have taken is told again, and while a call without an answer
+    /// may be carried out after newer ones.
+    pub(super) fn paced(&mut self, now: Moment, key: RunKey, result: Result<(), Fault>) {
+        if let Err(fault) = result {
+            let late = if fault == Fault::Silent { CARRIED_OUT } else { Span::ZERO };
+            self.pacing.doubt(key, now + late);
         }
     }
 
--- a/toucangrade/src/pacing/mod.rs
+++ b/toucangrade/src/pacing/mod.rs
@@ -46,8 +46,8 @@
     changed: Moment,
     /// Share that each run was last told.
     told: BTreeMap<RunKey, u8>,
-    /// Runs that may work at another share than they were told.
-    unsure: BTreeSet<RunKey>,
+    /// Runs that may work at another share than they were told, and until when.
+    unsure: BTreeMap<RunKey, Moment>,
     /// Since when each run is over its target.
     over: BTreeMap<RunKey, Moment>,
     /// Runs whose jobs have missed their objective.
@@ -79,7 +79,7 @@
     ) -> Vec<(RunKey, u8)> {
         self.cores = cores;
         self.told.retain(|key, _| natures.contains_key(key));
-        self.unsure.retain(|key| natures.contains_key(key));
+        self.unsure.retain(|key, _| natures.contains_key(key));
         self.note_over(now, rows, natures);
         let fresh = rows.iter().any(|row| {
             !self.told.contains_key(&row.key) && natures.get(&row.key).is_some_and(|n| n.fills)
@@ -113,8 +113,14 @@
             let used = task.asked * f64::from(share) / 100.0;
             headroom.spend(&self.table, &task.image, used);
             self.told.insert(task.key, share);
-            if self.unsure.remove(&task.key) || share != known {
+            let unsure = self.unsure.get(&task.key).copied();
+            if unsure.is_some_and(|until| until <= now) {
+                self.unsure.remove(&task.key);
+            }
+            if share != known {
                 tracing::info!(run = %task.key, share, before = known, clash, harmed, "pace");
+            }
+            if share != known || unsure.is_some() {
                 changes.push((task.key, share));
             }
         }
@@ -122,9 +128,10 @@
         changes
     }
 
-    /// Has a run told its share again, since the runner may not have taken it.
-    pub(crate) fn doubt(&mut self, key: RunKey) {
-        self.unsure.insert(key);
+    /// Has a run told its share with the next figures and until this moment, since the runner may
+    /// not have taken it.
+    pub(crate) fn doubt(&mut self, key: RunKey, until: Moment) {
+        self.unsure.insert(key, until);
     }
 
     /// The share of a task that has just started, if it isn't its whole speed.
