Try workers again where too few can hold a job

Seen by callers: a standing watch that has failed once on each of two workers never runs again, and a job that fails there has no outcome, with room on both. Cause: a worker that failed a job is excluded for it, and the list is cleared, or the job given up, at three workers. Where only one or two can hold the job, as few have accelerators or the cluster is small, neither ever happened. Change: a worker counts as excluded only while enough others could hold the job; a failure on the same worker counts like one elsewhere, so a job still fails for good at the third. Evidence: the four cases of few_workers_are_tried_again failed before. bad_workers_are_told_apart_from_bad_jobs is unchanged.

--- a/toucangrade/src/placement/job.rs
+++ b/toucangrade/src/placement/job.rs
@@ -48,6 +48,8 @@
 /// A job without a final outcome, or one whose last execution still ends.
 #[derive(Clone, Debug, Serialize)]
 pub(super) struct Job {
+    /// Failures on workers that had failed it before.
+    pub(super) again: usize,
     /// Since when it has been first in its team's order without room.
     pub(super) blocked: Option<Moment>,
     pub(super) checkpoint: Checkpoint,
@@ -79,6 +81,7 @@
 impl Job {
     pub(super) fn new(spec: Spec, kind: usize, now: Moment) -> Self {
         Self {
+            again: 0,
             blocked: None,
             checkpoint: Checkpoint::default(),
             checked: false,
@@ -122,6 +125,11 @@
         matches!(&self.state, State::Running(places) if places.iter().any(|p| !p.ended))
     }
 
+    /// Failures since it was submitted, or since a standing watch began anew.
+    pub(super) fn failures(&self) -> usize {
+        self.failed_on.len() + self.again
+    }
+
     /// Work that an eviction now would lose, in core seconds.
     pub(super) fn at_stake(&self) -> f64 {
         self.done.saturating_sub(self.checkpoint.done) as f64
--- a/toucangrade/src/placement/room.rs
+++ b/toucangrade/src/placement/room.rs
@@ -86,7 +86,7 @@
             && !worker.health.quarantined()
             && worker.hold.as_ref().is_none_or(|held| held == name)
             && need.fits(worker.free() + worker.reserved())
-            && !self.jobs[name].failed_on.contains(&id)
+            && !(self.jobs[name].failed_on.contains(&id) && self.has_others(name, need))
     }
 
     /// Evicts the cheapest sets of jobs that make room for all members, and holds the workers.
--- a/toucangrade/src/placement/runs.rs
+++ b/toucangrade/src/placement/runs.rs
@@ -291,9 +291,9 @@
                 }
             },
             Fault::Error => {
-                job.failed_on.insert(id);
+                job.again += usize::from(!job.failed_on.insert(id));
                 // After failures elsewhere the job itself is the likely cause.
-                if job.failed_on.len() < FAIL_LIMIT {
+                if job.failures() < FAIL_LIMIT {
                     self.failure(now, id, name, out);
                 }
             },
@@ -321,7 +321,7 @@
             return;
         }
         let fence = job.fence;
-        let gives_up = job.failed_on.len() >= FAIL_LIMIT || job.guarded >= GUARD_LIMIT;
+        let gives_up = job.failures() >= FAIL_LIMIT || job.guarded >= GUARD_LIMIT;
         let outcome = if finished && !job.spec.standing {
             Some(Outcome::Done)
         } else if gives_up && !job.spec.standing {
@@ -343,9 +343,10 @@
             // Standing watches and failed jobs start again elsewhere.
             if let Some(job) = self.jobs.get_mut(name)
                 && job.spec.standing
-                && job.failed_on.len() >= FAIL_LIMIT
+                && job.failures() >= FAIL_LIMIT
             {
                 job.failed_on.clear();
+                job.again = 0;
             }
             self.enqueue(name);
         }
--- a/toucangrade/src/placement/schedule.rs
+++ b/toucangrade/src/placement/schedule.rs
@@ -172,6 +172,17 @@
         out.push(Effect::Propose(Decision::Assign { fence, from, job: want.job.clone(), members }));
     }
 
+    /// Whether enough workers could hold a job that have not failed it.
+    pub(super) fn has_others(&self, name: &Name, need: Size) -> bool {
+        let job = &self.jobs[name];
+        let gang = job.spec.gang.max(1) as usize;
+        let others = self.workers.iter().enumerate().filter(|(id, worker)| {
+            let able = worker.alive && !worker.health.quarantined();
+            able && !job.failed_on.contains(id) && need.fits(worker.info.size)
+        });
+        others.take(gang).count() == gang
+    }
+
     /// Puts the members of a gang close to its cheapest one, as links between racks and data
     /// centres cost.
     fn gather(&self, fit: &mut [(f64, usize)]) {
@@ -221,7 +232,7 @@
         if let Some(finding) = worker.blocked(&want.job, want.need, margin) {
             return Err(finding);
         }
-        if job.failed_on.contains(&id) {
+        if job.failed_on.contains(&id) && self.has_others(&want.job, want.need) {
             return Err(Finding::Failed);
         }
         match self.settings.rank {
--- a/toucangrade/src/placement/tests.rs
+++ b/toucangrade/src/placement/tests.rs
@@ -414,6 +414,45 @@
     assert!(!world.planner.workers[4].health.quarantined());
 }
 
+struct Few {
+    workers: usize,
+    spec: Spec,
+    /// Executions while each of them fails, and the outcome.
+    runs: usize,
+    outcome: Option<Outcome>,
+}
+
+/// Where fewer workers can hold a job than may fail it, those that failed it are tried again. A
+/// standing watch that had failed once on each of two workers waited for ever with room on both.
+#[rstest]
+#[case::watch_of_two_workers(Few {
+    workers: 2, spec: Spec { standing: true, ..spec("j", 4) }, runs: 9, outcome: None,
+})]
+#[case::watch_of_one_worker(Few {
+    workers: 1, spec: Spec { standing: true, ..spec("j", 4) }, runs: 9, outcome: None,
+})]
+#[case::watch_that_needs_accelerators(Few {
+    workers: 5,
+    spec: Spec { standing: true, size: Size::new(1_000, 1_000, 1), ..spec("j", 1) },
+    runs: 9,
+    outcome: None,
+})]
+#[case::job(Few { workers: 2, spec: spec("j", 4), runs: 3, outcome: Some(Outcome::Failed) })]
+fn few_workers_are_tried_again(#[case] case: Few) {
+    let mut world = World::new(case.workers);
+    world.submit(case.spec);
+    let mut tokens = BTreeSet::from([world.last("j").fence]);
+    for number in 1..9 {
+        if world.outcome("j").is_none() {
+            let target = world.run("j", number);
+            world.report(&target, Event::Failed(Fault::Error));
+        }
+        world.ticks(20);
+        tokens.insert(world.last("j").fence);
+    }
+    assert_eq!((tokens.len(), world.outcome("j")), (case.runs, case.outcome));
+}
+
 /// A probe without an answer says nothing about the worker: a cut of a few minutes must not keep it
 /// in quarantine for half an hour.
 #[test]
