Have the listing after a lost one answered at once

Cause: a listing may be held back for 0.5 s and is given up after 1.0 s, and the next could be held back as well. With one lost answer a sound runner was thus silent for 0.5 + 1.0 + 0.15 + 0.5 s, above the 1.6 s after which the leader gives it no new work. Change: after a failure the next listing asks for an answer at once, which comes 1.15 s after the last. Evidence: listing_after_a_lost_one_does_not_wait failed before (a wait of 0.5 s).

--- a/toucangrade/src/hosting/mod.rs
+++ b/toucangrade/src/hosting/mod.rs
@@ -272,7 +272,9 @@
         self.listing = Some((self.seq, now));
         // The first listing raises the fencing token, so that orders for an earlier life under the
         // same name are refused.
-        let wait = if known.listed && !waiting { LIST_WAIT } else { Span::ZERO };
+        // After one without an answer a sign of life comes before news.
+        let calm = known.listed && !waiting && self.failed.is_none();
+        let wait = if calm { LIST_WAIT } else { Span::ZERO };
         let (seq, noted, until) = (self.seq, self.noted, self.until);
         self.out.push(Effect::List { seq, target, noted, until, wait });
     }
--- a/toucangrade/src/hosting/tests.rs
+++ b/toucangrade/src/hosting/tests.rs
@@ -65,6 +65,8 @@
     reports: u32,
     /// Listings that the runner has not answered.
     pending: Vec<(u64, Listing)>,
+    /// Times for which the runner may hold listings back.
+    waits: Vec<Span>,
     /// Shares that the runner was told.
     shares: Vec<u8>,
     /// Such calls that it does not answer.
@@ -88,6 +90,7 @@
             report: None,
             reports: 0,
             pending: Vec::new(),
+            waits: Vec::new(),
             shares: Vec::new(),
             lost: 0,
         };
@@ -110,7 +113,8 @@
 
     fn perform(&mut self, effect: Effect) -> Option<Message> {
         match effect {
-            Effect::List { seq, target, noted, until, .. } => {
+            Effect::List { seq, target, noted, until, wait } => {
+                self.waits.push(wait);
                 self.tokens.push(target.life.born);
                 if self.manner == Manner::Ended {
                     return Some(Message::Listed { seq, listing: Err(Fault::Gone) });
@@ -485,6 +489,21 @@
     assert!(world.tokens.len() > calls, "asked again after a while");
 }
 
+/// The listing after one without an answer is answered at once. With its wait of 0.5 s a single lost
+/// answer made a sound runner look silent for more than 1.6 s, so that it got no new work.
+#[test]
+fn listing_after_a_lost_one_does_not_wait() {
+    let mut world = World::new(Manner::Sound);
+    let (seq, _) = world.pending.pop().expect("a listing under way");
+    assert_eq!(world.waits.last(), Some(&LIST_WAIT));
+    world.send(Message::Listed { seq, listing: Err(Fault::Silent) });
+    let calls = world.waits.len();
+    world.pass(200);
+    assert_eq!(world.waits.get(calls), Some(&Span::ZERO));
+    world.pass(100);
+    assert_eq!(world.waits.last(), Some(&LIST_WAIT));
+}
+
 struct Farewell {
     born: Option<u64>,
     draining: bool,
