--- a/toucangrade/src/hosting/mod.rs
+++ b/toucangrade/src/hosting/mod.rs
@@ -157,7 +157,7 @@
             Message::Leave { runner, born } => self.leave(&runner, born),
             Message::Listed { seq, listing } => self.take_listing(now, seq, listing),
             Message::Ordered { seq, orders } => self.ordered(seq, orders),
-            Message::Paced { key, result } => self.paced(key, result),
+            Message::Paced { key, result } => self.paced(now, key, result),
             Message::Started { key, result } => self.started(now, key, result),
             Message::Stopped { key, result } => self.stopped(now, key, result),
             Message::Tick => {
@@ -279,6 +279,7 @@
         self.seq += 1;
         let seq = self.seq;
         self.listing = Some(Asked { seq, since: now, target: target.clone() });
+        // After one without an answer a sign of life comes before news.
         let wait = if waiting || self.seeking { Span::ZERO } else { LIST_WAIT };
         // A lease and acknowledgements are for the runner that they were granted for.
         let known = self.target().is_some_and(|known| known == target);
