--- a/toucangrade/src/agreement/driver.rs
+++ b/toucangrade/src/agreement/driver.rs
@@ -7,6 +7,7 @@
 use tracing::{error, info, warn};
 
 use super::disk::Disk;
+use super::membership::Members;
 use super::message::{Effect, Message, PeerMessage, Replica, Store};
 use super::storage::{OpenError, Recovered, Storage};
 use super::{Agreement, Settings, TICK};
@@ -37,6 +38,7 @@
     decisions: JoinHandle<()>,
     files: JoinHandle<()>,
     me: Replica,
+    recorded: Members,
 }
 
 impl Driver {
@@ -75,6 +77,7 @@
         let mut agreement = Agreement::new(settings, recovered, clock.now());
         prepare(&mut agreement);
         let me = agreement.me().clone();
+        let recorded = agreement.members().clone();
         let stores = Arc::new(Ring::new(STORE_LIMIT, 0));
         let Outlets { mut send, synced, mut deliver } = outlets;
         let files = Builder::new().name("agreement-files".to_owned()).spawn({
@@ -99,7 +102,7 @@
             }
         };
         let decisions = duty.spawn(handle, clock, perform)?;
-        Ok(Self { handle: handle.clone(), stores, decisions, files, me })
+        Ok(Self { handle: handle.clone(), stores, decisions, files, me, recorded })
     }
 
     /// Name and identity of this instance.
@@ -107,6 +110,11 @@
         &self.me
     }
 
+    /// The newest membership in the log as it was recovered, committed or not.
+    pub(crate) fn recorded(&self) -> &Members {
+        &self.recorded
+    }
+
     /// Ends the threads once what they were given is done.
     pub(crate) fn stop(self) {
         self.handle.close();
--- a/toucangrade/src/node/control.rs
+++ b/toucangrade/src/node/control.rs
@@ -140,6 +140,14 @@
         let driver = Driver::start(&self.agreement, settings, clock, disk, outlets)
             .map_err(io::Error::other)?;
         info!(identity = format!("{:016x}", driver.me().identity), "replicated log started");
+        let recorded = driver.recorded().clone();
+        self.quorum.push(quorum::Message::Recorded(names(&recorded)));
+        let mut group = lock(&self.group);
+        // The log may have delivered a newer membership already.
+        if group.members.is_empty() {
+            group.members = recorded;
+        }
+        drop(group);
         *lock(&self.driver) = Some(driver);
         Ok(())
     }
@@ -171,8 +179,10 @@
             agreement::Effect::Members { index, members, .. } => {
                 let me = lock(&self.driver).as_ref().map(|driver| driver.me().clone());
                 self.context.meter.gauge("members", members.len() as u64);
+                self.context.meter.gauge("voters", members.voters().count() as u64);
                 let voter = me.is_none_or(|me| members.is_voter(&me));
                 info!(index, members = members.len(), voter, "members of the control group");
+                self.quorum.push(quorum::Message::Recorded(names(&members)));
                 lock(&self.group).members = members;
                 self.quorum.push(quorum::Message::Member(voter));
             },
@@ -373,8 +383,7 @@
 
     fn found(&self) -> Reply {
         let group = lock(&self.group);
-        let members = group.members.iter().map(|(name, _)| name.clone()).collect();
-        Reply::Found { leader: group.leader.clone(), members }
+        Reply::Found { leader: group.leader.clone(), members: names(&group.members) }
     }
 
     /// Hands leadership over and ends the replicated log once what it was given is on disk.
@@ -398,6 +407,10 @@
     }
 }
 
+fn names(members: &Members) -> Vec<Name> {
+    members.iter().map(|(name, _)| name.clone()).collect()
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/toucangrade/src/node/tests.rs
+++ b/toucangrade/src/node/tests.rs
@@ -203,3 +203,45 @@
         control.stop();
     }
 }
+
+/// An instance that was removed while it was away finds the group by the members in its own log,
+/// though its settings name nobody who is left.
+#[test]
+fn removed_member_returns_with_outdated_seeds() {
+    let founders = [0, 1, 2].map(|part| address(50 + part));
+    let folders = [0; 4].map(|_| tempfile::tempdir().expect("a folder"));
+    let counted = meter();
+    let start = |ip, seeds: &[IpAddr], folder: &tempfile::TempDir, first, meter| {
+        let settings = NodeSettings::builder(ip, PORT).seeds(seeds.to_vec()).first(first);
+        let settings = settings.data(Some(folder.path().to_owned())).build();
+        Control::start(settings, meter).expect("control")
+    };
+    let meters = [counted.clone(), meter(), meter()];
+    let group: Vec<Control> = founders
+        .iter()
+        .zip(&folders)
+        .zip(meters)
+        .map(|((ip, folder), meter)| start(*ip, &founders, folder, true, meter))
+        .collect();
+    let runtime = tokio::runtime::Builder::new_current_thread().build().expect("a runtime");
+    let until = |what: &str, reached: &dyn Fn() -> bool| {
+        let began = Instant::now();
+        while !reached() {
+            assert!(began.elapsed() < LIMIT, "{what}");
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    };
+    let voters = |count: u64| {
+        let text = runtime.block_on(counted.text()).expect("no overload");
+        text.contains(&format!("toucangrade_voters {count}\n"))
+    };
+    let fourth = start(address(53), &founders, &folders[3], false, meter());
+    until("the fourth instance is not taken in", &|| voters(4));
+    fourth.stop();
+    until("the silent instance is not removed", &|| voters(3));
+    let fourth = start(address(53), &[address(54)], &folders[3], false, meter());
+    until("the instance that returns is not taken in", &|| voters(4));
+    for control in group.iter().chain([&fourth]) {
+        control.stop();
+    }
+}
