Keep the members that entries and agents know over an empty answer

What callers could see: an entry or agent that asked a control instance that belongs to no group forgot the members and fell back to its seeds. If these were gone, it stayed cut off until other seeds came.

Cause: each answer replaced the members, also one that names nobody.

Change: an answer that names nobody leaves them as they are.

`members_are_kept_until_others_are_named` failed before in its case `empty_instance`.

--- a/toucangrade/src/relay/mod.rs
+++ b/toucangrade/src/relay/mod.rs
@@ -219,7 +219,10 @@
         let mut uncertain = false;
         match result {
             Ok(Reply::Found { leader, members }) => {
-                self.members = members.into_iter().collect();
+                // An instance that belongs to no group yet names nobody.
+                if !members.is_empty() {
+                    self.members = members.into_iter().collect();
+                }
                 self.turn(leader);
             },
             Ok(Reply::Refused { leader, .. }) => {
--- a/toucangrade/src/relay/tests.rs
+++ b/toucangrade/src/relay/tests.rs
@@ -166,3 +166,50 @@
     }
     assert_eq!(reached, [true, false, true]);
 }
+
+struct Finding {
+    /// Members that the first answer names, and all later ones.
+    first: Vec<&'static str>,
+    later: Vec<&'static str>,
+    /// Instances that are asked after the second answer.
+    asked: Vec<&'static str>,
+}
+
+/// An entry whose only seed is gone still finds control after an instance that knows nobody has
+/// answered.
+#[rstest]
+#[case::same_members(Finding {
+    first: vec!["b", "c"], later: vec!["b", "c"], asked: vec!["a", "b", "c"],
+})]
+#[case::empty_instance(Finding {
+    first: vec!["b", "c"], later: vec![], asked: vec!["a", "b", "c"],
+})]
+#[case::other_members(Finding {
+    first: vec!["b", "c"], later: vec!["c", "d"], asked: vec!["a", "c", "d"],
+})]
+fn members_are_kept_until_others_are_named(#[case] case: Finding) {
+    let mut relay = Relay::new(vec![name("a")]);
+    let mut answers = [case.first, case.later].into_iter();
+    let mut calls: Vec<u64> = Vec::new();
+    let mut asked = std::collections::BTreeSet::new();
+    for step in 0..2_000u64 {
+        // An odd pace, so that the choice by time meets every instance.
+        let now = Moment::micros(step * 53_000);
+        let mut effects = relay.step(now, Message::Tick);
+        for call in calls.drain(..) {
+            let result = answers.next().map_or(Err(CallError::Connect), |members| {
+                Ok(Reply::Found { leader: None, members: members.into_iter().map(name).collect() })
+            });
+            effects.extend(relay.step(now, Message::Answered { call, result }));
+        }
+        for effect in effects {
+            if let Effect::Call { call, to, .. } = effect {
+                if answers.len() == 0 {
+                    asked.insert(to);
+                }
+                calls.push(call);
+            }
+        }
+    }
+    assert_eq!(asked, case.asked.into_iter().map(name).collect());
+}
