Count an added control instance only once it answers heartbeats

Cause: the group was full, and a voter that has not answered a heartbeat since it was added counted as silent since the leader's election. For the same reason a leader that had lost one of three voters stepped down when the replacement became a voter: no majority had answered yet.

Ruled out: silence of the new instance; it had acknowledged the log before it was promoted.

Change: a learner is promoted once it holds the log and has answered a heartbeat within the shortest election timeout.

The cases `added_voter_stays`, `replacement_counts` and `removed_voter_returns` failed before.

--- a/toucangrade/src/agreement/membership.rs
+++ b/toucangrade/src/agreement/membership.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::message::{Change, Effect, Payload, Rejection, Replica};
-use super::{Agreement, Role, VOTER_SILENCE};
+use super::{Agreement, ELECTION_MIN, Role, VOTER_SILENCE};
 use crate::core::{Moment, Name};
 
 /// An instance recorded in the membership.
@@ -170,8 +170,9 @@
         }
     }
 
-    /// Makes one learner that holds all committed entries a voter.
-    pub(super) fn promote(&mut self) {
+    /// Makes one learner that holds all committed entries and answers heartbeats a voter. One that
+    /// has not answered yet would count as silent at once, and against the leader's majority.
+    pub(super) fn promote(&mut self, now: Moment) {
         let Role::Leader(lead) = &self.role else {
             return;
         };
@@ -180,7 +181,10 @@
         }
         let caught_up = |name: &&Name| {
             let progress = lead.progress.get(*name);
-            progress.is_some_and(|p| p.matched >= self.commit)
+            progress.is_some_and(|p| {
+                let answers = p.confirmed.is_some_and(|at| now.since(at) < ELECTION_MIN);
+                answers && p.matched >= self.commit
+            })
         };
         let learners = self.members().iter().filter(|(_, m)| !m.voter);
         let ready = learners.map(|(name, _)| name).find(caught_up);
--- a/toucangrade/src/agreement/mod.rs
+++ b/toucangrade/src/agreement/mod.rs
@@ -363,7 +363,7 @@
     fn settle(&mut self, now: Moment) {
         if matches!(self.role, Role::Leader(_)) {
             self.advance_commit();
-            self.promote();
+            self.promote(now);
             self.remove_silent(now);
             self.replicate_all(now);
             self.push_transfer();
--- a/toucangrade/src/agreement/tests/group.rs
+++ b/toucangrade/src/agreement/tests/group.rs
@@ -11,6 +11,8 @@
 use crate::core::{Moment, Name, Verdict};
 
 pub(super) const GROUP: [&str; 3] = ["a", "b", "c"];
+/// The founders, and an instance that a script may start later.
+const INSTANCES: [&str; 4] = ["a", "b", "c", "d"];
 
 /// Step of a script: something that happens, or something that must hold.
 #[derive(Clone, Copy, Debug)]
@@ -131,7 +133,7 @@
         };
         let mut group = Self {
             now: 0,
-            members: GROUP.iter().map(member).collect(),
+            members: INSTANCES.iter().map(member).collect(),
             wire: VecDeque::new(),
             outcomes: BTreeMap::new(),
             reported: false,
@@ -311,12 +313,8 @@
         let new = Replica { name: name(n), identity };
         let (storage, recovered) = Storage::open(member.disk.disk(), new).expect("opens");
         let torn = recovered.torn.is_some();
-        let settings = Settings {
-            name: name(n),
-            founders: GROUP.iter().map(|n| name(n)).collect(),
-            seed: identity,
-            voters: None,
-        };
+        let founders = if GROUP.contains(&n) { GROUP.map(name).to_vec() } else { Vec::new() };
+        let settings = Settings { name: name(n), founders, seed: identity, voters: None };
         let now = Moment::micros(now + member.ahead);
         member.running = Some(Running {
             agreement: Agreement::new(settings, recovered, now),
@@ -331,7 +329,7 @@
     fn run(&mut self, millis: u64) {
         for _ in 0..millis / 10 {
             self.now += 10_000;
-            for n in GROUP {
+            for n in INSTANCES {
                 self.step(&name(n), Message::Tick);
             }
             self.deliver();
--- a/toucangrade/src/agreement/tests/scripted.rs
+++ b/toucangrade/src/agreement/tests/scripted.rs
@@ -211,6 +211,22 @@
 #[case::needed_voter_stays(Case { script: &[
     Voters(3), Cut("c"), Run(7_000), Voter("c", true), Heal("c"), Run(1_000), Leads("a", true),
 ] })]
+// An instance that is added to a full group has not answered a heartbeat yet, but is not silent.
+#[case::added_voter_stays(Case { script: &[
+    Voters(3), Run(6_000), Start("d"), Voters(3), Join("d"), Run(500), Voter("d", true),
+    Run(6_000), Voter("d", true), Leads("a", true), SameTerm,
+] })]
+// The leader needs the answers of a replacement to keep its majority, and counts it once it has one.
+#[case::replacement_counts(Case { script: &[
+    Cut("c"), Run(2_000), Start("d"), Join("d"), Run(1_000), Voter("d", true), Leads("a", true),
+    SameTerm, Propose("a", 1), Run(100), Acknowledged(1), Has("d", 1, true),
+] })]
+// An instance that was removed while it was cut off is taken in again when it asks.
+#[case::removed_voter_returns(Case { script: &[
+    Voters(3), Run(1_000), Start("d"), Voters(3), Join("d"), Run(1_000), Voter("d", true),
+    Cut("d"), Run(7_000), Voter("d", false), Heal("d"), Run(3_000), Voter("d", false), Join("d"),
+    Run(500), Voter("d", true), Leads("a", true),
+] })]
 fn failures_are_withstood(#[case] case: Case) {
     let mut group = Group::new();
     for step in case.script {
