Have a member that knows no leader ask to be taken in

Two of eleven agents found no leader after the final loss of power.

Cause: control instances that were removed while they were cut off never learned of it. They stayed out of the group after the cut had healed, with an old membership that they told to whoever asked. All three seeds were such instances at the end, one of them with an empty disk, so that it was not taken in again either.

Ruled out: the agents' paths, as something answered them each second; a lost majority, as three voters went on.

Change: a member that has known no leader for 3 s asks like one that is no member. A member with its old identity changes nothing by asking.

The cases `no_leader_from_the_start` and `leader_is_lost` failed before; the existing cases now say when a leader is known.

--- a/toucangrade/src/node/control.rs
+++ b/toucangrade/src/node/control.rs
@@ -201,6 +201,7 @@
             },
             agreement::Effect::Role { term, leader, leading } => {
                 info!(term, leading, leader = leader.as_ref().map(Name::as_str), "role");
+                self.quorum.push(quorum::Message::Leader(leader.is_some()));
                 lock(&self.group).leader = leader;
                 self.context.meter.gauge("leading", u64::from(leading));
                 self.context.meter.gauge("term", term);
--- a/toucangrade/src/quorum/mod.rs
+++ b/toucangrade/src/quorum/mod.rs
@@ -15,6 +15,9 @@
 /// Time between two requests to be taken in; one is answered by a change of the membership, which
 /// takes a few round trips.
 const ASK_EVERY: Span = Span::millis(500);
+/// Time without a leader after which a member asks again. An election takes one second; the leader
+/// of a group that has removed this instance does not tell it.
+const LEADERLESS: Span = Span::secs(3);
 /// Requests in a row whose answers name others, after which an instance that none of them names is
 /// forgotten. They take 10 s, in which a change of leader or membership is over.
 const FORGET_AFTER: u32 = 20;
@@ -30,6 +33,8 @@
     /// Control instances that an answer names. Only the leader changes the membership, and it may be
     /// none of the seeds.
     Found(Vec<Name>),
+    /// Whether a leader is known.
+    Leader(bool),
     /// Whether the newest committed membership holds this instance as a voter.
     Member(bool),
     /// Members that this instance's own log names.
@@ -54,6 +59,8 @@
     me: Name,
     founder: bool,
     member: bool,
+    /// Since when no leader is known.
+    lost: Option<Moment>,
     asked: Moment,
     seeds: Vec<Name>,
     /// Other control instances, with the requests in a row whose answers did not name them.
@@ -69,6 +76,7 @@
             me,
             founder,
             member: false,
+            lost: Some(Moment::START),
             asked: Moment::START,
             seeds,
             found: BTreeMap::new(),
@@ -80,6 +88,8 @@
     pub(crate) fn step(&mut self, now: Moment, message: Message) -> Vec<Effect> {
         match message {
             Message::Found(names) => self.answered |= self.learn(names),
+            Message::Leader(true) => self.lost = None,
+            Message::Leader(false) => self.lost = self.lost.or(Some(now)),
             Message::Member(member) => self.member = member,
             Message::Recorded(names) => {
                 self.learn(names);
@@ -88,7 +98,8 @@
             Message::Tick => {},
         }
         let founding = self.founder && now.since(Moment::START) < FOUNDING;
-        if self.member || founding || now.since(self.asked) < ASK_EVERY {
+        let led = self.lost.is_none_or(|lost| now.since(lost) < LEADERLESS);
+        if (self.member && led) || founding || now.since(self.asked) < ASK_EVERY {
             return Vec::new();
         }
         self.asked = now;
--- a/toucangrade/src/quorum/tests.rs
+++ b/toucangrade/src/quorum/tests.rs
@@ -12,16 +12,24 @@
     founder: bool,
     /// Whether the instance learns at 1 s that it is a member.
     member: bool,
+    /// Quarters of a second at which a leader becomes known or unknown.
+    leader: &'static [(u64, bool)],
     /// Requests within 6 s.
     asks: usize,
 }
 
-/// A founder waits for the others first; a member does not ask.
+/// A founder waits for the others first, and a member that knows a leader does not ask. One that
+/// knows none may have been removed while it was cut off, which nobody tells it.
 #[rstest]
-#[case::founder_found(Case { founder: true, member: true, asks: 0 })]
-#[case::founder_alone(Case { founder: true, member: false, asks: 7 })]
-#[case::empty_disk(Case { founder: false, member: true, asks: 1 })]
-#[case::never_taken_in(Case { founder: false, member: false, asks: 12 })]
+#[case::founder_found(Case { founder: true, member: true, leader: &[(4, true)], asks: 0 })]
+#[case::founder_alone(Case { founder: true, member: false, leader: &[], asks: 7 })]
+#[case::empty_disk(Case { founder: false, member: true, leader: &[(4, true)], asks: 1 })]
+#[case::never_taken_in(Case { founder: false, member: false, leader: &[], asks: 12 })]
+#[case::no_leader_from_the_start(Case { founder: true, member: true, leader: &[], asks: 7 })]
+#[case::leader_is_lost(Case { founder: true, member: true, leader: &[(4, true), (8, false)], asks: 3 })]
+#[case::leader_changes(Case {
+    founder: true, member: true, leader: &[(4, true), (8, false), (12, true), (16, false)], asks: 0,
+})]
 fn asks_until_it_is_a_member(#[case] case: Case) {
     let mut quorum = Quorum::new(name("10.0.0.1"), case.founder, vec![name("10.0.0.2")]);
     let mut asks = 0;
@@ -30,6 +38,9 @@
         if quarter == 4 && case.member {
             asks += quorum.step(now, Message::Member(true)).len();
         }
+        for (_, known) in case.leader.iter().filter(|(at, _)| *at == quarter) {
+            asks += quorum.step(now, Message::Leader(*known)).len();
+        }
         asks += quorum.step(now, Message::Tick).len();
     }
     assert_eq!(asks, case.asks);
