Ask known control instances in turn

What callers could see: an idle entry or agent without a leader asked the same control instance each second, and stayed cut off while that one was away, though others would have answered.

Cause: the choice followed from the time in milliseconds modulo the number of instances. The questions come each 1,000 ms, so that the choice repeats itself for 2, 4, 5, 8 or 10 instances. Seeds that are members counted twice.

Change: the instances are asked in turn, from a random start.

`every_instance_is_asked_in_turn` failed before for 2, 4, 5, 8 and 10 instances. The other test of the search now runs at the real pace; it had used one at which the choice does not repeat itself.

--- a/toucangrade/src/node/leader.rs
+++ b/toucangrade/src/node/leader.rs
@@ -35,7 +35,7 @@
             open: Arc::default(),
             reached: Arc::new(AtomicBool::new(false)),
         };
-        let state = Relay::new(context.settings.seeds());
+        let state = Relay::new(context.settings.seeds(), rand::random());
         let duty = Duty { state, step: Relay::step, tick: || Message::Tick, period: relay::TICK };
         let (context_, this) = (context.clone(), leader.clone());
         duty.spawn(&leader.handle, context.clock.clone(), move |_, effect| {
--- a/toucangrade/src/relay/mod.rs
+++ b/toucangrade/src/relay/mod.rs
@@ -96,6 +96,8 @@
     pending: BTreeMap<u64, Pending>,
     calls: BTreeMap<u64, Call>,
     next_call: u64,
+    /// Counts the choices of an instance to ask.
+    turn: u64,
     found: Moment,
     heard: Moment,
     reached: bool,
@@ -104,7 +106,8 @@
 }
 
 impl Relay {
-    pub(crate) fn new(seeds: Vec<Name>) -> Self {
+    /// `turn` tells which instance is asked first; the processes of a system differ in it.
+    pub(crate) fn new(seeds: Vec<Name>, turn: u64) -> Self {
         Self {
             seeds: seeds.into_iter().collect(),
             members: BTreeSet::new(),
@@ -112,6 +115,7 @@
             pending: BTreeMap::new(),
             calls: BTreeMap::new(),
             next_call: 1,
+            turn,
             found: Moment::START,
             heard: Moment::START,
             reached: false,
@@ -145,7 +149,7 @@
     fn tick(&mut self, now: Moment) {
         if now.since(self.found) >= FIND_EVERY || self.found == Moment::START {
             self.found = now;
-            let to = self.leader.clone().or_else(|| self.candidate(&BTreeSet::new(), now));
+            let to = self.leader.clone().or_else(|| self.candidate(&BTreeSet::new()));
             if let Some(to) = to {
                 self.call(None, to, Arc::new(Request::Find), ATTEMPT_LIMIT);
             }
@@ -181,7 +185,8 @@
             self.pending.iter().filter(|(_, p)| due(p)).map(|(ticket, _)| *ticket).collect();
         for ticket in tickets {
             let Some(pending) = self.pending.get(&ticket) else { continue };
-            let to = self.leader.clone().or_else(|| self.candidate(&pending.asked, now));
+            let asked = pending.asked.clone();
+            let to = self.leader.clone().or_else(|| self.candidate(&asked));
             let Some(pending) = self.pending.get_mut(&ticket) else { continue };
             let Some(to) = to else {
                 pending.asked.clear();
@@ -202,13 +207,15 @@
         self.out.push(Effect::Call { call, to, request, timeout });
     }
 
-    /// An instance that was not asked, in an order that differs from process to process over time.
-    fn candidate(&self, asked: &BTreeSet<Name>, now: Moment) -> Option<Name> {
-        let known = if self.members.is_empty() { &self.seeds } else { &self.members };
-        let open: Vec<&Name> =
-            known.iter().chain(&self.seeds).filter(|name| !asked.contains(*name)).collect();
-        let turn = usize::try_from(now.as_micros() / 1_000).unwrap_or(0);
-        open.get(turn.checked_rem(open.len())?).copied().cloned()
+    /// An instance that was not asked, each in turn. The time alone would choose the same one again
+    /// and again where the pace of the questions is a multiple of their number.
+    fn candidate(&mut self, asked: &BTreeSet<Name>) -> Option<Name> {
+        let known = self.members.union(&self.seeds);
+        let open: Vec<&Name> = known.filter(|name| !asked.contains(*name)).collect();
+        let index = self.turn.checked_rem(open.len() as u64)?;
+        let chosen = open.get(usize::try_from(index).ok()?).copied().cloned();
+        self.turn = self.turn.wrapping_add(1);
+        chosen
     }
 
     fn answered(&mut self, now: Moment, call: u64, result: Result<Reply, CallError>) {
--- a/toucangrade/src/relay/tests.rs
+++ b/toucangrade/src/relay/tests.rs
@@ -39,7 +39,7 @@
 
 /// Plays a request of 2 s against two instances.
 fn play(case: &Case) -> (&'static str, u64) {
-    let mut relay = Relay::new(vec![name("a"), name("b")]);
+    let mut relay = Relay::new(vec![name("a"), name("b")], 0);
     let request =
         Arc::new(Request::Join(crate::agreement::Replica { name: name("x"), identity: 1 }));
     let deadline = Moment::micros(2_000_000);
@@ -144,7 +144,7 @@
 /// An entry that nothing answers counts as cut off, and is back with the first answer.
 #[test]
 fn reach_follows_answers() {
-    let mut relay = Relay::new(vec![name("a")]);
+    let mut relay = Relay::new(vec![name("a")], 0);
     let mut reached = Vec::new();
     let mut calls: Vec<u64> = Vec::new();
     for step in 0..200u64 {
@@ -188,13 +188,12 @@
     first: vec!["b", "c"], later: vec!["c", "d"], asked: vec!["a", "c", "d"],
 })]
 fn members_are_kept_until_others_are_named(#[case] case: Finding) {
-    let mut relay = Relay::new(vec![name("a")]);
+    let mut relay = Relay::new(vec![name("a")], 0);
     let mut answers = [case.first, case.later].into_iter();
     let mut calls: Vec<u64> = Vec::new();
     let mut asked = std::collections::BTreeSet::new();
     for step in 0..2_000u64 {
-        // An odd pace, so that the choice by time meets every instance.
-        let now = Moment::micros(step * 53_000);
+        let now = Moment::micros(step * 50_000);
         let mut effects = relay.step(now, Message::Tick);
         for call in calls.drain(..) {
             let result = answers.next().map_or(Err(CallError::Connect), |members| {
@@ -213,3 +212,41 @@
     }
     assert_eq!(asked, case.asked.into_iter().map(name).collect());
 }
+
+/// An idle entry finds the one instance that answers, however many there are. Its choice must not
+/// repeat itself where the questions come at a fixed pace.
+#[rstest]
+#[case::two(2)]
+#[case::three(3)]
+#[case::four(4)]
+#[case::five(5)]
+#[case::seven(7)]
+#[case::eight(8)]
+#[case::ten(10)]
+#[case::seventeen(17)]
+fn every_instance_is_asked_in_turn(#[case] count: u64) {
+    for up in 0..count {
+        let named = |number: u64| name(&format!("c{number:02}"));
+        let mut relay = Relay::new((0..count).map(named).collect(), 0);
+        let mut calls: Vec<(u64, Name)> = Vec::new();
+        let mut found = None;
+        for step in 0..(2 + count) * 20 {
+            let now = Moment::micros(step * 50_000);
+            let mut effects = relay.step(now, Message::Tick);
+            for (call, to) in calls.drain(..) {
+                let leads = to == named(up);
+                let answer = Reply::Found { leader: Some(to.clone()), members: vec![to] };
+                let result = if leads { Ok(answer) } else { Err(CallError::Connect) };
+                effects.extend(relay.step(now, Message::Answered { call, result }));
+            }
+            for effect in effects {
+                match effect {
+                    Effect::Call { call, to, .. } => calls.push((call, to)),
+                    Effect::Reach(reached) => found = found.or(reached.then_some(step)),
+                    Effect::Done { .. } => {},
+                }
+            }
+        }
+        assert!(found.is_some(), "instance {up} of {count} was not asked");
+    }
+}
