--- a/toucangrade/src/relay/tests.rs
+++ b/toucangrade/src/relay/tests.rs
@@ -39,7 +39,7 @@
 
 /// Plays a request of 2 s against two instances.
 fn play(case: &Case) -> (&'static str, u64) {
-    let mut relay = Relay::new(vec![name("a"), name("b")]);
+    let mut relay = Relay::new(vec![name("a"), name("b")], 0);
     let request =
         Arc::new(Request::Join(crate::agreement::Replica { name: name("x"), identity: 1 }));
     let deadline = Moment::micros(2_000_000);
@@ -144,7 +144,7 @@
 /// An entry that nothing answers counts as cut off, and is back with the first answer.
 #[test]
 fn reach_follows_answers() {
-    let mut relay = Relay::new(vec![name("a")]);
+    let mut relay = Relay::new(vec![name("a")], 0);
     let mut reached = Vec::new();
     let mut calls: Vec<u64> = Vec::new();
     for step in 0..200u64 {
@@ -167,39 +167,86 @@
     assert_eq!(reached, [true, false, true]);
 }
 
-struct Find {
-    /// Members that instance `a` names when it is asked, and those that `b` names later.
-    named: [Vec<&'static str>; 2],
-    /// Instances that are asked afterwards.
+struct Finding {
+    /// Members that the first answer names, and all later ones.
+    first: Vec<&'static str>,
+    later: Vec<&'static str>,
+    /// Instances that are asked after the second answer.
     asked: Vec<&'static str>,
 }
 
-/// An instance that belongs to no group names nobody, which says nothing about those that do: with
-/// seeds that were replaced, entries and agents lost every instance that could answer.
+/// An entry whose only seed is gone still finds control after an instance that knows nobody has
+/// answered.
 #[rstest]
-#[case::newer_members(Find { named: [vec!["c", "d"], vec!["e"]], asked: vec!["a", "b", "e"] })]
-#[case::no_members(Find { named: [vec!["c", "d"], vec![]], asked: vec!["a", "b", "c", "d"] })]
-fn members_are_kept_until_others_are_named(#[case] case: Find) {
-    let mut relay = Relay::new(vec![name("a"), name("b")]);
-    let mut named = case.named.into_iter();
-    let mut asked = BTreeSet::new();
-    for step in 0..200u64 {
-        let now = Moment::micros(step * 1_001_000);
-        for effect in relay.step(now, Message::Tick) {
-            let Effect::Call { call, to, .. } = effect else { continue };
-            let result = match named.next() {
-                Some(members) => {
-                    let members = members.into_iter().map(name).collect();
-                    Ok(Reply::Found { leader: None, members })
-                },
-                None => {
+#[case::same_members(Finding {
+    first: vec!["b", "c"], later: vec!["b", "c"], asked: vec!["a", "b", "c"],
+})]
+#[case::empty_instance(Finding {
+    first: vec!["b", "c"], later: vec![], asked: vec!["a", "b", "c"],
+})]
+#[case::other_members(Finding {
+    first: vec!["b", "c"], later: vec!["c", "d"], asked: vec!["a", "c", "d"],
+})]
+fn members_are_kept_until_others_are_named(#[case] case: Finding) {
+    let mut relay = Relay::new(vec![name("a")], 0);
+    let mut answers = [case.first, case.later].into_iter();
+    let mut calls: Vec<u64> = Vec::new();
+    let mut asked = std::collections::BTreeSet::new();
+    for step in 0..2_000u64 {
+        let now = Moment::micros(step * 50_000);
+        let mut effects = relay.step(now, Message::Tick);
+        for call in calls.drain(..) {
+            let result = answers.next().map_or(Err(CallError::Connect), |members| {
+                Ok(Reply::Found { leader: None, members: members.into_iter().map(name).collect() })
+            });
+            effects.extend(relay.step(now, Message::Answered { call, result }));
+        }
+        for effect in effects {
+            if let Effect::Call { call, to, .. } = effect {
+                if answers.len() == 0 {
                     asked.insert(to);
-                    Err(CallError::Connect)
-                },
-            };
-            relay.step(now, Message::Answered { call, result });
+                }
+                calls.push(call);
+            }
+        }
+    }
+    assert_eq!(asked, case.asked.into_iter().map(name).collect());
+}
+
+/// An idle entry finds the one instance that answers, however many there are. Its choice must not
+/// repeat itself where the questions come at a fixed pace.
+#[rstest]
+#[case::two(2)]
+#[case::three(3)]
+#[case::four(4)]
+#[case::five(5)]
+#[case::seven(7)]
+#[case::eight(8)]
+#[case::ten(10)]
+#[case::seventeen(17)]
+fn every_instance_is_asked_in_turn(#[case] count: u64) {
+    for up in 0..count {
+        let named = |number: u64| name(&format!("c{number:02}"));
+        let mut relay = Relay::new((0..count).map(named).collect(), 0);
+        let mut calls: Vec<(u64, Name)> = Vec::new();
+        let mut found = None;
+        for step in 0..(2 + count) * 20 {
+            let now = Moment::micros(step * 50_000);
+            let mut effects = relay.step(now, Message::Tick);
+            for (call, to) in calls.drain(..) {
+                let leads = to == named(up);
+                let answer = Reply::Found { leader: Some(to.clone()), members: vec![to] };
+                let result = if leads { Ok(answer) } else { Err(CallError::Connect) };
+                effects.extend(relay.step(now, Message::Answered { call, result }));
+            }
+            for effect in effects {
+                match effect {
+                    Effect::Call { call, to, .. } => calls.push((call, to)),
+                    Effect::Reach(reached) => found = found.or(reached.then_some(step)),
+                    Effect::Done { .. } => {},
+                }
+            }
         }
+        assert!(found.is_some(), "instance {up} of {count} was not asked");
     }
-    let asked: Vec<&str> = asked.iter().map(Name::as_str).collect();
-    assert_eq!(asked, case.asked);
 }
