Drop orders that answer a report of an earlier life of the runner

Callers could see two runs of one task at a time, or lose the end of a run. An agent hands its orders to the runner that it knows when they arrive. When the runner was reborn while a report waited at the leader, the starts, the lease and the acknowledgement meant for the life before went to the new one: the leader closed the run as lost and assigned it again, the start was carried out nevertheless, and ends up to a number of the earlier life were taken as noted. Cause: orders name the report that they answer, and the agent did not compare it with the moment at which it found its present runner. Ruled out: the leader's own state. Its log closes and assigns in the right order; fencing does not help, as the agent sends late orders under the token of the new life. Change: numbers of reports up to the one before the runner was found belong to earlier lives, and orders for those are dropped.

--- a/toucangrade/src/hosting/mod.rs
+++ b/toucangrade/src/hosting/mod.rs
@@ -82,6 +82,8 @@
     refused: u32,
     /// Number of the last report or listing.
     seq: u64,
+    /// The same before the runner was found. Answers up to it concern an earlier life.
+    before: u64,
     /// Whether there is something to report at once.
     news: bool,
     /// Whether runs go on that this process was not ordered to start.
@@ -110,6 +112,7 @@
             reported: Moment::START,
             refused: 0,
             seq: 0,
+            before: 0,
             news: true,
             amnesia: true,
             out: Vec::new(),
@@ -179,6 +182,7 @@
         self.pacing = Pacing::default();
         (self.until, self.noted, self.listing) = (None, 0, None);
         (self.failed, self.refused) = (None, 0);
+        self.before = self.seq;
     }
 
     /// The runner ends now; it is listed until its port refuses connections, which shows that
--- a/toucangrade/src/hosting/orders.rs
+++ b/toucangrade/src/hosting/orders.rs
@@ -62,6 +62,10 @@
             self.reporting = None;
         }
         let Some(orders) = orders else { return };
+        if seq <= self.before {
+            tracing::info!(seq, starts = orders.starts.len(), "orders for an earlier runner");
+            return;
+        }
         // The next report waits at the leader for further orders.
         self.news |= newest && orders.until.is_some();
         self.until = self.until.max(orders.until);
--- a/toucangrade/src/hosting/tests.rs
+++ b/toucangrade/src/hosting/tests.rs
@@ -324,3 +324,30 @@
     world.pass(2_000);
     assert_eq!((draining(&world), world.last().gone), (Some(true), true));
 }
+
+/// Orders that answer a report of an earlier life are not given to the runner that replaced it:
+/// its runs are assigned elsewhere by then, and its clock and its ends are counted anew.
+#[test]
+fn orders_for_an_earlier_life_are_dropped() {
+    let mut world = World::new(Manner::Sound);
+    world.pass(500);
+    let seq = world.last().seq;
+    let announced = announcement("i-1", 60, 1);
+    world.life = announced.life.clone();
+    (world.until, world.starts) = (None, 0);
+    world.send(Message::Announce(Box::new(announced)));
+    let nature = Nature::default();
+    let start = Start { key: key(0), spec: "spec".into(), saved: None, nature };
+    let orders = Orders {
+        until: Some(900_000),
+        noted: 7,
+        starts: vec![start],
+        stops: vec![key(1)],
+        ..Orders::default()
+    };
+    world.send(Message::Ordered { seq, orders: Some(Box::new(orders)) });
+    world.finish(key(2), End::Done);
+    world.pass(500);
+    assert_eq!((world.starts, &world.buried[..], world.until), (0, &[][..], None));
+    assert_eq!(world.last().ended.len(), 1);
+}
