Hold starts and leases back from a runner that has not answered lately

Callers could see two runs of one task. A runner crashes and is reborn under its name; until its first heartbeat the agent goes on sending orders for the earlier life, under that life's token. A new life has seen no token, so it carries the start out, while the leader closes the run as lost and assigns it again. Cause: only the token keeps orders from a later life, and it does so from the first call with the new token on. The lease of the same call counts on the earlier life's clock, so that a new life holds it for as long as it allows. Change: starts are held back, and listings carry neither a lease nor an acknowledgement, once the runner has been silent for 700 ms. A restart takes a second at least, so that what is sent before that can't reach a later life.

--- a/toucangrade/src/hosting/mod.rs
+++ b/toucangrade/src/hosting/mod.rs
@@ -35,6 +35,9 @@
 /// Refused connections in a row that show that the runner's process has ended. A process that
 /// starts anew under the same port is back after a second at the earliest.
 const REFUSALS: u32 = 3;
+/// Silence after which another life may answer under the runner's name. It is shorter than the
+/// second that a restart takes, less the time that an order takes.
+const CERTAIN: Span = Span::millis(700);
 /// Longest time between two reports, well below the leader's limit for silent runners.
 const REPORT_EVERY: Span = Span::millis(900);
 /// Time after which a report without an answer is given up: longer than the leader holds it.
@@ -139,6 +142,12 @@
         std::mem::take(&mut self.out)
     }
 
+    /// Whether orders that are sent now reach the life of the runner that they are for. A later life
+    /// has seen no fencing token until its first call, so it would carry out those for an earlier one.
+    fn certain(&self, now: Moment) -> bool {
+        self.known.as_ref().is_some_and(|known| now.since(known.answered) < CERTAIN)
+    }
+
     fn target(&self) -> Option<Target> {
         let announced = &self.known.as_ref()?.announced;
         Some(Target { addr: announced.addr, life: announced.life.clone() })
@@ -257,7 +266,8 @@
         // The first listing raises the fencing token, so that orders for an earlier life under the
         // same name are refused.
         let wait = if known.listed && !waiting { LIST_WAIT } else { Span::ZERO };
-        let (seq, noted, until) = (self.seq, self.noted, self.until);
+        let (noted, until) = if self.certain(now) { (self.noted, self.until) } else { (0, None) };
+        let seq = self.seq;
         self.out.push(Effect::List { seq, target, noted, until, wait });
     }
 
--- a/toucangrade/src/hosting/orders.rs
+++ b/toucangrade/src/hosting/orders.rs
@@ -106,6 +106,7 @@
         let open = self.handling.values().filter(|h| h.waits_for_answer(now)).count();
         let mut free = OPEN_LIMIT.saturating_sub(open);
         let until = self.until.unwrap_or_default();
+        let certain = self.certain(now);
         for (key, handling) in &mut self.handling {
             if free == 0 {
                 return;
@@ -115,6 +116,7 @@
             }
             let target = target.clone();
             let effect = match &handling.stage {
+                Stage::Start(_) if !certain => continue,
                 Stage::Start(start) => Effect::Start { target, start: start.clone(), until },
                 Stage::Stop => Effect::Stop { target, key: *key },
                 Stage::Started { .. } | Stage::Stopped { .. } => continue,
--- a/toucangrade/src/hosting/tests.rs
+++ b/toucangrade/src/hosting/tests.rs
@@ -53,6 +53,8 @@
     starts: u32,
     /// Greatest end of the lease that the runner was told.
     until: Option<u64>,
+    /// Number up to which it was last told that its ends are recorded.
+    noted: Option<u64>,
     tokens: Vec<u64>,
     report: Option<Report>,
     reports: u32,
@@ -73,6 +75,7 @@
             buried: Vec::new(),
             starts: 0,
             until: None,
+            noted: None,
             tokens: Vec::new(),
             report: None,
             reports: 0,
@@ -99,6 +102,7 @@
         match effect {
             Effect::List { seq, target, noted, until, .. } => {
                 self.tokens.push(target.life.born);
+                self.noted = Some(noted);
                 if self.manner == Manner::Ended {
                     return Some(Message::Listed { seq, listing: Err(Fault::Gone) });
                 }
@@ -351,3 +355,23 @@
     assert_eq!((world.starts, &world.buried[..], world.until), (0, &[][..], None));
     assert_eq!(world.last().ended.len(), 1);
 }
+
+/// A runner that has not answered lately may have been replaced by another life under its name,
+/// which has seen no fencing token yet: it gets no start, lease or acknowledgement until it answers.
+#[test]
+fn silent_runner_gets_no_starts() {
+    let mut world = World::new(Manner::Sound);
+    world.start(0);
+    world.pass(500);
+    world.manner = Manner::Ended;
+    world.pass(800);
+    (world.until, world.noted) = (None, None);
+    world.order(Orders { noted: 3, ..Orders::default() });
+    world.start(1);
+    world.pass(300);
+    assert_eq!((world.starts, world.until, world.noted), (1, None, Some(0)));
+    world.manner = Manner::Sound;
+    world.pass(500);
+    assert_eq!((world.starts, world.noted), (2, Some(3)));
+    assert!(world.until.is_some());
+}
