--- a/toucangrade/src/simulation/mod.rs
+++ b/toucangrade/src/simulation/mod.rs
@@ -3,6 +3,7 @@
 mod agent;
 mod control;
 mod entry;
+pub(crate) mod jobs;
 mod link;
 mod truth;
 mod world;
--- a/toucangrade_standin/src/bin/toucangrade_simulate/runs.rs
+++ b/toucangrade_standin/src/bin/toucangrade_simulate/runs.rs
@@ -4,7 +4,7 @@
 use std::ops::Range;
 
 use bpaf::{OptionParser, Parser, construct, long};
-use toucangrade::{Violation, try_random_run, try_simulation};
+use toucangrade::{Violation, try_jobs, try_random_run, try_simulation};
 
 /// Steps of a run when none are given.
 const STEPS: u64 = 40_000;
@@ -28,16 +28,27 @@
     pub(crate) fn real() -> Self {
         let requests = |seed, steps| try_simulation(seed, steps).map(|report| report.to_string());
         let log = |seed, steps| try_random_run(seed, steps).map(|report| report.to_string());
-        Self(vec![("requests", Box::new(requests)), ("log", Box::new(log))])
+        let jobs = |seed, steps| try_jobs(seed, steps).map(|report| report.to_string());
+        Self(vec![
+            ("requests", Box::new(requests)),
+            ("log", Box::new(log)),
+            ("jobs", Box::new(jobs)),
+        ])
     }
 }
 
 /// Parser of the command line.
 pub(crate) fn parser() -> OptionParser<Options> {
     let part = long("part")
-        .help("Run entries, agents and control (requests) or the replicated log (log) only")
-        .argument::<String>("requests|log")
-        .guard(|part| part == "requests" || part == "log", "allowed is requests or log")
+        .help(
+            "Run entries, agents and control (requests), the replicated log (log) or jobs of \
+             several steps on runners (jobs) only",
+        )
+        .argument::<String>("requests|log|jobs")
+        .guard(
+            |part| ["requests", "log", "jobs"].contains(&part.as_str()),
+            "allowed is requests, log or jobs",
+        )
         .optional();
     let seed = long("seed")
         .help("Run this seed; 1 if no seed is given")
