--- a/toucangrade/src/dispatch/fleet.rs
+++ b/toucangrade/src/dispatch/fleet.rs
@@ -5,9 +5,11 @@
 
 use serde::Serialize;
 
-use super::message::{Report, Runner};
+use super::health::{Health, Trust};
+use super::message::{Report, Row, Runner};
+use super::place::Passed;
 use super::settings::{
-    FAILURES_LIMIT, GRANT, LEASE_MARGIN, QUARANTINE, SILENCE_LIMIT, SLOW_CLOCK_PERCENT,
+    GRANT, LEASE_MARGIN, SILENCE_LIMIT, SLOW_CLOCK_PERCENT, STARTUP_LIMIT, STUCK_LIMIT, STUCK_SHARE,
 };
 use crate::core::{Moment, Name};
 use crate::jobs::{Checkpoint, Life, Need, RunKey};
@@ -31,8 +33,10 @@
     pub(crate) listed: bool,
     pub(crate) saved: Option<Checkpoint>,
     pub(crate) percent: u8,
-    /// When `percent` last changed.
-    pub(crate) moved: Moment,
+    /// Start of the time in which reports show it at full speed without progress.
+    pub(crate) still: Moment,
+    /// When the runner's newest listing of it was read.
+    pub(crate) seen: Moment,
     pub(crate) figure: u32,
     /// Share of its speed at which its agent lets it work, in percent.
     pub(crate) share: u8,
@@ -40,6 +44,35 @@
     pub(crate) stop: bool,
 }
 
+impl Run {
+    /// Takes the runner's listing of this run, read at `read`.
+    pub(crate) fn list(&mut self, row: &Row, read: Moment) {
+        // What happened while nothing was heard is not known.
+        let gap = read.since(self.seen) >= SILENCE_LIMIT;
+        if row.percent != self.percent || row.share < STUCK_SHARE || gap {
+            self.still = read;
+        }
+        self.listed = true;
+        self.seen = read;
+        (self.percent, self.figure, self.share) = (row.percent, row.figure, row.share);
+        if row.saved.is_some() {
+            self.saved.clone_from(&row.saved);
+        }
+    }
+
+    /// Whether it is a lasting task that does its work.
+    pub(crate) fn at_work(&self) -> bool {
+        self.lasting && self.percent >= 100
+    }
+
+    /// Whether reports show that it makes no progress though it may work.
+    pub(crate) fn stuck(&self) -> bool {
+        let limit = if self.lasting { STARTUP_LIMIT } else { STUCK_LIMIT };
+        let still = self.seen.since(self.still) >= limit;
+        self.listed && !self.stop && self.percent < 100 && still
+    }
+}
+
 /// Runs of one life of a runner.
 #[derive(Debug, Serialize)]
 pub(crate) struct Hold {
@@ -69,9 +102,7 @@
     pub(crate) known: BTreeSet<RunKey>,
     pub(crate) heard: Moment,
     pub(crate) parked: Option<Parked>,
-    /// Failures of tasks that had not failed elsewhere, since a task last ended well.
-    pub(crate) failures: u32,
-    pub(crate) shunned: Moment,
+    pub(crate) health: Health,
     /// Version of the estimates of pressure that the agent was sent, and when.
     pub(crate) table: (u64, Moment),
     /// Estimated slowness against other runners, in percent.
@@ -85,8 +116,7 @@
             report,
             heard: now,
             parked: None,
-            failures: 0,
-            shunned: Moment::START,
+            health: Health::default(),
             table: (0, Moment::START),
             slowness: 100,
         }
@@ -103,7 +133,7 @@
 
     pub(crate) fn update(&mut self, report: Report, now: Moment) {
         if self.life() != report.runner.as_ref().map(|runner| &runner.life) {
-            (self.failures, self.slowness, self.shunned) = (0, 100, Moment::START);
+            (self.health, self.slowness) = (Health::default(), 100);
         }
         self.known = known(&report);
         self.report = report;
@@ -118,27 +148,39 @@
         self.runner().map(|runner| &runner.life)
     }
 
-    /// Whether new work may be placed there.
-    pub(crate) fn usable(&self, now: Moment) -> bool {
-        self.runner().is_some_and(|runner| !runner.draining)
-            && now.since(self.heard) < SILENCE_LIMIT
-            && self.report.silent < SILENCE_LIMIT
-            && !self.report.gone
-            && now >= self.shunned
+    /// Why no new work is placed there.
+    pub(crate) fn passed(&self, now: Moment) -> Option<Passed> {
+        let silent = now.since(self.heard).max(self.report.silent) >= SILENCE_LIMIT;
+        match self.runner() {
+            None => Some(Passed::Silent),
+            Some(_) if silent || self.report.gone => Some(Passed::Silent),
+            Some(runner) if runner.draining => Some(Passed::Leaving),
+            Some(_) => None,
+        }
     }
 
-    /// Notes how a task ended that had not failed before.
-    pub(crate) fn judge(&mut self, failed: bool, now: Moment) {
-        if !failed {
-            self.failures = 0;
-            return;
-        }
-        self.failures += 1;
-        if self.failures >= FAILURES_LIMIT {
-            let exponent = (self.failures - FAILURES_LIMIT).min(3);
-            self.shunned = now + QUARANTINE.percent(100 << exponent);
+    /// Takes that a run which began at `began` works or ended well.
+    pub(crate) fn worked(&mut self, began: Moment, now: Moment) {
+        if self.health.worked(began, now) {
+            tracing::info!(runner = self.runner_name(), "runner trusted again");
         }
     }
+
+    /// Takes that a run which began at `began` failed through the runner, as far as is known.
+    pub(crate) fn failed(&mut self, began: Moment, now: Moment) {
+        let Some(barred) = self.health.failed(began, now) else { return };
+        tracing::info!(
+            runner = self.runner_name(),
+            failures = self.health.failures(),
+            barred_ms = barred.as_millis(),
+            heard_ms = now.since(self.heard).as_millis(),
+            "runner barred"
+        );
+    }
+
+    fn runner_name(&self) -> Option<&str> {
+        self.life().map(|life| life.runner.as_str())
+    }
 }
 
 fn known(report: &Report) -> BTreeSet<RunKey> {
@@ -174,6 +216,13 @@
         self.holds.get_mut(life)?.runs.get_mut(&key)
     }
 
+    /// What a runner may be given.
+    pub(crate) fn trust(&self, worker: &Worker, now: Moment) -> Trust {
+        let runs = worker.life().and_then(|life| self.holds.get(life)).map(|hold| &hold.runs);
+        let later = |since| runs.is_some_and(|runs| runs.values().any(|run| run.since > since));
+        worker.health.trust(now, later)
+    }
+
     /// The agent of a runner.
     pub(crate) fn agent(&self, life: &Life) -> Option<&Name> {
         let mut found = self.workers.iter().filter(|(_, worker)| worker.life() == Some(life));
--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -3,6 +3,7 @@
 
 mod answers;
 mod fleet;
+mod health;
 mod log;
 mod message;
 mod place;
@@ -10,6 +11,7 @@
 mod reports;
 mod rescue;
 mod settings;
+mod waits;
 
 #[cfg(test)]
 mod tests;
@@ -28,6 +30,7 @@
     BATCH_BYTES, BATCH_LIMIT, DURATION_WEIGHT_PERCENT, FLIGHTS_LIMIT, SNAPSHOT_BYTES,
     SNAPSHOT_COMMANDS, STEP_BYTES,
 };
+use self::waits::Waits;
 use crate::core::{Moment, Name, Span};
 use crate::jobs::{Applied, Book, Command, End, Entry, Life, Phase, RunKey, Step, TaskKey};
 use crate::pressure::Learner;
@@ -78,18 +81,21 @@
     /// Cancellations and repetitions that are proposed.
     #[serde(skip)]
     opening: BTreeSet<(u64, u32)>,
-    /// When this leader learned that a job is over, in ms since 1970.
+    /// When this leader learned that a job is over.
     #[serde(skip)]
-    ended: BTreeMap<u64, u64>,
+    ended: BTreeMap<u64, Moment>,
     /// Mean time from the assignment of a task to its end, by queue.
     durations: BTreeMap<Arc<str>, Span>,
     /// Agents on which each task has failed.
     #[serde(skip)]
-    avoided: BTreeMap<TaskKey, Vec<Name>>,
+    avoided: BTreeMap<TaskKey, BTreeSet<Name>>,
     /// Whether something changed that may let a task start.
     dirty: bool,
+    /// When this instance began to lead.
+    led: Moment,
     /// Last look for runs that would go on better elsewhere.
     rescued: Moment,
+    waits: Waits,
     /// Commands and their bytes since the last snapshot.
     growth: (usize, usize),
     #[serde(skip)]
@@ -118,7 +124,9 @@
             durations: BTreeMap::new(),
             avoided: BTreeMap::new(),
             dirty: false,
+            led: Moment::START,
             rescued: Moment::START,
+            waits: Waits::default(),
             growth: (0, 0),
             out: Vec::new(),
         }
@@ -157,8 +165,9 @@
         self.expire_leases(now);
         self.expire_reports(now);
         self.open_rounds();
-        self.forget();
+        self.forget(now);
         self.rescue(now);
+        self.note_waits(now);
         self.dirty = true;
     }
 
@@ -243,7 +252,7 @@
             },
             Command::Cancel { job } => {
                 self.opening.remove(&(*job, u32::MAX));
-                self.retire(*job, touched);
+                self.retire(now, *job, touched);
             },
             Command::Close { key, end, .. } => {
                 self.closing.remove(key);
@@ -251,7 +260,7 @@
                 if let Some(life) = ended {
                     self.end(now, *key, *end, &life, touched);
                 }
-                self.retire(key.task.job, touched);
+                self.retire(now, key.task.job, touched);
             },
             Command::Open { job, round } => {
                 self.opening.remove(&(*job, *round));
@@ -288,7 +297,8 @@
             listed: false,
             saved: entry.task(key.task)?.saved.clone(),
             percent: 0,
-            moved: now,
+            still: now,
+            seen: now,
             figure: 0,
             share: 100,
             stop: false,
@@ -305,25 +315,40 @@
         touched: &mut BTreeSet<Name>,
     ) {
         let run = self.fleet.holds.get_mut(life).and_then(|hold| hold.runs.remove(&key));
-        if let Some(run) = run
+        // Runs of an earlier leader began at a time that is not known here.
+        if let Some(run) = &run
             && end == End::Done
+            && run.since > self.led
         {
             self.measure(key, now.since(run.since));
         }
         let Some(agent) = self.fleet.agent(life).cloned() else { return };
-        let failed = end == End::Failed;
-        if failed {
-            self.avoided.entry(key.task).or_default().push(agent.clone());
+        if let Some(run) = run {
+            match end {
+                End::Done => {
+                    if let Some(worker) = self.fleet.workers.get_mut(&agent) {
+                        worker.worked(run.since, now);
+                    }
+                },
+                // A lasting task that was at work fails by itself sooner or later.
+                End::Failed if !run.at_work() => self.blame(now, key, &agent, run.since),
+                _ => {},
+            }
         }
-        let task = self.book.jobs.get(&key.task.job).and_then(|entry| entry.task(key.task));
+        touched.insert(agent);
+    }
+
+    /// Takes that a run which began at `began` failed on a runner.
+    fn blame(&mut self, now: Moment, key: RunKey, agent: &Name, began: Moment) {
+        let avoided = self.avoided.entry(key.task).or_default();
+        avoided.insert(agent.clone());
         // A task that failed elsewhere before says little about this runner.
-        let first = task.is_none_or(|task| task.failed <= 1);
-        if let Some(worker) = self.fleet.workers.get_mut(&agent)
-            && (end == End::Done || (failed && first))
+        let first = avoided.len() <= 1;
+        if let Some(worker) = self.fleet.workers.get_mut(agent)
+            && first
         {
-            worker.judge(failed, now);
+            worker.failed(began, now);
         }
-        touched.insert(agent);
     }
 
     /// Takes the time that a run took into its queue's mean.
@@ -335,11 +360,11 @@
     }
 
     /// Stops counting a job that is over, and has its runs stopped.
-    fn retire(&mut self, job: u64, touched: &mut BTreeSet<Name>) {
+    fn retire(&mut self, now: Moment, job: u64, touched: &mut BTreeSet<Name>) {
         let over = |entry: &Entry| entry.phase != Phase::Active;
         if self.book.jobs.get(&job).is_none_or(over) && self.active.remove(&job) {
             self.avoided.retain(|task, _| task.job != job);
-            self.ended.insert(job, self.wall);
+            self.ended.insert(job, now);
             let range = run_range(job);
             for (life, hold) in &self.fleet.holds {
                 if hold.runs.range(range.clone()).next().is_some() {
@@ -364,8 +389,8 @@
             if active(entry) {
                 self.active.insert(*id);
             } else {
-                // Before the first tick the time is not known, so this counts from the election.
-                self.ended.insert(*id, self.wall);
+                // When it ended is not known here, so this counts from the election.
+                self.ended.insert(*id, now);
             }
         }
         self.fleet.holds.clear();
@@ -402,6 +427,7 @@
         }
         self.leading = leading;
         if leading {
+            self.led = now;
             self.fleet.workers.clear();
             self.learner.pause();
             self.derive(now);
@@ -420,6 +446,7 @@
         self.moving.clear();
         self.closing.clear();
         self.opening.clear();
+        self.forget_waits();
         for (_, ticket) in self.waiters.drain(..) {
             self.out.push(Effect::Told { ticket, told: None });
         }
@@ -446,8 +473,8 @@
         for (_, ticket) in flight.waiters {
             self.out.push(Effect::Told { ticket, told: told.clone() });
         }
+        // The next tick plans anew; while leadership is handed over every proposal is refused.
         tracing::warn!(commands = flight.commands.len(), lost, "proposal refused");
-        self.dirty = true;
     }
 }
 
@@ -456,7 +483,13 @@
     let mut bytes = 0;
     let fits = |command: &&Command| {
         bytes += match command {
-            Command::Accept { job, .. } => job.spec.len() + STEP_BYTES * job.steps.len(),
+            Command::Accept { job, .. } => {
+                job.spec.len()
+                    + job.steps.iter().map(|step| STEP_BYTES + step.bytes()).sum::<usize>()
+            },
+            Command::Close { saved, .. } => {
+                STEP_BYTES + saved.as_ref().map_or(0, |saved| saved.len())
+            },
             // The queues are held beside the text that they were read from.
             Command::Configure(setup) => 2 * setup.source.len(),
             _ => STEP_BYTES,
--- a/toucangrade/src/dispatch/reports.rs
+++ b/toucangrade/src/dispatch/reports.rs
@@ -27,7 +27,7 @@
             let read = now - report.silent;
             let hold = self.fleet.hold(life, now);
             hold.bound = hold.bound.max(lease_bound(read));
-            self.take_rows(now, life, &report);
+            self.take_rows(now, read, life, &report);
             self.learn(now, &report);
             self.take_ends(life, &report);
             if report.gone {
@@ -43,11 +43,21 @@
                     let orders = Some(Box::default());
                     self.out.push(Effect::Orders { ticket: parked.ticket, orders });
                 }
-                self.dirty |= worker.life() != life.as_ref() || !worker.usable(now);
+                if worker.report.incarnation != report.incarnation {
+                    worker.table = (0, Moment::START);
+                }
+                self.dirty |= worker.life() != life.as_ref() || worker.passed(now).is_some();
                 worker.update(report, now);
             },
             std::collections::btree_map::Entry::Vacant(free) => {
-                tracing::info!(agent = %agent, runner = life.as_ref().map(|l| l.runner.as_str()), "agent found");
+                let runner = report.runner.as_ref();
+                tracing::info!(
+                    agent = %agent,
+                    runner = runner.map(|runner| runner.life.runner.as_str()),
+                    millicores = runner.map(|runner| runner.capacity.millicores),
+                    memory_mb = runner.map(|runner| runner.capacity.memory),
+                    "agent found"
+                );
                 free.insert(Worker::new(report, now));
                 self.dirty = true;
             },
@@ -58,18 +68,19 @@
         self.answer_parked(&agent, now);
     }
 
-    /// Notes progress and checkpoints of what runs.
-    fn take_rows(&mut self, now: Moment, life: &Life, report: &Report) {
+    /// Notes progress and checkpoints of what runs, from a listing read at `read`.
+    fn take_rows(&mut self, now: Moment, read: Moment, life: &Life, report: &Report) {
         for row in &report.rows {
             let Some(run) = self.fleet.run_mut(life, row.key) else { continue };
-            run.listed = true;
-            (run.figure, run.share) = (row.figure, row.share);
-            if row.percent != run.percent {
-                run.percent = row.percent;
-                run.moved = now;
-            }
-            if row.saved.is_some() {
-                run.saved.clone_from(&row.saved);
+            let before = run.at_work();
+            run.list(row, read);
+            if run.at_work() && !before {
+                let began = run.since;
+                // Where it failed before says nothing about its next run.
+                self.avoided.remove(&row.key.task);
+                if let Some(worker) = self.fleet.workers.get_mut(&report.agent) {
+                    worker.worked(began, now);
+                }
             }
         }
     }
@@ -185,7 +196,7 @@
         let table = self.table_for(agent, now);
         let Some(worker) = self.fleet.workers.get(agent) else { return Orders::default() };
         let Some(runner) = worker.runner() else { return Orders::default() };
-        let until = Some(runner.clock + GRANT.as_millis());
+        let until = Some(runner.clock.saturating_add(GRANT.as_millis()));
         let mut orders = Orders { until, table, ..Orders::default() };
         let hold = self.fleet.holds.get(&runner.life);
         let live = |key: &RunKey| hold.is_some_and(|hold| hold.runs.contains_key(key));
--- a/toucangrade/src/dispatch/rescue.rs
+++ b/toucangrade/src/dispatch/rescue.rs
@@ -1,13 +1,12 @@
 //! Runs that get nowhere where they are, and are moved.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::Dispatch;
 use super::fleet::Run;
+use super::health::Trust;
 use super::place::{Candidate, Limits, choose};
-use super::settings::{
-    MOVE_AGE, MOVE_GAIN, MOVE_SPEED, MOVES_LIMIT, RESCUE_EVERY, STUCK_LIMIT, STUCK_SHARE,
-};
+use super::settings::{MOVE_AGE, MOVE_GAIN, MOVE_SPEED, MOVES_LIMIT, RESCUE_EVERY};
 use crate::core::{Moment, Name};
 use crate::jobs::{Life, RunKey};
 
@@ -57,24 +56,15 @@
     fn stop_stuck(&mut self, now: Moment) {
         let mut stuck: Vec<(Life, RunKey)> = Vec::new();
         for (life, hold) in &self.fleet.holds {
-            let hangs = |run: &Run| {
-                run.listed
-                    && !run.stop
-                    && !run.lasting
-                    && run.share >= STUCK_SHARE
-                    && run.percent < 100
-                    && now.since(run.moved) >= STUCK_LIMIT
-            };
-            let runs = hold.runs.iter().filter(|(_, run)| hangs(run));
+            let runs = hold.runs.iter().filter(|(_, run)| run.stuck());
             stuck.extend(runs.map(|(key, _)| (life.clone(), *key)));
         }
         for (life, key) in stuck {
             let Some(agent) = self.fleet.agent(&life).cloned() else { continue };
-            tracing::info!(run = %key, runner = %life.runner, "no progress, stopping");
-            self.avoided.entry(key.task).or_default().push(agent.clone());
-            if let Some(worker) = self.fleet.workers.get_mut(&agent) {
-                worker.judge(true, now);
-            }
+            let heard_ms = self.heard_ms(&agent, now);
+            tracing::info!(run = %key, runner = %life.runner, heard_ms, "no progress, stopping");
+            let began = self.fleet.run(&life, key).map_or(now, |run| run.since);
+            self.blame(now, key, &agent, began);
             self.order_stop(&life, key, &agent, now);
         }
     }
@@ -115,11 +105,12 @@
             let Some(step) = self.step_of(key).cloned() else { continue };
             // Spread and earlier failures are respected when the run is placed anew.
             let beside = vec![0; candidates.len()];
-            let table = &self.learner.table;
-            let limits = Limits { service, beside: &beside, avoided: &[], table };
+            let (avoided, table) = (&BTreeSet::new(), &self.learner.table);
+            let limits = Limits { service, beside: &beside, avoided, table };
             let Some(at) = choose(candidates, &step, &limits) else { continue };
             let better = candidates[at].speed(table, &step);
-            if candidates[at].life == life || better < speed + MOVE_GAIN {
+            let trusted = candidates[at].trust == Trust::Full;
+            if candidates[at].life == life || better < speed + MOVE_GAIN || !trusted {
                 continue;
             }
             candidates[at].take(table, &step);
--- a/toucangrade/src/dispatch/tests.rs
+++ b/toucangrade/src/dispatch/tests.rs
@@ -1,7 +1,13 @@
 //! Tests of dispatch against a log that commits at once and agents that are played by hand.
 
 mod answers;
+mod exclusion;
+mod extremes;
+mod health;
 mod load;
+mod log;
+mod picture;
+mod waits;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -21,6 +27,7 @@
     index: u64,
     told: BTreeMap<u64, Option<Told>>,
     orders: BTreeMap<u64, Option<Box<Orders>>>,
+    gauges: BTreeMap<&'static str, u64>,
     ticket: u64,
     /// Whether proposals are held back.
     hold: bool,
@@ -101,6 +108,7 @@
             index: 0,
             told: BTreeMap::new(),
             orders: BTreeMap::new(),
+            gauges: BTreeMap::new(),
             ticket: 0,
             hold: false,
             held: Vec::new(),
@@ -124,6 +132,7 @@
                     Effect::Orders { ticket, orders } => {
                         self.orders.insert(ticket, orders);
                     },
+                    Effect::Gauge { name, value } => drop(self.gauges.insert(name, value)),
                     Effect::Snapshot { .. } => {},
                     Effect::Told { ticket, told } => {
                         self.told.insert(ticket, told);
@@ -316,7 +325,6 @@
         assert_eq!(world.live(&runner), [key(7, 0, 0, run)]);
         let number = u64::from(run);
         world.end(&runner, number + 1, &[(number, key(7, 0, 0, run), end)]);
-        world.dispatch.fleet.workers.values_mut().for_each(|w| w.shunned = Moment::START);
         world.pass(100);
     }
     assert_eq!(world.state("match", 7), Some(Told::State(JobState::Failed)));
--- a/toucangrade/src/hosting/message.rs
+++ b/toucangrade/src/hosting/message.rs
@@ -41,6 +41,9 @@
     pub rows: Vec<Row>,
     /// Ends that were not acknowledged.
     pub ended: Vec<Ended>,
+    /// Whether there are ends that can't be read. Those are never acknowledged, so the runner may go
+    /// on listing them.
+    pub unread: bool,
 }
 
 /// Where an order goes, and under which identity.
@@ -48,8 +51,10 @@
 pub struct Target {
     /// Address of the runner.
     pub addr: SocketAddr,
-    /// Name and start of the runner that is meant; its start is the fencing token.
+    /// Name and start of the runner that is meant.
     pub life: Life,
+    /// Fencing token: calls with a lower one than the runner has seen are refused.
+    pub token: u64,
 }
 
 /// Why an order was not carried out.
@@ -71,11 +76,13 @@
     /// The runner announced itself.
     Announce(Box<Announcement>),
     /// The runner says that it ends now.
-    Leave { runner: String },
+    Leave { runner: String, born: Option<u64> },
     /// Answer to `Effect::List`.
     Listed { seq: u64, listing: Result<Box<Listing>, Fault> },
     /// Answer to `Effect::Report`; `None` when there was none.
     Ordered { seq: u64, orders: Option<Box<Orders>> },
+    /// Answer to `Effect::Pace`.
+    Paced { key: RunKey, result: Result<(), Fault> },
     /// Answer to `Effect::Start`.
     Started { key: RunKey, result: Result<(), Fault> },
     /// Answer to `Effect::Stop`.
--- a/toucangrade/src/hosting/mod.rs
+++ b/toucangrade/src/hosting/mod.rs
@@ -1,6 +1,7 @@
 //! One runner as its agent sees it: starts and stops what the leader ordered, keeps its lease, and
 //! reports what runs and what has ended.
 
+mod heard;
 mod message;
 mod orders;
 
@@ -11,6 +12,7 @@
 
 use serde::Serialize;
 
+use self::heard::Heard;
 use self::message::Target;
 pub use self::message::{Announcement, Fault, Listing, Target as RunnerTarget};
 pub(crate) use self::message::{Effect, Message};
@@ -46,15 +48,29 @@
 /// one is not carried out.
 const DENIED_KEPT: Span = Span::secs(15);
 
-/// What is known of the runner.
+/// The runner that answered last.
 #[derive(Debug, Serialize)]
 struct Known {
-    announced: Announcement,
+    heard: Heard,
     listing: Listing,
-    /// When the runner last answered.
+    /// When it last answered.
     answered: Moment,
-    /// Whether it answered at all.
-    listed: bool,
+}
+
+impl Known {
+    fn target(&self, token: u64) -> Target {
+        let Announcement { addr, life, .. } = &self.heard.announced;
+        Target { addr: *addr, life: life.clone(), token }
+    }
+}
+
+/// A listing under way.
+#[derive(Debug, Serialize)]
+struct Asked {
+    seq: u64,
+    since: Moment,
+    #[serde(skip)]
+    target: Target,
 }
 
 /// State of the duty.
@@ -63,6 +79,14 @@
     agent: Name,
     incarnation: u64,
     known: Option<Known>,
+    /// Runners that are announced beside the known one.
+    others: Vec<Heard>,
+    /// Whether the known runner failed to answer, or none is known, so that others are asked too.
+    seeking: bool,
+    /// Position, among the known runner and the others, of the one that is asked next then.
+    turn: usize,
+    /// Fencing token of all calls to the runner.
+    token: u64,
     /// Orders that are being carried out.
     handling: BTreeMap<RunKey, Handling>,
     /// Starts that were refused, and when.
@@ -73,10 +97,9 @@
     until: Option<u64>,
     /// Ends up to this number are recorded.
     noted: u64,
-    /// Listing under way, with the time it was asked for.
-    listing: Option<(u64, Moment)>,
+    listing: Option<Asked>,
     listed: Moment,
-    /// When the last listing failed, if it did.
+    /// When the last listing failed, if it did and the next waits for that reason.
     failed: Option<Moment>,
     /// Report under way, with the time it was sent.
     reporting: Option<(u64, Moment)>,
@@ -85,8 +108,8 @@
     refused: u32,
     /// Number of the last report or listing.
     seq: u64,
-    /// The same before the runner was found. Answers up to it concern an earlier life.
-    before: u64,
+    /// Reports up to this number were about an earlier runner.
+    outdated: u64,
     /// Whether there is something to report at once.
     news: bool,
     /// Whether runs go on that this process was not ordered to start.
@@ -97,11 +120,19 @@
 
 impl Hosting {
     /// An agent that knows no runner; `incarnation` is the start of its process in ms since 1970.
+    ///
+    /// Fencing tokens begin there too, so that calls of an earlier process are refused once one of
+    /// this process has come through. No announcement has a part in them: a runner keeps the greatest
+    /// that it has seen, and one that is too great could not be taken back.
     pub(crate) fn new(agent: Name, incarnation: u64) -> Self {
         Self {
             agent,
             incarnation,
             known: None,
+            others: Vec::new(),
+            seeking: true,
+            turn: 0,
+            token: incarnation,
             handling: BTreeMap::new(),
             denied: BTreeMap::new(),
             natures: BTreeMap::new(),
@@ -115,7 +146,7 @@
             reported: Moment::START,
             refused: 0,
             seq: 0,
-            before: 0,
+            outdated: 0,
             news: true,
             amnesia: true,
             out: Vec::new(),
@@ -126,13 +157,15 @@
     pub(crate) fn step(&mut self, now: Moment, message: Message) -> Vec<Effect> {
         match message {
             Message::Announce(announced) => self.announce(now, *announced),
-            Message::Leave { runner } => self.leave(&runner),
+            Message::Leave { runner, born } => self.leave(&runner, born),
             Message::Listed { seq, listing } => self.take_listing(now, seq, listing),
             Message::Ordered { seq, orders } => self.ordered(seq, orders),
+            Message::Paced { key, result } => self.paced(key, result),
             Message::Started { key, result } => self.started(now, key, result),
             Message::Stopped { key, result } => self.stopped(now, key, result),
             Message::Tick => {
                 self.denied.retain(|_, (_, at)| now.since(*at) < DENIED_KEPT);
+                self.expire_others(now);
                 self.retry_orders(now);
             },
         }
@@ -149,37 +182,7 @@
     }
 
     fn target(&self) -> Option<Target> {
-        let announced = &self.known.as_ref()?.announced;
-        Some(Target { addr: announced.addr, life: announced.life.clone() })
-    }
-
-    fn announce(&mut self, now: Moment, announced: Announcement) {
-        if let Some(known) = &mut self.known {
-            let (old, new) = (&known.announced, &announced);
-            if new.life == old.life {
-                if new.sequence <= old.sequence {
-                    return;
-                }
-                self.news |= new.draining != old.draining || new.capacity != old.capacity;
-                known.announced = announced;
-                return;
-            }
-            if new.life.born < old.life.born {
-                tracing::info!(runner = %new.life.runner, born = new.life.born, "late announcement");
-                return;
-            }
-        }
-        tracing::info!(
-            runner = %announced.life.runner,
-            born = announced.life.born,
-            addr = %announced.addr,
-            service = &*announced.service,
-            "runner found"
-        );
-        self.forget_runner();
-        let listing = Listing::default();
-        self.known = Some(Known { announced, listing, answered: now, listed: false });
-        self.news = true;
+        self.known.as_ref().map(|known| known.target(self.token))
     }
 
     /// Drops all that belonged to the runner before.
@@ -191,43 +194,45 @@
         self.pacing = Pacing::default();
         (self.until, self.noted, self.listing) = (None, 0, None);
         (self.failed, self.refused) = (None, 0);
-        self.before = self.seq;
+        self.outdated = self.seq;
     }
 
     /// The runner ends now; it is listed until its port refuses connections, which shows that
     /// nothing runs there any more.
-    fn leave(&mut self, runner: &str) {
-        let known = self.known.as_mut().filter(|k| k.announced.life.runner.as_str() == runner);
-        if let Some(known) = known {
+    fn leave(&mut self, runner: &str, born: Option<u64>) {
+        let known = self.known.as_mut().map(|known| &mut known.heard.announced);
+        let own = |known: &&mut Announcement| {
+            let life = &known.life;
+            life.runner.as_str() == runner && born.is_none_or(|born| born == life.born)
+        };
+        if let Some(known) = known.filter(own) {
             tracing::info!(runner, "runner left");
-            known.announced.draining = true;
+            known.draining = true;
             self.news = true;
         }
     }
 
     fn take_listing(&mut self, now: Moment, seq: u64, listing: Result<Box<Listing>, Fault>) {
-        let Some((_, asked)) = self.listing.take_if(|(asked, _)| *asked == seq) else { return };
-        let Some(known) = &mut self.known else { return };
+        let Some(Asked { since: asked, target, .. }) =
+            self.listing.take_if(|asked| asked.seq == seq)
+        else {
+            return;
+        };
         let listing = match listing {
             Ok(listing) => *listing,
-            Err(fault) => {
-                self.failed = Some(now);
-                self.refused = if fault == Fault::Gone { self.refused + 1 } else { 0 };
-                self.news |= self.refused == REFUSALS;
-                tracing::info!(runner = %known.announced.life.runner, ?fault, "no listing");
-                return;
-            },
+            Err(fault) => return self.unanswered(now, &target, fault),
         };
-        if listing.born != 0 && listing.born != known.announced.life.born {
+        if !self.settle(now, &target, &listing) {
             // A new life answers under the old name; its announcement will follow.
-            tracing::info!(runner = %known.announced.life.runner, born = listing.born, "reborn");
+            tracing::info!(runner = %target.life.runner, born = listing.born, "reborn");
+            (self.failed, self.seeking) = (Some(now), true);
             return;
         }
-        (self.failed, self.refused) = (None, 0);
-        let first = !known.listed;
+        (self.failed, self.refused, self.seeking) = (None, 0, false);
+        let Some(known) = &mut self.known else { return };
         let ended = |listing: &Listing| listing.ended.iter().map(|e| e.number).max();
-        self.news |= first || ended(&listing) > ended(&known.listing);
-        (known.answered, known.listed) = (now, true);
+        self.news |= ended(&listing) > ended(&known.listing);
+        known.answered = now;
         known.listing = listing;
         self.listed = now;
         self.settle_orders(asked);
@@ -239,7 +244,7 @@
         if rows.iter().any(|row| !self.natures.contains_key(&row.key)) {
             self.amnesia = true;
         }
-        let cores = known.announced.capacity.millicores;
+        let cores = known.heard.announced.capacity.millicores;
         let changes = self.pacing.step(now, cores, rows, &self.natures);
         let Some(target) = self.target() else { return };
         for (key, percent) in changes {
@@ -247,27 +252,46 @@
         }
     }
 
+    /// Notes that a runner gave no listing.
+    fn unanswered(&mut self, now: Moment, target: &Target, fault: Fault) {
+        self.failed = Some(now);
+        tracing::info!(runner = %target.life.runner, ?fault, "no listing");
+        if fault == Fault::Denied(Denial::Fenced) && target.token == self.token {
+            // An earlier process of this agent used greater tokens, as its clock was ahead. By how
+            // much is not known.
+            self.token = self.token.saturating_mul(2).saturating_add(1);
+            return tracing::info!(token = self.token, "fencing token raised");
+        }
+        if self.target().is_some_and(|known| known == *target) {
+            self.seeking = true;
+            self.refused = if fault == Fault::Gone { self.refused + 1 } else { 0 };
+            self.news |= self.refused == REFUSALS;
+        }
+    }
+
     /// Asks for the next listing when none is under way.
     fn list(&mut self, now: Moment) {
-        if self.listing.is_some_and(|(_, since)| now.since(since) < LIST_TIMEOUT) {
+        if self.listing.as_ref().is_some_and(|asked| now.since(asked.since) < LIST_TIMEOUT) {
             return;
         }
-        let Some(target) = self.target() else { return };
-        let Some(known) = &self.known else { return };
         if self.failed.is_some_and(|failed| now.since(failed) < LIST_RETRY) {
             return;
         }
-        let waiting = known.listing.ended.iter().any(|ended| ended.number > self.noted);
+        let ended = self.known.as_ref().map(|known| &known.listing);
+        let waiting = ended.is_some_and(|listing| {
+            listing.unread || listing.ended.iter().any(|ended| ended.number > self.noted)
+        });
         if waiting && now.since(self.listed) < LIST_PAUSE {
             return;
         }
+        let Some(target) = self.whom() else { return };
         self.seq += 1;
-        self.listing = Some((self.seq, now));
-        // The first listing raises the fencing token, so that orders for an earlier life under the
-        // same name are refused.
-        let wait = if known.listed && !waiting { LIST_WAIT } else { Span::ZERO };
-        let (noted, until) = if self.certain(now) { (self.noted, self.until) } else { (0, None) };
         let seq = self.seq;
+        self.listing = Some(Asked { seq, since: now, target: target.clone() });
+        let wait = if waiting || self.seeking { Span::ZERO } else { LIST_WAIT };
+        // A lease and acknowledgements are for the runner that they were granted for.
+        let known = self.certain(now) && self.target().is_some_and(|known| known == target);
+        let (noted, until) = if known { (self.noted, self.until) } else { (0, None) };
         self.out.push(Effect::List { seq, target, noted, until, wait });
     }
 
@@ -290,9 +314,9 @@
     }
 
     fn account(&self, now: Moment) -> Report {
-        let known = self.known.as_ref().filter(|known| known.listed);
+        let known = self.known.as_ref();
         let runner = known.map(|known| {
-            let announced = &known.announced;
+            let announced = &known.heard.announced;
             Runner {
                 life: announced.life.clone(),
                 service: announced.service.clone(),
@@ -314,7 +338,7 @@
             incarnation: self.incarnation,
             seq: self.seq,
             runner,
-            rows: listing.map(|listing| self.paced(&listing.rows)).unwrap_or_default(),
+            rows: listing.map(|listing| self.with_shares(&listing.rows)).unwrap_or_default(),
             handling: keys(false),
             stopping: keys(true),
             ended: ended.filter(|ended| ended.number > self.noted).cloned().collect(),
@@ -325,7 +349,7 @@
         }
     }
 
-    fn paced(&self, rows: &[Row]) -> Vec<Row> {
+    fn with_shares(&self, rows: &[Row]) -> Vec<Row> {
         let paced = |row: &Row| Row { share: self.pacing.share_of(row.key), ..row.clone() };
         rows.iter().map(paced).collect()
     }
--- a/toucangrade/src/hosting/tests.rs
+++ b/toucangrade/src/hosting/tests.rs
@@ -1,6 +1,9 @@
 //! Tests of an agent against a runner and a leader that are played by hand.
 
+mod lives;
+
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use rstest::rstest;
 
@@ -12,6 +15,11 @@
     RunKey { task: TaskKey { job: 1, round: 0, step: 0, index }, run: 1 }
 }
 
+fn order(index: u16) -> Start {
+    let nature = Nature::default();
+    Start { key: key(index), spec: "spec".into(), saved: None, nature }
+}
+
 fn announcement(runner: &str, born: u64, sequence: u64) -> Announcement {
     Announcement {
         life: Life { runner: Name::new(runner).expect("a name"), born },
@@ -34,6 +42,8 @@
     Full,
     /// Carries orders out but does not answer the first this many.
     Mute(u32),
+    /// Doesn't answer or carry out stops.
+    Restless,
     /// Carries everything out.
     Sound,
     /// Doesn't carry out or answer anything but listings.
@@ -46,6 +56,9 @@
     now: Moment,
     manner: Manner,
     life: Life,
+    addr: SocketAddr,
+    /// Greatest fencing token that the runner has seen.
+    seen: u64,
     rows: BTreeMap<RunKey, Row>,
     ended: Vec<Ended>,
     /// Runs that were stopped before they began.
@@ -58,18 +71,35 @@
     tokens: Vec<u64>,
     report: Option<Report>,
     reports: u32,
+    /// Whether the runner lists an end that can't be read.
+    unread: bool,
+    lists: u32,
     /// Listings that the runner has not answered.
     pending: Vec<(u64, Listing)>,
+    /// Shares that the runner was told.
+    shares: Vec<u8>,
+    /// Such calls that it does not answer.
+    lost: usize,
 }
 
 impl World {
     fn new(manner: Manner) -> Self {
+        let mut world = Self { manner, ..Self::unannounced() };
+        world.send(Message::Announce(Box::new(announcement("i-1", 50, 1))));
+        world.pass(300);
+        world
+    }
+
+    /// A runner that its agent has not heard of.
+    fn unannounced() -> Self {
         let announced = announcement("i-1", 50, 1);
-        let mut world = Self {
+        Self {
             hosting: Hosting::new(Name::new("10.0.0.1").expect("a name"), 1),
             now: Moment::micros(1_000_000),
-            manner,
+            manner: Manner::Sound,
             life: announced.life.clone(),
+            addr: announced.addr,
+            seen: 0,
             rows: BTreeMap::new(),
             ended: Vec::new(),
             buried: Vec::new(),
@@ -79,11 +109,12 @@
             tokens: Vec::new(),
             report: None,
             reports: 0,
+            unread: false,
+            lists: 0,
             pending: Vec::new(),
-        };
-        world.send(Message::Announce(Box::new(announced)));
-        world.pass(300);
-        world
+            shares: Vec::new(),
+            lost: 0,
+        }
     }
 
     fn send(&mut self, message: Message) {
@@ -101,33 +132,40 @@
     fn perform(&mut self, effect: Effect) -> Option<Message> {
         match effect {
             Effect::List { seq, target, noted, until, .. } => {
-                self.tokens.push(target.life.born);
+                self.lists += 1;
                 self.noted = Some(noted);
-                if self.manner == Manner::Ended {
-                    return Some(Message::Listed { seq, listing: Err(Fault::Gone) });
-                }
-                if target.life != self.life {
-                    return Some(Message::Listed { seq, listing: Err(Fault::Replaced) });
+                self.tokens.push(target.token);
+                if let Err(fault) = self.reach(&target) {
+                    return Some(Message::Listed { seq, listing: Err(fault) });
                 }
                 self.until = self.until.max(until);
                 self.ended.retain(|ended| ended.number > noted);
                 let rows = self.rows.values().cloned().collect();
                 let clock = self.now.as_micros() / 1_000;
                 let ended = self.ended.clone();
-                let listing = Listing { clock, born: self.life.born, rows, ended };
+                let listing =
+                    Listing { clock, born: self.life.born, rows, ended, unread: self.unread };
                 // It is answered when time passes next.
                 self.pending.push((seq, listing));
                 None
             },
-            Effect::Pace { .. } => None,
+            Effect::Pace { key, percent, .. } => {
+                self.shares.push(percent);
+                let lost = self.shares.len() <= self.lost;
+                let result = if lost { Err(Fault::Silent) } else { Ok(()) };
+                Some(Message::Paced { key, result })
+            },
             Effect::Report(report) => {
                 self.reports += 1;
                 self.report = Some(*report);
                 None
             },
-            Effect::Start { start, .. } => {
+            Effect::Start { target, start, .. } => {
                 self.starts += 1;
                 let key = start.key;
+                if let Err(fault) = self.reach(&target) {
+                    return Some(Message::Started { key, result: Err(fault) });
+                }
                 if self.manner == Manner::Full {
                     let result = Err(Fault::Denied(Denial::Room));
                     return Some(Message::Started { key, result });
@@ -147,7 +185,7 @@
                 }
             },
             Effect::Stop { key, .. } => {
-                if self.manner == Manner::Stubborn {
+                if matches!(self.manner, Manner::Restless | Manner::Stubborn) {
                     return None;
                 }
                 if self.rows.remove(&key).is_some() {
@@ -159,6 +197,29 @@
         }
     }
 
+    /// What a call gets before it is carried out.
+    fn reach(&mut self, target: &Target) -> Result<(), Fault> {
+        if self.manner == Manner::Ended || target.addr != self.addr {
+            return Err(Fault::Gone);
+        }
+        if target.life.runner != self.life.runner {
+            return Err(Fault::Replaced);
+        }
+        if target.token < self.seen {
+            return Err(Fault::Denied(Denial::Fenced));
+        }
+        self.seen = target.token;
+        Ok(())
+    }
+
+    /// The runner ends, and another life begins at its address.
+    fn bear(&mut self, life: Life) {
+        self.life = life;
+        self.seen = 0;
+        self.rows.clear();
+        self.ended.clear();
+    }
+
     fn finish(&mut self, key: RunKey, end: End) {
         let number = self.ended.last().map_or(0, |ended| ended.number) + 1;
         self.ended.push(Ended { number, key, end, saved: None });
@@ -183,10 +244,8 @@
     }
 
     fn start(&mut self, index: u16) {
-        let nature = Nature::default();
-        let start = Start { key: key(index), spec: "spec".into(), saved: None, nature };
         let until = Some(self.now.as_micros() / 1_000 + 5_000);
-        self.order(Orders { until, starts: vec![start], ..Orders::default() });
+        self.order(Orders { until, starts: vec![order(index)], ..Orders::default() });
     }
 
     fn last(&self) -> &Report {
@@ -259,6 +318,19 @@
     assert!(world.ended.is_empty());
 }
 
+/// A runner answers at once while it lists ends, and one that can't be read is listed for good. The
+/// agent used to ask again with each answer.
+#[test]
+fn unread_ends_are_not_asked_for_without_a_pause() {
+    let mut world = World::new(Manner::Sound);
+    world.unread = true;
+    world.pass(500);
+    let before = world.lists;
+    world.pass(10_000);
+    let lists = world.lists - before;
+    assert!((20..=170).contains(&lists), "{lists} listings in 10 s");
+}
+
 /// Without the leader an agent keeps its runner's lease as it is, so that it ends.
 #[test]
 fn lease_is_extended_by_the_leader_alone() {
@@ -271,39 +343,6 @@
     assert_eq!(world.until, granted);
 }
 
-struct Birth {
-    runner: &'static str,
-    born: u64,
-    sequence: u64,
-    /// The life that the agent reports afterwards.
-    life: (&'static str, u64),
-}
-
-/// A later life replaces an earlier one; late announcements of an earlier life do not.
-#[rstest]
-#[case::same_name_reborn(Birth { runner: "i-1", born: 60, sequence: 1, life: ("i-1", 60) })]
-#[case::other_name(Birth { runner: "i-2", born: 60, sequence: 1, life: ("i-2", 60) })]
-#[case::late(Birth { runner: "i-0", born: 40, sequence: 9, life: ("i-1", 50) })]
-#[case::repeated(Birth { runner: "i-1", born: 50, sequence: 1, life: ("i-1", 50) })]
-fn newest_life_counts(#[case] birth: Birth) {
-    let mut world = World::new(Manner::Sound);
-    world.start(0);
-    world.pass(500);
-    let announced = announcement(birth.runner, birth.born, birth.sequence);
-    if birth.life != ("i-1", 50) {
-        world.life = announced.life.clone();
-        world.rows.clear();
-    }
-    world.send(Message::Announce(Box::new(announced)));
-    world.pass(1_500);
-    let runner = world.last().runner.clone().expect("a runner");
-    assert_eq!((runner.life.runner.as_str(), runner.life.born), birth.life);
-    let reborn = birth.life != ("i-1", 50);
-    assert_eq!(world.last().rows.is_empty(), reborn);
-    // The first call to a new life raises its fencing token, so that late orders are refused.
-    assert_eq!(world.tokens.last(), Some(&birth.life.1));
-}
-
 /// Reports come at least every second and are few while nothing happens.
 #[test]
 fn reports_are_bounded() {
@@ -320,7 +359,7 @@
 #[test]
 fn runner_that_left_is_gone_once_its_port_is() {
     let mut world = World::new(Manner::Sound);
-    world.send(Message::Leave { runner: "i-1".to_owned() });
+    world.send(Message::Leave { runner: "i-1".to_owned(), born: None });
     world.pass(500);
     let draining = |world: &World| world.last().runner.as_ref().map(|runner| runner.draining);
     assert_eq!((draining(&world), world.last().gone), (Some(true), false));
@@ -329,33 +368,79 @@
     assert_eq!((draining(&world), world.last().gone), (Some(true), true));
 }
 
-/// Orders that answer a report of an earlier life are not given to the runner that replaced it:
-/// its runs are assigned elsewhere by then, and its clock and its ends are counted anew.
-#[test]
-fn orders_for_an_earlier_life_are_dropped() {
+struct Overtaken {
+    /// What the leader ordered for the life before.
+    orders: Orders,
+}
+
+/// Orders that answer a report on an earlier life don't reach the next one. Its numbers of ends and
+/// its clock begin anew, so it would forget ends that nobody has recorded and keep its tasks beyond
+/// its lease; and the leader closes runs of the life before and starts them elsewhere.
+#[rstest]
+#[case::end_of_lease(Overtaken {
+    orders: Orders { until: Some(900_000), ..Orders::default() },
+})]
+#[case::recorded_ends(Overtaken {
+    orders: Orders { noted: 57, ..Orders::default() },
+})]
+#[case::start(Overtaken {
+    orders: Orders { starts: vec![order(0)], ..Orders::default() },
+})]
+fn orders_for_an_earlier_life_are_dropped(#[case] case: Overtaken) {
     let mut world = World::new(Manner::Sound);
-    world.pass(500);
     let seq = world.last().seq;
     let announced = announcement("i-1", 60, 1);
     world.life = announced.life.clone();
-    (world.until, world.starts) = (None, 0);
     world.send(Message::Announce(Box::new(announced)));
-    let nature = Nature::default();
-    let start = Start { key: key(0), spec: "spec".into(), saved: None, nature };
-    let orders = Orders {
-        until: Some(900_000),
-        noted: 7,
-        starts: vec![start],
-        stops: vec![key(1)],
-        ..Orders::default()
-    };
-    world.send(Message::Ordered { seq, orders: Some(Box::new(orders)) });
-    world.finish(key(2), End::Done);
-    world.pass(500);
-    assert_eq!((world.starts, &world.buried[..], world.until), (0, &[][..], None));
+    // The next life is known once it has answered.
+    world.pass(400);
+    world.finish(key(5), End::Done);
+    world.until = None;
+    let orders = Some(Box::new(case.orders));
+    world.send(Message::Ordered { seq, orders });
+    world.pass(1_000);
+    assert_eq!(world.starts, 0, "the run was assigned to the life before");
+    assert_eq!(world.until, None, "no lease was granted to this life");
+    assert_eq!(world.ended.len(), 1, "the end was not recorded");
     assert_eq!(world.last().ended.len(), 1);
 }
 
+/// Orders that get no answer don't hold others back: a lasting task whose start waits behind stops
+/// that the runner does not answer would not run.
+#[test]
+fn unanswered_orders_hold_nothing_back() {
+    let mut world = World::new(Manner::Restless);
+    let stops = (0..4).map(key).collect();
+    world.order(Orders { until: Some(9_000), stops, ..Orders::default() });
+    world.start(9);
+    world.pass(1_500);
+    assert!(world.last().rows.iter().any(|row| row.key == key(9)));
+}
+
+struct Share {
+    /// Calls with a share that get no answer.
+    lost: usize,
+    told: Vec<u8>,
+}
+
+/// A run keeps the share that it was last told, which an agent that restarts does not know, and one
+/// whose call got no answer neither: a task that stood still stood still for ever.
+#[rstest]
+#[case::told_by_an_earlier_process(Share { lost: 0, told: vec![100] })]
+#[case::answer_lost(Share { lost: 1, told: vec![100, 100] })]
+fn share_is_told_until_it_is_taken(#[case] case: Share) {
+    let mut world = World::new(Manner::Sound);
+    world.lost = case.lost;
+    let row = Row { key: key(0), saved: None, percent: 40, figure: 0, share: 100 };
+    world.rows.insert(key(0), row);
+    world.pass(1_000);
+    let nature = Nature { cores: 1_000, fills: true, ..Nature::default() };
+    let natures = vec![(key(0), nature)];
+    world.order(Orders { until: Some(9_000), natures, ..Orders::default() });
+    world.pass(1_500);
+    assert_eq!(world.shares, case.told);
+}
+
 /// A runner that has not answered lately may have been replaced by another life under its name,
 /// which has seen no fencing token yet: it gets no start, lease or acknowledgement until it answers.
 #[test]
--- a/toucangrade/src/node/agent.rs
+++ b/toucangrade/src/node/agent.rs
@@ -32,7 +32,7 @@
     /// the runner's clock, and lets the runner wait for the next end.
     pub list: List,
     /// Lets a task work at a share, in percent.
-    pub pace: Box<dyn Fn(Target, RunKey, u8) + Send + Sync>,
+    pub pace: Box<dyn Fn(Target, RunKey, u8, Done<()>) + Send + Sync>,
     /// Starts a run under a lease that ends at a time in ms on the runner's clock.
     pub start: Begin,
     /// Stops a run, or keeps it from being started.
@@ -77,7 +77,13 @@
                 });
                 (port.list)(target, noted, until, wait, done);
             },
-            Effect::Pace { target, key, percent } => (port.pace)(target, key, percent),
+            Effect::Pace { target, key, percent } => {
+                let done = Box::new(move |result| {
+                    called(&meter, "pace", began, &result);
+                    hosting.push(Message::Paced { key, result });
+                });
+                (port.pace)(target, key, percent, done);
+            },
             Effect::Report(report) => {
                 let seq = report.seq;
                 let deadline = leader::deadline(context, REPORT_LIMIT);
@@ -117,9 +123,10 @@
         self.hosting.offer(Message::Announce(Box::new(announcement))).is_ok()
     }
 
-    /// Takes in that the runner ends now; false when this process sheds load.
-    pub fn leave(&self, runner: &str) -> bool {
-        self.hosting.offer(Message::Leave { runner: runner.to_owned() }).is_ok()
+    /// Takes in that the runner ends now, which started at `born` if it says so; false when this
+    /// process sheds load.
+    pub fn leave(&self, runner: &str, born: Option<u64>) -> bool {
+        self.hosting.offer(Message::Leave { runner: runner.to_owned(), born }).is_ok()
     }
 
     /// Replaces the control instances that the settings name.
@@ -132,6 +139,7 @@
 fn called<T>(meter: &Meter, call: &str, began: Moment, result: &Result<T, Fault>) {
     let time = match call {
         "list" => "runner_list_seconds",
+        "pace" => "runner_pace_seconds",
         "start" => "runner_start_seconds",
         _ => "runner_stop_seconds",
     };
--- a/toucangrade/src/simulation/jobs/control.rs
+++ b/toucangrade/src/simulation/jobs/control.rs
@@ -190,7 +190,7 @@
                 self.send_orders(agent, epoch, seq, orders);
             },
             // The snapshots of this run are taken more often.
-            Effect::Snapshot { .. } => {},
+            Effect::Gauge { .. } | Effect::Snapshot { .. } => {},
             Effect::Told { ticket, told } => self.told(ticket, told),
         }
     }
--- a/toucangrade/src/simulation/jobs/faults.rs
+++ b/toucangrade/src/simulation/jobs/faults.rs
@@ -13,7 +13,7 @@
     Control(usize),
     /// A runner has crashed.
     Crash(usize),
-    /// An instance of control stands still.
+    /// A process stands still.
     Freeze,
     /// A runner misbehaves.
     Habit(usize),
@@ -30,21 +30,21 @@
     pub(super) fn fault(&mut self) {
         let control = self.draw(0..3) as usize;
         let length = self.draw(300_000..7_000_000);
-        let kind = self.draw(0..16);
+        let kind = self.draw(0..17);
         let machines = self.machines.len() as u64;
         match kind {
-            0..11 => {
+            0..12 => {
                 let most = if self.chance(300) { machines } else { 1 + machines / 4 };
                 let (first, count) = (self.draw(0..machines), 1 + self.draw(0..most));
                 for at in first..first + count {
                     self.harm_machine(kind, (at % machines) as usize, length);
                 }
             },
-            11 => {
+            12 => {
                 self.kill_control(control);
                 self.begin(Fault::Control(control), length);
             },
-            12 => {
+            13 => {
                 let at = self.log.leader.unwrap_or(control);
                 self.note(|| format!("control {at} freezes for {length} us"));
                 self.controls[at].frozen = self.now + length;
@@ -54,11 +54,11 @@
                 }
                 self.begin(Fault::Freeze, length);
             },
-            13 => {
+            14 => {
                 self.depose();
                 self.harm();
             },
-            14 => {
+            15 => {
                 let (slow, refusals) = (self.draw(0..800_000), self.draw(0..500) as u32);
                 (self.log.slow, self.log.refusals) = (slow, refusals);
                 self.begin(Fault::Log, length);
@@ -91,10 +91,15 @@
                 self.end_runner(agent);
                 return self.begin(Fault::Crash(agent), 1_000_000 + length);
             },
-            6 => Habit::Failing,
-            7 => Habit::Hanging,
-            8 => Habit::Late,
-            9 => Habit::Mute,
+            6 => {
+                self.note(|| format!("agent {agent} freezes"));
+                self.machines[agent].frozen = self.now + length;
+                return self.begin(Fault::Freeze, length);
+            },
+            7 => Habit::Failing,
+            8 => Habit::Hanging,
+            9 => Habit::Late,
+            10 => Habit::Mute,
             _ => Habit::Sick,
         };
         let Some(runner) = &mut self.machines[agent].runner else { return };
@@ -121,7 +126,9 @@
                 let last = self.machines[agent].name.clone();
                 let fresh = self.chance(500);
                 let runner = if fresh { runner_name(agent, self.next) } else { last };
-                let life = Life { runner, born: self.wall() };
+                // A clock that was set back lets a later life look like an earlier one.
+                let back = if self.chance(200) { self.draw(0..20_000) } else { 0 };
+                let life = Life { runner, born: self.wall() - back };
                 self.schedule(0, Event::Born { agent, life });
             },
             Fault::Freeze => {},
--- a/toucangrade/src/simulation/jobs/machine.rs
+++ b/toucangrade/src/simulation/jobs/machine.rs
@@ -6,7 +6,7 @@
 use super::world::{Event, Order, SERVICE, World, again, runner_name};
 use crate::core::invariant;
 use crate::dispatch::Denial;
-use crate::hosting::{Announcement, Fault as Failure, Listing, Message};
+use crate::hosting::{Announcement, Fault as Failure, Listing, Message, RunnerTarget as Target};
 use crate::jobs::{End, Job, Life, Need, RunKey};
 
 /// Period of the model of runners, and of heartbeats, in microseconds.
@@ -93,8 +93,10 @@
         else {
             return;
         };
-        let (epoch, runner) = (self.machines[agent].epoch, runner.life.runner.to_string());
-        self.schedule(500, Event::ToAgent { agent, epoch, message: Message::Leave { runner } });
+        let born = self.truth.guarded.then_some(runner.life.born);
+        let message = Message::Leave { runner: runner.life.runner.to_string(), born };
+        let epoch = self.machines[agent].epoch;
+        self.schedule(500, Event::ToAgent { agent, epoch, message });
         self.end_runner(agent);
         let wait = self.draw(1_000_000..4_000_000);
         let (number, born) = (self.next, self.wall() + wait / 1_000);
@@ -102,7 +104,7 @@
         self.schedule(wait, Event::Born { agent, life });
     }
 
-    pub(super) fn send(&mut self, agent: usize, call: Option<u64>, target: Life, order: Order) {
+    pub(super) fn send(&mut self, agent: usize, call: Option<u64>, target: Target, order: Order) {
         let wait = self.draw(200..2_000);
         self.schedule(wait, Event::Order { agent, call, target, serial: None, order });
     }
@@ -112,7 +114,7 @@
         &mut self,
         agent: usize,
         call: Option<u64>,
-        target: Life,
+        target: Target,
         serial: Option<u64>,
         order: Order,
     ) {
@@ -126,7 +128,7 @@
         if serial.is_some_and(|serial| serial != runner.serial) {
             return;
         }
-        if target.runner != runner.life.runner {
+        if target.life.runner != runner.life.runner {
             if let Some((call, lost)) = call.zip(lost) {
                 self.reply(call, with(lost, Failure::Replaced));
             }
@@ -159,8 +161,8 @@
         }
     }
 
-    fn carry_out(&mut self, agent: usize, call: Option<u64>, target: &Life, order: &Order) {
-        let (now, token, within) = (self.now, target.born, self.draw(0..STOP_LIMIT));
+    fn carry_out(&mut self, agent: usize, call: Option<u64>, target: &Target, order: &Order) {
+        let (now, token, within) = (self.now, target.token, self.draw(0..STOP_LIMIT));
         let plan = match order {
             Order::Start { start, .. } => self.plan(start.key),
             _ => None,
@@ -178,9 +180,8 @@
                 }
             },
             Order::Pace { key, percent } => {
-                // Like the adapter, which chooses anew with the next figures.
-                let _ = runner.pace(token, *key, *percent);
-                return;
+                let result = denied(runner.pace(token, *key, *percent));
+                Message::Paced { key: *key, result }
             },
             Order::Start { start, until } => {
                 let Some(plan) = plan else {
@@ -263,6 +264,7 @@
 fn with(lost: Message, failure: Failure) -> Message {
     match lost {
         Message::Listed { seq, .. } => Message::Listed { seq, listing: Err(failure) },
+        Message::Paced { key, .. } => Message::Paced { key, result: Err(failure) },
         Message::Started { key, .. } => Message::Started { key, result: Err(failure) },
         Message::Stopped { key, .. } => Message::Stopped { key, result: Err(failure) },
         other => other,
--- a/toucangrade/src/simulation/jobs/runner.rs
+++ b/toucangrade/src/simulation/jobs/runner.rs
@@ -256,6 +256,7 @@
             born: self.life.born,
             rows: self.runs.iter().map(row).collect(),
             ended: self.ended.iter().map(|(_, ended)| ended.clone()).collect(),
+            unread: false,
         }
     }
 
--- a/toucangrade/src/simulation/jobs/world.rs
+++ b/toucangrade/src/simulation/jobs/world.rs
@@ -13,7 +13,7 @@
 use super::truth::Truth;
 use crate::core::{Moment, Name};
 use crate::dispatch::{self, Ask, Orders, Report, Start};
-use crate::hosting::{Effect, Fault as Failure, Hosting, Message};
+use crate::hosting::{Effect, Fault as Failure, Hosting, Message, RunnerTarget as Target};
 use crate::jobs::{Command, Life, RunKey};
 
 /// Name of the service that all runners belong to.
@@ -42,6 +42,8 @@
     hosting: Option<Hosting>,
     pub(super) epoch: u64,
     started: u64,
+    /// Until when the agent's process stands still.
+    pub(super) frozen: u64,
     pub(super) link: Link,
     pub(super) runner: Option<Runner>,
     /// Name of its newest runner.
@@ -121,7 +123,7 @@
     Order {
         agent: usize,
         call: Option<u64>,
-        target: Life,
+        target: Target,
         serial: Option<u64>,
         order: Order,
     },
@@ -209,6 +211,7 @@
                 hosting: None,
                 epoch: 0,
                 started: 0,
+                frozen: 0,
                 link: Link::default(),
                 runner: None,
                 name: name.clone(),
@@ -278,6 +281,12 @@
                 return self.schedule(frozen - self.now, event);
             }
         }
+        if let Some(agent) = agent_of(&event, &self.calls) {
+            let frozen = self.machines[agent].frozen;
+            if frozen > self.now {
+                return self.schedule(frozen - self.now, event);
+            }
+        }
         match event {
             Event::Again { ticket } => self.send_ask(ticket),
             Event::AgentTick { agent, epoch } => {
@@ -345,7 +354,7 @@
 
     pub(super) fn kill_agent(&mut self, agent: usize) {
         self.note(|| format!("agent {agent} is killed"));
-        self.machines[agent].hosting = None;
+        (self.machines[agent].hosting, self.machines[agent].frozen) = (None, 0);
         self.machines[agent].epoch += 1;
     }
 
@@ -365,10 +374,12 @@
                 let lost = Message::Listed { seq, listing: Err(Failure::Silent) };
                 let wait = wait.as_micros();
                 let call = self.call(agent, lost, wait + LIST_LIMIT);
-                self.send(agent, Some(call), target.life, Order::List { seq, noted, until, wait });
+                self.send(agent, Some(call), target, Order::List { seq, noted, until, wait });
             },
             Effect::Pace { target, key, percent } => {
-                self.send(agent, None, target.life, Order::Pace { key, percent });
+                let lost = Message::Paced { key, result: Err(Failure::Silent) };
+                let call = self.call(agent, lost, ORDER_LIMIT);
+                self.send(agent, Some(call), target, Order::Pace { key, percent });
             },
             Effect::Report(report) => {
                 let lost = Message::Ordered { seq: report.seq, orders: None };
@@ -381,12 +392,12 @@
             Effect::Start { target, start, until } => {
                 let lost = Message::Started { key: start.key, result: Err(Failure::Silent) };
                 let call = self.call(agent, lost, ORDER_LIMIT);
-                self.send(agent, Some(call), target.life, Order::Start { start, until });
+                self.send(agent, Some(call), target, Order::Start { start, until });
             },
             Effect::Stop { target, key } => {
                 let lost = Message::Stopped { key, result: Err(Failure::Silent) };
                 let call = self.call(agent, lost, ORDER_LIMIT);
-                self.send(agent, Some(call), target.life, Order::Stop { key });
+                self.send(agent, Some(call), target, Order::Stop { key });
             },
         }
     }
@@ -473,10 +484,20 @@
     }
 }
 
+/// The agent that an event is for, if it is for one.
+fn agent_of(event: &Event, calls: &BTreeMap<u64, Call>) -> Option<usize> {
+    match event {
+        Event::AgentTick { agent, .. } | Event::ToAgent { agent, .. } => Some(*agent),
+        Event::Answer { call, .. } => calls.get(call).map(|call| call.agent),
+        _ => None,
+    }
+}
+
 pub(super) fn again(lost: &Message) -> Message {
     match lost {
         Message::Listed { seq, .. } => Message::Listed { seq: *seq, listing: Err(Failure::Silent) },
         Message::Ordered { seq, .. } => Message::Ordered { seq: *seq, orders: None },
+        Message::Paced { key, .. } => Message::Paced { key: *key, result: Err(Failure::Silent) },
         Message::Started { key, .. } => {
             Message::Started { key: *key, result: Err(Failure::Silent) }
         },
