Count a runner as there from when it can have answered

Callers could see two runs of one task. An agent that stood still for five seconds reads an answer that its runner gave before, takes the runner for one that has just answered, and sends it a start; a later life under the same name, which has seen no fencing token, carries that out. Cause: the time since the runner answered counted from when the answer was read. Ruled out: the leader. It closes the runs of the life before and assigns them again as it should. Change: an answer that comes over 150 ms later than the wait that was asked for shows only that the runner was there when it was asked. The silence that is reported still counts from the reading, which is the safe side for leases.

--- a/toucangrade/src/hosting/mod.rs
+++ b/toucangrade/src/hosting/mod.rs
@@ -40,6 +40,9 @@
 /// Silence after which another life may answer under the runner's name. It is shorter than the
 /// second that a restart takes, less the time that an order takes.
 const CERTAIN: Span = Span::millis(700);
+/// Time beyond the wait after which the answer to a listing does not tell when it was given: the
+/// process may have stood still since.
+const LIST_LATE: Span = Span::millis(150);
 /// Longest time between two reports, well below the leader's limit for silent runners.
 const REPORT_EVERY: Span = Span::millis(900);
 /// Time after which a report without an answer is given up: longer than the leader holds it.
@@ -69,6 +72,7 @@
 struct Asked {
     seq: u64,
     since: Moment,
+    wait: Span,
     #[serde(skip)]
     target: Target,
 }
@@ -99,6 +103,8 @@
     noted: u64,
     listing: Option<Asked>,
     listed: Moment,
+    /// When the known runner was certainly there.
+    certain: Moment,
     /// When the last listing failed, if it did and the next waits for that reason.
     failed: Option<Moment>,
     /// Report under way, with the time it was sent.
@@ -141,6 +147,7 @@
             noted: 0,
             listing: None,
             listed: Moment::START,
+            certain: Moment::START,
             failed: None,
             reporting: None,
             reported: Moment::START,
@@ -178,7 +185,7 @@
     /// Whether orders that are sent now reach the life of the runner that they are for. A later life
     /// has seen no fencing token until its first call, so it would carry out those for an earlier one.
     fn certain(&self, now: Moment) -> bool {
-        self.known.as_ref().is_some_and(|known| now.since(known.answered) < CERTAIN)
+        now.since(self.certain) < CERTAIN
     }
 
     fn target(&self) -> Option<Target> {
@@ -213,7 +220,7 @@
     }
 
     fn take_listing(&mut self, now: Moment, seq: u64, listing: Result<Box<Listing>, Fault>) {
-        let Some(Asked { since: asked, target, .. }) =
+        let Some(Asked { since: asked, wait, target, .. }) =
             self.listing.take_if(|asked| asked.seq == seq)
         else {
             return;
@@ -229,6 +236,8 @@
             return;
         }
         (self.failed, self.refused, self.seeking) = (None, 0, false);
+        let late = now.since(asked) >= wait + LIST_LATE;
+        self.certain = if late { asked } else { now };
         let Some(known) = &mut self.known else { return };
         let ended = |listing: &Listing| listing.ended.iter().map(|e| e.number).max();
         self.news |= ended(&listing) > ended(&known.listing);
@@ -287,8 +296,8 @@
         let Some(target) = self.whom() else { return };
         self.seq += 1;
         let seq = self.seq;
-        self.listing = Some(Asked { seq, since: now, target: target.clone() });
         let wait = if waiting || self.seeking { Span::ZERO } else { LIST_WAIT };
+        self.listing = Some(Asked { seq, since: now, wait, target: target.clone() });
         // A lease and acknowledgements are for the runner that they were granted for.
         let known = self.certain(now) && self.target().is_some_and(|known| known == target);
         let (noted, until) = if known { (self.noted, self.until) } else { (0, None) };
--- a/toucangrade/src/hosting/tests.rs
+++ b/toucangrade/src/hosting/tests.rs
@@ -460,3 +460,19 @@
     assert_eq!((world.starts, world.noted), (2, Some(3)));
     assert!(world.until.is_some());
 }
+
+/// An answer that an agent reads long after it asked, as its process stood still, says nothing about
+/// who is there now.
+#[test]
+fn late_listing_lets_nothing_start() {
+    let mut world = World::new(Manner::Sound);
+    world.pass(500);
+    world.now = world.now + Span::secs(3);
+    world.manner = Manner::Ended;
+    world.pass(50);
+    world.start(1);
+    assert_eq!(world.starts, 0);
+    world.manner = Manner::Sound;
+    world.pass(500);
+    assert_eq!(world.starts, 1);
+}
