--- a/toucangrade/src/hosting/tests.rs
+++ b/toucangrade/src/hosting/tests.rs
@@ -66,6 +66,8 @@
     starts: u32,
     /// Greatest end of the lease that the runner was told.
     until: Option<u64>,
+    /// Number up to which it was last told that its ends are recorded.
+    noted: Option<u64>,
     tokens: Vec<u64>,
     report: Option<Report>,
     reports: u32,
@@ -105,6 +107,7 @@
             buried: Vec::new(),
             starts: 0,
             until: None,
+            noted: None,
             tokens: Vec::new(),
             report: None,
             reports: 0,
@@ -134,6 +137,7 @@
             Effect::List { seq, target, noted, until, wait } => {
                 self.waits.push(wait);
                 self.lists += 1;
+                self.noted = Some(noted);
                 self.tokens.push(target.token);
                 if let Err(fault) = self.reach(&target) {
                     return Some(Message::Listed { seq, listing: Err(fault) });
@@ -471,3 +475,39 @@
     world.pass(100);
     assert_eq!(world.waits.last(), Some(&LIST_WAIT));
 }
+
+/// A runner that has not answered lately may have been replaced by another life under its name,
+/// which has seen no fencing token yet: it gets no start, lease or acknowledgement until it answers.
+#[test]
+fn silent_runner_gets_no_starts() {
+    let mut world = World::new(Manner::Sound);
+    world.start(0);
+    world.pass(500);
+    world.manner = Manner::Ended;
+    world.pass(800);
+    (world.until, world.noted) = (None, None);
+    world.order(Orders { noted: 3, ..Orders::default() });
+    world.start(1);
+    world.pass(300);
+    assert_eq!((world.starts, world.until, world.noted), (1, None, Some(0)));
+    world.manner = Manner::Sound;
+    world.pass(500);
+    assert_eq!((world.starts, world.noted), (2, Some(3)));
+    assert!(world.until.is_some());
+}
+
+/// An answer that an agent reads long after it asked, as its process stood still, says nothing about
+/// who is there now.
+#[test]
+fn late_listing_lets_nothing_start() {
+    let mut world = World::new(Manner::Sound);
+    world.pass(500);
+    world.now = world.now + Span::secs(3);
+    world.manner = Manner::Ended;
+    world.pass(50);
+    world.start(1);
+    assert_eq!(world.starts, 0);
+    world.manner = Manner::Sound;
+    world.pass(500);
+    assert_eq!(world.starts, 1);
+}
--- a/toucangrade/src/node/tests.rs
+++ b/toucangrade/src/node/tests.rs
@@ -171,7 +171,7 @@
 /// tells it of its removal, so it counted itself a member and never heard of a leader again.
 #[test]
 fn removed_voter_is_taken_in_again() {
-    let ips = [0, 1, 2, 3].map(|part| address(50 + part));
+    let ips = [0, 1, 2, 3].map(|part| address(60 + part));
     let folders = [0; 4].map(|_| tempfile::tempdir().expect("a folder"));
     let start = |at: usize, first| {
         let settings = NodeSettings::builder(ips[at], PORT).seeds(ips[..3].to_vec()).first(first);
