Wait for the lease of a silent life that was born later

Cause: when an agent named another life than before, the runs of the one before were closed at once. Since an agent may go back to a life that announces itself while a later one is silent, that one may be alive and work on until its lease ends. Change: the leader closes at once only what was born before the life that is named; a later one keeps its runs for its lease. Evidence: silent_life_keeps_its_lease (earlier_life) failed before.

--- a/toucangrade/src/dispatch/reports.rs
+++ b/toucangrade/src/dispatch/reports.rs
@@ -19,7 +19,10 @@
         }
         let life = report.runner.as_ref().map(|runner| runner.life.clone());
         for over in self.fleet.replaced(&agent, life.as_ref()) {
-            self.close_all(&over);
+            // One that was born later may only have been silent, so its lease is waited for.
+            if life.as_ref().is_some_and(|life| over.born <= life.born) {
+                self.close_all(&over);
+            }
         }
         if let Some(life) = &life {
             // The lease counts from the reading of the runner's clock, which a silent one leaves as
--- a/toucangrade/src/dispatch/tests/log.rs
+++ b/toucangrade/src/dispatch/tests/log.rs
@@ -1,5 +1,7 @@
 //! Tests of what dispatch makes of the log's refusals and of time.
 
+use rstest::rstest;
+
 use super::*;
 
 /// A proposal that the log refuses is made again only after a while. While leadership is handed
@@ -117,3 +119,29 @@
     }
     assert_eq!(follower.live(&other), [key(7, 0, 0, 2)]);
 }
+
+struct Earlier {
+    /// Birth of the life that the agent names after one that was born at 20.
+    born: u64,
+    /// Time since the last report on that one.
+    after: u64,
+    moved: bool,
+}
+
+/// A life that was born later than the one an agent names now may only have been silent, since its
+/// agent then takes the other for the runner. It keeps its runs until its lease has ended.
+#[rstest]
+#[case::later_life(Earlier { born: 30, after: 100, moved: true })]
+#[case::earlier_life(Earlier { born: 10, after: 5_800, moved: false })]
+#[case::earlier_life_after_the_lease(Earlier { born: 10, after: 6_400, moved: true })]
+fn silent_life_keeps_its_lease(#[case] case: Earlier) {
+    let mut world = World::new();
+    let (silent, named) = (life("i-2", 20), life("i-1", case.born));
+    world.report(report("10.0.0.1", 1, &silent));
+    world.submit("match", 7, vec![step(1, 1_000)]);
+    for seq in 2..2 + case.after / 100 {
+        world.report(report("10.0.0.1", seq, &named));
+        world.pass(100);
+    }
+    assert_eq!(!world.live(&named).is_empty(), case.moved);
+}
