--- a/toucangrade/src/admission/mod.rs
+++ b/toucangrade/src/admission/mod.rs
@@ -163,6 +163,8 @@
         } else if !in_range(announce.connections) || announce.connections < announce.slots {
             let Announce { connections, slots, .. } = announce;
             Some(format!("connections is {connections}, allowed is {slots} to {CAPACITY_MAX}"))
+        } else if announce.addr.port() == 0 {
+            Some(format!("addr is {}, allowed are ports from 1 to 65535", announce.addr))
         } else if announce.kinds.is_empty() {
             Some("kinds is empty, allowed is one kind or more".to_owned())
         } else {
--- a/toucangrade/src/daemon/mod.rs
+++ b/toucangrade/src/daemon/mod.rs
@@ -41,6 +41,8 @@
 use self::link::Link;
 use self::operator::Operator;
 use self::telemetry::Telemetry;
+#[cfg(test)]
+pub(crate) use self::worker::listed_tasks;
 use crate::agreement::Disk;
 use crate::core::{Clock, Moment, Span};
 use crate::http::{Client, Handler, Inbound, Outbound, Server};
--- a/toucangrade/src/daemon/worker.rs
+++ b/toucangrade/src/daemon/worker.rs
@@ -11,10 +11,10 @@
 use super::Context;
 use super::link::Link;
 use crate::core::{Duty, Handle, Span};
-use crate::http::{Client, Exchange};
+use crate::http::{Client, Exchange, Parts};
 use crate::peer::{Reply, Request};
 use crate::placement::{Instance, Size, Target};
-use crate::platform::{self, Effect, Message, Platform, Tasks};
+use crate::platform::{self, Effect, Message, Platform, Status, Tasks};
 
 /// Longest time between two ticks.
 const TICK: Span = Span::millis(100);
@@ -64,6 +64,21 @@
     Ok(())
 }
 
+/// Parses a worker's list of tasks; `None` if it is not a list. Invalid entries are skipped.
+pub(crate) fn listed_tasks(body: &[u8]) -> Option<Vec<Status>> {
+    let (mut tasks, mut invalid) = (Vec::new(), None);
+    for part in Parts::entries(body)? {
+        match serde_json::from_slice(part.ok()?) {
+            Ok(task) => tasks.push(task),
+            Err(error) => invalid = invalid.or(Some(error)),
+        }
+    }
+    if let Some(error) = invalid {
+        tracing::warn!(%error, "worker lists an invalid task");
+    }
+    Some(tasks)
+}
+
 /// Implements [`Platform`] by HTTP calls to the worker that listens on `addr`.
 ///
 /// `PUT /tasks/{job}` starts a task, `POST /tasks/{job}/checkpoint`, `/throttle` and `/stop` act on
@@ -93,7 +108,7 @@
             let exchange = Exchange::post(addr, "/tasks", Bytes::new(), WORKER_TIMEOUT);
             client.send(exchange.method(Method::GET), move |result| {
                 let response = result.ok().filter(|response| response.status == 200);
-                done(response.and_then(|r| serde_json::from_slice(&r.body).ok()));
+                done(response.and_then(|response| listed_tasks(&response.body)));
             });
         }),
         stop: Arc::new(move |target| post_action(&stop, "stop", &target)),
--- a/toucangrade/src/dispatch/tests.rs
+++ b/toucangrade/src/dispatch/tests.rs
@@ -4,6 +4,7 @@
 mod exclusion;
 mod extremes;
 mod faulty_runners;
+mod fuzz;
 mod health;
 mod load;
 mod log;
--- a/toucangrade/src/http/mod.rs
+++ b/toucangrade/src/http/mod.rs
@@ -8,7 +8,7 @@
 mod server;
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 
 pub use self::client::{CallError, Client, Exchange, Response};
 pub use self::parts::Parts;
--- a/toucangrade/src/http/tests.rs
+++ b/toucangrade/src/http/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the HTTP server and client over loopback.
 
+pub(crate) mod mutate;
+
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
--- a/toucangrade/src/peer/tests.rs
+++ b/toucangrade/src/peer/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the encoding of messages between processes.
 
+mod fuzz;
+
 use bytes::Bytes;
 
 use super::*;
