Compute only changed runners in a round of placement

Cause: on the large deployment the leader's processor time binds. Change: candidates are kept between rounds and computed again only when the agent has reported or the runner's runs have changed; a round without waiting tasks ends before them. All tasks of a step share one ranking, in which only the chosen runner is ranked again. What an image may use on a runner is computed once. Tasks of a step are counted from the job, and only if the step limits its spread. Result: round_computes_only_changed_runners passes (160 computed runners before, one now); 140 tests of dispatch, pacing, pressure and the job simulation pass, with a comparison of kept and newly computed candidates after each step.

--- a/toucangrade/src/dispatch/fleet.rs
+++ b/toucangrade/src/dispatch/fleet.rs
@@ -84,6 +84,9 @@
     /// When every lease that was granted has certainly expired.
     #[serde(rename = "bound")]
     pub(crate) expires: Moment,
+    /// Number of the last change of the set of runs, see [`Fleet::next_change`].
+    #[serde(skip)]
+    pub(crate) changed: u64,
 }
 
 /// Latest time at which a lease expires that was granted for a report of this moment.
@@ -119,6 +122,9 @@
     pub(crate) table: (u64, Moment),
     /// Estimated slowness relative to other runners, in percent.
     pub(crate) slowness: u64,
+    /// Number of reports processed, the newest one included.
+    #[serde(skip)]
+    pub(crate) reports: u64,
 }
 
 impl Worker {
@@ -132,6 +138,7 @@
             health: Health::default(),
             table: (0, Moment::START),
             slowness: 100,
+            reports: 1,
         }
     }
 
@@ -154,6 +161,7 @@
         self.reported_runs = reported_runs(&report);
         self.report = report;
         self.received = now;
+        self.reports += 1;
     }
 
     pub(crate) fn runner(&self) -> Option<&Runner> {
@@ -215,12 +223,43 @@
     pub(crate) workers: BTreeMap<Name, Worker>,
     #[serde(skip)]
     pub(crate) leases: BTreeMap<Incarnation, Lease>,
+    /// Number of changes of sets of runs so far.
+    #[serde(skip)]
+    changes: u64,
 }
 
 impl Fleet {
+    /// Numbers a change of a set of runs. No two changes share a number, also if a lease is removed
+    /// and added again.
+    fn next_change(&mut self) -> u64 {
+        self.changes += 1;
+        self.changes
+    }
+
+    pub(crate) fn add_run(
+        &mut self,
+        incarnation: &Incarnation,
+        key: RunKey,
+        run: Run,
+        now: Moment,
+    ) {
+        let changed = self.next_change();
+        let lease = self.lease_entry(incarnation, now);
+        lease.runs.insert(key, run);
+        lease.changed = changed;
+    }
+
+    pub(crate) fn remove_run(&mut self, incarnation: &Incarnation, key: RunKey) -> Option<Run> {
+        let changed = self.next_change();
+        let lease = self.leases.get_mut(incarnation)?;
+        lease.changed = changed;
+        lease.runs.remove(&key)
+    }
+
     pub(crate) fn lease_entry(&mut self, incarnation: &Incarnation, now: Moment) -> &mut Lease {
         if !self.leases.contains_key(incarnation) {
-            let lease = Lease { runs: BTreeMap::new(), expires: lease_end(now) };
+            let changed = self.next_change();
+            let lease = Lease { runs: BTreeMap::new(), expires: lease_end(now), changed };
             self.leases.insert(incarnation.clone(), lease);
         }
         self.leases.entry(incarnation.clone()).or_insert_with(|| unreachable!("inserted above"))
--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -12,6 +12,7 @@
 mod reports;
 mod rescue;
 mod settings;
+mod views;
 mod waits;
 
 #[cfg(test)]
@@ -32,6 +33,7 @@
     BATCH_BYTES, BATCH_LIMIT, DURATION_WEIGHT_PERCENT, MOVE_RESERVATION, PROPOSALS_LIMIT,
     SNAPSHOT_BYTES, SNAPSHOT_COMMANDS, STEP_BYTES,
 };
+use self::views::Views;
 use self::waits::Waits;
 use crate::core::{Moment, Name, Span};
 use crate::jobs::{
@@ -106,6 +108,8 @@
     #[serde(rename = "rescued")]
     last_rescue: Moment,
     waits: Waits,
+    #[serde(skip)]
+    views: Views,
     /// Number and bytes of the commands applied since the last snapshot.
     growth: (usize, usize),
     #[serde(skip)]
@@ -137,6 +141,7 @@
             leading_since: Moment::START,
             last_rescue: Moment::START,
             waits: Waits::default(),
+            views: Views::default(),
             growth: (0, 0),
             out: Vec::new(),
         }
@@ -295,7 +300,7 @@
         touched: &mut BTreeSet<Name>,
     ) {
         let Some(run) = self.new_run(now, key) else { return };
-        self.fleet.lease_entry(incarnation, now).runs.insert(key, run);
+        self.fleet.add_run(incarnation, key, run, now);
         touched.extend(self.fleet.agent(incarnation).cloned());
     }
 
@@ -335,7 +340,7 @@
         incarnation: &Incarnation,
         touched: &mut BTreeSet<Name>,
     ) {
-        let run = self.fleet.leases.get_mut(incarnation).and_then(|lease| lease.runs.remove(&key));
+        let run = self.fleet.remove_run(incarnation, key);
         // The start time of runs assigned by an earlier leader is not known here.
         if let Some(run) = &run
             && end == End::Done
@@ -438,7 +443,7 @@
         }
         for (key, incarnation) in live {
             if let Some(run) = self.new_run(now, key) {
-                self.fleet.lease_entry(&incarnation, now).runs.insert(key, run);
+                self.fleet.add_run(&incarnation, key, run, now);
             }
         }
         self.dirty = true;
@@ -452,6 +457,7 @@
         if leading {
             self.leading_since = now;
             self.fleet.workers.clear();
+            self.views = Views::default();
             self.learner.clear_samples();
             self.rebuild(now);
             // The previous leader may have granted leases up to this moment.
--- a/toucangrade/src/dispatch/place.rs
+++ b/toucangrade/src/dispatch/place.rs
@@ -1,6 +1,6 @@
 //! Choice of a runner for a task: checks which candidates fit, and ranks those.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use serde::Serialize;
@@ -8,7 +8,7 @@
 use super::health::Trust;
 use crate::core::Name;
 use crate::jobs::{Incarnation, Need, Step};
-use crate::pressure::{Headroom, Table};
+use crate::pressure::{Headroom, Table, share_within};
 
 /// Average share of their reserved cores that lasting tasks use, in percent; the reservation covers
 /// their peak.
@@ -55,6 +55,8 @@
     pub(super) serving: u32,
     /// Interference that the tasks with a latency target can still take.
     pub(super) headroom: Headroom,
+    /// Fraction of the cores that an image may use by `headroom`, for images asked for so far.
+    pub(super) limits: BTreeMap<Arc<str>, f64>,
     /// Slowness relative to other runners, in percent.
     pub(super) slowness: u64,
     /// Tasks that may be placed on it.
@@ -72,11 +74,21 @@
         millicores as f64 / self.capacity.millicores.max(1) as f64
     }
 
+    fn limit(&mut self, table: &Table, image: &Arc<str>) -> f64 {
+        if let Some(limit) = self.limits.get(image) {
+            return *limit;
+        }
+        let limit = self.headroom.limit(table, image);
+        self.limits.insert(Arc::clone(image), limit);
+        limit
+    }
+
     /// Fraction of full speed at which one more filling task would run.
-    pub(super) fn speed(&self, table: &Table, step: &Step) -> f64 {
-        let image = step.image.as_deref().unwrap_or_default();
+    pub(super) fn speed(&mut self, table: &Table, step: &Step) -> f64 {
         let asked = self.fraction(step.need.millicores);
-        let allowed = self.headroom.max_share(table, image, asked);
+        let limit = step.image.as_ref().map(|image| self.limit(table, image));
+        let limit = limit.unwrap_or_else(|| self.headroom.limit(table, ""));
+        let allowed = share_within(limit, asked);
         let wanted = self.filling.saturating_add(step.need.millicores).max(1);
         let cores = self.spare_cores() as f64 / wanted as f64;
         allowed.min(cores).min(1.0) * 100.0 / self.slowness.max(1) as f64
@@ -123,6 +135,7 @@
             let image = step.image.as_deref().unwrap_or_default();
             let asked = self.fraction(step.need.millicores);
             self.headroom.spend(table, image, asked);
+            self.limits.clear();
         }
         if step.lasting {
             self.reserved = self.reserved.saturating_add(step.need.millicores);
@@ -140,55 +153,89 @@
     u64::try_from(share).unwrap_or(u64::MAX).min(scale)
 }
 
-/// Further inputs of the choice for one task, beside free room.
+/// What a task of a step requires of its runner.
+#[derive(Clone, Copy)]
 pub(super) struct Constraints<'a> {
+    pub(super) step: &'a Step,
     /// Service whose runners may run the task.
     pub(super) service: &'a str,
-    /// Number of tasks of the same step on each candidate.
-    pub(super) siblings: &'a [u32],
-    /// Agents on whose runners the task has failed, ranked behind others of the same trust.
-    pub(super) avoided: &'a BTreeSet<Name>,
     /// Estimates of how images interfere with each other.
     pub(super) table: &'a Table,
 }
 
-/// Returns the index of the best candidate for a task, if any is eligible.
+/// Rank of a candidate: its trust, whether it is on the requested rack, and a rank by the kind of
+/// the task.
+type Rank = (Trust, bool, (u64, u64, u64));
+
+/// Ranks of all candidates for the tasks of a step; `None` for those that are not eligible.
 ///
 /// Tasks with a latency target are packed onto few runners, so that the others stay free for
 /// filling tasks, which would disturb them. Filling tasks go where they run fastest: where cores
 /// are unused, and where they disturb no task with a latency target. Other tasks go where the
 /// largest share of the cores stays free. Runners on trial come last.
-pub(super) fn choose(
-    candidates: &[Candidate],
-    step: &Step,
-    constraints: &Constraints<'_>,
-) -> Option<usize> {
-    let counted = step.counted();
-    let fits = |at: usize, candidate: &Candidate| {
-        !candidate.barred(step)
-            && candidate.mismatch(step, constraints.service, constraints.siblings[at]).is_none()
+pub(super) struct Ranking<'a> {
+    constraints: Constraints<'a>,
+    /// Number of tasks of the step on each candidate.
+    siblings: Vec<u32>,
+    ranks: Vec<Option<Rank>>,
+}
+
+impl<'a> Ranking<'a> {
+    pub(super) fn new(
+        candidates: &mut [Candidate],
+        constraints: Constraints<'a>,
+        siblings: Vec<u32>,
+    ) -> Self {
+        let ranks = candidates.iter_mut().zip(&siblings).map(|(c, n)| rank(c, constraints, *n));
+        let ranks = ranks.collect();
+        Self { constraints, siblings, ranks }
+    }
+
+    /// Index of the best candidate for a task, if any is eligible. Those on whose agents the task
+    /// has failed come after others of the same trust.
+    pub(super) fn best(
+        &self,
+        candidates: &[Candidate],
+        avoided: Option<&BTreeSet<Name>>,
+    ) -> Option<usize> {
+        let ranked = self.ranks.iter().enumerate().filter_map(|(at, rank)| {
+            let (trust, rack, rank) = (*rank)?;
+            let failed = avoided.is_some_and(|avoided| avoided.contains(&candidates[at].agent));
+            Some(((trust, !failed, rack, rank), at))
+        });
+        ranked.max_by_key(|(rank, _)| *rank).map(|(_, at)| at)
+    }
+
+    /// Allocates a task to a candidate.
+    pub(super) fn allocate(&mut self, candidates: &mut [Candidate], at: usize) {
+        let Constraints { step, table, .. } = self.constraints;
+        candidates[at].allocate(table, step);
+        self.siblings[at] += 1;
+        self.ranks[at] = rank(&mut candidates[at], self.constraints, self.siblings[at]);
+    }
+}
+
+fn rank(candidate: &mut Candidate, constraints: Constraints<'_>, siblings: u32) -> Option<Rank> {
+    let Constraints { step, service, table } = constraints;
+    if candidate.barred(step) || candidate.mismatch(step, service, siblings).is_some() {
+        return None;
+    }
+    let cores = candidate.capacity.millicores;
+    let right_rack = step.rack.is_none() || step.rack.as_ref() == candidate.rack();
+    let left = share(candidate.free.millicores - step.counted().millicores, cores, 1_000);
+    let rank = if step.fills {
+        let speed = candidate.speed(table, step);
+        if speed < MIN_SPEED {
+            return None;
+        }
+        // Equally fast runners are ranked by whether they run no task with a latency target, then
+        // by free cores.
+        let quiet = u64::from(candidate.serving == 0);
+        ((speed * 20.0) as u64, quiet, left)
+    } else if step.target > 0 {
+        (u64::from(candidate.serving > 0), 1_000 - left, 0)
+    } else {
+        (left * 100 / candidate.slowness.max(1), 0, 0)
     };
-    let open = candidates.iter().enumerate().filter(|(at, c)| fits(*at, c));
-    let scored = open.filter_map(|(at, candidate)| {
-        let cores = candidate.capacity.millicores;
-        let other_rack = step.rack.is_some() && step.rack.as_ref() != candidate.rack();
-        let failed = constraints.avoided.contains(&candidate.agent);
-        let left = share(candidate.free.millicores - counted.millicores, cores, 1_000);
-        let rank = if step.fills {
-            let speed = candidate.speed(constraints.table, step);
-            if speed < MIN_SPEED {
-                return None;
-            }
-            // Equally fast runners are ranked by whether they run no task with a latency target,
-            // then by free cores.
-            let quiet = u64::from(candidate.serving == 0);
-            ((speed * 20.0) as u64, quiet, left)
-        } else if step.target > 0 {
-            (u64::from(candidate.serving > 0), 1_000 - left, 0)
-        } else {
-            (left * 100 / candidate.slowness.max(1), 0, 0)
-        };
-        Some(((candidate.trust, !failed, !other_rack, rank), at))
-    });
-    scored.max_by_key(|(score, _)| *score).map(|(_, at)| at)
+    Some((candidate.trust, right_rack, rank))
 }
--- a/toucangrade/src/dispatch/plan.rs
+++ b/toucangrade/src/dispatch/plan.rs
@@ -1,10 +1,11 @@
 //! Placement: orders the active jobs by urgency and assigns their waiting tasks to runners.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use super::Dispatch;
-use super::place::{Candidate, Constraints, choose};
+use super::health::Trust;
+use super::place::{Candidate, Constraints, Ranking};
 use crate::core::{Moment, Name};
 use crate::jobs::{
     Command, Configuration, Incarnation, Job, JobEntry, Phase, Queue, RunKey, TaskKey,
@@ -25,23 +26,31 @@
 impl Dispatch {
     /// Assigns waiting tasks to runners with room, job by job in order of priority.
     pub(super) fn plan(&mut self, now: Moment) {
+        let setup = Arc::clone(&self.job_table.setup);
+        let mut slow = self.slow_runs(now);
+        let order = self.job_order(&setup).into_iter().filter_map(|id| {
+            let waiting = self.waiting(self.job_table.jobs.get(&id)?);
+            (!waiting.is_empty() || slow.contains_key(&id)).then_some((id, waiting))
+        });
+        let order: Vec<_> = order.collect();
+        if order.is_empty() {
+            return;
+        }
         let mut candidates = self.candidates(now);
         if candidates.is_empty() {
             return;
         }
-        let setup = Arc::clone(&self.job_table.setup);
-        let mut slow = self.slow_runs(now);
-        for id in self.job_order(&setup) {
+        let index = index(&candidates);
+        for (id, waiting) in order {
             let Some(entry) = self.job_table.jobs.get(&id) else { continue };
             let Some(queue) = setup.queue(&entry.job.queue) else { continue };
             let job = Arc::clone(&entry.job);
-            let waiting = self.waiting(entry);
             // A slow run competes for room elsewhere like a waiting task of its job.
             if let Some(runs) = slow.remove(&id) {
                 self.move_slow(now, &mut candidates, &queue.service, runs);
             }
             for ((round, step), tasks) in waiting {
-                self.place(&mut candidates, queue, &job, (round, step), &tasks);
+                self.place(&mut candidates, &index, queue, &job, (round, step), &tasks);
             }
         }
     }
@@ -127,6 +136,7 @@
     fn place(
         &mut self,
         candidates: &mut Vec<Candidate>,
+        index: &BTreeMap<Incarnation, usize>,
         queue: &Queue,
         job: &Job,
         (round, step): (u32, u16),
@@ -137,8 +147,15 @@
         if declared.gang && tasks.len() < whole {
             return;
         }
-        let mut siblings = self.siblings(candidates, job.id, round, step);
+        let siblings = if declared.spread > 0 {
+            self.siblings(index, job.id, round, step)
+        } else {
+            vec![0; candidates.len()]
+        };
         let before = declared.gang.then(|| candidates.clone());
+        let constraints =
+            Constraints { step: declared, service: &queue.service, table: &self.learner.table };
+        let mut ranking = Ranking::new(candidates, constraints, siblings);
         let mut chosen: Vec<(RunKey, Incarnation)> = Vec::new();
         // All members of a gang get the same run number.
         let common = tasks.iter().map(|key| key.run).max().unwrap_or(1);
@@ -146,14 +163,9 @@
             if declared.gang {
                 key.run = common;
             }
-            let none = BTreeSet::new();
-            let avoided = self.avoided.get(&key.task).unwrap_or(&none);
-            let table = &self.learner.table;
-            let constraints =
-                Constraints { service: &queue.service, siblings: &siblings, avoided, table };
-            let Some(at) = choose(candidates, declared, &constraints) else { break };
-            candidates[at].allocate(&self.learner.table, declared);
-            siblings[at] += 1;
+            let avoided = self.avoided.get(&key.task);
+            let Some(at) = ranking.best(candidates, avoided) else { break };
+            ranking.allocate(candidates, at);
             chosen.push((key, candidates[at].incarnation.clone()));
         }
         if declared.gang && chosen.len() < whole {
@@ -168,46 +180,52 @@
         }
     }
 
-    /// Number of assigned or proposed tasks of a step on each candidate.
+    /// Number of assigned or proposed tasks of a step on each candidate, given the positions of the
+    /// candidates.
     pub(super) fn siblings(
         &self,
-        candidates: &[Candidate],
+        index: &BTreeMap<Incarnation, usize>,
         job: u64,
         round: u32,
         step: u16,
     ) -> Vec<u32> {
+        let mut siblings = vec![0; index.len()];
+        let mut count = |incarnation: &Incarnation| {
+            if let Some(&at) = index.get(incarnation) {
+                siblings[at] += 1;
+            }
+        };
+        let state = self.job_table.jobs.get(&job).and_then(|entry| entry.rounds.get(&round));
+        let tasks = state.and_then(|state| state.steps.get(usize::from(step)));
+        for live in tasks.into_iter().flatten().flat_map(|task| &task.live) {
+            count(&live.incarnation);
+        }
         let first = TaskKey { job, round, step, index: 0 };
         let last = TaskKey { index: u16::MAX, ..first };
         let range = RunKey { task: first, run: 0 }..=RunKey { task: last, run: u32::MAX };
-        let count = |candidate: &Candidate| {
-            let lease = self.fleet.leases.get(&candidate.incarnation);
-            let live = lease.map_or(0, |lease| lease.runs.range(range.clone()).count());
-            let proposed = self.assigning.range(range.clone());
-            let proposed =
-                proposed.filter(|(_, incarnation)| **incarnation == candidate.incarnation).count();
-            (live + proposed) as u32
-        };
-        candidates.iter().map(count).collect()
+        self.assigning.range(range).for_each(|(_, incarnation)| count(incarnation));
+        siblings
     }
 
     /// Runners that accept new tasks, with the room left on each.
-    pub(super) fn candidates(&self, now: Moment) -> Vec<Candidate> {
+    fn candidates(&mut self, now: Moment) -> Vec<Candidate> {
         let workers = self.fleet.workers.iter();
         let open = workers.filter(|(_, worker)| worker.exclusion(now).is_none());
-        self.candidates_on(now, open.map(|(agent, _)| agent))
+        let open: Vec<Name> = open.map(|(agent, _)| agent.clone()).collect();
+        self.candidates_on(now, &open)
     }
 
     /// Runners of the given agents, with the room left beside proposed assignments and
     /// reservations.
-    pub(super) fn candidates_on<'a>(
-        &self,
-        now: Moment,
-        agents: impl Iterator<Item = &'a Name>,
-    ) -> Vec<Candidate> {
-        let mut candidates: Vec<Candidate> =
-            agents.filter_map(|agent| self.candidate(now, agent)).collect();
-        let index: BTreeMap<Incarnation, usize> =
-            candidates.iter().enumerate().map(|(at, c)| (c.incarnation.clone(), at)).collect();
+    pub(super) fn candidates_on(&mut self, now: Moment, agents: &[Name]) -> Vec<Candidate> {
+        self.refresh_views();
+        let seen = agents.iter().filter_map(|agent| {
+            let mut candidate = self.views.get(agent)?.clone();
+            candidate.trust = self.fleet.trust(self.fleet.workers.get(agent)?, now);
+            Some(candidate)
+        });
+        let mut candidates: Vec<Candidate> = seen.collect();
+        let index = index(&candidates);
         let moving = self.moving.iter().map(|(key, (incarnation, _))| (key, incarnation));
         for (key, incarnation) in self.assigning.iter().chain(moving) {
             let Some(&at) = index.get(incarnation) else { continue };
@@ -218,7 +236,8 @@
         candidates
     }
 
-    fn candidate(&self, now: Moment, agent: &Name) -> Option<Candidate> {
+    /// The runner of an agent, with the room that its assigned runs leave and full trust.
+    pub(super) fn candidate(&self, agent: &Name) -> Option<Candidate> {
         let worker = self.fleet.workers.get(agent)?;
         let runner = worker.runner()?;
         let mut candidate = Candidate {
@@ -232,8 +251,9 @@
             reserved: 0,
             serving: 0,
             headroom: Headroom::default(),
+            limits: BTreeMap::new(),
             slowness: worker.slowness,
-            trust: self.fleet.trust(worker, now),
+            trust: Trust::Full,
         };
         let cores = runner.capacity.millicores.max(1) as f64;
         let (mut serving, mut used, mut asked) = (Vec::new(), Vec::new(), Vec::new());
@@ -263,3 +283,8 @@
         Some(candidate)
     }
 }
+
+/// Positions of the candidates.
+pub(super) fn index(candidates: &[Candidate]) -> BTreeMap<Incarnation, usize> {
+    candidates.iter().enumerate().map(|(at, c)| (c.incarnation.clone(), at)).collect()
+}
--- a/toucangrade/src/dispatch/rescue.rs
+++ b/toucangrade/src/dispatch/rescue.rs
@@ -1,12 +1,12 @@
 //! Stops runs that are stuck, slowed down or on a draining runner, so that they are placed on
 //! another runner.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use super::Dispatch;
 use super::fleet::Run;
 use super::health::Trust;
-use super::place::{Candidate, Constraints, choose};
+use super::place::{Candidate, Constraints, Ranking};
 use super::settings::{MOVE_AGE, MOVE_GAIN, MOVE_SPEED, MOVES_LIMIT, RESCUE_EVERY};
 use crate::core::{Moment, Name};
 use crate::jobs::{Incarnation, RunKey};
@@ -110,9 +110,10 @@
             let Some(step) = self.step_of(key).cloned() else { continue };
             // Spread and earlier failures are taken into account when the run is placed again.
             let siblings = vec![0; candidates.len()];
-            let (avoided, table) = (&BTreeSet::new(), &self.learner.table);
-            let constraints = Constraints { service, siblings: &siblings, avoided, table };
-            let Some(at) = choose(candidates, &step, &constraints) else { continue };
+            let table = &self.learner.table;
+            let constraints = Constraints { step: &step, service, table };
+            let ranking = Ranking::new(candidates, constraints, siblings);
+            let Some(at) = ranking.best(candidates, None) else { continue };
             let better = candidates[at].speed(table, &step);
             let trusted = candidates[at].trust == Trust::Full;
             if candidates[at].incarnation == incarnation || better < speed + MOVE_GAIN || !trusted {
--- a/toucangrade/src/dispatch/tests.rs
+++ b/toucangrade/src/dispatch/tests.rs
@@ -8,6 +8,7 @@
 mod health;
 mod load;
 mod log;
+mod views;
 mod waits;
 
 use std::collections::BTreeMap;
@@ -141,6 +142,7 @@
                 }
             }
         }
+        self.dispatch.check_views();
     }
 
     fn commit(&mut self, ticket: u64, commands: Vec<Command>) -> Vec<Effect> {
--- a/toucangrade/src/dispatch/waits.rs
+++ b/toucangrade/src/dispatch/waits.rs
@@ -8,6 +8,7 @@
 use super::Dispatch;
 use super::message::Effect;
 use super::place::{Candidate, Exclusion};
+use super::plan::index;
 use crate::core::{Moment, Name, Span};
 use crate::jobs::{RunKey, Step, TaskKey};
 
@@ -86,7 +87,8 @@
         let tasks: Vec<TaskKey> = waiting.keys().copied().collect();
         let due = self.waits.update(now, &tasks);
         if !due.is_empty() {
-            let candidates = self.candidates_on(now, self.fleet.workers.keys());
+            let agents: Vec<Name> = self.fleet.workers.keys().cloned().collect();
+            let candidates = self.candidates_on(now, &agents);
             for (task, waited) in due {
                 let (key, service, step) = &waiting[&task];
                 let reasons = self.wait_reasons(now, task, service, step, &candidates);
@@ -116,10 +118,11 @@
     /// Numbers of excluded runners, by reason, and of eligible ones for each waiting lasting task.
     #[cfg(test)]
     pub(super) fn all_wait_reasons(
-        &self,
+        &mut self,
         now: Moment,
     ) -> Vec<(TaskKey, BTreeMap<Exclusion, u32>, u32)> {
-        let candidates = self.candidates_on(now, self.fleet.workers.keys());
+        let agents: Vec<Name> = self.fleet.workers.keys().cloned().collect();
+        let candidates = self.candidates_on(now, &agents);
         let waiting = self.lasting_waiting();
         let all = waiting.iter().map(|(task, (_, service, step))| {
             let reasons = self.wait_reasons(now, *task, service, step, &candidates);
@@ -153,7 +156,7 @@
         step: &Step,
         candidates: &'a [Candidate],
     ) -> WaitReasons<'a> {
-        let siblings = self.siblings(candidates, task.job, task.round, task.step);
+        let siblings = self.siblings(&index(candidates), task.job, task.round, task.step);
         let mut reasons = WaitReasons::default();
         for (candidate, siblings) in candidates.iter().zip(siblings) {
             let worker = self.fleet.workers.get(&candidate.agent);
--- a/toucangrade/src/pressure/headroom.rs
+++ b/toucangrade/src/pressure/headroom.rs
@@ -59,11 +59,16 @@
     /// Largest fraction of its full speed that a filling task may run at, when it requests the
     /// fraction `asked` of the cores.
     pub(crate) fn max_share(&self, table: &Table, image: &str, asked: f64) -> f64 {
-        let allowed = |(serving, left): &(Arc<str>, f64)| {
-            let added = cautious_pressure(table, serving, image) * asked;
-            if added > 0.0 { left.max(0.0) / added } else { 1.0 }
+        share_within(self.limit(table, image), asked)
+    }
+
+    /// Largest fraction of the cores that an image may use, infinite if it disturbs no task.
+    pub(crate) fn limit(&self, table: &Table, image: &str) -> f64 {
+        let limit = |(serving, left): &(Arc<str>, f64)| {
+            let pressure = cautious_pressure(table, serving, image);
+            if pressure > 0.0 { left.max(0.0) / pressure } else { f64::INFINITY }
         };
-        self.left.iter().map(allowed).fold(1.0, f64::min)
+        self.left.iter().map(limit).fold(f64::INFINITY, f64::min)
     }
 
     /// Subtracts the load that a filling task adds by using the fraction `used` of the cores.
@@ -74,6 +79,12 @@
     }
 }
 
+/// Largest fraction of its full speed that a task may run at, when it requests the fraction `asked`
+/// of the cores and may use the fraction `limit`.
+pub(crate) fn share_within(limit: f64, asked: f64) -> f64 {
+    if limit < asked { limit / asked } else { 1.0 }
+}
+
 /// Estimated pressure with its safety margin, or zero if it is negligible.
 fn cautious_pressure(table: &Table, serving: &str, filling: &str) -> f64 {
     let pressure = table.pressure(serving, filling);
--- a/toucangrade/src/pressure/mod.rs
+++ b/toucangrade/src/pressure/mod.rs
@@ -17,7 +17,7 @@
 
 use serde::{Deserialize, Serialize};
 
-pub(crate) use self::headroom::Headroom;
+pub(crate) use self::headroom::{Headroom, share_within};
 use crate::core::{Moment, Name, Span};
 use crate::jobs::RunKey;
 
@@ -146,7 +146,7 @@
         {
             self.compare(&before, &sample);
         }
-        if self.has_notable_change() {
+        if self.has_notable_change(&sample) {
             self.version += 1;
             self.published = self.table.clone();
         }
@@ -210,11 +210,15 @@
         }
     }
 
-    /// Whether some estimate differs notably from the published table.
-    fn has_notable_change(&self) -> bool {
-        self.table.pairs.iter().any(|(serving, pairs)| {
+    /// Whether some estimate for an image of the sample, the only ones that it can have changed,
+    /// differs notably from the published table.
+    fn has_notable_change(&self, sample: &Sample) -> bool {
+        sample.serving.iter().any(|serving| {
+            let Some(pairs) = self.table.pairs.get(&serving.image) else { return false };
+            let published = self.published.pairs.get(&serving.image);
             pairs.iter().any(|(filling, pair)| {
-                (pair.mean - self.published.pressure(serving, filling).mean).abs() > NOTABLE_CHANGE
+                let known = published.and_then(|pairs| pairs.get(filling)).copied();
+                (pair.mean - known.unwrap_or_default().mean).abs() > NOTABLE_CHANGE
             })
         })
     }
