Refuse submissions at once while no control instance answers

Cause: while all control instances are without power, each submission was held for 450 ms before its refusal, so that a caller with 3 s and a Retry-After of 1 s could come back once where it could have come back twice. Change: once calls to every known instance have failed since the last reply, the relay refuses submissions at once. While submissions arrive it asks all known instances for the leader each 200 ms after a failure, so that the first one that returns is noticed. Agents don't: at a few hundred machines they would delay the recovery. Result: requests_are_refused_at_once_during_an_outage passes; the code before refuses after 450 to 500 ms.

--- a/toucangrade/src/relay/mod.rs
+++ b/toucangrade/src/relay/mod.rs
@@ -35,6 +35,11 @@
 const ATTEMPT_MIN: Span = Span::millis(100);
 /// Interval of requests for the current members and leader.
 const FIND_INTERVAL: Span = Span::millis(1_000);
+/// Interval of `Find` requests to all known instances after a call has failed, while requests that
+/// are not `patient` arrive. A whole fleet of agents doing this would delay a recovering leader.
+const SEARCH_INTERVAL: Span = Span::millis(200);
+/// Time after the last request that is not `patient` in which all instances are searched.
+const SEARCH_FOR: Span = Span::millis(2_000);
 /// Time without a reply of any control instance after which control counts as unreachable.
 const UNREACHABLE_AFTER: Span = Span::millis(2_500);
 
@@ -140,6 +145,10 @@
     calls: BTreeMap<u64, Call>,
     /// Time of the last reply of each instance.
     replied: BTreeMap<Name, Moment>,
+    /// Instances to which a call has failed since the last reply of any.
+    failed: BTreeSet<Name>,
+    /// Time of the last request that was not `patient`.
+    urgent: Moment,
     next_call: u64,
     /// Round-robin counter for the choice of the instance to ask.
     turn: u64,
@@ -166,6 +175,8 @@
             pending: BTreeMap::new(),
             calls: BTreeMap::new(),
             replied: BTreeMap::new(),
+            failed: BTreeSet::new(),
+            urgent: Moment::START,
             next_call: 1,
             turn,
             find_sent: Moment::START,
@@ -181,6 +192,9 @@
             Message::Answered { call, result } => self.answered(now, call, result),
             Message::Seeds(seeds) => self.seeds = seeds.into_iter().collect(),
             Message::Send { ticket, request, deadline, patient } => {
+                if !patient {
+                    self.urgent = now;
+                }
                 let pending = Pending {
                     request,
                     since: now,
@@ -199,7 +213,16 @@
     }
 
     fn tick(&mut self, now: Moment) {
-        if now.since(self.find_sent) >= FIND_INTERVAL || self.find_sent == Moment::START {
+        let since_find = now.since(self.find_sent);
+        if !self.failed.is_empty()
+            && now.since(self.urgent) < SEARCH_FOR
+            && since_find >= SEARCH_INTERVAL
+        {
+            self.find_sent = now;
+            for to in self.known() {
+                self.probe(to);
+            }
+        } else if since_find >= FIND_INTERVAL || self.find_sent == Moment::START {
             self.find_sent = now;
             let to = self.leader.clone().or_else(|| self.candidate(&BTreeSet::new()));
             if let Some(to) = to {
@@ -213,10 +236,11 @@
             tracing::info!(reached, leader = self.leader.as_ref().map(Name::as_str), "control");
             self.out.push(Effect::Reachable(reached));
         }
+        let silent = self.is_silent();
         let expired = |pending: &Pending| {
             let undeliverable = !pending.patient
                 && !pending.may_have_effect()
-                && now.since(pending.since) >= GIVE_UP_AFTER;
+                && (silent || now.since(pending.since) >= GIVE_UP_AFTER);
             now >= pending.deadline || undeliverable
         };
         let due: Vec<u64> =
@@ -235,13 +259,15 @@
 
     /// Sends the requests whose next attempt is due.
     fn attempt(&mut self, now: Moment) {
+        let silent = self.is_silent();
         let due = |pending: &Pending| matches!(pending.progress, Progress::Due(at) if at <= now);
         let tickets: Vec<u64> =
             self.pending.iter().filter(|(_, p)| due(p)).map(|(ticket, _)| *ticket).collect();
         for ticket in tickets {
             let Some(mut pending) = self.pending.remove(&ticket) else { continue };
             let left = pending.deadline.since(now);
-            if !pending.patient && left < ATTEMPT_MIN {
+            let hopeless = left < ATTEMPT_MIN || (silent && !pending.may_have_effect());
+            if !pending.patient && hopeless {
                 self.give_up(ticket, &pending);
                 continue;
             }
@@ -267,6 +293,16 @@
         }
     }
 
+    fn known(&self) -> BTreeSet<Name> {
+        self.members.union(&self.seeds).cloned().collect()
+    }
+
+    /// Whether calls to every known instance have failed since the last reply, so that no request
+    /// can be delivered.
+    fn is_silent(&self) -> bool {
+        !self.failed.is_empty() && self.known().is_subset(&self.failed)
+    }
+
     /// Whether an instance has replied recently.
     fn is_confirmed(&self, name: &Name, now: Moment) -> bool {
         self.replied.get(name).is_some_and(|at| now.since(*at) < CONFIRMED_FOR)
@@ -313,6 +349,9 @@
             self.last_reply = now;
             self.replied.retain(|_, at| now.since(*at) < CONFIRMED_FOR);
             self.replied.insert(to.clone(), now);
+            self.failed.clear();
+        } else {
+            self.failed.insert(to.clone());
         }
         let mut uncertain = false;
         match result {
--- a/toucangrade/src/relay/tests.rs
+++ b/toucangrade/src/relay/tests.rs
@@ -322,3 +322,78 @@
     }
     assert!(ended.is_some_and(|ended| ended <= case.within), "ended after {ended:?} ms");
 }
+
+struct Outage {
+    /// Whether instance `b` answers.
+    b_answers: bool,
+    /// Maximum time in ms until a request that arrives during the outage is refused, if it is.
+    refused: Option<u64>,
+}
+
+/// While no instance answers, requests are refused at once, so that callers can come back within
+/// their time; the first answer ends that. Each was held for 450 ms instead.
+#[rstest]
+#[case::all_silent(Outage { b_answers: false, refused: Some(50) })]
+#[case::one_answers(Outage { b_answers: true, refused: None })]
+fn requests_are_refused_at_once_during_an_outage(#[case] case: Outage) {
+    let mut relay = Relay::new(vec![name("a"), name("b")], 0);
+    let request =
+        Arc::new(Request::Join(crate::agreement::Replica { name: name("x"), identity: 1 }));
+    let mut timeouts: Vec<(u64, u64)> = Vec::new();
+    let (mut sent, mut outcomes) = (BTreeMap::new(), BTreeMap::new());
+    for millis in (0..6_000u64).step_by(10) {
+        let now = Moment::micros(1_000_000 + millis * 1_000);
+        let mut effects = Vec::new();
+        // Instance a answers until 1 s and from 4 s on.
+        let a_answers = !(1_000..4_000).contains(&millis);
+        if millis % 50 == 0 {
+            effects.extend(relay.step(now, Message::Tick));
+        }
+        if millis % 500 == 0 {
+            let (ticket, deadline) = (millis, now + Span::secs(3));
+            sent.insert(ticket, millis);
+            let request = Arc::clone(&request);
+            let message = Message::Send { ticket, request, deadline, patient: false };
+            effects.extend(relay.step(now, message));
+        }
+        for (_, call) in timeouts.extract_if(.., |(at, _)| *at <= millis).collect::<Vec<_>>() {
+            let result = Err(CallError::Timeout);
+            effects.extend(relay.step(now, Message::Answered { call, result }));
+        }
+        while let Some(effect) = effects.pop() {
+            match effect {
+                Effect::Call { call, to, request, timeout } => {
+                    let answers = if to == name("a") { a_answers } else { case.b_answers };
+                    if !answers {
+                        timeouts.push((millis + timeout.as_millis(), call));
+                        continue;
+                    }
+                    let reply = if *request == Request::Find {
+                        Reply::Found { leader: Some(to), members: vec![name("a"), name("b")] }
+                    } else {
+                        Reply::Told(ClientReply::Accepted)
+                    };
+                    effects.extend(relay.step(now, Message::Answered { call, result: Ok(reply) }));
+                },
+                Effect::Done { ticket, outcome } => {
+                    outcomes.insert(ticket, (millis - sent[&ticket], outcome));
+                },
+                Effect::Reachable(_) => {},
+            }
+        }
+    }
+    for (ticket, (took, outcome)) in outcomes {
+        // Calls have to fail before the outage is known, and one has to succeed before its end is.
+        let (known, unclear) = ((2_000..4_000).contains(&ticket), [1_000, 1_500, 4_000]);
+        match case.refused {
+            Some(limit) if known => {
+                assert!(matches!(outcome, Outcome::NotTaken), "{ticket}: {outcome:?}");
+                assert!(took <= limit, "{ticket} was refused after {took} ms");
+            },
+            _ if !unclear.contains(&ticket) => {
+                assert!(matches!(outcome, Outcome::Reply(_)), "{ticket}: {outcome:?}");
+            },
+            _ => assert!(took <= 550, "{ticket} took {took} ms"),
+        }
+    }
+}
