Rank runners once for all slow runs of a step, and find queues by name

Under a backlog each round ranks all runners for every run that is slowed down, some hundreds, and computes again what each image may use on each runner. Change: slow runs of a step share a ranking; the limits of unchanged runners are kept for the next round; queues are found through an index of the configuration in force; the table of estimates is shared instead of copied. Tried and dropped: comparing slow runs only each 200 ms. Then a waiting task takes a runner that becomes free before the slow run of an earlier job (held_back_run_competes_with_waiting_tasks fails). Result: 169 tests of dispatch, jobs, pacing, pressure and the job simulation pass.

--- a/toucangrade/src/dispatch/place.rs
+++ b/toucangrade/src/dispatch/place.rs
@@ -57,6 +57,8 @@
     pub(super) headroom: Headroom,
     /// Fraction of the cores that an image may use by `headroom`, for images asked for so far.
     pub(super) limits: BTreeMap<Arc<str>, f64>,
+    /// Whether `limits` lacks the tasks that were allocated in this round.
+    pub(super) allocated: bool,
     /// Slowness relative to other runners, in percent.
     pub(super) slowness: u64,
     /// Tasks that may be placed on it.
@@ -136,6 +138,7 @@
             let asked = self.fraction(step.need.millicores);
             self.headroom.spend(table, image, asked);
             self.limits.clear();
+            self.allocated = true;
         }
         if step.lasting {
             self.reserved = self.reserved.saturating_add(step.need.millicores);
--- a/toucangrade/src/dispatch/plan.rs
+++ b/toucangrade/src/dispatch/plan.rs
@@ -7,9 +7,7 @@
 use super::health::Trust;
 use super::place::{Candidate, Constraints, Ranking};
 use crate::core::{Moment, Name};
-use crate::jobs::{
-    Command, Configuration, Incarnation, Job, JobEntry, Phase, Queue, RunKey, TaskKey,
-};
+use crate::jobs::{Command, Incarnation, Job, JobEntry, Phase, Queue, RunKey, TaskKey};
 use crate::pressure::{Headroom, Serving};
 
 /// Multiple of its objective at which a late job loses all its value.
@@ -28,7 +26,7 @@
     pub(super) fn plan(&mut self, now: Moment) {
         let setup = Arc::clone(&self.job_table.setup);
         let mut slow = self.slow_runs(now);
-        let order = self.job_order(&setup).into_iter().filter_map(|id| {
+        let order = self.job_order().into_iter().filter_map(|id| {
             let waiting = self.waiting(self.job_table.jobs.get(&id)?);
             (!waiting.is_empty() || slow.contains_key(&id)).then_some((id, waiting))
         });
@@ -43,7 +41,8 @@
         let index = index(&candidates);
         for (id, waiting) in order {
             let Some(entry) = self.job_table.jobs.get(&id) else { continue };
-            let Some(queue) = setup.queue(&entry.job.queue) else { continue };
+            let position = self.job_table.queue_position(&entry.job.queue);
+            let Some(queue) = position.and_then(|at| setup.queues.get(at)) else { continue };
             let job = Arc::clone(&entry.job);
             // A slow run competes for room elsewhere like a waiting task of its job.
             if let Some(runs) = slow.remove(&id) {
@@ -53,15 +52,16 @@
                 self.place(&mut candidates, &index, queue, &job, (round, step), &tasks);
             }
         }
+        self.views.keep_limits(candidates);
     }
 
     /// Active jobs in the order in which they are placed: by priority of the queue, lateness,
     /// remaining work and age.
-    fn job_order(&self, setup: &Configuration) -> Vec<u64> {
+    fn job_order(&self) -> Vec<u64> {
         let entries = self.active.iter().filter_map(|id| self.job_table.jobs.get(id));
         let mut order: Vec<_> = entries
             .filter_map(|entry| {
-                let queue = setup.queue(&entry.job.queue)?;
+                let queue = self.job_table.queue(&entry.job.queue)?;
                 let lateness = self.lateness(entry, queue);
                 let work = self.work_left(entry);
                 Some((queue.priority, lateness, work, entry.wall, entry.job.id))
@@ -93,7 +93,7 @@
     /// Whether a job has missed its objective.
     pub(super) fn is_late(&self, job: u64) -> bool {
         let entry = self.job_table.jobs.get(&job);
-        let queue = entry.and_then(|entry| self.job_table.setup.queue(&entry.job.queue));
+        let queue = entry.and_then(|entry| self.job_table.queue(&entry.job.queue));
         entry.zip(queue).is_some_and(|(e, queue)| self.lateness(e, queue) != Lateness::OnTime)
     }
 
@@ -252,6 +252,7 @@
             serving: 0,
             headroom: Headroom::default(),
             limits: BTreeMap::new(),
+            allocated: false,
             slowness: worker.slowness,
             trust: Trust::Full,
         };
--- a/toucangrade/src/dispatch/reports.rs
+++ b/toucangrade/src/dispatch/reports.rs
@@ -269,7 +269,7 @@
             return None;
         }
         worker.table = (self.learner.version, now);
-        Some(Box::new(self.learner.table.clone()))
+        Some(Box::new(Table::clone(&self.learner.table)))
     }
 
     /// Whether a live run should keep running.
--- a/toucangrade/src/dispatch/rescue.rs
+++ b/toucangrade/src/dispatch/rescue.rs
@@ -2,6 +2,7 @@
 //! another runner.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use super::Dispatch;
 use super::fleet::Run;
@@ -103,23 +104,28 @@
         service: &str,
         runs: Vec<SlowRun>,
     ) {
+        // Spread and earlier failures are taken into account when the run is placed again.
+        let siblings = vec![0; candidates.len()];
+        let job = runs.first().and_then(|run| self.job_table.jobs.get(&run.key.task.job));
+        let Some(job) = job.map(|entry| Arc::clone(&entry.job)) else { return };
+        let mut rankings: BTreeMap<u16, Ranking<'_>> = BTreeMap::new();
+        let table = Arc::clone(&self.learner.table);
         for SlowRun { speed, incarnation, key } in runs {
             if self.moving.len() >= MOVES_LIMIT {
                 return;
             }
-            let Some(step) = self.step_of(key).cloned() else { continue };
-            // Spread and earlier failures are taken into account when the run is placed again.
-            let siblings = vec![0; candidates.len()];
-            let table = &self.learner.table;
-            let constraints = Constraints { step: &step, service, table };
-            let ranking = Ranking::new(candidates, constraints, siblings);
+            let Some(step) = job.steps.get(usize::from(key.task.step)) else { continue };
+            let ranking = rankings.entry(key.task.step).or_insert_with(|| {
+                let constraints = Constraints { step, service, table: &table };
+                Ranking::new(candidates, constraints, siblings.clone())
+            });
             let Some(at) = ranking.best(candidates, None) else { continue };
-            let better = candidates[at].speed(table, &step);
+            let better = candidates[at].speed(&table, step);
             let trusted = candidates[at].trust == Trust::Full;
             if candidates[at].incarnation == incarnation || better < speed + MOVE_GAIN || !trusted {
                 continue;
             }
-            candidates[at].allocate(table, &step);
+            ranking.allocate(candidates, at);
             let Some(agent) = self.fleet.agent(&incarnation).cloned() else { continue };
             tracing::info!(run = %key, runner = %incarnation.runner, speed, better, "moving");
             self.moving.insert(key, (candidates[at].incarnation.clone(), now));
--- a/toucangrade/src/dispatch/views.rs
+++ b/toucangrade/src/dispatch/views.rs
@@ -24,6 +24,15 @@
         self.views.get(agent).map(|(_, candidate)| candidate)
     }
 
+    /// Keeps the limits that a round of placement has computed, for the next one.
+    pub(super) fn keep_limits(&mut self, candidates: Vec<Candidate>) {
+        for candidate in candidates.into_iter().filter(|candidate| !candidate.allocated) {
+            if let Some((_, view)) = self.views.get_mut(&candidate.agent) {
+                view.limits = candidate.limits;
+            }
+        }
+    }
+
     #[cfg(test)]
     pub(super) fn built(&self) -> u64 {
         self.built
--- a/toucangrade/src/dispatch/waits.rs
+++ b/toucangrade/src/dispatch/waits.rs
@@ -136,7 +136,7 @@
         let mut found = BTreeMap::new();
         let entries = self.active.iter().filter_map(|id| self.job_table.jobs.get(id));
         for entry in entries.filter(|entry| entry.job.lasting()) {
-            let Some(queue) = self.job_table.setup.queue(&entry.job.queue) else { continue };
+            let Some(queue) = self.job_table.queue(&entry.job.queue) else { continue };
             for ((_, step), keys) in self.waiting(entry) {
                 let step = &entry.job.steps[usize::from(step)];
                 for key in keys.into_iter().filter(|_| step.lasting) {
--- a/toucangrade/src/jobs/book.rs
+++ b/toucangrade/src/jobs/book.rs
@@ -2,11 +2,11 @@
 //! hold the same configuration and jobs.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use serde::{Deserialize, Serialize};
 
-use super::{Checkpoint, Command, Configuration, End, Incarnation, Job, RunKey, TaskKey};
+use super::{Checkpoint, Command, Configuration, End, Incarnation, Job, Queue, RunKey, TaskKey};
 use crate::core::invariant;
 
 /// Maximum number of concurrent runs of a task whose step allows speculative copies.
@@ -140,6 +140,10 @@
 pub(crate) struct JobTable {
     pub(crate) setup: Arc<Configuration>,
     pub(crate) jobs: BTreeMap<u64, JobEntry>,
+    /// Positions of the queues of `setup` by name, computed when first needed. A search would take
+    /// most of a placement round with a thousand queues.
+    #[serde(skip)]
+    positions: OnceLock<BTreeMap<Arc<str>, usize>>,
 }
 
 impl JobTable {
@@ -152,6 +156,7 @@
             Command::Configure(setup) => {
                 if setup.version > self.setup.version {
                     self.setup = Arc::clone(setup);
+                    self.positions = OnceLock::new();
                 }
                 Applied::Configured
             },
@@ -168,6 +173,21 @@
         }
     }
 
+    /// Position of the queue of this name in the configuration.
+    pub(crate) fn queue_position(&self, name: &str) -> Option<usize> {
+        let positions = self.positions.get_or_init(|| {
+            let queues = self.setup.queues.iter().enumerate();
+            // The first one of a name counts, as in `Configuration::queue`.
+            queues.rev().map(|(at, queue)| (Arc::clone(&queue.name), at)).collect()
+        });
+        positions.get(name).copied()
+    }
+
+    /// The queue of this name.
+    pub(crate) fn queue(&self, name: &str) -> Option<&Queue> {
+        self.setup.queues.get(self.queue_position(name)?)
+    }
+
     /// The run with this key, if its end is not recorded.
     pub(crate) fn live(&self, key: RunKey) -> Option<&LiveRun> {
         let task = self.jobs.get(&key.task.job)?.task(key.task)?;
@@ -178,7 +198,7 @@
         if self.jobs.contains_key(&job.id) {
             return Applied::Accepted;
         }
-        if self.setup.queue(&job.queue).is_none() {
+        if self.queue(&job.queue).is_none() {
             return Applied::NoQueue;
         }
         let mut rounds = BTreeMap::new();
@@ -235,10 +255,9 @@
     }
 
     fn close(&mut self, key: RunKey, end: End, saved: Option<&Checkpoint>) -> Applied {
-        let attempts =
-            |setup: &Configuration, queue: &str| setup.queue(queue).map_or(1, |q| q.attempts);
+        let Some(entry) = self.jobs.get(&key.task.job) else { return Applied::Stale };
+        let allowed = self.queue(&entry.job.queue).map_or(1, |queue| queue.attempts);
         let Some(entry) = self.jobs.get_mut(&key.task.job) else { return Applied::Stale };
-        let allowed = attempts(&self.setup, &entry.job.queue);
         let Some(task) = entry.task_mut(key.task) else { return Applied::Stale };
         let Some(at) = task.live.iter().position(|live| live.run == key.run) else {
             return Applied::Stale;
--- a/toucangrade/src/jobs/tests.rs
+++ b/toucangrade/src/jobs/tests.rs
@@ -160,3 +160,30 @@
     let found = setup.find(case.host, case.path);
     assert_eq!(found.map(|(queue, rest)| (&*queue.name, rest)), case.found);
 }
+
+struct Replacement {
+    /// Versions and queue names of the configurations, in the order in which they are committed.
+    committed: &'static [(u64, &'static [&'static str])],
+    /// Names that are found afterwards.
+    found: &'static [&'static str],
+}
+
+/// The positions of queues follow the configuration in force.
+#[rstest]
+#[case::first(Replacement { committed: &[(1, &["a", "b"])], found: &["a", "b"] })]
+#[case::newer(Replacement { committed: &[(1, &["a", "b"]), (2, &["c", "b"])], found: &["b", "c"] })]
+#[case::older(Replacement { committed: &[(2, &["a"]), (1, &["b"])], found: &["a"] })]
+fn queues_are_found_in_the_configuration_in_force(#[case] case: Replacement) {
+    let mut table = JobTable::default();
+    for (version, names) in case.committed {
+        let queues = names.iter().map(|name| queue(name, &format!("/{name}/"))).collect();
+        let next = Configuration { version: *version, ..setup(queues) };
+        table.apply(&Command::Configure(std::sync::Arc::new(next)));
+        for name in ["a", "b", "c"] {
+            assert_eq!(table.queue(name), table.setup.queue(name), "queue {name}");
+        }
+    }
+    let found: Vec<&str> =
+        ["a", "b", "c"].into_iter().filter(|name| table.queue(name).is_some()).collect();
+    assert_eq!(found, case.found);
+}
--- a/toucangrade/src/pressure/mod.rs
+++ b/toucangrade/src/pressure/mod.rs
@@ -119,12 +119,12 @@
 /// Learns the pressure table from the samples of all runners.
 #[derive(Debug, Default, Serialize)]
 pub(crate) struct Learner {
-    pub(crate) table: Table,
+    pub(crate) table: Arc<Table>,
     /// Version of the table to send to agents; rises when an estimate has changed notably.
     pub(crate) version: u64,
     /// The table at the last change of `version`.
     #[serde(skip)]
-    published: Table,
+    published: Arc<Table>,
     /// Newest sample of each runner, by agent.
     #[serde(skip)]
     last: BTreeMap<Name, (Moment, Sample)>,
@@ -148,7 +148,7 @@
         }
         if self.has_notable_change(&sample) {
             self.version += 1;
-            self.published = self.table.clone();
+            self.published = Arc::clone(&self.table);
         }
     }
 
@@ -159,7 +159,7 @@
         }
         let seen = serving.figure as f64 * BASE_FRACTION;
         let base = self.table.base(&serving.image, serving.target).min(seen);
-        self.table.bases.insert(Arc::clone(&serving.image), base);
+        Arc::make_mut(&mut self.table).bases.insert(Arc::clone(&serving.image), base);
     }
 
     fn compare(&mut self, before: &Sample, after: &Sample) {
@@ -192,7 +192,8 @@
 
     /// Kalman update of the pressures on one image from the `rise` of its load.
     fn correct(&mut self, serving: &Arc<str>, changes: &BTreeMap<&Arc<str>, f64>, rise: f64) {
-        let pairs = self.table.pairs.entry(Arc::clone(serving)).or_default();
+        let table = Arc::make_mut(&mut self.table);
+        let pairs = table.pairs.entry(Arc::clone(serving)).or_default();
         for &image in changes.keys() {
             if !pairs.contains_key(image) {
                 pairs.insert(Arc::clone(image), Pressure::default());
