Keep two proposals in flight, and plan no round for an applied assignment

Four proposals were in flight at each check, 37 to 57 a second, each with messages to four followers and a round of placement after its commit. Change: two proposals in flight, so that each carries more commands; the commit of an assignment frees no room and asks for no round. A ranking of another step of the same job is dropped once a slow run was allocated, since it does not know of that task. Result: 181 tests of dispatch, jobs, relay and the job simulation pass.

--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -259,7 +259,8 @@
         if self.leading {
             log::applied(command, applied);
         }
-        self.dirty = true;
+        // An assignment that was applied was allocated when it was proposed.
+        self.dirty |= applied != Applied::Assigned;
         match command {
             Command::Accept { job, .. } => {
                 self.active.insert(job.id);
--- a/toucangrade/src/dispatch/rescue.rs
+++ b/toucangrade/src/dispatch/rescue.rs
@@ -126,6 +126,8 @@
                 continue;
             }
             ranking.allocate(candidates, at);
+            // The rankings for other steps don't know of this task.
+            rankings.retain(|step, _| *step == key.task.step);
             let Some(agent) = self.fleet.agent(&incarnation).cloned() else { continue };
             tracing::info!(run = %key, runner = %incarnation.runner, speed, better, "moving");
             self.moving.insert(key, (candidates[at].incarnation.clone(), now));
--- a/toucangrade/src/dispatch/settings.rs
+++ b/toucangrade/src/dispatch/settings.rs
@@ -25,8 +25,10 @@
 /// has failed. Lasting tasks have to run within 3 s where there is room, and each attempt costs two
 /// log entries.
 pub(crate) const TRIAL_PAUSE: Span = Span::millis(1_000);
-/// Proposals that may be in flight at once; the log makes those that wait durable with one sync.
-pub(crate) const PROPOSALS_LIMIT: usize = 4;
+/// Proposals that may be in flight at once. One is being made durable while the next is sent; more
+/// would make for smaller proposals, each of which costs messages to all followers and a round of
+/// placement.
+pub(crate) const PROPOSALS_LIMIT: usize = 2;
 /// Most commands in one proposal.
 pub(crate) const BATCH_LIMIT: usize = 256;
 /// Approximate size limit of one proposal in bytes, half of the log's limit of 1 MiB.
