--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -14,6 +14,7 @@
 import threading
 import time
 import tomllib
+import traceback
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -126,6 +127,8 @@
             "id": name, "ip": self.sides[index], "port": self.ports["app"], "service": SERVICE,
             "zone": ZONES[index % 3], "labels": ["a", "r1-%d" % (index // 3)],
             "capacity": self.capacity, "heartbeat_ms": 1500, "max_hold_ms": BOUNDS["max_hold_ms"],
+            "gang_timeout_ms": BOUNDS["gang_timeout_ms"], "restore_ms": BOUNDS["restore_ms"],
+            "checkpoint_s": BOUNDS["checkpoint_s"], "gangs": os.path.join(self.temp, "gangs"),
             "agent": [self.sides[index], self.ports["control_plane"]],
             "record": os.path.join(self.temp, name + ".record"),
             "clock_offset_ms": random.randint(1, 500000), **self.runner_extra, **extra,
@@ -252,7 +255,8 @@
         events = []
         for path in self.files:
             with open(path) as file:
-                events += [json.loads(line) for line in file if line.endswith("\n")]
+                whole = file.read().rpartition("\n")[0]
+            events += [json.loads(line) for line in whole.splitlines()]
         return sorted(events, key=lambda event: event["t"])
 
     def finish(self, broken):
@@ -285,7 +289,8 @@
         if os.environ.get("KEEP"):
             print("logs in", rig.temp)
         os._exit(2)
-    except BaseException:
+    except BaseException:  # a fault of the case itself is no finding
+        traceback.print_exc()
         rig.stop_all()
-        raise
+        os._exit(2)
     rig.finish(broken)
--- a/review/lib/runner.py
+++ b/review/lib/runner.py
@@ -5,9 +5,11 @@
 """
 import http.client
 import json
+import os
 import sys
 import threading
 import time
+import zlib
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 CFG = json.load(open(sys.argv[1]))
@@ -15,12 +17,76 @@
 BORN = int(time.time() * 1000)
 START = time.monotonic()
 COND = threading.Condition()
-RECORD = open(CFG["record"], "a", buffering=1)
+RECORD = os.open(CFG["record"], os.O_WRONLY | os.O_APPEND | os.O_CREAT)
 
 
 def note(event, **fields):
     fields.update(t=round(time.monotonic(), 4), runner=CFG["id"], event=event)
-    RECORD.write(json.dumps(fields) + "\n")
+    os.write(RECORD, (json.dumps(fields) + "\n").encode())
+
+
+def work_s(task, need):
+    """Tasks of a step take different times."""
+    share = zlib.crc32(task.encode()) / 2**32
+    return need["work_s"] + share * need.get("spread_s", 0.0)
+
+
+def progress_s(checkpoint):
+    return int(checkpoint[:8], 16) / 1000 if checkpoint else 0.0
+
+
+def checkpoint(task, seconds):
+    return "%08x%s" % (int(seconds * 1000), task[4:12])
+
+
+class Gang:
+    """Gangs, whose members on all runners meet in a shared folder.
+
+    The tasks of one run work from the moment when all of them are present with the same checkpoint.
+    """
+
+    def path(self, task, run):
+        job, occurrence, step, index = task.split(".")
+        return os.path.join(CFG["gangs"], "%s.%s.%s.%d" % (job, occurrence, step, run)), index
+
+    def join(self, task, run, checkpoint):
+        folder, index = self.path(task, run)
+        os.makedirs(folder, exist_ok=True)
+        with open(os.path.join(folder, "part-" + index), "w") as file:
+            file.write(checkpoint)
+        os.rename(os.path.join(folder, "part-" + index), os.path.join(folder, index))
+
+    def state(self, task, run, count):
+        """Whether the gang is `waiting`, `broken`, `done` or at work since a time."""
+        folder, _ = self.path(task, run)
+        names = os.listdir(folder)
+        for how in ("broken", "done"):
+            if how in names:
+                return how
+        if "since" in names:
+            return float(open(os.path.join(folder, "since")).read())
+        members = [name for name in names if name.isdigit()]
+        if len(members) < count:
+            return "waiting"
+        values = {open(os.path.join(folder, name)).read() for name in members}
+        if len(values) > 1:
+            return "waiting"
+        self.mark(task, run, "since", str(time.monotonic()))
+        return "waiting"
+
+    def mark(self, task, run, name, text=""):
+        folder, index = self.path(task, run)
+        part = os.path.join(folder, "part-%s-%s" % (name, index))
+        with open(part, "w") as file:
+            file.write(text)
+        try:
+            os.link(part, os.path.join(folder, name))
+        except FileExistsError:
+            pass
+        os.unlink(part)
+
+
+GANG = Gang()
 
 
 class Runner:
@@ -69,9 +135,12 @@
         if any(self.free(what) < need[what] for what in ("cpu", "mem_mb")):
             return 409, {"reason": "room"}
         self.running[task] = {
-            "run": number, "since": time.monotonic(), "work_s": need["work_s"], "cpu": need["cpu"],
+            "run": number, "since": time.monotonic(), "work_s": work_s(task, need), "cpu": need["cpu"],
             "mem_mb": need["mem_mb"], "saved": body.get("checkpoint", ""), "stop": None,
         }
+        if need.get("gang"):
+            self.running[task].update(gang=need["gang"], from_s=progress_s(body.get("checkpoint", "")))
+            GANG.join(task, number, body.get("checkpoint", ""))
         note("start", task=task, run=number, checkpoint=body.get("checkpoint", ""))
         return 200, {}
 
@@ -104,7 +173,7 @@
     def lists(self):
         now, rows = time.monotonic(), []
         for task, run in self.running.items():
-            share = min(1.0, (now - run["since"]) / run["work_s"])
+            share = run.get("share", min(1.0, (now - run["since"]) / run["work_s"]))
             rows.append([task, run["run"], run["saved"], int(share * 100), run["cpu"]])
         return {"running": rows, "ended": self.ended[:LIST_LIMIT]}
 
@@ -115,12 +184,38 @@
             for task in list(self.running):
                 self.end(task, "lapsed")
         for task, run in list(self.running.items()):
-            if run["stop"] is not None and now >= run["stop"]:
+            if "gang" in run:
+                self.tick_member(now, task, run)
+            elif run["stop"] is not None and now >= run["stop"]:
                 self.end(task, "stopped")
             elif run["stop"] is None and now - run["since"] >= run["work_s"]:
                 self.end(task, "done")
 
 
+    def tick_member(self, now, task, run):
+        state = GANG.state(task, run["run"], run["gang"])
+        at = run["from_s"]
+        if isinstance(state, float):
+            at = min(run["work_s"], at + max(0.0, now - state - CFG["restore_ms"] / 1000))
+            # A new value with each `checkpoint_s` of work, and at a stop.
+            whole = int(at / CFG["checkpoint_s"]) * CFG["checkpoint_s"]
+            if whole > run["from_s"]:
+                run["saved"] = checkpoint(task, whole)
+        run["share"] = at / run["work_s"]
+        if state == "broken":
+            self.end(task, "broken")
+        elif state == "done":
+            self.end(task, "done")
+        elif run["stop"] is not None and now >= run["stop"]:
+            GANG.mark(task, run["run"], "broken")
+            saved = checkpoint(task, at) if isinstance(state, float) else run["saved"]
+            self.end(task, "stopped", saved)
+        elif run["stop"] is None and at >= run["work_s"]:
+            GANG.mark(task, run["run"], "done")
+        elif state == "waiting" and now - run["since"] > CFG["gang_timeout_ms"] / 1000:
+            self.end(task, "alone")
+
+
 RUNNER = Runner()
 
 
