--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -6,6 +6,7 @@
 import json
 import os
 import random
+import re
 import signal
 import socket
 import subprocess
@@ -13,7 +14,6 @@
 import tempfile
 import threading
 import time
-import tomllib
 import traceback
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
@@ -74,8 +74,10 @@
     # Processes
 
     def command(self, role):
-        with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
-            return tomllib.load(file)["roles"][role]["run"].split()
+        """The command of a role in the deploy file."""
+        with open(os.path.join(ROOT, "deploy", "system.toml")) as file:
+            section = re.split(r"(?m)^\[", file.read().split("[roles.%s]" % role, 1)[1])[0]
+        return re.search(r'(?m)^run = "([^"]+)"', section).group(1).split()
 
     def settings(self, name, ip, index, role, bootstrap):
         duty = {"entry": "frontend", "agent": "side", "control": "control_plane"}[role]
@@ -139,7 +141,8 @@
         script = os.path.join(ROOT, "review", "lib", "runner.py")
         self.processes[name] = subprocess.Popen(
             [sys.executable, script, path], stdin=subprocess.PIPE, text=True)
-        self.files.append(config["record"])
+        if config["record"] not in self.files:
+            self.files.append(config["record"])
         return name
 
     def tell_runner(self, name, line):
@@ -212,7 +215,10 @@
             time.sleep(0.25)
         raise CannotRun("the operator's call was not answered")
 
-    def configure(self, version, **route):
+    def configure(self, version, present=True, **route):
+        other = {"name": "r-d3zji9n", "host": "ficu95.example", "path_prefix": "/pufi791/",
+                 "kind": "unsafe", "timeout_ms": 3000, "target_completion_ms": 1000,
+                 "priority": 2, "service": SERVICE, "max_attempts": 4, "stretch": 2.0}
         route = {"name": "r-wrr6x73", "host": HOST, "path_prefix": PREFIX, "kind": "unsafe",
                  "timeout_ms": 3000, "target_completion_ms": 250, "priority": 0,
                  "service": SERVICE, "max_attempts": 4, "stretch": 1.5, **route}
@@ -220,7 +226,8 @@
                    "protocol": "h1", "tls": False, "admission_check": True, "standby": False}
         limits = {"max_header_bytes": 16384, "max_body_bytes": 262144,
                   "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
-        body = {"version": version, "routes": [route], "services": [service], "limits": limits}
+        body = {"version": version, "routes": [route, other] if present else [other],
+                "services": [service], "limits": limits}
         status, answer = self.operator("POST", "/-/config/replace", body)
         if status != 200:
             raise CannotRun("the configuration was refused: %s" % answer)
--- a/review/lib/runner.py
+++ b/review/lib/runner.py
@@ -137,6 +137,7 @@
         self.running[task] = {
             "run": number, "since": time.monotonic(), "work_s": work_s(task, need), "cpu": need["cpu"],
             "mem_mb": need["mem_mb"], "saved": body.get("checkpoint", ""), "stop": None,
+            "fails": number <= need.get("failing_runs", 0),
         }
         if need.get("gang"):
             self.running[task].update(gang=need["gang"], from_s=progress_s(body.get("checkpoint", "")))
@@ -189,7 +190,7 @@
             elif run["stop"] is not None and now >= run["stop"]:
                 self.end(task, "stopped")
             elif run["stop"] is None and now - run["since"] >= run["work_s"]:
-                self.end(task, "done")
+                self.end(task, "failed" if run["fails"] else "done")
 
 
     def tick_member(self, now, task, run):
