--- a/review/lib/runner.py
+++ b/review/lib/runner.py
@@ -93,7 +93,7 @@
     def __init__(self):
         self.fence, self.until, self.number = 0, 0, 0
         self.running, self.ended, self.gone = {}, [], {}
-        self.state, self.acked, self.sequence = "ready", 0, 0
+        self.state, self.acked, self.sequence, self.leased = "ready", 0, 0, False
 
     def clock(self):
         return int((time.monotonic() - START) * 1000) + CFG.get("clock_offset_ms", 1000)
@@ -111,6 +111,7 @@
         if until is not None:
             most = self.clock() + CFG["max_hold_ms"]
             self.until = max(self.until, min(until, most))
+            self.leased = self.leased or self.until >= self.clock()
 
     def free(self, what):
         return CFG["capacity"][what] - sum(r[what] for r in self.running.values())
@@ -180,8 +181,10 @@
 
     def tick(self):
         now = time.monotonic()
-        if self.running and self.clock() > self.until:
-            note("lapse", tasks=len(self.running))
+        if self.clock() > self.until:
+            if self.leased:
+                note("lapse", tasks=len(self.running))
+            self.leased = False
             for task in list(self.running):
                 self.end(task, "lapsed")
         for task, run in list(self.running.items()):
