Reopen the files of a control instance once its disk takes writes again

Cause: the storage thread dropped all writes after the first failed one, and the instance rejected proposals and dropped peer messages until a restart that nothing triggered. It stayed a voter, so the second such fault cost the quorum.

Evidence: with the first attempt to reopen put off for good, which is the old behaviour, the new scripts full_disks_one_after_the_other, full_disk_is_passive, failed_write_is_removed and snapshot_on_full_disk fail. Without the removal of unsynced data, every_failed_operation_is_repaired and all four randomised runs fail.

Change: Store::Reopen, proposed by the decision thread after 200 ms and at intervals doubled up to 1 s. The storage probes the disk, cuts the log back to its last synced length and reads all files anew. The instance then starts from them as after a restart, except that its state machine keeps what was applied. Until then it is passive, so it neither leads nor counts for a quorum. Data of a failed sync is never trusted, and the fake disk now forgets it. The randomised runs let disks fail for a while without a restart.

--- a/toucangrade/src/agreement/driver.rs
+++ b/toucangrade/src/agreement/driver.rs
@@ -133,38 +133,35 @@
     }
 }
 
-/// Performs `Store` effects until the ring is closed. After a failed write, the rest is dropped.
+/// Performs `Store` effects until the ring is closed.
 fn run_storage(
     mut storage: Storage,
     stores: &Ring<(u64, Store)>,
     handle: &Handle<Message>,
     mut record_sync: impl FnMut(Span),
 ) {
-    let mut failed = false;
     loop {
         let (seq, store) = match stores.recv(STORE_WAIT) {
             Received::Closed => return,
             Received::Message(message) => message,
             Received::Timeout => continue,
         };
-        // A failed write may have left an incomplete frame, so nothing may be written after it.
-        if failed {
-            continue;
-        }
         let began = Instant::now();
-        match storage.perform(&store) {
-            Ok(()) => {
-                handle.push(Message::Synced { upto: seq });
+        let Some(answer) = storage.answer(seq, &store) else { continue };
+        match &answer {
+            Message::Reopened(recovered) => {
+                info!("storage takes writes again");
+                log_recovered(recovered);
+            },
+            Message::StoreFailed { reason } => {
+                error!(reason, "storage failed, it is reopened once the disk takes writes");
+            },
+            _ => {
                 let took = began.elapsed().as_micros();
                 record_sync(Span::micros(u64::try_from(took).unwrap_or(u64::MAX)));
             },
-            Err(error) => {
-                failed = true;
-                error!(%error, "storage failed, a restart is needed");
-                let reason = error.to_string();
-                handle.push(Message::StoreFailed { reason });
-            },
         }
+        handle.push(answer);
     }
 }
 
--- a/toucangrade/src/agreement/fake_disk.rs
+++ b/toucangrade/src/agreement/fake_disk.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::io;
+use std::ops::Range;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use super::disk::Disk;
@@ -11,6 +12,8 @@
 struct Content {
     durable: Vec<u8>,
     current: Vec<u8>,
+    /// Bytes that a failed sync covered. They can be read, but no later sync writes them.
+    lost: Range<usize>,
 }
 
 #[derive(Debug, Default)]
@@ -26,6 +29,27 @@
     syncs: u64,
 }
 
+impl Content {
+    fn sync(&mut self, outcome: io::Result<()>) -> io::Result<()> {
+        if outcome.is_err() {
+            if self.lost.is_empty() && self.current.starts_with(&self.durable) {
+                self.lost = self.durable.len()..self.current.len();
+            }
+            return outcome;
+        }
+        self.durable = self.current.clone();
+        let end = self.lost.end.min(self.durable.len());
+        let start = self.lost.start.min(end);
+        self.durable[start..end].fill(0);
+        Ok(())
+    }
+
+    fn truncate(&mut self, length: usize) {
+        self.current.truncate(length);
+        self.lost.end = self.lost.end.min(length);
+    }
+}
+
 /// A disk that outlives the simulated process that uses it.
 #[derive(Clone, Debug, Default)]
 pub(super) struct FakeDisk(Arc<Mutex<Files>>);
@@ -77,11 +101,9 @@
                 let disk = files();
                 move |name| {
                     let mut files = disk.files();
-                    files.check_failure()?;
-                    files.syncs += 1;
-                    let content = files.content(name)?;
-                    content.durable = content.current.clone();
-                    Ok(())
+                    let outcome = files.check_failure();
+                    files.syncs += u64::from(outcome.is_ok());
+                    files.content(name)?.sync(outcome)
                 }
             }),
             sync_names: Box::new({
@@ -99,7 +121,7 @@
                     let mut files = disk.files();
                     files.check_failure()?;
                     let length = usize::try_from(length).map_err(io::Error::other)?;
-                    files.content(name)?.current.truncate(length);
+                    files.content(name)?.truncate(length);
                     Ok(())
                 }
             }),
@@ -124,7 +146,7 @@
         self.files().limit = limit;
     }
 
-    /// Lets `operations` more operations succeed, then fails all until the next crash.
+    /// Lets `operations` more operations succeed, then fails all until the next crash or call.
     pub(super) fn fail_after(&self, operations: u64) {
         self.files().operations_left = Some(operations);
     }
@@ -151,6 +173,7 @@
                 content.current = content.durable.clone();
             }
             content.durable = content.current.clone();
+            content.lost = 0..0;
         }
     }
 
--- a/toucangrade/src/agreement/measure.rs
+++ b/toucangrade/src/agreement/measure.rs
@@ -172,7 +172,9 @@
     let step = snapshot_interval.unwrap_or(count).min(1_000);
     for first in (1..=count).step_by(usize::try_from(step).map_err(io::Error::other)?) {
         let last = count.min(first + step - 1);
-        storage.perform(&Store::Append((first..=last).map(entry).collect()))?;
+        storage
+            .perform(&Store::Append((first..=last).map(entry).collect()))
+            .map_err(io::Error::other)?;
         if snapshot_interval.is_some_and(|interval| last.is_multiple_of(interval)) {
             let snapshot = Arc::new(Snapshot {
                 index: last,
@@ -181,7 +183,7 @@
                 ..Snapshot::default()
             });
             let reset = false;
-            storage.perform(&Store::Snapshot { snapshot, reset })?;
+            storage.perform(&Store::Snapshot { snapshot, reset }).map_err(io::Error::other)?;
         }
     }
     drop(storage);
--- a/toucangrade/src/agreement/message.rs
+++ b/toucangrade/src/agreement/message.rs
@@ -7,6 +7,7 @@
 use thiserror::Error;
 
 use super::membership::Members;
+use super::storage::Recovered;
 use crate::core::{Moment, Name, Verdict};
 
 /// Greatest accepted term or index. Both grow in steps of one, so no real group reaches it.
@@ -84,9 +85,12 @@
     Propose { ticket: u64, command: Bytes },
     /// Requests a linearizable read, answered by `ReadReady` or `Reject`.
     Read { ticket: u64 },
+    /// The storage takes writes again after a failure. Everything recovered from it is durable.
+    Reopened(Box<Recovered>),
     /// Encoded state of the state machine after the command at `index`.
     SnapshotTaken { index: u64, state: Bytes },
-    /// The storage failed; nothing after the last `Synced` is durable.
+    /// The storage failed; nothing after the last `Synced` is durable. Further `Store` effects are
+    /// dropped until a `Reopen`.
     StoreFailed { reason: String },
     /// All `Store` effects up to this sequence number are durable.
     Synced { upto: u64 },
@@ -205,6 +209,9 @@
 pub(crate) enum Store {
     /// Appends entries. Existing ones from the index of the first one on are replaced.
     Append(Vec<Entry>),
+    /// Reads the files anew after a failure, without what was written since the last sync; answered
+    /// by `Reopened` or `StoreFailed`.
+    Reopen,
     /// Replaces the snapshot. With `reset` the whole log is discarded.
     Snapshot { snapshot: Arc<Snapshot>, reset: bool },
     /// Records the term and the vote given in it.
@@ -287,6 +294,6 @@
     Role { term: u64, leader: Option<Name>, leading: bool },
     /// Sends a message to another instance.
     Send { to: Name, body: PeerMessage },
-    /// Makes a change durable; answered by `Synced` or `StoreFailed`.
+    /// Makes a change durable; answered by `Synced` or `StoreFailed`, or as `Store::Reopen` says.
     Store { seq: u64, store: Store },
 }
--- a/toucangrade/src/agreement/mod.rs
+++ b/toucangrade/src/agreement/mod.rs
@@ -58,6 +58,10 @@
 /// Time without an answer of the storage after which a leader steps down, as it can't acknowledge
 /// any proposal.
 const STORE_TIMEOUT: Span = Span::secs(3);
+/// Time from a storage failure to the first attempt to reopen the files. Each further failure
+/// doubles it, up to `REOPEN_MAX`.
+const REOPEN_MIN: Span = Span::millis(200);
+const REOPEN_MAX: Span = Span::millis(1_000);
 /// Greatest number of unanswered appends to one follower.
 const WINDOW: usize = 4;
 /// Greatest number of entries and bytes in one append message. A single entry may be larger.
@@ -149,6 +153,17 @@
     since: Moment,
 }
 
+/// A failure of the storage. Until the files are reopened, the instance is passive: it rejects
+/// proposals and reads, drops peer messages and takes part in no quorum.
+#[derive(Debug, Serialize)]
+struct StorageFailure {
+    reason: String,
+    /// When the files are reopened, or `None` while that is in progress.
+    retry_at: Option<Moment>,
+    /// Wait before `retry_at`.
+    wait: Span,
+}
+
 /// Action to perform once a `Store` effect is durable.
 #[derive(Debug, Serialize)]
 enum Deferred {
@@ -219,8 +234,7 @@
     election_deadline: Moment,
     #[serde(rename = "hello")]
     next_hello: Moment,
-    /// Reason of a storage failure, after which the instance is passive until it is restarted.
-    failed: Option<String>,
+    failed: Option<StorageFailure>,
     /// See `Settings::target_voters`.
     #[serde(rename = "voters")]
     target_voters: Option<usize>,
@@ -245,6 +259,15 @@
 impl Agreement {
     /// Creates the state at start-up from the recovered data directory.
     pub(crate) fn new(settings: Settings, recovered: Recovered, now: Moment) -> Self {
+        let mut agreement = Self::recover(settings, recovered, now);
+        // The first step returns these effects.
+        if agreement.snapshot.index > 0 {
+            agreement.emit_snapshot();
+        }
+        agreement
+    }
+
+    fn recover(settings: Settings, recovered: Recovered, now: Moment) -> Self {
         let Recovered { identity, term, vote, snapshot, entries, .. } = recovered;
         let mut configs = BTreeMap::new();
         if !snapshot.members.is_empty() {
@@ -292,10 +315,6 @@
             out: Vec::new(),
         };
         agreement.reset_election_timer(now);
-        // The first step returns these effects.
-        if base > 0 {
-            agreement.emit_snapshot();
-        }
         agreement
     }
 
@@ -313,6 +332,7 @@
             Message::Peer(message) => self.receive(now, message),
             Message::Propose { ticket, command } => self.propose(ticket, command),
             Message::Read { ticket } => self.read(now, ticket),
+            Message::Reopened(recovered) => self.reopened(now, *recovered),
             Message::SnapshotTaken { index, state } => self.snapshot_taken(index, state),
             Message::StoreFailed { reason } => self.store_failed(now, reason),
             Message::Synced { upto } => self.synced(now, upto),
@@ -327,10 +347,11 @@
     }
 
     fn tick(&mut self, now: Moment) {
-        if self.failed.is_some() {
-            return;
-        }
-        if matches!(self.role, Role::Leader(_)) {
+        if let Some(failure) = &mut self.failed {
+            if failure.retry_at.take_if(|at| *at <= now).is_some() {
+                self.store(Store::Reopen);
+            }
+        } else if matches!(self.role, Role::Leader(_)) {
             self.leader_tick(now);
         } else if self.members().is_empty() {
             self.send_hellos(now);
@@ -351,8 +372,8 @@
 
     /// The reason to reject proposals now, if there is one.
     fn refusal(&self) -> Option<Rejection> {
-        if let Some(reason) = &self.failed {
-            let reason = reason.clone();
+        if let Some(failure) = &self.failed {
+            let reason = failure.reason.clone();
             return Some(Rejection::Storage { reason });
         }
         let Role::Leader(lead) = &self.role else {
@@ -453,15 +474,50 @@
         }
     }
 
-    /// Steps down and becomes passive: proposals and reads are rejected, peer messages dropped. A
-    /// restart recovers the durable state.
+    /// Steps down and becomes passive until the files can be reopened.
     fn store_failed(&mut self, now: Moment, reason: String) {
-        if self.failed.is_some() {
+        let wait = match &self.failed {
+            Some(failure) => (failure.wait + failure.wait).min(REOPEN_MAX),
+            None => {
+                self.step_down(now);
+                self.deferred.clear();
+                REOPEN_MIN
+            },
+        };
+        self.failed = Some(StorageFailure { reason, retry_at: Some(now + wait), wait });
+    }
+
+    /// Takes part again with the state that the files hold, as after a restart. Only the state
+    /// machine keeps what it has applied.
+    fn reopened(&mut self, now: Moment, recovered: Recovered) {
+        if self.failed.is_none() {
             return;
         }
-        self.step_down(now);
-        self.deferred.clear();
-        self.failed = Some(reason);
+        let settings = Settings {
+            name: self.me.name.clone(),
+            founders: std::mem::take(&mut self.founders),
+            seed: self.random,
+            target_voters: self.target_voters,
+        };
+        let old = std::mem::replace(self, Self::recover(settings, recovered, now));
+        invariant!(
+            old.me == self.me && old.commit.min(old.durable) <= self.log.last(),
+            "reopened files of {:?} end at entry {}, of {:?} up to {} were durable",
+            self.me,
+            self.log.last(),
+            old.me,
+            old.durable
+        );
+        // The snapshot in the files may be one that a leader sent right before the failure.
+        if self.snapshot.index > old.applied {
+            self.emit_snapshot();
+        }
+        self.applied = self.applied.max(old.applied);
+        (self.seq, self.synced_seq) = (old.seq, old.seq);
+        self.batch_limit = old.batch_limit;
+        self.last_role = old.last_role;
+        self.reported = old.reported;
+        self.out.splice(..0, old.out);
     }
 
     /// Steps down and asks the voter with the longest log to start an election.
--- a/toucangrade/src/agreement/random_run/faults.rs
+++ b/toucangrade/src/agreement/random_run/faults.rs
@@ -75,10 +75,11 @@
         let running = self.instances[&name].process.is_some();
         match self.draw(12) {
             0 | 1 if running => self.crash(&name, down),
-            // A crash between two file operations, before or after a sync.
+            // A failure or a crash between two file operations, before or after a sync.
             2 | 3 if running => {
                 let operations = self.draw(6);
                 self.instance(&name).disk.fail_after(operations);
+                self.schedule(down, Event::MendDisk { name });
             },
             4 | 5 => {
                 self.instance(&name).isolated = true;
@@ -92,12 +93,9 @@
             7 if running => {
                 let used: usize = self.instances[&name].disk.sizes().values().sum();
                 let limit = Some(used + self.draw(300) as usize);
-                let instance = self.instance(&name);
-                instance.disk.set_limit(limit);
-                let epoch = instance.epoch;
+                self.instance(&name).disk.set_limit(limit);
                 self.report.full_disks += 1;
-                // The process is restarted once there is space.
-                self.schedule(down + SECOND, Event::Start { name, epoch });
+                self.schedule(down + SECOND, Event::MendDisk { name });
             },
             8 => {
                 self.report.transfers += 1;
@@ -141,7 +139,7 @@
         for name in self.names.clone() {
             let instance = self.instance(&name);
             (instance.isolated, instance.paused_until, instance.stalled_until) = (false, 0, 0);
-            // A crash also clears an injected disk failure.
+            // A crash also clears an injected disk failure, and the start a limit.
             self.crash(&name, MILLI);
         }
         let acknowledged = self.report.acknowledged;
--- a/toucangrade/src/agreement/random_run/machine.rs
+++ b/toucangrade/src/agreement/random_run/machine.rs
@@ -83,10 +83,24 @@
                     self.terms.clear();
                 }
             },
-            Store::Vote { .. } => {},
+            Store::Reopen | Store::Vote { .. } => {},
         }
     }
 
+    /// Checks that reopened files hold exactly the entries that were durable.
+    pub(super) fn check_reopened(&self, recovered: &Recovered) {
+        let found = Self::new(recovered);
+        // A snapshot may become durable although the store that wrote it failed.
+        let terms = self.terms.range(found.snapshot + 1..);
+        invariant!(
+            found.snapshot > self.snapshot || found.terms.iter().eq(terms),
+            "reopened files hold {:?} after snapshot {}, durable were {:?}",
+            found.terms,
+            found.snapshot,
+            self.terms
+        );
+    }
+
     /// Checks that the last entry that a message acknowledges is durable with the same term.
     pub(super) fn check_acknowledged(&self, agreement: &Agreement, body: &Body) {
         let (Body::Appended { matched } | Body::HeartbeatReply { matched, .. }) = body else {
--- a/toucangrade/src/agreement/random_run/mod.rs
+++ b/toucangrade/src/agreement/random_run/mod.rs
@@ -44,6 +44,7 @@
     pub(crate) isolations: u64,
     pub(crate) pauses: u64,
     pub(crate) full_disks: u64,
+    pub(crate) reopened: u64,
     pub(crate) stalls: u64,
     pub(crate) transfers: u64,
     pub(crate) replaced: u64,
@@ -52,12 +53,14 @@
 impl fmt::Display for RunReport {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self { seed, steps, crashes, torn, isolations, pauses, stalls, .. } = self;
-        let Self { full_disks, replaced, transfers, acknowledged, refused, unknown, .. } = self;
+        let Self {
+            full_disks, reopened, replaced, transfers, acknowledged, refused, unknown, ..
+        } = self;
         write!(
             f,
             "seed {seed}: {steps} steps; {crashes} crashes, {torn} torn tails, {isolations} \
-             isolations, {pauses} pauses, {stalls} stalled and {full_disks} full disks, {replaced} \
-             replaced members; {acknowledged} commands acknowledged, {refused} refused, {unknown} \
+             isolations, {pauses} pauses, {stalls} stalled and {full_disks} full disks, {reopened} \
+             reopened, {replaced} replaced members; {acknowledged} commands acknowledged, {refused} refused, {unknown} \
              of unknown outcome, {} reads, {} terms, {transfers} transfers, {} snapshots installed",
             self.reads, self.terms, self.installs
         )
@@ -74,8 +77,6 @@
     machine: StateMachine,
     /// Number of commands in the last snapshot.
     snapshot_count: u64,
-    /// Whether the storage failed.
-    failed: bool,
 }
 
 /// A host with a disk, on which a process may run.
@@ -95,13 +96,35 @@
 
 enum Event {
     Client,
-    Deliver { to: Name, message: PeerMessage },
+    Deliver {
+        to: Name,
+        message: PeerMessage,
+    },
     Fault,
-    Heal { name: Name },
-    PerformStores { name: Name, epoch: u64 },
-    Snapshot { name: Name, epoch: u64, machine: StateMachine },
-    Start { name: Name, epoch: u64 },
-    Tick { name: Name, epoch: u64 },
+    Heal {
+        name: Name,
+    },
+    /// The disk of an instance works again.
+    MendDisk {
+        name: Name,
+    },
+    PerformStores {
+        name: Name,
+        epoch: u64,
+    },
+    Snapshot {
+        name: Name,
+        epoch: u64,
+        machine: StateMachine,
+    },
+    Start {
+        name: Name,
+        epoch: u64,
+    },
+    Tick {
+        name: Name,
+        epoch: u64,
+    },
 }
 
 /// State of the simulation.
@@ -261,6 +284,11 @@
             Event::Heal { name } => {
                 self.instance(&name).isolated = false;
             },
+            Event::MendDisk { name } => {
+                let instance = self.instance(&name);
+                instance.disk.set_limit(None);
+                instance.disk.fail_after(u64::MAX);
+            },
             Event::PerformStores { name, epoch } if self.instances[&name].epoch == epoch => {
                 self.perform_stores(&name);
             },
@@ -323,7 +351,6 @@
             stores: Vec::new(),
             machine: StateMachine::default(),
             snapshot_count: 0,
-            failed: false,
         });
         self.report.torn += u64::from(torn);
         let name = name.clone();
@@ -500,8 +527,7 @@
         }
     }
 
-    /// Performs the queued `Store` effects. A full disk is reported to the process, any other
-    /// failure crashes it.
+    /// Performs the queued `Store` effects. Some failures crash the process.
     fn perform_stores(&mut self, name: &Name) {
         if let Some(wait) = self.pause_left(name) {
             let (epoch, name) = (self.instances[name].epoch, name.clone());
@@ -512,27 +538,27 @@
         };
         let stores = std::mem::take(&mut process.stores);
         for (seq, store) in stores {
+            let crashes = self.draw(4) == 0;
             let Some(process) = &mut self.instance(name).process else {
                 return;
             };
-            if process.failed {
-                return;
-            }
-            match process.storage.perform(&store) {
-                Ok(()) => {
-                    process.durable.perform(&store);
-                    self.step(name, Message::Synced { upto: seq });
-                },
-                Err(error) if error.kind() == std::io::ErrorKind::StorageFull => {
-                    process.failed = true;
-                    let reason = error.to_string();
-                    return self.step(name, Message::StoreFailed { reason });
+            let Some(answer) = process.storage.answer(seq, &store) else {
+                continue;
+            };
+            match &answer {
+                Message::Reopened(recovered) => {
+                    process.durable.check_reopened(recovered);
+                    process.durable = DurableLog::new(recovered);
+                    self.report.reopened += 1;
                 },
-                Err(_) => {
+                Message::StoreFailed { .. } if crashes => {
                     let down = 10 * MILLI + self.draw(2 * SECOND);
                     return self.crash(name, down);
                 },
+                Message::StoreFailed { .. } => {},
+                _ => process.durable.perform(&store),
             }
+            self.step(name, answer);
         }
     }
 }
--- a/toucangrade/src/agreement/reads.rs
+++ b/toucangrade/src/agreement/reads.rs
@@ -20,7 +20,7 @@
     pub(super) fn read(&mut self, now: Moment, ticket: u64) {
         let leader = self.leader_name();
         let reason = match (&self.failed, &mut self.role) {
-            (Some(reason), _) => Rejection::Storage { reason: reason.clone() },
+            (Some(failure), _) => Rejection::Storage { reason: failure.reason.clone() },
             (None, Role::Leader(lead)) if lead.reads.len() < WAITING_LIMIT => {
                 return lead.reads.push_back(PendingRead {
                     ticket,
--- a/toucangrade/src/agreement/snapshots.rs
+++ b/toucangrade/src/agreement/snapshots.rs
@@ -25,7 +25,8 @@
 impl Agreement {
     /// Stores a snapshot of the state machine and compacts the log.
     pub(super) fn snapshot_taken(&mut self, index: u64, state: Bytes) {
-        let valid = index > self.snapshot.index && index <= self.applied;
+        // After the files were reopened, an applied entry may be missing from the log.
+        let valid = index > self.snapshot.index && index <= self.applied.min(self.commit);
         let config = self.configs.range(..=index).next_back();
         let (Some(term), Some((members_at, members))) = (self.log.term(index), config) else {
             return;
--- a/toucangrade/src/agreement/storage.rs
+++ b/toucangrade/src/agreement/storage.rs
@@ -11,7 +11,7 @@
 use thiserror::Error;
 
 use super::disk::Disk;
-use super::message::{Entry, Replica, Snapshot, Store};
+use super::message::{Entry, Message, Replica, Snapshot, Store};
 
 /// Size in bytes from which a segment gets no further frames.
 const SEGMENT_BYTES: u64 = 4 * 1024 * 1024;
@@ -20,6 +20,10 @@
 const HEADER_BYTES: usize = 12;
 const META_FILE: &str = "meta";
 const TEMPORARY: &str = ".tmp";
+/// File that is written and removed again to find out whether the disk takes writes.
+const PROBE_FILE: &str = "probe.tmp";
+/// Size of the probe, a block of common file systems.
+const PROBE_BYTES: usize = 4_096;
 
 /// Why a data directory can't be used.
 #[derive(Debug, Error)]
@@ -101,6 +105,8 @@
     segments: Vec<Segment>,
     snapshot: u64,
     written: u64,
+    /// Whether a write failed, so that the end of the log is unknown until the files are reopened.
+    failed: bool,
 }
 
 impl Storage {
@@ -111,44 +117,86 @@
     /// [`OpenError`] when a file can't be read or written, or holds damaged data. An incomplete
     /// frame at the end of the log is removed and reported in [`Recovered::torn`] instead.
     pub(crate) fn open(mut disk: Disk, me: Replica) -> Result<(Self, Recovered), OpenError> {
-        let mut names = (disk.list)()?;
-        for name in names.extract_if(.., |name| name.ends_with(TEMPORARY)) {
-            (disk.remove)(&name)?;
-        }
-        // Files with other names don't belong to the log.
-        let numbers = |file: fn(u64) -> String| -> Vec<u64> {
-            let suffixes = names.iter().filter_map(|name| Some((name, name.split_once('-')?.1)));
-            let numbered = suffixes.filter_map(|(name, suffix)| Some((name, suffix.parse().ok()?)));
-            numbered.filter(|(name, number)| file(*number) == **name).map(|(_, n)| n).collect()
-        };
-        let (segments, snapshots) = (numbers(segment_file), numbers(snapshot_file));
-        let exists = names.iter().any(|name| name == META_FILE);
-        let meta = if exists {
-            read_file(&mut disk, META_FILE)?
-        } else if segments.is_empty() && snapshots.is_empty() {
-            let (term, vote) = (0, None);
-            let meta = Meta { me, term, vote };
+        let names = remove_temporary(&mut disk)?;
+        let meta = Meta { me, term: 0, vote: None };
+        let has_log =
+            numbers(&names, segment_file).chain(numbers(&names, snapshot_file)).count() > 0;
+        if !has_log && !names.iter().any(|name| name == META_FILE) {
             write_file(&mut disk, META_FILE, &meta)?;
-            meta
-        } else {
+        }
+        let mut storage =
+            Self { disk, meta, segments: Vec::new(), snapshot: 0, written: 0, failed: false };
+        let recovered = storage.load()?;
+        Ok((storage, recovered))
+    }
+
+    /// Reads all files of the data directory.
+    fn load(&mut self) -> Result<Recovered, OpenError> {
+        let names = remove_temporary(&mut self.disk)?;
+        if !names.iter().any(|name| name == META_FILE) {
             return Err(corrupt(META_FILE, 0, "the file is missing"));
-        };
-        let snapshot: Snapshot = match snapshots.iter().max() {
-            Some(index) => read_file(&mut disk, &snapshot_file(*index))?,
+        }
+        self.meta = read_file(&mut self.disk, META_FILE)?;
+        let snapshot: Snapshot = match numbers(&names, snapshot_file).max() {
+            Some(index) => read_file(&mut self.disk, &snapshot_file(index))?,
             None => Snapshot::default(),
         };
-        let mut storage =
-            Self { disk, meta, segments: Vec::new(), snapshot: snapshot.index, written: 0 };
-        let (entries, torn) = storage.recover_log(&segments, &snapshot)?;
-        let recovered = Recovered {
-            identity: storage.meta.me.identity,
-            term: storage.meta.term,
-            vote: storage.meta.vote.clone(),
+        self.snapshot = snapshot.index;
+        let segments: Vec<u64> = numbers(&names, segment_file).collect();
+        let (entries, torn) = self.recover_log(&segments, &snapshot)?;
+        Ok(Recovered {
+            identity: self.meta.me.identity,
+            term: self.meta.term,
+            vote: self.meta.vote.clone(),
             snapshot,
             entries,
             torn,
+        })
+    }
+
+    /// Performs a `Store` effect and returns the answer to it. Between a failure and a successful
+    /// `Reopen`, all other effects are dropped without an answer.
+    pub(crate) fn answer(&mut self, seq: u64, store: &Store) -> Option<Message> {
+        let outcome = match store {
+            Store::Reopen => self.reopen().map(|found| Message::Reopened(Box::new(found))),
+            _ if self.failed => return None,
+            store => self.perform(store).map(|()| Message::Synced { upto: seq }),
         };
-        Ok((storage, recovered))
+        self.failed = outcome.is_err();
+        Some(outcome.unwrap_or_else(|error| Message::StoreFailed { reason: error.to_string() }))
+    }
+
+    /// Makes the storage usable after a failed write, once the disk takes writes again.
+    ///
+    /// # Errors
+    ///
+    /// [`OpenError`] when the disk still fails, or when durable data is damaged.
+    fn reopen(&mut self) -> Result<Recovered, OpenError> {
+        remove_temporary(&mut self.disk)?;
+        (self.disk.append)(PROBE_FILE, &[0; PROBE_BYTES])?;
+        (self.disk.sync)(PROBE_FILE)?;
+        (self.disk.remove)(PROBE_FILE)?;
+        self.remove_unsynced()?;
+        // `remove_unsynced` needs the sizes again if the files can't be read.
+        let segments = std::mem::take(&mut self.segments);
+        self.load().inspect_err(|_| self.segments = segments)
+    }
+
+    /// Removes what was written to the log after its last successful sync. After a failed sync, a
+    /// later one may succeed without having written that data, although it can be read.
+    fn remove_unsynced(&mut self) -> io::Result<()> {
+        let names = (self.disk.list)()?;
+        let synced = self.segments.iter().rfind(|segment| segment.size > 0);
+        let last = synced.map(|segment| segment.number);
+        for number in numbers(&names, segment_file).filter(|number| Some(*number) > last) {
+            (self.disk.remove)(&segment_file(number))?;
+        }
+        if let Some(segment) = synced {
+            (self.disk.truncate)(&segment.file(), segment.size)?;
+            (self.disk.sync)(&segment.file())?;
+        }
+        // The replacement of a file may have succeeded without its sync.
+        (self.disk.sync_names)()
     }
 
     /// Fails when the data directory belongs to an instance of another name.
@@ -169,15 +217,18 @@
     ///
     /// # Errors
     ///
-    /// The error of the operating system. The storage must not be used after an error, as the end
-    /// of the log is unknown until the next start.
-    pub(crate) fn perform(&mut self, store: &Store) -> io::Result<()> {
+    /// The error of the operating system. After an error, the end of the log is unknown until the
+    /// files are reopened.
+    pub(crate) fn perform(&mut self, store: &Store) -> Result<(), OpenError> {
         match store {
             Store::Append(entries) => {
                 let Some(first) = entries.first().map(|entry| entry.index) else {
                     return Ok(());
                 };
-                self.write_frame(first, &RecordRef::Entries(entries), false)
+                self.write_frame(first, &RecordRef::Entries(entries), false)?;
+            },
+            Store::Reopen => {
+                self.reopen()?;
             },
             Store::Snapshot { snapshot, reset } => {
                 let (index, term) = (snapshot.index, snapshot.term);
@@ -186,15 +237,15 @@
                 if *reset {
                     self.write_frame(index + 1, &RecordRef::Reset { index, term }, true)?;
                 }
-                self.compact(index)
+                self.compact(index)?;
             },
             Store::Vote { term, vote } => {
                 self.meta.term = *term;
                 self.meta.vote = vote.clone();
                 self.written += write_file(&mut self.disk, META_FILE, &self.meta)?;
-                Ok(())
             },
         }
+        Ok(())
     }
 
     fn write_frame(&mut self, first: u64, record: &RecordRef<'_>, new: bool) -> io::Result<()> {
@@ -332,6 +383,23 @@
     format!("snapshot-{index:020}")
 }
 
+/// Numbers of the files that `file` names. Files with other names don't belong to the log.
+fn numbers(names: &[String], file: fn(u64) -> String) -> impl Iterator<Item = u64> {
+    names.iter().filter_map(move |name| {
+        let number = name.split_once('-')?.1.parse().ok()?;
+        (file(number) == *name).then_some(number)
+    })
+}
+
+/// Removes files whose replacement was not completed, and returns the names of the others.
+fn remove_temporary(disk: &mut Disk) -> io::Result<Vec<String>> {
+    let mut names = (disk.list)()?;
+    for name in names.extract_if(.., |name| name.ends_with(TEMPORARY)) {
+        (disk.remove)(&name)?;
+    }
+    Ok(names)
+}
+
 fn corrupt(file: &str, offset: u64, reason: &'static str) -> OpenError {
     OpenError::Corrupt { file: file.to_owned(), offset, reason }
 }
--- a/toucangrade/src/agreement/tests/group.rs
+++ b/toucangrade/src/agreement/tests/group.rs
@@ -26,6 +26,8 @@
     FailWrite(&'static str),
     /// Leaves space for this many more bytes on the disk.
     LimitDisk(&'static str, usize),
+    /// Ends `FailWrite` and `LimitDisk`.
+    FreeDisk(&'static str),
     Heal(&'static str),
     /// Sends the leader the instance's request to join.
     Join(&'static str),
@@ -191,6 +193,10 @@
                     }
                 }
             },
+            Step::FreeDisk(n) => {
+                self.member(n).disk.set_limit(None);
+                self.member(n).disk.fail_after(u64::MAX);
+            },
             Step::Heal(n) => self.member(n).isolated = false,
             Step::HoldStores(n) => self.member(n).stores_held = true,
             Step::AdvanceClock(n, millis) => self.member(n).clock_offset += millis * 1_000,
@@ -416,10 +422,8 @@
     }
 
     fn perform_store(&mut self, n: &Name, seq: u64, store: &Store) {
-        let message = match self.running(n.as_str()).storage.perform(store) {
-            Ok(()) => Message::Synced { upto: seq },
-            Err(error) => Message::StoreFailed { reason: error.to_string() },
-        };
-        self.step(n, message);
+        if let Some(message) = self.running(n.as_str()).storage.answer(seq, store) {
+            self.step(n, message);
+        }
     }
 }
--- a/toucangrade/src/agreement/tests/scripted.rs
+++ b/toucangrade/src/agreement/tests/scripted.rs
@@ -109,6 +109,31 @@
 #[case::follower_disk_full(Case { script: &[
     LimitDisk("b", 10), Isolate("c"), Propose("a", 1), Run(300), Pending(1),
 ] })]
+// An instance whose disk was full stayed passive until a restart, so that the second such fault cost
+// the group its quorum.
+#[case::full_disks_one_after_the_other(Case { script: &[
+    Propose("a", 1), LimitDisk("a", 10), Propose("a", 2), Run(4_000), FreeDisk("a"), Run(2_000),
+    LimitDisk("b", 10), ProposeToLeader(3), Run(4_000), FreeDisk("b"), Run(2_000), OneLeader,
+    Isolate("c"), Run(3_000), OneLeader, ProposeToLeader(4), Run(500), Acknowledged(4),
+    Has("a", 1, true), Has("a", 4, true), Has("b", 1, true), Has("b", 4, true),
+] })]
+// While its disk takes nothing, an instance must neither lead nor complete a quorum.
+#[case::full_disk_is_passive(Case { script: &[
+    LimitDisk("a", 10), Propose("a", 1), Run(1_000), Isolate("c"), Run(5_000), NoLeader,
+    FreeDisk("a"), Run(3_000), OneLeader, ProposeToLeader(2), Run(500), Acknowledged(2),
+] })]
+// A write of which only a part reached the disk is removed before the next one.
+#[case::failed_write_is_removed(Case { script: &[
+    Propose("a", 1), FailWrite("c"), Propose("a", 2), Run(500), FreeDisk("c"), Run(2_000),
+    Has("c", 2, true), Isolate("b"), Propose("a", 3), Run(200), Acknowledged(3), Crash("c"),
+    Start("c"), Run(1_000), Has("c", 1, true), Has("c", 3, true),
+] })]
+// A snapshot that was received but not stored is requested again.
+#[case::snapshot_on_full_disk(Case { script: &[
+    Isolate("c"), ProposeMany("a", 1_100), Snapshot("a", 700_000), Run(500), LimitDisk("c", 10),
+    Heal("c"), Run(2_000), FreeDisk("c"), Run(3_000), Has("c", 2_099, true), Isolate("b"),
+    Propose("a", 1), Run(500), Acknowledged(1), Has("c", 1, true),
+] })]
 // An instance that lost its disk has forgotten its vote and log, and must not complete a quorum.
 #[case::lost_disk_cannot_vote(Case { script: &[
     Propose("a", 1), Acknowledged(1), Crash("c"), Wipe("c"), Start("c"), Run(500), IdentityReported,
--- a/toucangrade/src/agreement/tests/storage.rs
+++ b/toucangrade/src/agreement/tests/storage.rs
@@ -140,6 +140,49 @@
     }
 }
 
+/// Guards against a failed operation after which the files can't be used, hold less than was durable,
+/// or hold data of a failed sync that may be lost later.
+#[test]
+fn every_failed_operation_is_repaired() {
+    let stores = [
+        Store::Vote { term: 1, vote: Some(me()) },
+        append(1, 5, 1),
+        append(4, 6, 2),
+        snapshot(5, 2, false),
+        append(7, 8, 2),
+        snapshot(20, 3, true),
+        append(21, 22, 3),
+    ];
+    // Last index after each store; a snapshot alone may be durable if its store has failed.
+    let ends = [0, 5, 6, 6, 8, 20, 22];
+    for operations in 0..30 {
+        let disk = FakeDisk::default();
+        let (mut storage, _) = Storage::open(disk.disk(), me()).expect("opens empty");
+        disk.fail_after(operations);
+        let done = stores.iter().take_while(|store| storage.perform(store).is_ok()).count();
+        disk.fail_after(0);
+        let reopened = storage.answer(1, &Store::Reopen);
+        assert!(matches!(reopened, Some(Message::StoreFailed { .. })), "the disk still fails");
+        assert!(storage.answer(2, &append(9, 9, 9)).is_none(), "written after a failure");
+        disk.fail_after(u64::MAX);
+        let Some(Message::Reopened(found)) = storage.answer(3, &Store::Reopen) else {
+            panic!("{operations} operations: not reopened");
+        };
+        let end = found.entries.last().map_or(found.snapshot.index, |e| e.index);
+        let durable = done.checked_sub(1).map_or(0, |n| ends[n]);
+        let reset = done == 5 && end == 20;
+        assert!(end == durable || reset, "{operations} operations: recovered up to {end}");
+        // The whole log is written again, and the next start finds it.
+        for store in &stores[done..] {
+            assert!(matches!(storage.answer(4, store), Some(Message::Synced { upto: 4 })));
+        }
+        disk.crash(&mut 1);
+        let (_, found) = Storage::open(disk.disk(), me()).expect("opens");
+        let end = found.entries.last().map_or(found.snapshot.index, |e| e.index);
+        assert_eq!((end, found.vote), (22, Some(me())), "{operations} operations");
+    }
+}
+
 /// Guards against a start that fails on files whose names only resemble those of the log. Such
 /// files must be ignored and kept.
 #[rstest]
