Keep a job from running whose submission comes after its cancellation

A POST reached an entry that stood still for 4 s. The client gave up, cancelled the job at another entry and was told 410. The entry then handed the job in, and all of it ran, the last step 5.4 s after the answer.

Cause: the leader answered the cancellation of an unknown job with 410 and kept nothing of it. A submission may still wait in an entry's socket, in the relay's retries or in a proposal that is not committed.

Change: a cancellation carries the queue and goes through the log for unknown jobs too, which records the id as withdrawn. A submission applied later is stored as cancelled, so that the outcome doesn't depend on the order in which the two arrive, and 410 is answered once that is committed. Withdrawn names end with the retention of ended jobs, 150 s, and are limited to 16,384; beyond it, the answer is 503. An accepted job that has ended already is no longer listed as active.

--- a/toucangrade/src/dispatch/answers.rs
+++ b/toucangrade/src/dispatch/answers.rs
@@ -4,8 +4,8 @@
 
 use super::Dispatch;
 use super::message::{ClientReply, ClientRequest, Effect, JobState, Verb};
-use super::settings::JOB_RETENTION;
-use crate::core::Moment;
+use super::settings::{JOB_RETENTION, WITHDRAWN_LIMIT};
+use crate::core::{Moment, Span};
 use crate::jobs::{Applied, Command, Job, Phase, Queue};
 
 /// Most jobs removed by one [`Command::Forget`].
@@ -18,7 +18,7 @@
         Applied::Cancelled => ClientReply::Cancelled,
         Applied::Configured => ClientReply::Configured,
         Applied::NoQueue => ClientReply::NoQueue,
-        Applied::Stale => ClientReply::Gone,
+        Applied::Stale | Applied::Withdrawn => ClientReply::Gone,
         Applied::Assigned | Applied::Closed | Applied::Taken => ClientReply::Unknown,
     }
 }
@@ -63,13 +63,7 @@
                     self.job_state(queue, job).map_or(ClientReply::Gone, ClientReply::State);
                 self.answer(ticket, Some(reply));
             },
-            (Verb::Cancel, Some(job)) => match self.job_state(queue, job) {
-                Some(JobState::Queued | JobState::Running) => {
-                    self.propose(Command::Cancel { job }, Some(ticket));
-                },
-                Some(_) => self.answer(ticket, Some(ClientReply::Cancelled)),
-                None => self.answer(ticket, Some(ClientReply::Gone)),
-            },
+            (Verb::Cancel, Some(job)) => self.cancel(ticket, queue, job),
             (Verb::Submit { spec, steps, schedule }, Some(id)) => {
                 let queue = Arc::clone(&queue.name);
                 self.submit(ticket, Job { id, queue, spec, steps, schedule });
@@ -78,6 +72,30 @@
         }
     }
 
+    /// Cancels a job. A submission of an unknown job may still be under way, in a stalled entry or
+    /// an uncommitted proposal, so its name is recorded as withdrawn before the caller is told that
+    /// there is no such job.
+    fn cancel(&mut self, ticket: u64, queue: &Queue, job: u64) {
+        let withdrawn = &self.job_table.withdrawn;
+        match self.job_state(queue, job) {
+            Some(JobState::Queued | JobState::Running) => {},
+            Some(_) => return self.answer(ticket, Some(ClientReply::Cancelled)),
+            None if self.job_table.jobs.contains_key(&job)
+                || withdrawn.contains(&(job, Arc::clone(&queue.name))) =>
+            {
+                return self.answer(ticket, Some(ClientReply::Gone));
+            },
+            None if withdrawn.len() >= WITHDRAWN_LIMIT => {
+                let reason = "too many jobs were cancelled that are not known".into();
+                let reply = ClientReply::Refused { reason, after: Span::secs(1) };
+                return self.answer(ticket, Some(reply));
+            },
+            None => {},
+        }
+        let queue = Some(Arc::clone(&queue.name));
+        self.propose(Command::Cancel { job, queue }, Some(ticket));
+    }
+
     fn submit(&mut self, ticket: u64, job: Job) {
         if self.job_table.jobs.contains_key(&job.id) {
             return self.answer(ticket, Some(ClientReply::Accepted));
@@ -130,7 +148,7 @@
         }
     }
 
-    /// Proposes to forget jobs that ended more than [`JOB_RETENTION`] ago and have no open rounds.
+    /// Proposes to forget jobs and withdrawn names that ended more than [`JOB_RETENTION`] ago and have no open rounds.
     pub(super) fn forget(&mut self, now: Moment) {
         let old = |id: &u64, ended: Moment| {
             let live = self.job_table.jobs.get(id).is_some_and(|entry| !entry.rounds.is_empty());
--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -91,7 +91,7 @@
     /// Proposed repetitions, as (job, round); cancellations have the round `u32::MAX`.
     #[serde(skip)]
     opening: BTreeSet<(u64, u32)>,
-    /// When this instance learned that a job had ended.
+    /// When this instance learned that a job had ended or was withdrawn.
     #[serde(skip)]
     ended: BTreeMap<u64, Moment>,
     /// Moving average of the time from the assignment of a task to its end, by queue.
@@ -263,7 +263,12 @@
         self.dirty |= applied != Applied::Assigned;
         match command {
             Command::Accept { job, .. } => {
-                self.active.insert(job.id);
+                let entry = self.job_table.jobs.get(&job.id);
+                if entry.is_some_and(|entry| entry.phase == Phase::Active) {
+                    self.active.insert(job.id);
+                } else {
+                    self.ended.insert(job.id, now);
+                }
             },
             Command::Assign { key, incarnation } => {
                 self.assigning.remove(key);
@@ -271,8 +276,11 @@
                     self.add_run(now, *key, incarnation, touched);
                 }
             },
-            Command::Cancel { job } => {
+            Command::Cancel { job, .. } => {
                 self.opening.remove(&(*job, u32::MAX));
+                if applied == Applied::Withdrawn {
+                    self.ended.insert(*job, now);
+                }
                 self.finish_job(now, *job, touched);
             },
             Command::Close { key, end, .. } => {
@@ -422,6 +430,9 @@
                 self.ended.insert(*id, now);
             }
         }
+        for (id, _) in &self.job_table.withdrawn {
+            self.ended.entry(*id).or_insert(now);
+        }
         self.fleet.leases.clear();
         let mut live = Vec::new();
         for (id, entry) in &self.job_table.jobs {
@@ -494,7 +505,7 @@
         for command in &proposal.commands {
             match command {
                 Command::Assign { key, .. } => drop(self.assigning.remove(key)),
-                Command::Cancel { job } => drop(self.opening.remove(&(*job, u32::MAX))),
+                Command::Cancel { job, .. } => drop(self.opening.remove(&(*job, u32::MAX))),
                 Command::Close { key, .. } => drop(self.closing.remove(key)),
                 Command::Open { job, round } => drop(self.opening.remove(&(*job, *round))),
                 Command::Accept { .. } | Command::Configure(_) | Command::Forget(_) => {},
--- a/toucangrade/src/dispatch/settings.rs
+++ b/toucangrade/src/dispatch/settings.rs
@@ -35,8 +35,12 @@
 pub(crate) const BATCH_BYTES: usize = 512 * 1024;
 /// Upper bound in bytes for an encoded small command, or for a step of a job without its texts.
 pub(crate) const STEP_BYTES: usize = 256;
-/// Time for which the state of an ended job is kept; callers are promised 120 s.
+/// Time for which the state of an ended job is kept; callers are promised 120 s. A submission that
+/// arrives later is a new job, also after a cancellation.
 pub(crate) const JOB_RETENTION: Span = Span::secs(150);
+/// Most names of cancelled jobs that are kept without a job. A client that cancels what it never
+/// submitted must not fill the memory of control.
+pub(crate) const WITHDRAWN_LIMIT: usize = 16_384;
 /// Commands and bytes after which a snapshot is taken. They keep the log far below a disk of 128 MB
 /// and its replay well under a second.
 pub(crate) const SNAPSHOT_COMMANDS: usize = 20_000;
--- a/toucangrade/src/dispatch/tests.rs
+++ b/toucangrade/src/dispatch/tests.rs
@@ -612,7 +612,7 @@
     let commands = vec![
         Command::Configure(Arc::new(setup(1))),
         Command::Accept { job, wall: 1_700_000_000_000 },
-        Command::Cancel { job: 7 },
+        Command::Cancel { job: 7, queue: None },
     ];
     other.send(Message::Commit { index: 1, ticket: None, commands, bytes: 0 });
     other.advance(500);
--- a/toucangrade/src/jobs/book.rs
+++ b/toucangrade/src/jobs/book.rs
@@ -1,7 +1,7 @@
 //! State machine of the replicated log for jobs: applies the log's commands, so that all replicas
 //! hold the same configuration and jobs.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, OnceLock};
 
 use serde::{Deserialize, Serialize};
@@ -133,6 +133,8 @@
     Stale,
     /// The command was applied and has no answer of its own.
     Taken,
+    /// The job is unknown, and a later submission of it has no effect.
+    Withdrawn,
 }
 
 /// Agreed configuration and jobs.
@@ -140,6 +142,9 @@
 pub(crate) struct JobTable {
     pub(crate) setup: Arc<Configuration>,
     pub(crate) jobs: BTreeMap<u64, JobEntry>,
+    /// Ids and queues of jobs that were cancelled before any submission of them was applied.
+    #[serde(default)]
+    pub(crate) withdrawn: BTreeSet<(u64, Arc<str>)>,
     /// Positions of the queues of `setup` by name, computed when first needed. A search would take
     /// most of a placement round with a thousand queues.
     #[serde(skip)]
@@ -151,7 +156,7 @@
         match command {
             Command::Accept { job, wall } => self.accept(job, *wall),
             Command::Assign { key, incarnation } => self.assign(*key, incarnation),
-            Command::Cancel { job } => self.cancel(*job),
+            Command::Cancel { job, queue } => self.cancel(*job, queue.as_ref()),
             Command::Close { key, end, saved } => self.close(*key, *end, saved.as_ref()),
             Command::Configure(setup) => {
                 if setup.version > self.setup.version {
@@ -167,6 +172,7 @@
                         self.jobs.remove(id);
                     }
                 }
+                self.withdrawn.retain(|(id, _)| !ids.contains(id));
                 Applied::Taken
             },
             Command::Open { job, round } => self.open(*job, *round),
@@ -201,12 +207,18 @@
         if self.queue(&job.queue).is_none() {
             return Applied::NoQueue;
         }
+        let phase = if self.withdrawn.remove(&(job.id, Arc::clone(&job.queue))) {
+            Phase::Cancelled
+        } else if job.rounds() == 0 {
+            Phase::Completed
+        } else {
+            Phase::Active
+        };
         let mut rounds = BTreeMap::new();
-        if job.schedule.is_none() {
+        if job.schedule.is_none() && phase == Phase::Active {
             rounds.insert(0, Repetition::new(job));
         }
         let opened = u32::from(job.schedule.is_none());
-        let phase = if job.rounds() == 0 { Phase::Completed } else { Phase::Active };
         let job = Arc::clone(job);
         let entry = JobEntry { phase, rounds, opened, begun: false, wall, job };
         self.jobs.insert(entry.job.id, entry);
@@ -246,12 +258,20 @@
         Applied::Assigned
     }
 
-    fn cancel(&mut self, job: u64) -> Applied {
-        let Some(entry) = self.jobs.get_mut(&job) else { return Applied::Stale };
-        if entry.phase == Phase::Active {
-            entry.finish(Phase::Cancelled);
+    fn cancel(&mut self, job: u64, queue: Option<&Arc<str>>) -> Applied {
+        match (self.jobs.get_mut(&job), queue) {
+            (Some(entry), queue) if queue.is_none_or(|queue| *queue == entry.job.queue) => {
+                if entry.phase == Phase::Active {
+                    entry.finish(Phase::Cancelled);
+                }
+                Applied::Cancelled
+            },
+            (None, Some(queue)) => {
+                self.withdrawn.insert((job, Arc::clone(queue)));
+                Applied::Withdrawn
+            },
+            _ => Applied::Stale,
         }
-        Applied::Cancelled
     }
 
     fn close(&mut self, key: RunKey, end: End, saved: Option<&Checkpoint>) -> Applied {
--- a/toucangrade/src/jobs/mod.rs
+++ b/toucangrade/src/jobs/mod.rs
@@ -112,13 +112,18 @@
         #[serde(rename = "life")]
         incarnation: Incarnation,
     },
-    /// Cancels a job.
-    Cancel { job: u64 },
+    /// Cancels a job of a queue. If the job is unknown, a submission that is still under way has no
+    /// effect later. Without a queue, as earlier versions wrote it, only a known job is cancelled.
+    Cancel {
+        job: u64,
+        #[serde(default)]
+        queue: Option<Arc<str>>,
+    },
     /// Records the end of a run.
     Close { key: RunKey, end: End, saved: Option<Checkpoint> },
     /// Replaces the configuration if this one is newer.
     Configure(Arc<Configuration>),
-    /// Removes jobs that ended long ago.
+    /// Removes jobs and withdrawn names that ended long ago.
     Forget(Vec<u64>),
     /// Adds the next repetition of a job, once it is due.
     Open { job: u64, round: u32 },
--- a/toucangrade/src/jobs/tests.rs
+++ b/toucangrade/src/jobs/tests.rs
@@ -187,3 +187,24 @@
         ["a", "b", "c"].into_iter().filter(|name| table.queue(name).is_some()).collect();
     assert_eq!(found, case.found);
 }
+
+/// A snapshot or a log of an earlier version, without withdrawn names, can still be read.
+#[test]
+fn earlier_encodings_are_read() {
+    #[derive(Serialize)]
+    struct EarlierTable {
+        setup: Configuration,
+        jobs: std::collections::BTreeMap<u64, u8>,
+    }
+    #[derive(Serialize)]
+    enum EarlierCommand {
+        Cancel { job: u64 },
+    }
+    let table = EarlierTable { setup: setup(vec![queue("a", "/a/")]), jobs: [].into() };
+    let table = rmp_serde::to_vec(&table).expect("encodes");
+    let table: JobTable = rmp_serde::from_slice(&table).expect("decodes");
+    assert!(table.withdrawn.is_empty() && table.queue("a").is_some());
+    let command = rmp_serde::to_vec(&EarlierCommand::Cancel { job: 7 }).expect("encodes");
+    let command: Command = rmp_serde::from_slice(&command).expect("decodes");
+    assert_eq!(command, Command::Cancel { job: 7, queue: None });
+}
--- a/toucangrade/src/simulation/jobs/truth.rs
+++ b/toucangrade/src/simulation/jobs/truth.rs
@@ -101,7 +101,7 @@
         let applied = self.log.job_table.apply(command);
         self.truth.note(self.now, || format!("committed {applied:?}: {}", describe(command)));
         let (job, failed) = match command {
-            Command::Cancel { job } => (*job, false),
+            Command::Cancel { job, .. } => (*job, false),
             Command::Close { key, end, .. } => (key.task.job, *end == End::Failed),
             _ => return,
         };
