Decide on failed attempts only while the job's queue is configured

A version without the job's route was in force for 6 s, one run ended `failed` meanwhile, and the job was shown as failed for good with 1 of 4 attempts used.

Cause: JobTable::close took one attempt as the limit of a queue that is not in the configuration.

With the old default put back, four of the new cases fail (queue_is_away, queue_returns, failures_count and more_allowed_later).

Change: failures are counted without a decision while the limit is unknown. A new configuration ends the jobs with a task that has failed as often as it allows, so that no further run starts. The simulation's check had the same default; a job that fails while its queue is missing now breaks an invariant there.

--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -295,7 +295,12 @@
                 self.opening.remove(&(*job, *round));
             },
             Command::Forget(jobs) => self.ended.retain(|id, _| !jobs.contains(id)),
-            Command::Configure(_) => {},
+            // A configuration may end jobs by its limits.
+            Command::Configure(_) => {
+                for job in self.active.clone() {
+                    self.finish_job(now, job, touched);
+                }
+            },
         }
         applied
     }
--- a/toucangrade/src/jobs/book.rs
+++ b/toucangrade/src/jobs/book.rs
@@ -100,6 +100,13 @@
         round.steps.get_mut(usize::from(key.step))?.get_mut(usize::from(key.index))
     }
 
+    /// Whether a task that has to end has failed this often.
+    fn exhausted(&self, attempts: u32) -> bool {
+        let failed = |task: &Task| !task.done && task.failed > 0 && task.failed >= attempts;
+        let steps = self.rounds.values().flat_map(|round| round.steps.iter().zip(&self.job.steps));
+        steps.filter(|(_, step)| !step.lasting).any(|(tasks, _)| tasks.iter().any(failed))
+    }
+
     /// Moves the job to a final phase. Rounds with live runs are kept until those have ended.
     fn finish(&mut self, phase: Phase) {
         self.phase = phase;
@@ -162,6 +169,7 @@
                 if setup.version > self.setup.version {
                     self.setup = Arc::clone(setup);
                     self.positions = OnceLock::new();
+                    self.fail_exhausted();
                 }
                 Applied::Configured
             },
@@ -274,9 +282,26 @@
         }
     }
 
+    /// Fails the jobs with a task that has failed as often as the configuration allows. Its runs may
+    /// have failed while the queue was not configured.
+    fn fail_exhausted(&mut self) {
+        let exhausted = |entry: &JobEntry| {
+            let queue = self.queue(&entry.job.queue);
+            queue.is_some_and(|queue| entry.exhausted(queue.attempts))
+        };
+        let active = self.jobs.values().filter(|entry| entry.phase == Phase::Active);
+        let ids: Vec<u64> = active.filter(|e| exhausted(e)).map(|e| e.job.id).collect();
+        for id in ids {
+            if let Some(entry) = self.jobs.get_mut(&id) {
+                entry.finish(Phase::Failed);
+            }
+        }
+    }
+
     fn close(&mut self, key: RunKey, end: End, saved: Option<&Checkpoint>) -> Applied {
         let Some(entry) = self.jobs.get(&key.task.job) else { return Applied::Stale };
-        let allowed = self.queue(&entry.job.queue).map_or(1, |queue| queue.attempts);
+        // Without the queue, the limit is unknown until a configuration has it again.
+        let allowed = self.queue(&entry.job.queue).map(|queue| queue.attempts);
         let Some(entry) = self.jobs.get_mut(&key.task.job) else { return Applied::Stale };
         let Some(task) = entry.task_mut(key.task) else { return Applied::Stale };
         let Some(at) = task.live.iter().position(|live| live.run == key.run) else {
@@ -294,7 +319,7 @@
                 let task = entry.task_mut(key.task).filter(|task| !task.done);
                 failed = task.is_some_and(|task| {
                     task.failed += 1;
-                    task.failed >= allowed
+                    allowed.is_some_and(|allowed| task.failed >= allowed)
                 });
             },
             _ => {},
--- a/toucangrade/src/jobs/tests.rs
+++ b/toucangrade/src/jobs/tests.rs
@@ -208,3 +208,94 @@
     let command: Command = rmp_serde::from_slice(&command).expect("decodes");
     assert_eq!(command, Command::Cancel { job: 7, queue: None });
 }
+
+/// What happens to a job with one task, of a queue that allows three attempts at first.
+#[derive(Clone, Copy)]
+enum Change {
+    /// A configuration with the job's queue and this many attempts, or without the queue.
+    Configure(Option<u32>),
+    /// A run of the task ends.
+    End(End),
+}
+
+struct Attempts {
+    changes: &'static [Change],
+    phase: Phase,
+}
+
+/// A job whose queue was missing from the configuration for a moment was failed by the first failed
+/// run, as if its queue allowed a single attempt.
+#[rstest]
+#[case::queue_is_away(Attempts {
+    changes: &[Change::Configure(None), Change::End(End::Failed)], phase: Phase::Active,
+})]
+#[case::queue_returns(Attempts {
+    changes: &[
+        Change::Configure(None), Change::End(End::Failed), Change::Configure(Some(3)),
+        Change::End(End::Failed),
+    ],
+    phase: Phase::Active,
+})]
+#[case::failures_count(Attempts {
+    changes: &[
+        Change::Configure(None), Change::End(End::Failed), Change::Configure(Some(3)),
+        Change::End(End::Failed), Change::End(End::Failed),
+    ],
+    phase: Phase::Failed,
+})]
+#[case::exhausted_while_away(Attempts {
+    changes: &[
+        Change::End(End::Failed), Change::End(End::Failed), Change::Configure(None),
+        Change::End(End::Failed), Change::Configure(Some(3)),
+    ],
+    phase: Phase::Failed,
+})]
+#[case::more_allowed_later(Attempts {
+    changes: &[
+        Change::End(End::Failed), Change::End(End::Failed), Change::Configure(None),
+        Change::End(End::Failed), Change::Configure(Some(5)),
+    ],
+    phase: Phase::Active,
+})]
+#[case::fewer_allowed_later(Attempts {
+    changes: &[Change::End(End::Failed), Change::End(End::Failed), Change::Configure(Some(2))],
+    phase: Phase::Failed,
+})]
+#[case::not_failed_yet(Attempts { changes: &[Change::Configure(Some(0))], phase: Phase::Active })]
+#[case::done_while_away(Attempts {
+    changes: &[Change::Configure(None), Change::End(End::Done), Change::Configure(Some(1))],
+    phase: Phase::Completed,
+})]
+#[case::three_attempts(Attempts {
+    changes: &[Change::End(End::Failed), Change::End(End::Failed), Change::End(End::Failed)],
+    phase: Phase::Failed,
+})]
+fn attempts_of_a_missing_queue_are_unknown(#[case] case: Attempts) {
+    let incarnation = Incarnation { runner: Name::new("i-1").expect("valid name"), born: 1 };
+    let mut table = JobTable::default();
+    let mut version = 0;
+    let mut configure = |table: &mut JobTable, attempts: Option<u32>| {
+        version += 1;
+        let queues = attempts.map(|attempts| Queue { attempts, ..queue("quotes", "/quotes/") });
+        let setup = Configuration { version, ..setup(queues.into_iter().collect()) };
+        table.apply(&Command::Configure(Arc::new(setup)));
+    };
+    configure(&mut table, Some(3));
+    let job = Arc::new(job(vec![step(1, vec![])]));
+    table.apply(&Command::Accept { job, wall: 0 });
+    let task = TaskKey { job: 1, round: 0, step: 0, index: 0 };
+    let mut run = 0;
+    for change in case.changes {
+        match *change {
+            Change::Configure(attempts) => configure(&mut table, attempts),
+            Change::End(end) => {
+                run += 1;
+                let key = RunKey { task, run };
+                let incarnation = incarnation.clone();
+                assert_eq!(table.apply(&Command::Assign { key, incarnation }), Applied::Assigned);
+                table.apply(&Command::Close { key, end, saved: None });
+            },
+        }
+    }
+    assert_eq!(table.jobs[&1].phase, case.phase);
+}
--- a/toucangrade/src/simulation/jobs/truth.rs
+++ b/toucangrade/src/simulation/jobs/truth.rs
@@ -111,7 +111,10 @@
         }
         if failed && entry.phase == Phase::Failed {
             let queue = self.log.job_table.setup.queue(&entry.job.queue);
-            let allowed = queue.map_or(1, |queue| queue.attempts);
+            let Some(allowed) = queue.map(|queue| queue.attempts) else {
+                invariant!(false, "job {job:x} has failed while its queue was not configured");
+                return;
+            };
             let failures = self.truth.failures.iter().filter(|(task, _)| task.job == job);
             let most = failures.map(|(_, failures)| *failures).max().unwrap_or_default();
             invariant!(
