--- a/toucangrade/src/node/control.rs
+++ b/toucangrade/src/node/control.rs
@@ -82,9 +82,15 @@
     /// Returns the operating system's error if the folder can't be opened, a port can't be bound or
     /// a thread can't be started, and an error if the data in the folder is damaged.
     pub fn start(settings: NodeSettings, meter: Meter) -> io::Result<Self> {
-        let context = Context::new(settings, meter)?;
-        let data = context.settings.data.clone();
+        let data = settings.data.as_ref();
         let data = data.ok_or_else(|| io::Error::other("control needs a folder for its data"))?;
+        let disk = Disk::directory(data)?;
+        Self::start_on(settings, meter, disk)
+    }
+
+    /// Like `start`, with the files on `disk`.
+    pub(super) fn start_on(settings: NodeSettings, meter: Meter, disk: Disk) -> io::Result<Self> {
+        let context = Context::new(settings, meter)?;
         let control = Self {
             agreement: Handle::new("agreement"),
             dispatch: Handle::new("dispatch"),
@@ -101,7 +107,7 @@
         control.context.meter.watch(&control.agreement);
         control.context.meter.watch(&control.dispatch);
         control.spawn_dispatch()?;
-        control.spawn_agreement(Disk::directory(&data)?)?;
+        control.spawn_agreement(disk)?;
         control.spawn_quorum()?;
         let settings = &control.context.settings;
         let listener = TcpListener::bind(SocketAddr::new(settings.ip, settings.port))?;
--- a/toucangrade/src/node/tests.rs
+++ b/toucangrade/src/node/tests.rs
@@ -2,12 +2,14 @@
 
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
-use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
 
 use super::*;
+use crate::agreement::Disk;
 use crate::core::Span;
 use crate::dispatch::{ClientReply, ClientRequest, EndedRun, JobState, RunStatus, Verb};
 use crate::hosting::{Announcement, Listing};
@@ -311,3 +313,69 @@
         control.stop();
     }
 }
+
+/// The files of a folder, on a disk that takes no more bytes while `full` is set.
+fn disk(folder: &tempfile::TempDir, full: &Arc<AtomicBool>) -> Disk {
+    let mut disk = Disk::directory(folder.path()).expect("folder can be used");
+    let (full, mut append) = (Arc::clone(full), disk.append);
+    disk.append = Box::new(move |name, data| {
+        if full.load(Ordering::Relaxed) {
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        append(name, data)
+    });
+    disk
+}
+
+struct FullDisks {
+    subnet: u8,
+    /// Instances whose disks are full, one after the other.
+    order: &'static [usize],
+}
+
+/// Guards against a configuration that can't be read any more, since each control instance whose
+/// disk was full for a moment rejected all requests until its process was started again.
+#[rstest]
+#[case::two(FullDisks { subnet: 70, order: &[0, 1] })]
+#[case::all_twice(FullDisks { subnet: 90, order: &[2, 0, 1, 0, 2, 1] })]
+fn configuration_is_read_after_full_disks(#[case] case: FullDisks) {
+    let ips = [0, 1, 2].map(|index| address(case.subnet + index));
+    let folders = [0; 3].map(|_| tempfile::tempdir().expect("temporary folder"));
+    let full = [0; 3].map(|_| Arc::new(AtomicBool::new(false)));
+    let group = [0, 1, 2].map(|at| {
+        let settings = NodeSettings::builder(ips[at], PORT).seeds(ips.to_vec()).first(true).build();
+        let disk = disk(&folders[at], &full[at]);
+        Control::start_on(settings, meter(), disk).expect("control starts")
+    });
+    let runtime = tokio::runtime::Builder::new_current_thread().build().expect("runtime starts");
+    let ask = |verb: Verb| {
+        let request = ClientRequest { host: "".into(), path: "".into(), job: None, verb };
+        group.iter().find_map(|control| runtime.block_on(control.ask(request.clone())).ok())
+    };
+    let wait_for = |verb: &Verb, wanted: &ClientReply| {
+        let began = Instant::now();
+        while ask(verb.clone()).as_ref() != Some(wanted) {
+            assert!(began.elapsed() < TEST_TIMEOUT, "no answer {wanted:?}");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    };
+    let mut version = 0;
+    let mut configure = || {
+        version += 1;
+        let source = bytes::Bytes::from(format!("{{\"version\":{version}}}"));
+        let setup = Configuration { version, source: source.clone(), ..setup() };
+        wait_for(&Verb::Configure(Arc::new(setup)), &ClientReply::Configured);
+        wait_for(&Verb::ReadSetup, &ClientReply::Setup(source));
+    };
+    configure();
+    for at in case.order {
+        full[*at].store(true, Ordering::Relaxed);
+        configure();
+        configure();
+        full[*at].store(false, Ordering::Relaxed);
+    }
+    configure();
+    for control in &group {
+        control.stop();
+    }
+}
