Test that cancellations are taken after full disks

Control without a quorum took no cancellation, and a restart gave it the quorum back, so the new leader placed the tasks before callers repeated their cancellations.

The test for the configuration fails in both cases with the reopening put off for good.

Change: the harness of that test becomes a struct, and a second test cancels a job after two full disks and restarts all instances.

--- a/toucangrade/src/node/tests.rs
+++ b/toucangrade/src/node/tests.rs
@@ -327,6 +327,78 @@
     disk
 }
 
+/// Three control instances on disks that can be full.
+struct Group {
+    instances: [Option<Control>; 3],
+    ips: [IpAddr; 3],
+    folders: [tempfile::TempDir; 3],
+    full: [Arc<AtomicBool>; 3],
+    runtime: tokio::runtime::Runtime,
+    version: u64,
+}
+
+impl Group {
+    fn new(subnet: u8) -> Self {
+        let mut group = Self {
+            instances: [const { None }; 3],
+            ips: [0, 1, 2].map(|index| address(subnet + index)),
+            folders: [0; 3].map(|_| tempfile::tempdir().expect("temporary folder")),
+            full: [0; 3].map(|_| Arc::new(AtomicBool::new(false))),
+            runtime: tokio::runtime::Builder::new_current_thread().build().expect("runtime starts"),
+            version: 0,
+        };
+        (0..3).for_each(|at| group.start(at, true));
+        group
+    }
+
+    fn start(&mut self, at: usize, first: bool) {
+        let settings = NodeSettings::builder(self.ips[at], PORT).seeds(self.ips.to_vec());
+        let disk = disk(&self.folders[at], &self.full[at]);
+        let control = Control::start_on(settings.first(first).build(), meter(), disk);
+        self.instances[at] = Some(control.expect("control starts"));
+    }
+
+    /// Stops all instances, then starts them on the same files.
+    fn restart(&mut self) {
+        self.stop();
+        (0..3).for_each(|at| self.start(at, false));
+    }
+
+    fn stop(&mut self) {
+        self.instances.iter_mut().filter_map(Option::take).for_each(|control| control.stop());
+    }
+
+    /// Sends a request to all instances in turn until it is answered as wanted.
+    fn wait_for(&self, job: Option<u64>, verb: &Verb, wanted: &ClientReply) {
+        let path = job.map_or_else(String::new, |job| format!("/quotes/{job:016x}"));
+        let (host, path, verb) = ("shop.example".into(), path.into(), verb.clone());
+        let request = ClientRequest { host, path, job, verb };
+        let ask = |control: &Control| self.runtime.block_on(control.ask(request.clone())).ok();
+        let began = Instant::now();
+        while self.instances.iter().flatten().find_map(ask).as_ref() != Some(wanted) {
+            assert!(began.elapsed() < TEST_TIMEOUT, "no answer {wanted:?} to {request:?}");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// Sends a newer configuration, which has to be stored and read.
+    fn configure(&mut self) {
+        self.version += 1;
+        let source = bytes::Bytes::from(format!("{{\"version\":{}}}", self.version));
+        let setup = Configuration { version: self.version, source: source.clone(), ..setup() };
+        self.wait_for(None, &Verb::Configure(Arc::new(setup)), &ClientReply::Configured);
+        self.wait_for(None, &Verb::ReadSetup, &ClientReply::Setup(source));
+    }
+
+    /// Lets the disk of an instance be full while the configuration changes twice.
+    fn fill_disk(&mut self, at: usize) {
+        self.full[at].store(true, Ordering::Relaxed);
+        self.configure();
+        self.configure();
+        self.full[at].store(false, Ordering::Relaxed);
+    }
+}
+
 struct FullDisks {
     subnet: u8,
     /// Instances whose disks are full, one after the other.
@@ -339,43 +411,26 @@
 #[case::two(FullDisks { subnet: 70, order: &[0, 1] })]
 #[case::all_twice(FullDisks { subnet: 90, order: &[2, 0, 1, 0, 2, 1] })]
 fn configuration_is_read_after_full_disks(#[case] case: FullDisks) {
-    let ips = [0, 1, 2].map(|index| address(case.subnet + index));
-    let folders = [0; 3].map(|_| tempfile::tempdir().expect("temporary folder"));
-    let full = [0; 3].map(|_| Arc::new(AtomicBool::new(false)));
-    let group = [0, 1, 2].map(|at| {
-        let settings = NodeSettings::builder(ips[at], PORT).seeds(ips.to_vec()).first(true).build();
-        let disk = disk(&folders[at], &full[at]);
-        Control::start_on(settings, meter(), disk).expect("control starts")
-    });
-    let runtime = tokio::runtime::Builder::new_current_thread().build().expect("runtime starts");
-    let ask = |verb: Verb| {
-        let request = ClientRequest { host: "".into(), path: "".into(), job: None, verb };
-        group.iter().find_map(|control| runtime.block_on(control.ask(request.clone())).ok())
-    };
-    let wait_for = |verb: &Verb, wanted: &ClientReply| {
-        let began = Instant::now();
-        while ask(verb.clone()).as_ref() != Some(wanted) {
-            assert!(began.elapsed() < TEST_TIMEOUT, "no answer {wanted:?}");
-            std::thread::sleep(Duration::from_millis(20));
-        }
-    };
-    let mut version = 0;
-    let mut configure = || {
-        version += 1;
-        let source = bytes::Bytes::from(format!("{{\"version\":{version}}}"));
-        let setup = Configuration { version, source: source.clone(), ..setup() };
-        wait_for(&Verb::Configure(Arc::new(setup)), &ClientReply::Configured);
-        wait_for(&Verb::ReadSetup, &ClientReply::Setup(source));
-    };
-    configure();
-    for at in case.order {
-        full[*at].store(true, Ordering::Relaxed);
-        configure();
-        configure();
-        full[*at].store(false, Ordering::Relaxed);
-    }
-    configure();
-    for control in &group {
-        control.stop();
-    }
+    let mut group = Group::new(case.subnet);
+    group.configure();
+    case.order.iter().for_each(|at| group.fill_disk(*at));
+    group.configure();
+    group.stop();
+}
+
+/// Guards against a cancelled job that runs again after a restart of all processes, since full disks
+/// had left no leader to take the cancellation before it.
+#[test]
+fn cancellation_is_taken_after_full_disks() {
+    let mut group = Group::new(100);
+    group.configure();
+    let step =
+        Step { count: 1, need: Need { millicores: 500, ..Need::default() }, ..Step::default() };
+    let verb = Verb::Submit { spec: "spec".into(), steps: vec![step], schedule: None };
+    group.wait_for(Some(7), &verb, &ClientReply::Accepted);
+    [2, 0].into_iter().for_each(|at| group.fill_disk(at));
+    group.wait_for(Some(7), &Verb::Cancel, &ClientReply::Cancelled);
+    group.restart();
+    group.wait_for(Some(7), &Verb::Show, &ClientReply::State(JobState::Cancelled));
+    group.stop();
 }
