--- a/toucangrade/src/agreement/tests/storage.rs
+++ b/toucangrade/src/agreement/tests/storage.rs
@@ -27,6 +27,22 @@
     Store::Snapshot { snapshot, reset }
 }
 
+/// Last index after each of `stores`.
+const ENDS: [u64; 7] = [0, 5, 6, 6, 8, 20, 22];
+
+/// Changes of every kind, in an order that is possible.
+fn stores() -> [Store; 7] {
+    [
+        Store::Vote { term: 1, vote: Some(me()) },
+        append(1, 5, 1),
+        append(4, 6, 2),
+        snapshot(5, 2, false),
+        append(7, 8, 2),
+        snapshot(20, 3, true),
+        append(21, 22, 3),
+    ]
+}
+
 enum Damage {
     Cut(usize),
     Flip(usize),
@@ -110,16 +126,7 @@
 /// Guards against the loss of durable data in a crash between any two file operations.
 #[test]
 fn every_crash_point_is_recovered() {
-    let stores = [
-        Store::Vote { term: 1, vote: Some(me()) },
-        append(1, 5, 1),
-        append(4, 6, 2),
-        snapshot(5, 2, false),
-        append(7, 8, 2),
-        snapshot(20, 3, true),
-        append(21, 22, 3),
-    ];
-    let ends = [0, 5, 6, 6, 8, 20, 22];
+    let stores = stores();
     for (operations, seed) in
         (0..40).flat_map(|operations| (0..8).map(move |seed| (operations, seed)))
     {
@@ -130,8 +137,8 @@
         disk.crash(&mut (seed + operations * 100));
         let (_, found) = Storage::open(disk.disk(), me()).expect("opens after a crash");
         let end = found.entries.last().map_or(found.snapshot.index, |e| e.index);
-        let durable = done.checked_sub(1).map_or(0, |n| ends[n]);
-        let next = ends.get(done).copied().unwrap_or(22);
+        let durable = done.checked_sub(1).map_or(0, |n| ENDS[n]);
+        let next = ENDS.get(done).copied().unwrap_or(22);
         assert!(
             end == durable || end == next,
             "{operations} operations: recovered up to {end}, not {durable} or {next}"
@@ -144,17 +151,7 @@
 /// or hold data of a failed sync that may be lost later.
 #[test]
 fn every_failed_operation_is_repaired() {
-    let stores = [
-        Store::Vote { term: 1, vote: Some(me()) },
-        append(1, 5, 1),
-        append(4, 6, 2),
-        snapshot(5, 2, false),
-        append(7, 8, 2),
-        snapshot(20, 3, true),
-        append(21, 22, 3),
-    ];
-    // Last index after each store; a snapshot alone may be durable if its store has failed.
-    let ends = [0, 5, 6, 6, 8, 20, 22];
+    let stores = stores();
     for operations in 0..30 {
         let disk = FakeDisk::default();
         let (mut storage, _) = Storage::open(disk.disk(), me()).expect("opens empty");
@@ -169,7 +166,8 @@
             panic!("{operations} operations: not reopened");
         };
         let end = found.entries.last().map_or(found.snapshot.index, |e| e.index);
-        let durable = done.checked_sub(1).map_or(0, |n| ends[n]);
+        let durable = done.checked_sub(1).map_or(0, |n| ENDS[n]);
+        // The snapshot alone may be durable although its store has failed.
         let reset = done == 5 && end == 20;
         assert!(end == durable || reset, "{operations} operations: recovered up to {end}");
         // The whole log is written again, and the next start finds it.
