--- a/review/lib-2/runner.py
+++ b/review/lib-2/runner.py
@@ -54,6 +54,8 @@
         self.fence = 0
         self.until = 0
         self.running = {}
+        # Keys of the running members of gangs, by step and number of the run.
+        self.gangs = {}
         self.ended = []
         self.number = 0
         self.highest = {}
@@ -118,6 +120,7 @@
 
     def end(self, key, how):
         run = self.running.pop(key)
+        self.gangs.get((key[0].rsplit(".", 1)[0], key[1]), set()).discard(key)
         self.highest[key[0]] = max(self.highest.get(key[0], 0), key[1])
         self.number += 1
         self.ended.append([self.number, key[0], key[1], how, run.checkpoint])
@@ -131,8 +134,7 @@
 
     def members(self, key):
         """The running members of the gang that a run belongs to; all are on this runner."""
-        step = key[0].rsplit(".", 1)[0]
-        return [k for k in self.running if k[1] == key[1] and k[0].rsplit(".", 1)[0] == step]
+        return list(self.gangs.get((key[0].rsplit(".", 1)[0], key[1]), ()))
 
     def work(self):
         while self.alive:
@@ -175,6 +177,8 @@
                 return 409, {"reason": "old"}
             run = Run(body["specification"], body.get("checkpoint", ""), time.monotonic())
             self.running[key] = run
+            if run.gang:
+                self.gangs.setdefault((key[0].rsplit(".", 1)[0], key[1]), set()).add(key)
             if run.gang and len(self.members(key)) == run.gang:
                 for member in self.members(key):
                     self.running[member].together = True
@@ -229,6 +233,8 @@
 
         class Handler(BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
+            # Without this, each answer waits for a delayed acknowledgement.
+            disable_nagle_algorithm = True
 
             def log_message(self, *_):
                 pass
