--- a/review/lib-2/cluster.py
+++ b/review/lib-2/cluster.py
@@ -4,6 +4,7 @@
 runner) speak what PROTOCOL.md describes. All events are written to record.txt of the case.
 """
 
+import argparse
 import http.client
 import json
 import os
@@ -16,6 +17,7 @@
 import tempfile
 import threading
 import time
+import traceback
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -34,8 +36,8 @@
 class Record:
     """Log of the case: one line an event, with the seconds since the start."""
 
-    def __init__(self, case):
-        self.file = open(Path(case) / "record.txt", "w", encoding="utf-8")
+    def __init__(self, path):
+        self.file = open(path, "w", encoding="utf-8")
         self.start = time.monotonic()
         self.lock = threading.Lock()
 
@@ -81,6 +83,9 @@
             runner.stop()
         for node in self.processes:
             node.end()
+        left = [node.name for node in self.processes if node.is_up()]
+        count = len({node.name for node in self.processes})
+        self.record.write("test", f"{count} processes were started, still running: {left}")
         shutil.rmtree(self.folder, ignore_errors=True)
 
     def pick_addresses(self, most):
@@ -382,15 +387,19 @@
 
 def main(case, run):
     """Runs a case: `run(record, trouble)` returns HELD or BROKEN."""
-    record = Record(case)
-    trouble = os.environ.get("TROUBLE", "1") != "0"
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--trouble", default="1", help="0 leaves the disruption out")
+    parser.add_argument("--record", default="record.txt", help="file in the folder of the case")
+    options = parser.parse_args()
+    record = Record(Path(case) / options.record)
+    trouble = options.trouble != "0"
     watchdog = threading.Timer(TIME_LIMIT_S, lambda: os.kill(os.getpid(), signal.SIGALRM))
 
-    def too_long(*_):
-        raise NotRun(f"longer than {TIME_LIMIT_S} s")
+    def interrupted(number, _):
+        raise NotRun(f"signal {number}; SIGALRM comes after {TIME_LIMIT_S} s")
 
-    signal.signal(signal.SIGALRM, too_long)
-    signal.signal(signal.SIGTERM, too_long)
+    for number in (signal.SIGALRM, signal.SIGHUP, signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, interrupted)
     watchdog.daemon = True
     watchdog.start()
     record.write("test", "with the disruption" if trouble else "without the disruption")
@@ -401,6 +410,10 @@
     except NotRun as reason:
         record.write("test", f"could not run: {reason}")
         result = NOT_RUN
+    except Exception:
+        # A fault of the script says nothing about the rule.
+        record.write("test", f"could not run: {traceback.format_exc()}")
+        result = NOT_RUN
     watchdog.cancel()
     words = {HELD: "the rule held", BROKEN: "the rule was broken", NOT_RUN: "not run"}
     record.write("test", words[result])
