Bind jobs to the address of their queue instead of its name

A version removed route r-1 and added r-2 at the same host and prefix. Four accepted jobs were answered 410 from then on, and their second steps were never started.

Cause: a caller names a job by host, prefix and id, but the job held the name of its queue, and state, pending count, placement, attempts and remembered cancellations were looked up by that name.

Change: each new configuration moves the references of jobs and of remembered cancellations to the name that their address has in it, or to the address while no queue has it. The shape of stored and sent data stays as it was, so data and instances of the earlier version can be read and served. A command proposed beside a configuration names its queue by address, since a name may have moved when it is applied. Two related faults went with it: an id in use at another queue was answered as accepted, and a submission overtaken by a configuration was answered 404.

--- a/toucangrade/src/dispatch/answers.rs
+++ b/toucangrade/src/dispatch/answers.rs
@@ -11,16 +11,23 @@
 /// Most jobs removed by one [`Command::Forget`].
 const FORGET_LIMIT: usize = 64;
 
-/// Answer to the request behind a command, from the outcome of applying it.
-pub(super) fn command_answer(applied: Applied) -> ClientReply {
-    match applied {
+/// Answer to the request behind a command, from the outcome of applying it; `None` if the request
+/// had no effect and is to be made again.
+pub(super) fn command_answer(applied: Applied) -> Option<ClientReply> {
+    Some(match applied {
         Applied::Accepted => ClientReply::Accepted,
         Applied::Cancelled => ClientReply::Cancelled,
         Applied::Configured => ClientReply::Configured,
-        Applied::NoQueue => ClientReply::NoQueue,
+        // The queue was removed while the submission was proposed.
+        Applied::NoQueue => return None,
+        Applied::Occupied => occupied(),
         Applied::Stale | Applied::Withdrawn => ClientReply::Gone,
         Applied::Assigned | Applied::Closed | Applied::Taken => ClientReply::Unknown,
-    }
+    })
+}
+
+fn occupied() -> ClientReply {
+    ClientReply::Bad("another queue has a job with this id".to_owned())
 }
 
 impl Dispatch {
@@ -54,7 +61,7 @@
         };
         match (verb, job) {
             (Verb::Show, None) if rest.is_empty() => {
-                let pending = self.pending(&queue.name);
+                let pending = self.pending(queue);
                 self.answer(ticket, Some(ClientReply::Pending(pending)));
             },
             (_, Some(_)) if rest.contains('/') => self.answer(ticket, Some(ClientReply::NoQueue)),
@@ -65,7 +72,7 @@
             },
             (Verb::Cancel, Some(job)) => self.cancel(ticket, queue, job),
             (Verb::Submit { spec, steps, schedule }, Some(id)) => {
-                let queue = Arc::clone(&queue.name);
+                let queue = self.queue_reference(queue);
                 self.submit(ticket, Job { id, queue, spec, steps, schedule });
             },
             _ => self.answer(ticket, Some(ClientReply::NoQueue)),
@@ -77,12 +84,11 @@
     /// there is no such job.
     fn cancel(&mut self, ticket: u64, queue: &Queue, job: u64) {
         let withdrawn = &self.job_table.withdrawn;
+        let name = (job, self.job_table.reference(queue));
         match self.job_state(queue, job) {
             Some(JobState::Queued | JobState::Running) => {},
             Some(_) => return self.answer(ticket, Some(ClientReply::Cancelled)),
-            None if self.job_table.jobs.contains_key(&job)
-                || withdrawn.contains(&(job, Arc::clone(&queue.name))) =>
-            {
+            None if self.job_table.jobs.contains_key(&job) || withdrawn.contains(&name) => {
                 return self.answer(ticket, Some(ClientReply::Gone));
             },
             None if withdrawn.len() >= WITHDRAWN_LIMIT => {
@@ -92,13 +98,17 @@
             },
             None => {},
         }
-        let queue = Some(Arc::clone(&queue.name));
+        let queue = Some(self.queue_reference(queue));
         self.propose(Command::Cancel { job, queue }, Some(ticket));
     }
 
     fn submit(&mut self, ticket: u64, job: Job) {
-        if self.job_table.jobs.contains_key(&job.id) {
-            return self.answer(ticket, Some(ClientReply::Accepted));
+        if let Some(entry) = self.job_table.jobs.get(&job.id) {
+            let queue =
+                self.job_table.queue(&job.queue).map(|queue| self.job_table.reference(queue));
+            let same = queue.is_some_and(|queue| queue == entry.job.queue);
+            let reply = if same { ClientReply::Accepted } else { occupied() };
+            return self.answer(ticket, Some(reply));
         }
         if let Err(bad) = job.check() {
             return self.answer(ticket, Some(ClientReply::Bad(bad.to_string())));
@@ -113,7 +123,8 @@
     }
 
     fn job_state(&self, queue: &Queue, job: u64) -> Option<JobState> {
-        let entry = self.job_table.jobs.get(&job).filter(|entry| entry.job.queue == queue.name)?;
+        let queue = self.job_table.reference(queue);
+        let entry = self.job_table.jobs.get(&job).filter(|entry| entry.job.queue == queue)?;
         Some(match entry.phase {
             Phase::Active if entry.begun => JobState::Running,
             Phase::Active => JobState::Queued,
@@ -123,9 +134,22 @@
         })
     }
 
-    fn pending(&self, queue: &str) -> u64 {
+    fn pending(&self, queue: &Queue) -> u64 {
+        let queue = self.job_table.reference(queue);
         let entries = self.active.iter().filter_map(|id| self.job_table.jobs.get(id));
-        entries.filter(|entry| *entry.job.queue == *queue && !entry.begun).count() as u64
+        entries.filter(|entry| entry.job.queue == queue && !entry.begun).count() as u64
+    }
+
+    /// Reference to a queue for a command. While a configuration is proposed, it is the address,
+    /// since the name may belong to another queue once the command is applied.
+    fn queue_reference(&self, queue: &Queue) -> Arc<str> {
+        let proposed = self.proposals.values().flat_map(|proposal| &proposal.commands);
+        let mut commands = self.batch.iter().chain(proposed);
+        if commands.any(|command| matches!(command, Command::Configure(_))) {
+            queue.address()
+        } else {
+            self.job_table.reference(queue)
+        }
     }
 
     /// Proposes the repetitions that are due.
--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -21,7 +21,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use serde::Serialize;
+use serde::{Serialize, Serializer};
 
 use self::fleet::{Fleet, Run, lease_end};
 pub use self::message::{
@@ -94,8 +94,10 @@
     /// When this instance learned that a job had ended or was withdrawn.
     #[serde(skip)]
     ended: BTreeMap<u64, Moment>,
-    /// Moving average of the time from the assignment of a task to its end, by queue.
-    durations: BTreeMap<Arc<str>, Span>,
+    /// Moving average of the time from the assignment of a task to its end, by the host and prefix
+    /// of the queue.
+    #[serde(serialize_with = "serialize_durations")]
+    durations: BTreeMap<(Arc<str>, Arc<str>), Span>,
     /// Agents on whose runners each task has failed, was refused or got stuck.
     #[serde(skip)]
     avoided: BTreeMap<TaskKey, BTreeSet<Name>>,
@@ -229,7 +231,7 @@
             if let Some((position, ticket)) = waiter
                 && position == at
             {
-                let reply = Some(answers::command_answer(applied));
+                let reply = answers::command_answer(applied);
                 self.out.push(Effect::Reply { ticket, reply });
                 waiter = waiters.next();
             }
@@ -394,8 +396,11 @@
 
     /// Updates the mean duration of the run's queue.
     fn record_duration(&mut self, key: RunKey, took: Span) {
-        let Some(entry) = self.job_table.jobs.get(&key.task.job) else { return };
-        let mean = self.durations.entry(Arc::clone(&entry.job.queue)).or_insert(took);
+        let entry = self.job_table.jobs.get(&key.task.job);
+        let queue = entry.and_then(|entry| self.job_table.queue(&entry.job.queue));
+        let Some(queue) = queue else { return };
+        let address = (Arc::clone(&queue.host), Arc::clone(&queue.prefix));
+        let mean = self.durations.entry(address).or_insert(took);
         let weight = DURATION_WEIGHT_PERCENT;
         *mean = mean.percent(100 - weight) + took.percent(weight);
     }
@@ -526,6 +531,16 @@
     }
 }
 
+/// Writes the mean durations by host and prefix as one text, as keys of JSON objects are texts.
+fn serialize_durations<S: Serializer>(
+    durations: &BTreeMap<(Arc<str>, Arc<str>), Span>,
+    serializer: S,
+) -> Result<S::Ok, S::Error> {
+    serializer.collect_map(
+        durations.iter().map(|((host, prefix), mean)| (format!("{host}{prefix}"), mean)),
+    )
+}
+
 /// Number of commands at the front that fit into one proposal, at least one.
 fn batch_length(commands: &[Command]) -> usize {
     let mut bytes = 0;
--- a/toucangrade/src/dispatch/plan.rs
+++ b/toucangrade/src/dispatch/plan.rs
@@ -76,7 +76,8 @@
         if entry.job.lasting() || entry.job.schedule.is_some() {
             return Lateness::OnTime;
         }
-        let task = self.durations.get(&queue.name).copied().unwrap_or_default();
+        let address = (Arc::clone(&queue.host), Arc::clone(&queue.prefix));
+        let task = self.durations.get(&address).copied().unwrap_or_default();
         let depth = entry.job.depth() as f64;
         let chain = depth * task.as_micros() as f64 * queue.stretch;
         let objective = chain as u64 / 1_000 + queue.objective.as_millis();
--- a/toucangrade/src/dispatch/tests.rs
+++ b/toucangrade/src/dispatch/tests.rs
@@ -8,6 +8,7 @@
 mod health;
 mod load;
 mod log;
+mod queues;
 mod views;
 mod waits;
 
--- a/toucangrade/src/jobs/book.rs
+++ b/toucangrade/src/jobs/book.rs
@@ -136,6 +136,8 @@
     Configured,
     /// The job's queue does not exist.
     NoQueue,
+    /// A job of another queue has this id.
+    Occupied,
     /// The command does not match the agreed state; nothing changed.
     Stale,
     /// The command was applied and has no answer of its own.
@@ -152,8 +154,8 @@
     /// Ids and queues of jobs that were cancelled before any submission of them was applied.
     #[serde(default)]
     pub(crate) withdrawn: BTreeSet<(u64, Arc<str>)>,
-    /// Positions of the queues of `setup` by name, computed when first needed. A search would take
-    /// most of a placement round with a thousand queues.
+    /// Positions of the queues of `setup` by name and by address, computed when first needed. A
+    /// search would take most of a placement round with a thousand queues.
     #[serde(skip)]
     positions: OnceLock<BTreeMap<Arc<str>, usize>>,
 }
@@ -167,8 +169,7 @@
             Command::Close { key, end, saved } => self.close(*key, *end, saved.as_ref()),
             Command::Configure(setup) => {
                 if setup.version > self.setup.version {
-                    self.setup = Arc::clone(setup);
-                    self.positions = OnceLock::new();
+                    self.configure(setup);
                     self.fail_exhausted();
                 }
                 Applied::Configured
@@ -187,19 +188,70 @@
         }
     }
 
-    /// Position of the queue of this name in the configuration.
-    pub(crate) fn queue_position(&self, name: &str) -> Option<usize> {
+    /// Position of a queue in the configuration, from its name or its address.
+    pub(crate) fn queue_position(&self, reference: &str) -> Option<usize> {
         let positions = self.positions.get_or_init(|| {
-            let queues = self.setup.queues.iter().enumerate();
+            let queues = || self.setup.queues.iter().enumerate().rev();
             // The first one of a name counts, as in `Configuration::queue`.
-            queues.rev().map(|(at, queue)| (Arc::clone(&queue.name), at)).collect()
+            let names = queues().map(|(at, queue)| (Arc::clone(&queue.name), at));
+            names.chain(queues().map(|(at, queue)| (queue.address(), at))).collect()
         });
-        positions.get(name).copied()
+        positions.get(reference).copied()
     }
 
-    /// The queue of this name.
-    pub(crate) fn queue(&self, name: &str) -> Option<&Queue> {
-        self.setup.queues.get(self.queue_position(name)?)
+    /// The queue with this name or address.
+    pub(crate) fn queue(&self, reference: &str) -> Option<&Queue> {
+        self.setup.queues.get(self.queue_position(reference)?)
+    }
+
+    /// The reference by which jobs name a queue of the configuration in force. It is the name where
+    /// possible, as instances of earlier versions know no other one.
+    pub(crate) fn reference(&self, queue: &Queue) -> Arc<str> {
+        let named = self.queue(&queue.name);
+        if named.is_some_and(|n| n.host == queue.host && n.prefix == queue.prefix) {
+            Arc::clone(&queue.name)
+        } else {
+            queue.address()
+        }
+    }
+
+    /// The reference that jobs have to the queue with this name or address.
+    fn resolve(&self, reference: &Arc<str>) -> Arc<str> {
+        self.queue(reference).map_or_else(|| Arc::clone(reference), |queue| self.reference(queue))
+    }
+
+    /// Replaces the configuration. A job belongs to the address at which it was submitted, whatever
+    /// name the queue of that address has.
+    fn configure(&mut self, setup: &Arc<Configuration>) {
+        let jobs = self.jobs.values().map(|entry| &entry.job.queue);
+        let references: BTreeSet<&Arc<str>> =
+            jobs.chain(self.withdrawn.iter().map(|(_, queue)| queue)).collect();
+        let addressed: Vec<(Arc<str>, Arc<str>)> = references
+            .into_iter()
+            .map(|reference| {
+                let address = self.queue(reference).map(Queue::address);
+                (Arc::clone(reference), address.unwrap_or_else(|| Arc::clone(reference)))
+            })
+            .collect();
+        self.setup = Arc::clone(setup);
+        self.positions = OnceLock::new();
+        let changed: BTreeMap<Arc<str>, Arc<str>> = addressed
+            .into_iter()
+            .map(|(reference, address)| (reference, self.resolve(&address)))
+            .filter(|(before, now)| before != now)
+            .collect();
+        if changed.is_empty() {
+            return;
+        }
+        for entry in self.jobs.values_mut() {
+            if let Some(reference) = changed.get(&entry.job.queue) {
+                Arc::make_mut(&mut entry.job).queue = Arc::clone(reference);
+            }
+        }
+        self.withdrawn = std::mem::take(&mut self.withdrawn)
+            .into_iter()
+            .map(|(id, queue)| (id, changed.get(&queue).map_or(queue, Arc::clone)))
+            .collect();
     }
 
     /// The run with this key, if its end is not recorded.
@@ -209,13 +261,14 @@
     }
 
     fn accept(&mut self, job: &Arc<Job>, wall: u64) -> Applied {
-        if self.jobs.contains_key(&job.id) {
-            return Applied::Accepted;
+        let queue = self.resolve(&job.queue);
+        if let Some(entry) = self.jobs.get(&job.id) {
+            return if entry.job.queue == queue { Applied::Accepted } else { Applied::Occupied };
         }
-        if self.queue(&job.queue).is_none() {
+        if self.queue(&queue).is_none() {
             return Applied::NoQueue;
         }
-        let phase = if self.withdrawn.remove(&(job.id, Arc::clone(&job.queue))) {
+        let phase = if self.withdrawn.remove(&(job.id, Arc::clone(&queue))) {
             Phase::Cancelled
         } else if job.rounds() == 0 {
             Phase::Completed
@@ -227,7 +280,10 @@
             rounds.insert(0, Repetition::new(job));
         }
         let opened = u32::from(job.schedule.is_none());
-        let job = Arc::clone(job);
+        let mut job = Arc::clone(job);
+        if job.queue != queue {
+            Arc::make_mut(&mut job).queue = queue;
+        }
         let entry = JobEntry { phase, rounds, opened, begun: false, wall, job };
         self.jobs.insert(entry.job.id, entry);
         Applied::Accepted
@@ -267,15 +323,18 @@
     }
 
     fn cancel(&mut self, job: u64, queue: Option<&Arc<str>>) -> Applied {
+        let queue = queue.map(|queue| self.resolve(queue));
         match (self.jobs.get_mut(&job), queue) {
-            (Some(entry), queue) if queue.is_none_or(|queue| *queue == entry.job.queue) => {
+            (Some(entry), queue)
+                if queue.as_ref().is_none_or(|queue| *queue == entry.job.queue) =>
+            {
                 if entry.phase == Phase::Active {
                     entry.finish(Phase::Cancelled);
                 }
                 Applied::Cancelled
             },
             (None, Some(queue)) => {
-                self.withdrawn.insert((job, Arc::clone(queue)));
+                self.withdrawn.insert((job, queue));
                 Applied::Withdrawn
             },
             _ => Applied::Stale,
--- a/toucangrade/src/jobs/setup.rs
+++ b/toucangrade/src/jobs/setup.rs
@@ -33,6 +33,13 @@
     pub timeout: Span,
 }
 
+impl Queue {
+    /// Text that identifies the queue's address. Names differ from it, as they hold no line breaks.
+    pub(crate) fn address(&self) -> Arc<str> {
+        format!("\n{}\n{}", self.host, self.prefix).into()
+    }
+}
+
 /// Configuration of a service, which is a pool of runners.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Service {
--- a/toucangrade/src/simulation/jobs/truth.rs
+++ b/toucangrade/src/simulation/jobs/truth.rs
@@ -110,7 +110,7 @@
             self.truth.cancelled.entry(job).or_insert(self.now);
         }
         if failed && entry.phase == Phase::Failed {
-            let queue = self.log.job_table.setup.queue(&entry.job.queue);
+            let queue = self.log.job_table.queue(&entry.job.queue);
             let Some(allowed) = queue.map(|queue| queue.attempts) else {
                 invariant!(false, "job {job:x} has failed while its queue was not configured");
                 return;
