simulation: tell a deposed leader about its proposals that are applied later

Cause: a fault of the simulated log. An instance that was frozen right after its proposals were appended steps down before it applies them, and then applies them as entries of another leader. Neither their commit nor their rejection was told. The real log rejects all proposals when an instance steps down (`Agreement::become_follower`).

Change: the simulated log rejects them as lost when the instance steps down.

--- a/toucangrade/src/simulation/jobs/control.rs
+++ b/toucangrade/src/simulation/jobs/control.rs
@@ -143,7 +143,12 @@
         if control.epoch != epoch || !control.leading || control.term > term {
             return;
         }
-        let uncertain = std::mem::take(&mut control.uncertain);
+        let mut uncertain = std::mem::take(&mut control.uncertain);
+        // It applies its own entries later as those of another leader.
+        let (applied, epoch) = (control.applied as usize, control.epoch);
+        let late = self.log.entries.iter().skip(applied);
+        let own = late.filter(|entry| (entry.origin.0, entry.origin.1) == (at, epoch));
+        uncertain.extend(own.map(|entry| entry.origin.2));
         self.note(|| format!("control {at} steps down"));
         for ticket in uncertain {
             self.step_control(at, Message::Rejected { ticket, lost: true });
