Fence a restarted runner before it is used, and keep runs that reached it

Cause: an id doesn't distinguish the incarnations of a runner, and a new one takes any order. (1) The agent reported a new incarnation from the listing that discovered it, before it had seen a new token, so that starts under way still took effect. (2) The leader ended all runs of the earlier incarnation even if the new one listed them, and had their ends acknowledged without recording them. (3) Calls for the earlier incarnation hold times on another clock, so that the new one takes the longest lease that it accepts (10 s here) where the leader counted 5.8 s. (4) Orders went out for 0.7 s after the last answer, also after a failed listing, on the assumption that a restart takes a second.

Change: an incarnation is reported once it has answered a listing with a token of its own; runs that it lists go on there, and their ends are recorded; the leader counts the longest lease (`bounds.max_hold_ms`) for young incarnations and for runs that were never listed; a failed listing holds all orders back; ends are acknowledged only while they are listed; closing the runs of an ended incarnation is repeated when the log refuses it.

--- a/toucangrade/src/dispatch/fleet.rs
+++ b/toucangrade/src/dispatch/fleet.rs
@@ -13,7 +13,7 @@
     LEASE_DURATION, LEASE_MARGIN, SILENCE_LIMIT, SLOW_CLOCK_PERCENT, STARTUP_LIMIT, STUCK_LIMIT,
     STUCK_SHARE,
 };
-use crate::core::{Moment, Name};
+use crate::core::{Moment, Name, Span};
 use crate::jobs::{Checkpoint, Incarnation, Need, RunKey};
 
 /// A run that is assigned to a runner in the replicated state.
@@ -84,6 +84,9 @@
     /// When every lease that was granted has certainly expired.
     #[serde(rename = "bound")]
     pub(crate) expires: Moment,
+    /// Whether the incarnation is known to have ended.
+    #[serde(skip)]
+    pub(crate) over: bool,
     /// Number of the last change of the set of runs, see [`Fleet::next_change`].
     #[serde(skip)]
     pub(crate) changed: u64,
@@ -94,6 +97,12 @@
     now + LEASE_DURATION.percent(SLOW_CLOCK_PERCENT) + LEASE_MARGIN
 }
 
+/// Latest time at which a lease expires that a runner was made to accept at this moment, at most
+/// `limit` long by its clock.
+pub(crate) fn hold_end(now: Moment, limit: Span) -> Moment {
+    now + limit.percent(SLOW_CLOCK_PERCENT) + LEASE_MARGIN
+}
+
 /// A report whose answer is held until there are orders.
 #[derive(Clone, Copy, Debug, Serialize)]
 pub(crate) struct Parked {
@@ -172,6 +181,12 @@
         self.runner().map(|runner| &runner.incarnation)
     }
 
+    /// The last incarnation that the agent has reported. A newer report may name none, as the agent
+    /// has restarted or has not fenced the next one yet.
+    pub(crate) fn last_incarnation(&self) -> Option<&Incarnation> {
+        self.health_incarnation.as_ref()
+    }
+
     /// Reason for which no new task is placed on the runner, if any.
     pub(crate) fn exclusion(&self, now: Moment) -> Option<Exclusion> {
         let silent = now.since(self.received).max(self.report.silent) >= SILENCE_LIMIT;
@@ -259,7 +274,8 @@
     pub(crate) fn lease_entry(&mut self, incarnation: &Incarnation, now: Moment) -> &mut Lease {
         if !self.leases.contains_key(incarnation) {
             let changed = self.next_change();
-            let lease = Lease { runs: BTreeMap::new(), expires: lease_end(now), changed };
+            let (runs, expires) = (BTreeMap::new(), lease_end(now));
+            let lease = Lease { runs, expires, over: false, changed };
             self.leases.insert(incarnation.clone(), lease);
         }
         self.leases.entry(incarnation.clone()).or_insert_with(|| unreachable!("inserted above"))
@@ -283,6 +299,41 @@
         worker.health.trust(now, later)
     }
 
+    /// Moves the runs that an incarnation lists to its lease, from those of earlier incarnations
+    /// under the same name: their starts arrived after the restart.
+    pub(crate) fn adopt_runs(&mut self, incarnation: &Incarnation, listed: &[RunKey], now: Moment) {
+        let earlier = self
+            .leases
+            .iter()
+            .filter(|(old, _)| old.runner == incarnation.runner && *old != incarnation);
+        let moved: Vec<(Incarnation, RunKey)> = earlier
+            .flat_map(|(old, lease)| {
+                let runs = listed.iter().filter(|key| lease.runs.contains_key(key));
+                runs.map(|key| (old.clone(), *key))
+            })
+            .collect();
+        for (old, key) in moved {
+            let Some(run) = self.remove_run(&old, key) else { continue };
+            tracing::info!(
+                run = %key,
+                runner = %incarnation.runner,
+                born = incarnation.born,
+                earlier = old.born,
+                "start reached a later incarnation"
+            );
+            self.add_run(incarnation, key, run, now);
+        }
+    }
+
+    /// Incarnation whose lease has a run, given the one to which it was assigned. They differ if the
+    /// start reached a later incarnation under the same name.
+    pub(crate) fn holder(&self, assigned: &Incarnation, key: RunKey) -> Incarnation {
+        let holds = |incarnation: &Incarnation| self.run(incarnation, key).is_some();
+        let mut others = self.leases.keys().filter(|other| other.runner == assigned.runner);
+        let found = if holds(assigned) { None } else { others.find(|other| holds(other)) };
+        found.unwrap_or(assigned).clone()
+    }
+
     /// Agent whose newest report names this incarnation.
     pub(crate) fn agent(&self, incarnation: &Incarnation) -> Option<&Name> {
         let mut found =
@@ -297,7 +348,7 @@
         agent: &Name,
         incarnation: Option<&Incarnation>,
     ) -> Vec<Incarnation> {
-        let before = self.workers.get(agent).and_then(Worker::incarnation);
+        let before = self.workers.get(agent).and_then(Worker::last_incarnation);
         let Some(incarnation) = incarnation else { return Vec::new() };
         let over = |old: &&Incarnation| {
             (Some(*old) == before && *old != incarnation)
--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -23,15 +23,15 @@
 
 use serde::{Serialize, Serializer};
 
-use self::fleet::{Fleet, Run, lease_end};
+use self::fleet::{Fleet, Run, hold_end, lease_end};
 pub use self::message::{
     ClientReply, ClientRequest, Denial, EndedRun, JobState, Orders, Report, RunProfile, RunStatus,
     Runner, Start, Verb,
 };
 pub(crate) use self::message::{Effect, Message};
 use self::settings::{
-    BATCH_BYTES, BATCH_LIMIT, DURATION_WEIGHT_PERCENT, MOVE_RESERVATION, PROPOSALS_LIMIT,
-    SNAPSHOT_BYTES, SNAPSHOT_COMMANDS, STEP_BYTES,
+    BATCH_BYTES, BATCH_LIMIT, DURATION_WEIGHT_PERCENT, FENCED_AGE, HOLD_LIMIT, LEASE_DURATION,
+    MOVE_RESERVATION, PROPOSALS_LIMIT, SNAPSHOT_BYTES, SNAPSHOT_COMMANDS, STEP_BYTES,
 };
 use self::views::Views;
 use self::waits::Waits;
@@ -64,6 +64,8 @@
     leading: bool,
     /// Wall-clock time of the last tick, in ms since 1970.
     wall: u64,
+    /// Longest lease that runners accept.
+    hold_limit: Span,
     fleet: Fleet,
     learner: Learner,
     /// Jobs that have not ended.
@@ -125,6 +127,7 @@
             index: 0,
             leading: false,
             wall: 0,
+            hold_limit: HOLD_LIMIT,
             fleet: Fleet::default(),
             learner: Learner::default(),
             active: BTreeSet::new(),
@@ -149,6 +152,13 @@
         }
     }
 
+    /// Sets the longest lease that runners accept.
+    #[must_use]
+    pub(crate) fn with_hold_limit(mut self, limit: Span) -> Self {
+        self.hold_limit = limit.max(LEASE_DURATION);
+        self
+    }
+
     /// Handles a message and returns the effects to perform.
     pub(crate) fn step(&mut self, now: Moment, message: Message) -> Vec<Effect> {
         match message {
@@ -253,7 +263,7 @@
     fn apply(&mut self, now: Moment, command: &Command, touched: &mut BTreeSet<Name>) -> Applied {
         let ended = match command {
             Command::Close { key, .. } => {
-                self.job_table.live(*key).map(|l| (*l.incarnation).clone())
+                self.job_table.live(*key).map(|live| self.fleet.holder(&live.incarnation, *key))
             },
             _ => None,
         };
@@ -483,13 +493,24 @@
             self.learner.clear_samples();
             self.rebuild(now);
             // The previous leader may have granted leases up to this moment.
-            for lease in self.fleet.leases.values_mut() {
-                lease.expires = lease_end(now);
+            let incarnations: Vec<Incarnation> = self.fleet.leases.keys().cloned().collect();
+            for incarnation in incarnations {
+                let expires = lease_end(now).max(self.stray_lease_end(now, &incarnation));
+                self.fleet.lease_entry(&incarnation, now).expires = expires;
             }
         }
         tracing::info!(leading, jobs = self.active.len(), index = self.index, "dispatch");
     }
 
+    /// Latest end of a lease that an incarnation took from a call meant for an earlier one, before it
+    /// was fenced. Such calls hold times on the clock of the earlier one, so the lease is as long as
+    /// the runner accepts.
+    fn stray_lease_end(&self, now: Moment, incarnation: &Incarnation) -> Moment {
+        let age = self.wall.saturating_sub(incarnation.born);
+        let fenced = Span::millis(age.saturating_sub(FENCED_AGE.as_millis()));
+        hold_end(now, self.hold_limit) - fenced
+    }
+
     /// Drops uncommitted decisions and answers all waiting requests and reports, since another
     /// instance decides from now on.
     fn step_down(&mut self) {
--- a/toucangrade/src/dispatch/plan.rs
+++ b/toucangrade/src/dispatch/plan.rs
@@ -198,8 +198,12 @@
         };
         let state = self.job_table.jobs.get(&job).and_then(|entry| entry.rounds.get(&round));
         let tasks = state.and_then(|state| state.steps.get(usize::from(step)));
-        for live in tasks.into_iter().flatten().flat_map(|task| &task.live) {
-            count(&live.incarnation);
+        for (index, task) in tasks.into_iter().flatten().enumerate() {
+            let task_key = TaskKey { job, round, step, index: index as u16 };
+            for live in &task.live {
+                let key = RunKey { task: task_key, run: live.run };
+                count(&self.fleet.holder(&live.incarnation, key));
+            }
         }
         let first = TaskKey { job, round, step, index: 0 };
         let last = TaskKey { index: u16::MAX, ..first };
--- a/toucangrade/src/dispatch/reports.rs
+++ b/toucangrade/src/dispatch/reports.rs
@@ -1,9 +1,9 @@
 //! Processing of agents' reports, and the orders sent back.
 
-use super::Dispatch;
-use super::fleet::{Parked, Worker, lease_end};
+use super::fleet::{Parked, Worker, hold_end, lease_end};
 use super::message::{Denial, Effect, Orders, Report, RunProfile, Start};
-use super::settings::{LEASE_DURATION, PARK_LIMIT, TABLE_EVERY};
+use super::settings::{LEASE_DURATION, ORDERS_AFTER_ANSWER, PARK_LIMIT, TABLE_EVERY};
+use super::{Dispatch, Run};
 use crate::core::{Moment, Name};
 use crate::jobs::{Checkpoint, Command, End, Incarnation, Phase, RunKey};
 use crate::pressure::{Sample, Serving, Table};
@@ -18,10 +18,17 @@
             return self.out.push(Effect::Orders { ticket, orders: Some(Box::default()) });
         }
         let incarnation = report.runner.as_ref().map(|runner| runner.incarnation.clone());
+        if let Some(incarnation) = &incarnation {
+            let rows = report.rows.iter().map(|row| row.key);
+            let listed: Vec<RunKey> =
+                rows.chain(report.ended.iter().map(|ended| ended.key)).collect();
+            self.fleet.adopt_runs(incarnation, &listed, now);
+        }
         for over in self.fleet.ended_incarnations(&agent, incarnation.as_ref()) {
             // An incarnation that was born later may only have been silent, so its lease must
             // expire first.
             if incarnation.as_ref().is_some_and(|incarnation| over.born <= incarnation.born) {
+                self.fleet.lease_entry(&over, now).over = true;
                 self.close_runs(&over);
             }
         }
@@ -29,8 +36,15 @@
             // The lease counts from the last reading of the runner's clock, and a silent runner
             // gives no newer one.
             let read = now - report.silent;
+            let known = self.fleet.workers.get(&agent).and_then(Worker::last_incarnation).cloned();
+            let mut expires = lease_end(read);
+            if known.as_ref() != Some(incarnation) {
+                // Its agent has fenced it, so no call to an earlier incarnation takes effect any more.
+                expires = expires.max(self.stray_lease_end(now, incarnation));
+            }
             let lease = self.fleet.lease_entry(incarnation, now);
-            lease.expires = lease.expires.max(lease_end(read));
+            lease.expires = lease.expires.max(expires);
+            lease.over = false;
             self.record_progress(now, read, incarnation, &report);
             self.record_sample(now, &report);
             self.record_ends(now, incarnation, &report);
@@ -149,11 +163,21 @@
     /// incarnation once it has none left.
     fn close_runs(&mut self, incarnation: &Incarnation) {
         let Some(lease) = self.fleet.leases.get(incarnation) else { return };
-        let runs: Vec<_> = lease.runs.iter().map(|(key, run)| (*key, run.saved.clone())).collect();
-        if runs.is_empty() {
+        if lease.runs.is_empty() {
             self.fleet.leases.remove(incarnation);
             return;
         }
+        self.close_lost(incarnation, |_| true);
+    }
+
+    /// Proposes the end of the runs of an incarnation for which `over` holds.
+    fn close_lost(&mut self, incarnation: &Incarnation, over: impl Fn(&Run) -> bool) {
+        let Some(lease) = self.fleet.leases.get(incarnation) else { return };
+        let runs = lease.runs.iter().filter(|(key, run)| over(run) && !self.closing.contains(key));
+        let runs: Vec<_> = runs.map(|(key, run)| (*key, run.saved.clone())).collect();
+        if runs.is_empty() {
+            return;
+        }
         tracing::info!(runner = %incarnation.runner, born = incarnation.born, runs = runs.len(), "runner lost");
         for (key, saved) in runs {
             self.propose_close(incarnation, key, End::Lost, saved);
@@ -161,16 +185,30 @@
     }
 
     /// Proposes the end of runs whose lease has certainly expired.
+    ///
+    /// A run that was never listed may have been started by the next incarnation under the same name,
+    /// in which case it runs for as long as that one may hold a lease. That can be ruled out once the
+    /// agent reports another incarnation, and is assumed for runs that an earlier leader assigned.
     pub(super) fn expire_leases(&mut self, now: Moment) {
-        let over: Vec<Incarnation> = self
-            .fleet
-            .leases
-            .iter()
-            .filter(|(_, lease)| lease.expires < now)
-            .map(|(incarnation, _)| incarnation.clone())
-            .collect();
-        for incarnation in over {
-            self.close_runs(&incarnation);
+        let restarted = hold_end(Moment::START + ORDERS_AFTER_ANSWER, self.hold_limit);
+        let longer = restarted.since(lease_end(Moment::START));
+        let mut over: Vec<(Incarnation, bool)> = Vec::new();
+        for (incarnation, lease) in &self.fleet.leases {
+            if lease.over {
+                // The log may have refused the proposal that closed its runs.
+                over.push((incarnation.clone(), true));
+            } else if lease.expires < now {
+                let replaced = self.fleet.agent(incarnation).is_none();
+                over.push((incarnation.clone(), replaced || lease.expires + longer < now));
+            }
+        }
+        for (incarnation, unlisted) in over {
+            if unlisted {
+                self.close_runs(&incarnation);
+            } else {
+                let since = self.leading_since;
+                self.close_lost(&incarnation, |run| run.listed || run.since <= since);
+            }
         }
     }
 
--- a/toucangrade/src/dispatch/settings.rs
+++ b/toucangrade/src/dispatch/settings.rs
@@ -5,6 +5,14 @@
 /// Length of the leases granted to agents. It has to outlast an election (2 s) and a network cut of
 /// 5 s, and stays below the 6 s after which runners shorten it.
 pub(crate) const LEASE_DURATION: Span = Span::millis(5_800);
+/// Longest lease that runners accept, unless the settings say otherwise; they shorten longer ones.
+pub(crate) const HOLD_LIMIT: Span = Span::secs(10);
+/// Time after the last answer of an incarnation in which orders for it may reach the next one under
+/// its name: agents send them for 700 ms, and give a call up after 250 ms.
+pub(crate) const ORDERS_AFTER_ANSWER: Span = Span::millis(950);
+/// Age at which an incarnation has been fenced by its agent: 3 s until it is found, and 2 s by which
+/// the clocks of instances may differ.
+pub(crate) const FENCED_AGE: Span = Span::secs(5);
 /// Length of a lease on a runner whose clock is 2% slow, with a reserve of 1%, in percent of
 /// [`LEASE_DURATION`].
 pub(crate) const SLOW_CLOCK_PERCENT: u64 = 103;
--- a/toucangrade/src/dispatch/tests.rs
+++ b/toucangrade/src/dispatch/tests.rs
@@ -6,6 +6,7 @@
 mod faulty_runners;
 mod fuzz;
 mod health;
+mod lives;
 mod load;
 mod log;
 mod queues;
@@ -116,6 +117,8 @@
             hold: false,
             held: Vec::new(),
         };
+        // The time of day is known from the first tick on.
+        world.advance(100);
         world.send(Message::Lead { leading: true });
         world.ask("", Verb::Configure(Arc::new(setup(1))), None);
         world
@@ -421,9 +424,15 @@
     assert_eq!(runs, room.runs);
 }
 
+fn row(key: RunKey) -> RunStatus {
+    RunStatus { key, saved: None, percent: 1, figure: 0, share: 100 }
+}
+
 struct Silence {
     /// Whether leadership changes before the silence.
     elected: bool,
+    /// Whether the runner has listed the run before the silence.
+    listed: bool,
     /// Time without a report, in ms.
     silent: u64,
     /// Whether the task is assigned to the other runner.
@@ -432,17 +441,29 @@
 
 /// A task is assigned to another runner only when the lease of the first has certainly expired.
 /// After a change of leader that takes a whole lease, since the previous leader may have granted
-/// one just before.
+/// one just before. A run that was never listed may have been started by a later incarnation under
+/// the same name, which accepts a lease of 10 s for it.
 #[rstest]
-#[case::lease_valid(Silence { elected: false, silent: 5_800, moved: false })]
-#[case::lease_expired(Silence { elected: false, silent: 6_400, moved: true })]
-#[case::new_leader_within_lease(Silence { elected: true, silent: 5_800, moved: false })]
-#[case::new_leader_after_lease(Silence { elected: true, silent: 6_400, moved: true })]
+#[case::lease_valid(Silence { elected: false, listed: true, silent: 5_800, moved: false })]
+#[case::lease_expired(Silence { elected: false, listed: true, silent: 6_400, moved: true })]
+#[case::new_leader_within_lease(Silence {
+    elected: true, listed: true, silent: 5_800, moved: false,
+})]
+#[case::new_leader_after_lease(Silence { elected: true, listed: true, silent: 6_400, moved: true })]
+#[case::never_listed(Silence { elected: false, listed: false, silent: 11_200, moved: false })]
+#[case::never_listed_and_expired(Silence {
+    elected: false, listed: false, silent: 11_700, moved: true,
+})]
 fn silent_runner_loses_its_runs_with_its_lease(#[case] case: Silence) {
     let mut world = World::new();
+    world.advance(100);
     let (silent, other) = (incarnation("i-1", 10), incarnation("i-2", 10));
     world.report(report("10.0.0.1", 1, &silent));
     world.submit("match", 7, vec![step(1, 1_000)]);
+    if case.listed {
+        let rows = vec![row(key(7, 0, 0, 1))];
+        world.report(Report { rows, ..report("10.0.0.1", 2, &silent) });
+    }
     if case.elected {
         world.advance(4_000);
         world.send(Message::Lead { leading: false });
@@ -480,13 +501,7 @@
         world.advance(100);
         seq += 1;
         world.report(report("10.0.0.2", seq, &other));
-        let rows = vec![RunStatus {
-            key: key(7, 0, 0, 1),
-            saved: None,
-            percent: 1,
-            figure: 0,
-            share: 100,
-        }];
+        let rows = vec![row(key(7, 0, 0, 1))];
         let silent = Span::millis(tenth * 100);
         let gone = case.gone && tenth * 100 == case.silent;
         world.report(Report { rows, silent, gone, ..report("10.0.0.1", seq, &lost) });
--- /dev/null
+++ b/toucangrade/src/dispatch/tests/lives.rs
@@ -0,0 +1,100 @@
+//! Tests of runners that restart under their names.
+
+use rstest::rstest;
+
+use super::*;
+
+/// Time of day in ms since 1970, as `World::advance` counts it.
+fn wall(world: &World) -> u64 {
+    1_700_000_000_000 + world.now.as_micros() / 1_000
+}
+
+struct Restart {
+    /// Time between the restart and the first report of the new incarnation, in ms.
+    age: u64,
+    /// Whether leadership changes after that report.
+    elected: bool,
+    /// Time without an answer of the new incarnation, in ms.
+    silent: u64,
+    /// Whether its run is assigned to another runner.
+    moved: bool,
+}
+
+/// A new incarnation accepts calls that were meant for the previous one, which may give it a longer
+/// lease than the leader did. Its runs were started elsewhere while they went on there.
+#[rstest]
+#[case::lease_of_the_leader(Restart { age: 500, elected: false, silent: 6_400, moved: false })]
+#[case::longest_lease(Restart { age: 500, elected: false, silent: 10_400, moved: false })]
+#[case::all_leases_expired(Restart { age: 500, elected: false, silent: 10_600, moved: true })]
+#[case::longest_lease_after_an_election(Restart {
+    age: 500, elected: true, silent: 10_400, moved: false,
+})]
+#[case::expired_after_an_election(Restart { age: 500, elected: true, silent: 10_600, moved: true })]
+#[case::restarted_long_ago(Restart { age: 30_000, elected: false, silent: 6_400, moved: true })]
+#[case::restarted_long_before_an_election(Restart {
+    age: 30_000, elected: true, silent: 6_400, moved: true,
+})]
+fn runs_of_a_new_incarnation_outlast_calls_to_the_last_one(#[case] case: Restart) {
+    let mut world = World::new();
+    world.advance(100);
+    let (old, other) = (incarnation("i-1", 10), incarnation("i-2", 10));
+    world.report(report("10.0.0.1", 1, &old));
+    let new = incarnation("i-1", wall(&world) - case.age);
+    world.report(report("10.0.0.1", 2, &new));
+    world.submit("match", 7, vec![step(1, 1_000)]);
+    let rows = vec![row(key(7, 0, 0, 1))];
+    world.report(Report { rows, ..report("10.0.0.1", 3, &new) });
+    if case.elected {
+        world.send(Message::Lead { leading: false });
+        world.send(Message::Lead { leading: true });
+    }
+    for seq in 1..=case.silent / 100 {
+        world.advance(100);
+        world.report(report("10.0.0.2", seq, &other));
+    }
+    assert_eq!(!world.live(&other).is_empty(), case.moved);
+}
+
+/// What the first report of a new incarnation lists of a run that was assigned to the last one.
+#[derive(Clone, Copy)]
+enum Listed {
+    Ended(End),
+    Nothing,
+    Running,
+}
+
+struct LateStart {
+    listed: Listed,
+    /// Runs of the new incarnation afterwards, by number.
+    runs: &'static [u32],
+    state: JobState,
+}
+
+/// A start that was sent to an incarnation and reached the next one runs there. It was taken for
+/// lost, and the task was started again beside it or after its end.
+#[rstest]
+#[case::running(LateStart { listed: Listed::Running, runs: &[1], state: JobState::Running })]
+#[case::done(LateStart { listed: Listed::Ended(End::Done), runs: &[], state: JobState::Completed })]
+#[case::failed(LateStart { listed: Listed::Ended(End::Failed), runs: &[2], state: JobState::Running })]
+#[case::never_arrived(LateStart { listed: Listed::Nothing, runs: &[2], state: JobState::Running })]
+fn start_that_reaches_the_next_incarnation_is_kept(#[case] case: LateStart) {
+    let mut world = World::new();
+    let (old, new) = (incarnation("i-1", 10), incarnation("i-1", 20));
+    world.report(report("10.0.0.1", 1, &old));
+    world.submit("match", 7, vec![step(1, 1_000)]);
+    let key = key(7, 0, 0, 1);
+    let mut first = report("10.0.0.1", 2, &new);
+    match case.listed {
+        Listed::Ended(end) => first.ended = vec![EndedRun { number: 1, key, end, saved: None }],
+        Listed::Nothing => {},
+        Listed::Running => first.rows = vec![row(key)],
+    }
+    let orders = world.report(first).or_else(|| world.later_orders());
+    let stops = orders.map(|orders| orders.stops).unwrap_or_default();
+    assert!(stops.is_empty(), "stops {stops:?}");
+    world.report(report("10.0.0.1", 3, &new));
+    let runs: Vec<u32> = world.live(&new).iter().map(|key| key.run).collect();
+    assert_eq!(runs, case.runs);
+    assert!(world.live(&old).is_empty());
+    assert_eq!(world.state("match", 7), Some(ClientReply::State(case.state)));
+}
--- a/toucangrade/src/hosting/heard.rs
+++ b/toucangrade/src/hosting/heard.rs
@@ -167,17 +167,19 @@
             "runner found"
         );
         match &mut self.current {
-            Some(old) if old.candidate.announced.incarnation == found => old.candidate = candidate,
+            Some(old) if old.candidate.announced.incarnation == found => {
+                old.candidate = candidate;
+                self.report_now = true;
+            },
             _ => {
                 self.forget_runner();
                 // Calls meant for the previous incarnation carry lower tokens, so this one refuses
-                // them.
+                // them once it has answered a call with the new token.
                 self.token = self.token.saturating_add(1);
-                let listing = Listing::default();
-                self.current = Some(CurrentRunner { candidate, listing, answered: now });
+                let (listing, fenced) = (Listing::default(), false);
+                self.current = Some(CurrentRunner { candidate, listing, answered: now, fenced });
             },
         }
-        self.report_now = true;
         true
     }
 }
--- a/toucangrade/src/hosting/mod.rs
+++ b/toucangrade/src/hosting/mod.rs
@@ -39,9 +39,8 @@
 /// Consecutive refused connections after which the runner's process counts as ended. A process that
 /// restarts on the same port is back after a second at the earliest.
 const REFUSALS_LIMIT: u32 = 3;
-/// Time since the last confirmation of the current incarnation after which another incarnation may
-/// answer under the runner's name. A restart takes at least one second; this is shorter by more
-/// than the time that an order takes.
+/// Time since the last confirmation of the current incarnation after which no order is sent to it,
+/// since another incarnation may answer under its name.
 const CONFIRMED_FOR: Span = Span::millis(700);
 /// Delay beyond the long-poll timeout above which the arrival of an answer does not tell when it
 /// was given, as this process may have been paused meanwhile.
@@ -62,6 +61,9 @@
     listing: Listing,
     /// Time of its last listing.
     answered: Moment,
+    /// Whether it has answered a listing with a token of its own, so that it refuses calls that were
+    /// meant for earlier incarnations. Until then such calls may still take effect.
+    fenced: bool,
 }
 
 impl CurrentRunner {
@@ -203,17 +205,24 @@
         std::mem::take(&mut self.out)
     }
 
-    /// Whether the current incarnation was confirmed recently enough that an order sent now can't
-    /// reach a later incarnation. A later incarnation has seen no fencing token until its first
-    /// call, so it would carry out orders meant for an earlier one.
+    /// Whether the current incarnation was confirmed recently. A later incarnation has seen no
+    /// fencing token until its first call, so it carries out orders meant for an earlier one. Such
+    /// orders are rare, as none are sent once a listing has failed, but they can't be ruled out: a
+    /// runner may restart between an answer and the next order.
     fn is_confirmed(&self, now: Moment) -> bool {
-        now.since(self.confirmed) < CONFIRMED_FOR
+        !self.seeking && now.since(self.confirmed) < CONFIRMED_FOR
     }
 
     fn target(&self) -> Option<Target> {
         self.current.as_ref().map(|current| current.target(self.token))
     }
 
+    /// The current runner, once it is fenced. Nothing about it is reported before, since calls to
+    /// an earlier incarnation may still start runs on it that its last listing doesn't show.
+    fn fenced(&self) -> Option<&CurrentRunner> {
+        self.current.as_ref().filter(|current| current.fenced)
+    }
+
     /// Resets all state that belongs to the previous runner.
     fn forget_runner(&mut self) {
         self.current = None;
@@ -259,6 +268,22 @@
             return;
         }
         (self.failed, self.refused, self.seeking) = (None, 0, false);
+        let fenced = target.token == self.token;
+        if let Some(current) = self.current.as_mut().filter(|current| !current.fenced) {
+            if !fenced {
+                return;
+            }
+            current.fenced = true;
+            let incarnation = &current.candidate.announced.incarnation;
+            tracing::info!(
+                runner = %incarnation.runner,
+                born = incarnation.born,
+                runs = listing.rows.len(),
+                ends = listing.ended.len(),
+                "runner fenced"
+            );
+            self.report_now = true;
+        }
         let late = now.since(asked) >= wait + LIST_MAX_DELAY;
         self.confirmed = if late { asked } else { now };
         let Some(current) = &mut self.current else { return };
@@ -321,16 +346,25 @@
         self.seq += 1;
         let seq = self.seq;
         // After a failed listing the runner has to answer at once, to show that it is alive.
-        let wait = if ends_waiting || self.seeking { Span::ZERO } else { LIST_WAIT };
+        let at_once = ends_waiting || self.seeking || self.fenced().is_none();
+        let wait = if at_once { Span::ZERO } else { LIST_WAIT };
         self.listing = Some(ListRequest { seq, since: now, wait, target: target.clone() });
         // The lease and the acknowledged end number apply only to the current incarnation of the
         // runner.
         let is_current =
             self.is_confirmed(now) && self.target().is_some_and(|current| current == target);
-        let (recorded, lease_end) = if is_current { (self.noted, self.until) } else { (0, None) };
+        let lease_end = self.until.filter(|_| is_current);
+        // A later incarnation would forget ends of its own, so nothing is acknowledged twice.
+        let recorded = if is_current && self.has_recorded_ends() { self.noted } else { 0 };
         self.out.push(Effect::List { seq, target, recorded, lease_end, wait });
     }
 
+    /// Whether the last listing has ends that the leader has recorded.
+    fn has_recorded_ends(&self) -> bool {
+        let listed = self.current.iter().flat_map(|current| &current.listing.ended);
+        listed.into_iter().any(|ended| ended.number <= self.noted)
+    }
+
     /// Sends a report if there is a change, none is pending, or `REPORT_INTERVAL` has passed.
     fn report(&mut self, now: Moment) {
         let open = self.reporting.is_some_and(|(_, since)| now.since(since) < REPORT_TIMEOUT);
@@ -351,7 +385,7 @@
     }
 
     fn build_report(&self, now: Moment) -> Report {
-        let current = self.current.as_ref();
+        let current = self.fenced();
         let runner = current.map(|current| {
             let announced = &current.candidate.announced;
             Runner {
--- a/toucangrade/src/hosting/tests/lives.rs
+++ b/toucangrade/src/hosting/tests/lives.rs
@@ -288,3 +288,41 @@
         Some(case.draining)
     );
 }
+
+/// A start for one incarnation can reach the next one until that has answered a call with a greater
+/// token. The next one was reported from its first listing, without such a run, so the leader took
+/// the run for lost and started it elsewhere.
+#[test]
+fn new_incarnation_is_fenced_before_it_is_reported() {
+    let mut world = World::new(Behaviour::Healthy);
+    world.restart(announcement("i-1", 60, 1).incarnation);
+    world.send(Message::Announce(Box::new(announcement("i-1", 60, 1))));
+    // Answers the listing that was requested before the restart, and requests the one that shows it.
+    world.advance(50);
+    let before = world.tokens.last().copied();
+    let late = RunStatus { key: key(0), saved: None, percent: 0, figure: 0, share: 100 };
+    world.rows.insert(key(0), late);
+    for _ in 0..10 {
+        world.advance(50);
+        let report = world.last_report();
+        if report.runner.as_ref().is_some_and(|runner| runner.incarnation.born == 60) {
+            assert_eq!(report.rows.len(), 1, "reported before it was fenced");
+            assert!(world.tokens.last().copied() > before);
+            return;
+        }
+    }
+    panic!("the new incarnation was not reported");
+}
+
+/// After a failed listing the runner may have restarted, so that a start would reach an incarnation
+/// that has seen no fencing token.
+#[test]
+fn failed_listing_holds_starts_back() {
+    let mut world = World::new(Behaviour::Healthy);
+    let (seq, _) = world.pending.pop().expect("a listing under way");
+    world.send(Message::Listed { seq, listing: Err(Fault::Silent) });
+    world.start(0);
+    assert_eq!((world.starts, world.until), (0, None));
+    world.advance(500);
+    assert_eq!(world.starts, 1);
+}
--- a/toucangrade/src/node/control.rs
+++ b/toucangrade/src/node/control.rs
@@ -237,7 +237,7 @@
     fn spawn_dispatch(&self) -> io::Result<()> {
         let control = self.clone();
         let tick = || dispatch::Message::Tick { wall: wall_ms() };
-        let state = Dispatch::new();
+        let state = Dispatch::new().with_hold_limit(self.context.settings.hold_limit);
         let duty = Duty { state, step: Dispatch::step, tick, period: dispatch::TICK };
         let clock = self.context.clock.clone();
         duty.spawn(&self.dispatch, clock, move |_, effect| match effect {
--- a/toucangrade/src/node/mod.rs
+++ b/toucangrade/src/node/mod.rs
@@ -17,7 +17,7 @@
 
 use serde::Serialize;
 
-use crate::core::{Clock, Name};
+use crate::core::{Clock, Name, Span};
 use crate::http::Client;
 
 pub use self::agent::{Agent, Done, RunnerPort};
@@ -45,6 +45,8 @@
     data: Option<PathBuf>,
     /// Number of simultaneous losses of control instances to tolerate.
     losses: usize,
+    /// Longest lease that runners accept.
+    hold_limit: Span,
 }
 
 /// Builder of [`NodeSettings`].
@@ -54,7 +56,8 @@
 impl NodeSettings {
     /// Builder of settings with the address of this process and the port of control instances.
     pub fn builder(ip: IpAddr, port: u16) -> NodeSettingsBuilder {
-        let settings = Self { ip, port, seeds: Vec::new(), first: false, data: None, losses: 1 };
+        let (seeds, hold_limit) = (Vec::new(), Span::secs(10));
+        let settings = Self { ip, port, seeds, first: false, data: None, losses: 1, hold_limit };
         NodeSettingsBuilder(settings)
     }
 
@@ -98,6 +101,13 @@
         self
     }
 
+    /// Sets the longest lease that runners accept, 10 s unless set; they shorten longer ones.
+    #[must_use]
+    pub fn hold_limit(mut self, limit: Span) -> Self {
+        self.0.hold_limit = limit;
+        self
+    }
+
     /// Builds the settings.
     pub fn build(self) -> NodeSettings {
         self.0
--- a/toucangrade/src/simulation/jobs/control.rs
+++ b/toucangrade/src/simulation/jobs/control.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 
 use super::world::{Event, World};
-use crate::core::{Moment, invariant};
+use crate::core::{Moment, Span, invariant};
 use crate::dispatch::{ClientReply, ClientRequest, Dispatch, Effect, Message};
 use crate::jobs::{Command, JobTable};
 use crate::peer;
@@ -18,7 +18,7 @@
 /// A control instance; its process may be down.
 #[derive(Default)]
 pub(super) struct Control {
-    dispatch: Option<Dispatch>,
+    pub(super) dispatch: Option<Dispatch>,
     /// Number of its process; events for an earlier one are dropped.
     pub(super) epoch: u64,
     started: u64,
@@ -66,7 +66,8 @@
         control.started = self.now;
         (control.applied, control.leading, control.last_append) = (0, false, 0);
         control.uncertain.clear();
-        control.dispatch = Some(Dispatch::new());
+        let limit = Span::millis(self.truth.longest);
+        control.dispatch = Some(Dispatch::new().with_hold_limit(limit));
         let epoch = control.epoch;
         if !replays {
             self.install(at);
--- a/toucangrade/src/simulation/jobs/runner.rs
+++ b/toucangrade/src/simulation/jobs/runner.rs
@@ -18,6 +18,8 @@
 /// Behaviour of a runner: healthy (`Sound`) or with a fault.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(super) enum Habit {
+    /// Its link to the agent is down; its runs go on.
+    CutOff,
     /// All runs fail.
     Failing,
     /// Its runs make no progress.
@@ -92,6 +94,8 @@
     token: u64,
     /// End of the lease, in ms of its own clock.
     until: u64,
+    /// Last time at which it held no lease.
+    lapsed: u64,
     /// Highest run number of each task that was stopped or has ended; runs up to it can't start.
     floors: BTreeMap<TaskKey, u32>,
 }
@@ -116,6 +120,7 @@
             numbered: 0,
             token: 0,
             until: 0,
+            lapsed: now,
             floors: BTreeMap::new(),
         }
     }
@@ -230,20 +235,24 @@
         Ok(())
     }
 
-    /// Applies a list request: drops the acknowledged ends and extends the lease.
+    /// Applies a list request: drops the acknowledged ends and extends the lease. Returns the ends
+    /// since which the lease has not lapsed.
     pub(super) fn acknowledge(
         &mut self,
         now: u64,
         token: u64,
         recorded: u64,
         until: Option<u64>,
-    ) -> Result<(), Denial> {
+    ) -> Result<Vec<EndedRun>, Denial> {
         self.fence(token)?;
-        self.ended.retain(|(_, ended)| ended.number > recorded);
+        let acknowledged = self.ended.extract_if(.., |(_, ended)| ended.number <= recorded);
+        let lapsed = self.lapsed;
+        let acknowledged = acknowledged.filter(|(at, _)| *at > lapsed);
+        let acknowledged = acknowledged.map(|(_, ended)| ended).collect();
         if let Some(until) = until {
             self.extend_lease(now, until);
         }
-        Ok(())
+        Ok(acknowledged)
     }
 
     pub(super) fn listing(&self, now: u64) -> Listing {
@@ -306,6 +315,9 @@
     /// Advances all runs by `passed` microseconds and returns those that ended, with the reason.
     pub(super) fn advance(&mut self, now: u64, passed: u64) -> Vec<(RunKey, End)> {
         let lapsed = self.clock(now) >= self.until;
+        if lapsed {
+            self.lapsed = now;
+        }
         let hung = self.is_hung();
         let speeds: BTreeMap<RunKey, u64> = self
             .runs
--- a/toucangrade/src/simulation/jobs/world.rs
+++ b/toucangrade/src/simulation/jobs/world.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::ops::Range;
+use std::sync::Arc;
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -12,10 +13,10 @@
 use super::machine::RUNNER_TICK;
 use super::runner::Runner;
 use super::truth::Truth;
-use crate::core::{Moment, Name};
+use crate::core::{Moment, Name, Span};
 use crate::dispatch::{self, ClientRequest, Orders, Report, Start};
 use crate::hosting::{Effect, Fault as Failure, Hosting, Message, RunnerTarget as Target};
-use crate::jobs::{Command, Incarnation, RunKey};
+use crate::jobs::{Command, Incarnation, Need, RunKey};
 
 /// Name of the service that all runners belong to.
 pub(super) const SERVICE: &str = "balcao";
@@ -42,7 +43,7 @@
 /// A machine with an agent and at most one runner.
 pub(super) struct Machine {
     /// State of the agent; none while its process is down.
-    hosting: Option<Hosting>,
+    pub(super) hosting: Option<Hosting>,
     /// Number of the agent's process; events for an earlier one are dropped.
     pub(super) epoch: u64,
     started: u64,
@@ -52,6 +53,8 @@
     pub(super) runner: Option<Runner>,
     /// Name of its last runner.
     pub(super) name: Name,
+    /// Capacity and labels of its last runner.
+    pub(super) hardware: Option<(Need, Vec<Arc<str>>)>,
     /// Whether connections are refused while there is no runner; otherwise they time out.
     pub(super) refuses: bool,
 }
@@ -64,6 +67,16 @@
     Stop { key: RunKey },
 }
 
+/// How an order arrives at a runner.
+#[derive(Clone, Copy, Eq, PartialEq)]
+pub(super) enum Delivery {
+    Direct,
+    /// The runner with this serial number had left it unanswered, and executes it now.
+    Late(u64),
+    /// The connection was only established once the port was open again.
+    Reconnected,
+}
+
 /// A request of an agent that has no answer yet.
 pub(super) struct Call {
     agent: usize,
@@ -123,12 +136,17 @@
         agent: usize,
         serial: u64,
     },
-    /// An order arrives at a runner; `serial` restricts a delayed one to the same runner.
+    CutRunner {
+        agent: usize,
+        length: u64,
+    },
+    /// An order arrives at a runner, which may be a later incarnation than the one that it was sent
+    /// to.
     Order {
         agent: usize,
         call: Option<u64>,
         target: Target,
-        serial: Option<u64>,
+        delivery: Delivery,
         order: Order,
     },
     Reject {
@@ -207,6 +225,10 @@
         let guarded = world.chance(500);
         let longest = if world.chance(500) { 6_000 } else { 10_000 };
         (world.truth.guarded, world.truth.longest) = (guarded, longest);
+        for control in &mut world.controls {
+            let started = control.dispatch.take();
+            control.dispatch = started.map(|state| state.with_hold_limit(Span::millis(longest)));
+        }
         // Prefers small fleets, which leave the leader the fewest choices.
         let count = 3 + world.draw(0..10).min(world.draw(0..10)) as usize;
         for agent in 0..count {
@@ -219,6 +241,7 @@
                 link: Link::default(),
                 runner: None,
                 name: name.clone(),
+                hardware: None,
                 refuses: false,
             });
             world.start_agent(agent);
@@ -319,8 +342,9 @@
             Event::Elect => self.elect(),
             Event::EndFault(fault) => self.end_fault(fault),
             Event::EndDrain { agent, serial } => self.end_drain(agent, serial),
-            Event::Order { agent, call, target, serial, order } => {
-                self.deliver_order(agent, call, target, serial, order);
+            Event::CutRunner { agent, length } => self.cut_runner(agent, length),
+            Event::Order { agent, call, target, delivery, order } => {
+                self.deliver_order(agent, call, target, delivery, order);
             },
             Event::Reject { control, ticket, .. } => {
                 let lost = false;
