Remove a control instance from the group when it stops and voters are spare

Cause: an instance that stops stays a voter until it has been silent for 5 s. With 2 s between the stops, three of six voters are left, and no removal can be committed any more.

Change: an instance that stops announces it to the leader until it is no member any more, for at most 1 s. The leader removes it by a committed change if there are more voters than `2 * losses + 1`. It doesn't ask to be taken in again while it stops.

--- a/toucangrade/src/agreement/membership.rs
+++ b/toucangrade/src/agreement/membership.rs
@@ -149,6 +149,25 @@
         }
     }
 
+    /// Handles the announcement of an instance that it stops: removes it if there are more voters
+    /// than `Settings::target_voters`, so that it doesn't count in the quorum until it is found to be
+    /// silent. Otherwise it is expected to return.
+    pub(super) fn leave(&mut self, replica: &Replica) {
+        let Some(limit) = self.target_voters else { return };
+        let Role::Leader(lead) = &self.role else { return };
+        if self.members().voters().count() <= limit
+            || !self.members().is_voter(replica)
+            || replica.name == self.me.name
+            || lead.transfer.is_some()
+            || self.change_blocked().is_some()
+        {
+            return;
+        }
+        if let Ok(members) = self.members().changed(&Change::Remove(replica.name.clone())) {
+            self.append(None, Payload::Members(members));
+        }
+    }
+
     /// Removes a silent voter if there are more than `Settings::target_voters`, so that an instance
     /// that never returns doesn't raise the quorum.
     pub(super) fn remove_silent(&mut self, now: Moment) {
--- a/toucangrade/src/agreement/message.rs
+++ b/toucangrade/src/agreement/message.rs
@@ -79,6 +79,8 @@
     Change { ticket: u64, change: Change },
     /// An instance asks to become a member, or to replace the member that had its name before.
     Join(Replica),
+    /// An instance announces that it stops.
+    Leave(Replica),
     /// A message from another instance.
     Peer(PeerMessage),
     /// Proposes a command.
--- a/toucangrade/src/agreement/mod.rs
+++ b/toucangrade/src/agreement/mod.rs
@@ -329,6 +329,7 @@
         match message {
             Message::Change { ticket, change } => self.change(ticket, &change),
             Message::Join(replica) => self.join(&replica),
+            Message::Leave(replica) => self.leave(&replica),
             Message::Peer(message) => self.receive(now, message),
             Message::Propose { ticket, command } => self.propose(ticket, command),
             Message::Read { ticket } => self.read(now, ticket),
--- a/toucangrade/src/agreement/tests/group.rs
+++ b/toucangrade/src/agreement/tests/group.rs
@@ -31,6 +31,8 @@
     Heal(&'static str),
     /// Sends the leader the instance's request to join.
     Join(&'static str),
+    /// Sends the leader the instance's announcement that it stops.
+    Leave(&'static str),
     /// Delays all `Store` effects of the instance until `ReleaseStores`.
     HoldStores(&'static str),
     /// Moves the instance's clock ahead by this many milliseconds.
@@ -186,6 +188,13 @@
                 }
                 self.deliver();
             },
+            Step::Leave(n) => {
+                let replica = self.running(n).agreement.me().clone();
+                for leader in self.leaders() {
+                    self.step(&leader, Message::Leave(replica.clone()));
+                }
+                self.deliver();
+            },
             Step::Voters(voters) => {
                 for member in self.members.values_mut() {
                     if let Some(running) = &mut member.running {
--- a/toucangrade/src/agreement/tests/scripted.rs
+++ b/toucangrade/src/agreement/tests/scripted.rs
@@ -259,6 +259,26 @@
     Isolate("c"), Run(2_000), Start("d"), Join("d"), Run(1_000), Voter("d", true), Leads("a", true),
     SameTerm, Propose("a", 1), Run(100), Acknowledged(1), Has("d", 1, true),
 ] })]
+// A voter that stops counted in the quorum until it was found to be silent, so that the group lost
+// its quorum with the next loss.
+#[case::leaving_voter_is_removed(Case { script: &[
+    Voters(3), Start("d"), Voters(3), Join("d"), Run(500), Voter("d", true), Leave("c"), Run(100),
+    Voter("c", false), Stop("c"), Isolate("b"), Run(3_000), OneLeader, ProposeToLeader(1), Run(100),
+    Acknowledged(1),
+] })]
+// A voter that the group needs is expected to return.
+#[case::needed_voter_stays_when_it_leaves(Case { script: &[
+    Voters(3), Leave("c"), Run(100), Voter("c", true), Stop("c"), Run(1_000), Start("c"), Run(1_000),
+    Voter("c", true), Leads("a", true),
+] })]
+// The leader has to hand over first.
+#[case::leaving_leader_stays(Case { script: &[
+    Voters(2), Leave("a"), Run(100), Voter("a", true), Leads("a", true),
+] })]
+// An announcement of an instance that has lost its disk since does not remove its successor.
+#[case::leave_of_an_earlier_identity(Case { script: &[
+    Voters(2), Stop("c"), Wipe("c"), Start("c"), Leave("c"), Run(100), Voter("c", true),
+] })]
 // An instance that was removed while it was isolated can join again.
 #[case::removed_voter_returns(Case { script: &[
     Voters(3), Run(1_000), Start("d"), Voters(3), Join("d"), Run(1_000), Voter("d", true),
--- a/toucangrade/src/node/control.rs
+++ b/toucangrade/src/node/control.rs
@@ -3,6 +3,7 @@
 
 use std::io;
 use std::net::{IpAddr, SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::Duration;
@@ -28,6 +29,10 @@
 const HANDOVER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Interval of checks for another leader on shutdown.
 const HANDOVER_POLL_INTERVAL: Duration = Duration::from_millis(25);
+/// Longest wait for the removal from the control group on shutdown.
+const LEAVE_TIMEOUT: Span = Span::millis(1_000);
+/// Interval of announcements to the leader on shutdown.
+const LEAVE_INTERVAL: Span = Span::millis(50);
 /// Longest wait for requests in progress on shutdown.
 const STOP_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Syncs of the log that take longer are reported; sound disks take 4 to 9 ms.
@@ -128,7 +133,7 @@
             name: self.context.name.clone(),
             founders: self.founders(),
             seed: rand::random(),
-            target_voters: Some(2 * self.context.settings.losses + 1),
+            target_voters: Some(target_voters(&self.context.settings)),
         };
         let control = self.clone();
         let send = Box::new(move |to: Name, body| {
@@ -381,6 +386,12 @@
             Request::Ask(request) => self.ask(*request).await.map_or_else(refused, Reply::Told),
             Request::Find => self.group_reply(),
             Request::Join(replica) => self.accept_join(replica),
+            Request::Leave(replica) => {
+                info!(name = %replica.name, "leave announced");
+                // The instance repeats the announcement until it is no member any more.
+                drop(self.agreement.offer(agreement::Message::Leave(replica)));
+                self.group_reply()
+            },
             Request::Report(report) => {
                 self.report(report).await.map_or_else(refused, Reply::Ordered)
             },
@@ -401,8 +412,47 @@
         Reply::Found { leader: group.leader.clone(), members: names(&group.members) }
     }
 
-    /// Transfers leadership, then stops the replicated log once its pending writes are on disk.
+    /// Whether the group has voters to spare, so that it removes one that stops.
+    fn has_spare_voters(&self) -> bool {
+        let target = target_voters(&self.context.settings);
+        lock(&self.group).members.voters().count() > target
+    }
+
+    /// Announces to the leader that this instance stops, until it is no member any more or
+    /// `LEAVE_TIMEOUT` is over.
+    fn leave(&self) {
+        let Some(me) = lock(&self.driver).as_ref().map(|driver| driver.me().clone()) else {
+            return;
+        };
+        let left = Arc::new(AtomicBool::new(false));
+        let body = peer::encode(&Request::Leave(me));
+        let polls = LEAVE_TIMEOUT.as_millis() / LEAVE_INTERVAL.as_millis();
+        for _ in 0..polls {
+            if left.load(Ordering::Relaxed) || !self.has_spare_voters() {
+                break;
+            }
+            let leader = self.leader().filter(|leader| *leader != self.context.name);
+            if let Some(addr) = leader.and_then(|name| self.context.settings.addr(&name)) {
+                let (left, name) = (Arc::clone(&left), self.context.name.clone());
+                let exchange = Exchange::post(addr, peer::PATH, body.clone(), LEAVE_INTERVAL);
+                self.context.client.send(exchange, move |result| {
+                    if let Ok(Reply::Found { members, .. }) = peer::reply(result)
+                        && !members.is_empty()
+                        && !members.contains(&name)
+                    {
+                        left.store(true, Ordering::Relaxed);
+                    }
+                });
+            }
+            thread::sleep(LEAVE_INTERVAL.duration());
+        }
+        info!(left = left.load(Ordering::Relaxed), "leaving the control group");
+    }
+
+    /// Transfers leadership and leaves the group if it has voters to spare, then stops the
+    /// replicated log once its pending writes are on disk.
     pub fn stop(&self) {
+        self.quorum.push(quorum::Message::Stop);
         self.agreement.push(agreement::Message::Transfer { to: None });
         let is_leader = || self.leader().as_ref() == Some(&self.context.name);
         let polls = HANDOVER_TIMEOUT.as_millis() / HANDOVER_POLL_INTERVAL.as_millis();
@@ -412,6 +462,9 @@
             }
             thread::sleep(HANDOVER_POLL_INTERVAL);
         }
+        if self.has_spare_voters() {
+            self.leave();
+        }
         let server = lock(&self.server).take();
         if let Some(server) = server {
             server.stop_within(STOP_TIMEOUT);
@@ -422,6 +475,11 @@
     }
 }
 
+/// Number of voters that tolerates the configured losses.
+fn target_voters(settings: &NodeSettings) -> usize {
+    2 * settings.losses + 1
+}
+
 fn names(members: &Members) -> Vec<Name> {
     members.iter().map(|(name, _)| name.clone()).collect()
 }
--- a/toucangrade/src/node/tests.rs
+++ b/toucangrade/src/node/tests.rs
@@ -314,6 +314,56 @@
     }
 }
 
+struct Replacement {
+    subnet: u8,
+    /// Order in which the founders stop; the first leader may be any of them.
+    order: [usize; 3],
+}
+
+/// Guards against a group that can't elect a leader for good after all of its instances were
+/// replaced as planned: those that had stopped counted as voters for 5 s.
+#[rstest]
+#[case::in_order(Replacement { subnet: 110, order: [0, 1, 2] })]
+#[case::in_reverse(Replacement { subnet: 120, order: [2, 1, 0] })]
+fn planned_replacement_keeps_a_leader(#[case] case: Replacement) {
+    let mut group = Group::new(case.subnet);
+    group.configure();
+    let folders = [0; 3].map(|_| tempfile::tempdir().expect("temporary folder"));
+    let counted = [0; 3].map(|_| meter());
+    let successors: Vec<Control> = folders
+        .iter()
+        .zip(&counted)
+        .enumerate()
+        .map(|(at, (folder, meter))| {
+            let ip = address(case.subnet + 3 + at as u8);
+            let settings = NodeSettings::builder(ip, PORT).seeds(group.ips.to_vec());
+            let settings = settings.data(Some(folder.path().to_owned())).build();
+            Control::start(settings, meter.clone()).expect("control starts")
+        })
+        .collect();
+    let began = Instant::now();
+    let voters = |meter: &Meter, count: u64| {
+        let text = group.runtime.block_on(meter.text()).expect("metrics are not shed");
+        text.contains(&format!("toucangrade_voters {count}\n"))
+    };
+    while !counted.iter().all(|meter| voters(meter, 6)) {
+        assert!(began.elapsed() < TEST_TIMEOUT, "the successors do not become voters");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    for at in case.order {
+        let stopped = group.instances[at].take().expect("a running instance");
+        stopped.stop();
+    }
+    group.instances = successors
+        .into_iter()
+        .map(Some)
+        .collect::<Vec<_>>()
+        .try_into()
+        .unwrap_or_else(|_| unreachable!("three successors"));
+    group.configure();
+    group.stop();
+}
+
 /// The files of a folder, on a disk that takes no more bytes while `full` is set.
 fn disk(folder: &tempfile::TempDir, full: &Arc<AtomicBool>) -> Disk {
     let mut disk = Disk::directory(folder.path()).expect("folder can be used");
--- a/toucangrade/src/peer/mod.rs
+++ b/toucangrade/src/peer/mod.rs
@@ -43,6 +43,8 @@
     Identify,
     /// Asks for membership of an instance in the control group.
     Join(agreement::Replica),
+    /// Announces to the leader that a control instance stops.
+    Leave(agreement::Replica),
     /// Asks a control instance for durable items that the sender lacks, given those it holds.
     Missing(Vec<Held>),
     /// An operator's request, forwarded from a control instance to the leader.
--- a/toucangrade/src/peer/tests/fuzz.rs
+++ b/toucangrade/src/peer/tests/fuzz.rs
@@ -126,7 +126,8 @@
         ask(Verb::Show),
         Request::Report(Box::new(report())),
         Request::Agree(message),
-        Request::Join(replica),
+        Request::Join(replica.clone()),
+        Request::Leave(replica),
         Request::Find,
     ]
 }
--- a/toucangrade/src/quorum/mod.rs
+++ b/toucangrade/src/quorum/mod.rs
@@ -41,6 +41,8 @@
     LogMembers(Vec<Name>),
     /// Replaces the configured seeds.
     Seeds(Vec<Name>),
+    /// This instance stops and must not join again.
+    Stop,
     /// Periodic timer, every `TICK`.
     Tick,
 }
@@ -66,6 +68,7 @@
     #[serde(rename = "asked")]
     last_join: Moment,
     seeds: Vec<Name>,
+    stopping: bool,
     /// Other control instances, with the number of consecutive requests whose answers did not name
     /// them.
     found: BTreeMap<Name, u32>,
@@ -83,6 +86,7 @@
             leaderless_since: Some(Moment::START),
             last_join: Moment::START,
             seeds,
+            stopping: false,
             found: BTreeMap::new(),
             answered: false,
         }
@@ -99,12 +103,17 @@
                 self.learn(names);
             },
             Message::Seeds(seeds) => self.seeds = seeds,
+            Message::Stop => self.stopping = true,
             Message::Tick => {},
         }
         let founding = self.founder && now.since(Moment::START) < FOUNDING_PERIOD;
         let has_leader =
             self.leaderless_since.is_none_or(|since| now.since(since) < LEADERLESS_LIMIT);
-        if (self.member && has_leader) || founding || now.since(self.last_join) < JOIN_INTERVAL {
+        if self.stopping
+            || (self.member && has_leader)
+            || founding
+            || now.since(self.last_join) < JOIN_INTERVAL
+        {
             return Vec::new();
         }
         self.last_join = now;
