Take a job's id from what follows the prefix of its queue

Under a prefix that doesn't end with a slash each job got 404. A queue whose prefix holds part of an id, or digits more, took a job under the whole id, and the number of pending jobs couldn't be read at a prefix that ends with 16 digits.

Cause: the id was the last segment of the path, and nothing compared it with the rest of the path after the prefix.

Evidence: on the code of longer_prefix, digits_before_the_id and prefix_that_ends_like_a_job_shows_pending_jobs fail.

--- a/toucangrade/src/dispatch/answers.rs
+++ b/toucangrade/src/dispatch/answers.rs
@@ -26,6 +26,11 @@
     })
 }
 
+/// Whether a path without the prefix of its queue is the name of a job, in 16 digits.
+fn names_job(rest: &str, job: u64) -> bool {
+    rest.len() == 16 && u64::from_str_radix(rest, 16) == Ok(job)
+}
+
 fn occupied() -> ClientReply {
     ClientReply::Bad("another queue has a job with this id".to_owned())
 }
@@ -60,11 +65,13 @@
             return self.answer(ticket, Some(reply));
         };
         match (verb, job) {
-            (Verb::Show, None) if rest.is_empty() => {
+            (Verb::Show, _) if rest.is_empty() => {
                 let pending = self.pending(queue);
                 self.answer(ticket, Some(ClientReply::Pending(pending)));
             },
-            (_, Some(_)) if rest.contains('/') => self.answer(ticket, Some(ClientReply::NoQueue)),
+            (_, Some(job)) if !names_job(rest, job) => {
+                self.answer(ticket, Some(ClientReply::NoQueue));
+            },
             (Verb::Show, Some(job)) => {
                 let reply =
                     self.job_state(queue, job).map_or(ClientReply::Gone, ClientReply::State);
--- a/toucangrade/src/dispatch/tests/queues.rs
+++ b/toucangrade/src/dispatch/tests/queues.rs
@@ -179,3 +179,56 @@
     assert_eq!(world.answers[&ticket], Some(ClientReply::Bad(reason)));
     assert_eq!(world.state("recon", 7), Some(ClientReply::State(JobState::Queued)));
 }
+
+struct Address {
+    /// Prefixes of the queues.
+    prefixes: &'static [&'static str],
+    /// Path at which job 7 is submitted.
+    path: &'static str,
+    reply: ClientReply,
+}
+
+/// A job is named by the prefix of its queue followed by its id. With a prefix that doesn't end with a
+/// slash, requests got 404, or were taken for a job of a queue whose prefix holds part of the id.
+#[rstest]
+#[case::slash(Address {
+    prefixes: &["/a/"], path: "/a/0000000000000007", reply: ClientReply::Accepted,
+})]
+#[case::no_slash(Address {
+    prefixes: &["/a"], path: "/a0000000000000007", reply: ClientReply::Accepted,
+})]
+#[case::longer_prefix(Address {
+    prefixes: &["/a/", "/a/00"], path: "/a/0000000000000007", reply: ClientReply::NoQueue,
+})]
+#[case::further_segment(Address {
+    prefixes: &["/a/"], path: "/a/b/0000000000000007", reply: ClientReply::NoQueue,
+})]
+#[case::digits_before_the_id(Address {
+    prefixes: &["/a/"], path: "/a/10000000000000007", reply: ClientReply::NoQueue,
+})]
+fn jobs_are_named_by_prefix_and_id(#[case] case: Address) {
+    let mut world = World::new();
+    let mut setup = setup(2);
+    let template = setup.queues.remove(0);
+    let queue = |prefix: &&str| Queue {
+        name: (*prefix).into(),
+        prefix: (*prefix).into(),
+        ..template.clone()
+    };
+    setup.queues = case.prefixes.iter().map(queue).collect();
+    world.ask("", Verb::Configure(Arc::new(setup)), None);
+    let verb = Verb::Submit { spec: "spec".into(), steps: vec![step(1, 1_000)], schedule: None };
+    let ticket = world.ask(case.path, verb, Some(7));
+    assert_eq!(world.answers[&ticket], Some(case.reply));
+}
+
+/// The number of pending jobs is read at the prefix, also if that ends like the name of a job.
+#[test]
+fn prefix_that_ends_like_a_job_shows_pending_jobs() {
+    let mut world = World::new();
+    let mut setup = setup(2);
+    setup.queues[0].prefix = "/0000000000000007".into();
+    world.ask("", Verb::Configure(Arc::new(setup)), None);
+    let ticket = world.ask("/0000000000000007", Verb::Show, Some(7));
+    assert_eq!(world.answers[&ticket], Some(ClientReply::Pending(0)));
+}
