--- a/toucangrade/src/hosting/mod.rs
+++ b/toucangrade/src/hosting/mod.rs
@@ -36,8 +36,8 @@
 const LIST_MIN_INTERVAL: Span = Span::millis(60);
 /// Delay before a listing is requested again after a failed one.
 const LIST_RETRY_DELAY: Span = Span::millis(150);
-/// Consecutive refused connections after which the runner's process counts as ended. A process that
-/// restarts on the same port is back after a second at the earliest.
+/// Consecutive refused connections after which the runner's process counts as ended. No order is
+/// sent after the first, so none reaches a process that starts on the port later.
 const REFUSALS_LIMIT: u32 = 3;
 /// Time since the last confirmation of the current incarnation after which no order is sent to it,
 /// since another incarnation may answer under its name.
