--- a/toucangrade/src/jobs/declared.rs
+++ b/toucangrade/src/jobs/declared.rs
@@ -158,9 +158,8 @@
 pub struct Job {
     /// Id that the caller chose.
     pub id: u64,
-    /// Reference to its queue: the queue's name in the configuration in force, or its address
-    /// ([`Queue::address`](super::Queue::address)) if no queue has that address now or an earlier
-    /// queue has the same name.
+    /// Reference to its queue: the queue's name in the configuration in force, or its host and prefix
+    /// if no queue has them now or an earlier queue has the same name.
     pub queue: Arc<str>,
     /// Opaque text that is passed to the runners.
     pub spec: Arc<str>,
