Log when starts are ordered and confirmed, and what a read of waiting jobs counted

Callers saw a queue that says that 0 jobs wait while others had waited for 5 s. The logs could not tell whether the orders of these jobs had been sent, nor from which state the number came. No decision changes. 160 dispatch tests pass.

--- a/scripts/trace.py
+++ b/scripts/trace.py
@@ -38,10 +38,14 @@
 
 def mentions_job(fields, job):
     """Whether the fields name the job or one of its runs."""
-    return any(str(fields.get(name, "")).startswith(job) for name in ("job", "run"))
+    names = [str(fields.get(name, "")) for name in ("job", "run")]
+    return any(name.startswith(job) for name in names + str(fields.get("runs", "")).split())
 
 
-def show(mark, time, source, fields):
+def show(mark, time, source, fields, job=""):
+    if "runs" in fields:
+        runs = [run for run in str(fields["runs"]).split() if run.startswith(job)]
+        fields = {**fields, "runs": " ".join(runs)}
     rest = " ".join(f"{k}={v}" for k, v in fields.items() if k != "message")
     print(f"{mark} {time[11:23]} {source:28} {fields.get('message', '')}: {rest}")
 
@@ -57,7 +61,7 @@
     first, last = own[0][0], own[-1][0]
     for time, source, fields in found:
         if mentions_job(fields, job):
-            show(" ", time, source, fields)
+            show(" ", time, source, fields, job)
         elif first <= time <= last and fields.get("message") in CLUSTER_MESSAGES:
             show("~", time, source, fields)
 
--- a/toucangrade/src/dispatch/answers.rs
+++ b/toucangrade/src/dispatch/answers.rs
@@ -6,7 +6,7 @@
 use super::message::{ClientReply, ClientRequest, Effect, JobState, Verb};
 use super::settings::{JOB_RETENTION, WITHDRAWN_LIMIT};
 use crate::core::{Moment, Span};
-use crate::jobs::{Applied, Command, Job, Phase, Queue};
+use crate::jobs::{Applied, Command, Job, LiveRun, Phase, Queue, RunKey};
 
 /// Most jobs removed by one [`Command::Forget`].
 const FORGET_LIMIT: usize = 64;
@@ -67,6 +67,7 @@
         match (verb, job) {
             (Verb::Show, _) if rest.is_empty() => {
                 let pending = self.pending(queue);
+                self.log_pending(queue, pending);
                 self.answer(ticket, Some(ClientReply::Pending(pending)));
             },
             (_, Some(job)) if !names_job(rest, job) => {
@@ -147,6 +148,34 @@
         entries.filter(|entry| entry.job.queue == queue && !entry.begun).count() as u64
     }
 
+    /// Logs what a count of waiting jobs was made from: among the jobs counted as begun may be some of
+    /// which no runner has shown a run.
+    fn log_pending(&self, queue: &Queue, pending: u64) {
+        let reference = self.job_table.reference(queue);
+        let entries = self.active.iter().filter_map(|id| self.job_table.jobs.get(id));
+        let begun = entries.filter(|entry| entry.job.queue == reference && entry.begun);
+        let unconfirmed = begun.filter(|entry| {
+            let mut runs = entry.live_runs();
+            entry.untouched() && !runs.any(|(key, live)| self.is_listed(key, live))
+        });
+        let (unconfirmed, oldest) = unconfirmed
+            .fold((0_u64, self.wall), |(count, wall), entry| (count + 1, wall.min(entry.wall)));
+        tracing::info!(
+            queue = &*queue.name,
+            pending,
+            unconfirmed,
+            oldest_ms = self.wall - oldest,
+            index = self.index,
+            "waiting jobs counted"
+        );
+    }
+
+    /// Whether a runner has shown a run since this instance leads.
+    fn is_listed(&self, key: RunKey, live: &LiveRun) -> bool {
+        let holder = self.fleet.holder(&live.incarnation, key);
+        self.fleet.run(&holder, key).is_some_and(|run| run.listed)
+    }
+
     /// Reference to a queue for a command. While a configuration is proposed, it is the address,
     /// since the name may belong to another queue once the command is applied.
     fn queue_reference(&self, queue: &Queue) -> Arc<str> {
--- a/toucangrade/src/dispatch/fleet.rs
+++ b/toucangrade/src/dispatch/fleet.rs
@@ -32,6 +32,8 @@
     pub(crate) target: u64,
     /// When this instance added it.
     pub(crate) since: Moment,
+    /// Whether this instance has sent the order to start it.
+    pub(crate) ordered: bool,
     /// Whether the runner has listed it.
     pub(crate) listed: bool,
     pub(crate) saved: Option<Checkpoint>,
--- a/toucangrade/src/dispatch/log.rs
+++ b/toucangrade/src/dispatch/log.rs
@@ -1,8 +1,35 @@
-//! Log lines of dispatch: one for each command applied to the replicated state.
+//! Log lines of dispatch: one for each command applied to the replicated state, and for the starts that
+//! are ordered and confirmed in one message.
+
+use std::fmt;
 
 use tracing::info;
 
-use crate::jobs::{Applied, Command, Job};
+use crate::jobs::{Applied, Command, Incarnation, Job, RunKey};
+
+/// Runs in one field of a log line.
+struct Runs<'a>(&'a [RunKey]);
+
+impl fmt::Display for Runs<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (at, key) in self.0.iter().enumerate() {
+            write!(f, "{}{key}", if at > 0 { " " } else { "" })?;
+        }
+        Ok(())
+    }
+}
+
+/// Logs the runs whose orders leave the leader for the first time.
+pub(super) fn ordered(incarnation: &Incarnation, runs: &[RunKey], index: u64) {
+    let (runner, born) = (incarnation.runner.as_str(), incarnation.born);
+    info!(runner, born, index, runs = %Runs(runs), "starts ordered");
+}
+
+/// Logs the runs of which a runner has shown for the first time that it has started them.
+pub(super) fn confirmed(incarnation: &Incarnation, runs: &[RunKey], index: u64) {
+    let (runner, born) = (incarnation.runner.as_str(), incarnation.born);
+    info!(runner, born, index, runs = %Runs(runs), "starts confirmed");
+}
 
 pub(super) fn applied(command: &Command, outcome: Applied) {
     let outcome = tracing::field::debug(outcome);
--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -346,6 +346,7 @@
             image: step.image.clone().unwrap_or_default(),
             target: step.target,
             since: now,
+            ordered: false,
             listed: false,
             saved: entry.task(key.task)?.saved.clone(),
             percent: 0,
@@ -454,25 +455,9 @@
             self.ended.entry(*id).or_insert(now);
         }
         self.fleet.leases.clear();
-        let mut live = Vec::new();
-        for (id, entry) in &self.job_table.jobs {
-            for (round, state) in &entry.rounds {
-                for (step, tasks) in state.steps.iter().enumerate() {
-                    for (index, task) in tasks.iter().enumerate() {
-                        let key = TaskKey {
-                            job: *id,
-                            round: *round,
-                            step: step as u16,
-                            index: index as u16,
-                        };
-                        let runs = task.live.iter();
-                        live.extend(runs.map(|l| {
-                            (RunKey { task: key, run: l.run }, Arc::clone(&l.incarnation))
-                        }));
-                    }
-                }
-            }
-        }
+        let entries = self.job_table.jobs.values();
+        let live = entries.flat_map(JobEntry::live_runs);
+        let live: Vec<_> = live.map(|(key, run)| (key, Arc::clone(&run.incarnation))).collect();
         for (key, incarnation) in live {
             if let Some(run) = self.new_run(now, key) {
                 self.fleet.add_run(&incarnation, key, run, now);
--- a/toucangrade/src/dispatch/reports.rs
+++ b/toucangrade/src/dispatch/reports.rs
@@ -3,7 +3,7 @@
 use super::fleet::{Parked, Worker, hold_end, lease_end};
 use super::message::{Denial, Effect, Orders, Report, RunProfile, Start};
 use super::settings::{LEASE_DURATION, ORDERS_AFTER_ANSWER, PARK_LIMIT, TABLE_EVERY};
-use super::{Dispatch, Run};
+use super::{Dispatch, Run, log};
 use crate::core::{Moment, Name};
 use crate::jobs::{Checkpoint, Command, End, Incarnation, Phase, RunKey};
 use crate::pressure::{Sample, Serving, Table};
@@ -95,8 +95,12 @@
         incarnation: &Incarnation,
         report: &Report,
     ) {
+        let mut confirmed = Vec::new();
         for row in &report.rows {
             let Some(run) = self.fleet.run_mut(incarnation, row.key) else { continue };
+            if !run.listed {
+                confirmed.push(row.key);
+            }
             let before = run.at_work();
             run.update(row, read);
             if run.at_work() && !before {
@@ -108,6 +112,16 @@
                 }
             }
         }
+        for ended in &report.ended {
+            // Its end is listed before any listing has shown it.
+            let Some(run) = self.fleet.run_mut(incarnation, ended.key) else { continue };
+            if !std::mem::replace(&mut run.listed, true) {
+                confirmed.push(ended.key);
+            }
+        }
+        if !confirmed.is_empty() {
+            log::confirmed(incarnation, &confirmed, self.index);
+        }
     }
 
     /// Passes the figures of tasks that share a runner to the interference model.
@@ -289,9 +303,23 @@
                 orders.stops.push(*key);
             }
         }
+        let sent: Vec<RunKey> = orders.starts.iter().map(|start| start.key).collect();
+        let incarnation = runner.incarnation.clone();
+        self.record_ordered(&incarnation, sent);
         orders
     }
 
+    /// Marks runs as ordered, and logs those that had not been.
+    fn record_ordered(&mut self, incarnation: &Incarnation, mut runs: Vec<RunKey>) {
+        runs.retain(|key| {
+            let run = self.fleet.run_mut(incarnation, *key);
+            run.is_some_and(|run| !std::mem::replace(&mut run.ordered, true))
+        });
+        if !runs.is_empty() {
+            log::ordered(incarnation, &runs, self.index);
+        }
+    }
+
     fn late_runs(&self, incarnation: &Incarnation) -> Vec<RunKey> {
         let runs = self.fleet.leases.get(incarnation).into_iter().flat_map(|lease| &lease.runs);
         let filling = runs.filter(|(_, run)| run.fills).map(|(key, _)| *key);
--- a/toucangrade/src/jobs/book.rs
+++ b/toucangrade/src/jobs/book.rs
@@ -100,6 +100,26 @@
         round.steps.get_mut(usize::from(key.step))?.get_mut(usize::from(key.index))
     }
 
+    /// Runs without a recorded end.
+    pub(crate) fn live_runs(&self) -> impl Iterator<Item = (RunKey, &LiveRun)> {
+        let job = self.job.id;
+        self.rounds.iter().flat_map(move |(&round, state)| {
+            state.steps.iter().enumerate().flat_map(move |(step, tasks)| {
+                tasks.iter().enumerate().flat_map(move |(index, task)| {
+                    let task_key = TaskKey { job, round, step: step as u16, index: index as u16 };
+                    let key = move |live: &LiveRun| RunKey { task: task_key, run: live.run };
+                    task.live.iter().map(move |live| (key(live), live))
+                })
+            })
+        })
+    }
+
+    /// Whether no task shows that a run of it was started: none is done, has failed or was saved.
+    pub(crate) fn untouched(&self) -> bool {
+        let mut tasks = self.rounds.values().flat_map(|round| &round.steps).flatten();
+        !tasks.any(|task| task.done || task.failed > 0 || task.saved.is_some())
+    }
+
     /// Whether a task that has to end has failed this often.
     fn exhausted(&self, attempts: u32) -> bool {
         let failed = |task: &Task| !task.done && task.failed > 0 && task.failed >= attempts;
