Add the failing test of jobs that are said not to wait

Callers saw that no job of a queue waits while jobs had waited for seconds. The test brings about each way in which a start stays unconfirmed.

--- a/toucangrade/src/dispatch/tests.rs
+++ b/toucangrade/src/dispatch/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of dispatch with a log that commits at once and scripted agents.
 
 mod answers;
+mod begun;
 mod exclusion;
 mod extremes;
 mod faulty_runners;
