Count a job as begun only once a runner has shown that it started a task

Callers saw that 0 jobs of a queue wait while 8 or more had waited for five seconds, and the state running for jobs of which no task had been started. Cause: the log holds assignments, and JobEntry::begun was set by them. A job counted as begun although its order had not been sent, was lost or was refused. What the group intends was read as what a runner has confirmed. Change: a confirmed start is a fact of its own (Command::Begin), proposed when a listing first shows a run of a job and repeated while the log refuses it; a listed end records it too. It is stored as the opening of a repetition that no job has, so instances of earlier versions decode and ignore it. Stored and sent shapes stay as they are. The randomised runs compare counts and records with what the simulated runners have started.

--- a/toucangrade/src/dispatch/answers.rs
+++ b/toucangrade/src/dispatch/answers.rs
@@ -6,7 +6,7 @@
 use super::message::{ClientReply, ClientRequest, Effect, JobState, Verb};
 use super::settings::{JOB_RETENTION, WITHDRAWN_LIMIT};
 use crate::core::{Moment, Span};
-use crate::jobs::{Applied, Command, Job, LiveRun, Phase, Queue, RunKey};
+use crate::jobs::{Applied, Command, Job, JobEntry, Phase, Queue};
 
 /// Most jobs removed by one [`Command::Forget`].
 const FORGET_LIMIT: usize = 64;
@@ -66,7 +66,7 @@
         };
         match (verb, job) {
             (Verb::Show, _) if rest.is_empty() => {
-                let pending = self.pending(queue);
+                let pending = self.waiting_jobs(queue).count() as u64;
                 self.log_pending(queue, pending);
                 self.answer(ticket, Some(ClientReply::Pending(pending)));
             },
@@ -142,40 +142,29 @@
         })
     }
 
-    fn pending(&self, queue: &Queue) -> u64 {
+    /// Active jobs of a queue of which no runner is known to have started a run. Some of them are
+    /// assigned: whether an assigned run has started is not known before its runner shows it.
+    fn waiting_jobs(&self, queue: &Queue) -> impl Iterator<Item = &JobEntry> {
         let queue = self.job_table.reference(queue);
         let entries = self.active.iter().filter_map(|id| self.job_table.jobs.get(id));
-        entries.filter(|entry| entry.job.queue == queue && !entry.begun).count() as u64
+        entries.filter(move |entry| entry.job.queue == queue && !entry.begun)
     }
 
-    /// Logs what a count of waiting jobs was made from: among the jobs counted as begun may be some of
-    /// which no runner has shown a run.
+    /// Logs what a count of waiting jobs was made from, and how many of them are assigned.
     fn log_pending(&self, queue: &Queue, pending: u64) {
-        let reference = self.job_table.reference(queue);
-        let entries = self.active.iter().filter_map(|id| self.job_table.jobs.get(id));
-        let begun = entries.filter(|entry| entry.job.queue == reference && entry.begun);
-        let unconfirmed = begun.filter(|entry| {
-            let mut runs = entry.live_runs();
-            entry.untouched() && !runs.any(|(key, live)| self.is_listed(key, live))
-        });
-        let (unconfirmed, oldest) = unconfirmed
+        let assigned = self.waiting_jobs(queue).filter(|entry| entry.live_runs().next().is_some());
+        let (assigned, oldest) = assigned
             .fold((0_u64, self.wall), |(count, wall), entry| (count + 1, wall.min(entry.wall)));
         tracing::info!(
             queue = &*queue.name,
             pending,
-            unconfirmed,
+            assigned,
             oldest_ms = self.wall - oldest,
             index = self.index,
             "waiting jobs counted"
         );
     }
 
-    /// Whether a runner has shown a run since this instance leads.
-    fn is_listed(&self, key: RunKey, live: &LiveRun) -> bool {
-        let holder = self.fleet.holder(&live.incarnation, key);
-        self.fleet.run(&holder, key).is_some_and(|run| run.listed)
-    }
-
     /// Reference to a queue for a command. While a configuration is proposed, it is the address,
     /// since the name may belong to another queue once the command is applied.
     fn queue_reference(&self, queue: &Queue) -> Arc<str> {
--- a/toucangrade/src/dispatch/log.rs
+++ b/toucangrade/src/dispatch/log.rs
@@ -41,6 +41,7 @@
         Command::Assign { key, incarnation } => {
             info!(run = %key, runner = %incarnation.runner, born = incarnation.born, outcome, "assign");
         },
+        Command::Begin { job } => info!(job = format_args!("{job:016x}"), outcome, "begin"),
         Command::Cancel { job, .. } => info!(job = format_args!("{job:016x}"), outcome, "cancel"),
         Command::Close { key, end, .. } => info!(run = %key, ?end, outcome, "close"),
         Command::Configure(setup) => {
--- a/toucangrade/src/dispatch/message.rs
+++ b/toucangrade/src/dispatch/message.rs
@@ -55,9 +55,9 @@
     Completed,
     /// One of its tasks has failed as often as its queue allows.
     Failed,
-    /// No task has been started.
+    /// No runner is known to have started a task.
     Queued,
-    /// Tasks have been started.
+    /// A runner has started a task.
     Running,
 }
 
--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -90,6 +90,9 @@
     /// Runs for which a [`Command::Close`] is proposed.
     #[serde(skip)]
     closing: BTreeSet<RunKey>,
+    /// Jobs for which a [`Command::Begin`] is proposed.
+    #[serde(skip)]
+    beginning: BTreeSet<u64>,
     /// Proposed repetitions, as (job, round); cancellations have the round `u32::MAX`.
     #[serde(skip)]
     opening: BTreeSet<(u64, u32)>,
@@ -138,6 +141,7 @@
             assigning: BTreeMap::new(),
             moving: BTreeMap::new(),
             closing: BTreeSet::new(),
+            beginning: BTreeSet::new(),
             opening: BTreeSet::new(),
             ended: BTreeMap::new(),
             durations: BTreeMap::new(),
@@ -271,8 +275,9 @@
         if self.leading {
             log::applied(command, applied);
         }
-        // An assignment that was applied was allocated when it was proposed.
-        self.dirty |= applied != Applied::Assigned;
+        // An assignment that was applied was allocated when it was proposed, and a confirmed start
+        // leaves the room as it is.
+        self.dirty |= applied != Applied::Assigned && !matches!(command, Command::Begin { .. });
         match command {
             Command::Accept { job, .. } => {
                 let entry = self.job_table.jobs.get(&job.id);
@@ -288,6 +293,9 @@
                     self.add_run(now, *key, incarnation, touched);
                 }
             },
+            Command::Begin { job } => {
+                self.beginning.remove(job);
+            },
             Command::Cancel { job, .. } => {
                 self.opening.remove(&(*job, u32::MAX));
                 if applied == Applied::Withdrawn {
@@ -503,6 +511,7 @@
         self.assigning.clear();
         self.moving.clear();
         self.closing.clear();
+        self.beginning.clear();
         self.opening.clear();
         self.clear_waits();
         for (_, ticket) in self.waiters.drain(..) {
@@ -521,6 +530,7 @@
         for command in &proposal.commands {
             match command {
                 Command::Assign { key, .. } => drop(self.assigning.remove(key)),
+                Command::Begin { job } => drop(self.beginning.remove(job)),
                 Command::Cancel { job, .. } => drop(self.opening.remove(&(*job, u32::MAX))),
                 Command::Close { key, .. } => drop(self.closing.remove(key)),
                 Command::Open { job, round } => drop(self.opening.remove(&(*job, *round))),
--- a/toucangrade/src/dispatch/reports.rs
+++ b/toucangrade/src/dispatch/reports.rs
@@ -46,6 +46,7 @@
             lease.expires = lease.expires.max(expires);
             lease.over = false;
             self.record_progress(now, read, incarnation, &report);
+            self.record_begun(incarnation, &report);
             self.record_sample(now, &report);
             self.record_ends(now, incarnation, &report);
             if report.gone {
@@ -124,6 +125,21 @@
         }
     }
 
+    /// Proposes to record the jobs that a listing shows to have begun. A refused proposal is repeated
+    /// with the next listing. For a run that has ended, the record of its end is enough.
+    fn record_begun(&mut self, incarnation: &Incarnation, report: &Report) {
+        for row in &report.rows {
+            let job = row.key.task.job;
+            let begun = self.job_table.jobs.get(&job).is_none_or(|entry| entry.begun);
+            if !begun
+                && self.fleet.run(incarnation, row.key).is_some()
+                && self.beginning.insert(job)
+            {
+                self.propose(Command::Begin { job }, None);
+            }
+        }
+    }
+
     /// Passes the figures of tasks that share a runner to the interference model.
     fn record_sample(&mut self, now: Moment, report: &Report) {
         let Some(runner) = &report.runner else { return };
--- a/toucangrade/src/jobs/book.rs
+++ b/toucangrade/src/jobs/book.rs
@@ -83,7 +83,8 @@
     pub(crate) rounds: BTreeMap<u32, Repetition>,
     /// Number of repetitions added so far.
     pub(crate) opened: u32,
-    /// Whether any run was ever assigned.
+    /// Whether a runner has shown that it had started a run. Instances of earlier versions set it when
+    /// a run is assigned, and so may their snapshots.
     pub(crate) begun: bool,
     /// Time of acceptance in ms since 1970, on the clock of the leader at that time.
     pub(crate) wall: u64,
@@ -114,12 +115,6 @@
         })
     }
 
-    /// Whether no task shows that a run of it was started: none is done, has failed or was saved.
-    pub(crate) fn untouched(&self) -> bool {
-        let mut tasks = self.rounds.values().flat_map(|round| &round.steps).flatten();
-        !tasks.any(|task| task.done || task.failed > 0 || task.saved.is_some())
-    }
-
     /// Whether a task that has to end has failed this often.
     fn exhausted(&self, attempts: u32) -> bool {
         let failed = |task: &Task| !task.done && task.failed > 0 && task.failed >= attempts;
@@ -185,6 +180,7 @@
         match command {
             Command::Accept { job, wall } => self.accept(job, *wall),
             Command::Assign { key, incarnation } => self.assign(*key, incarnation),
+            Command::Begin { job } => self.begin(*job),
             Command::Cancel { job, queue } => self.cancel(*job, queue.as_ref()),
             Command::Close { key, end, saved } => self.close(*key, *end, saved.as_ref()),
             Command::Configure(setup) => {
@@ -338,10 +334,19 @@
         }
         task.runs = key.run;
         task.live.push(LiveRun { run: key.run, incarnation: Arc::new(incarnation.clone()) });
-        entry.begun = true;
         Applied::Assigned
     }
 
+    fn begin(&mut self, job: u64) -> Applied {
+        match self.jobs.get_mut(&job).filter(|entry| !entry.begun) {
+            Some(entry) => {
+                entry.begun = true;
+                Applied::Taken
+            },
+            None => Applied::Stale,
+        }
+    }
+
     fn cancel(&mut self, job: u64, queue: Option<&Arc<str>>) -> Applied {
         let queue = queue.map(|queue| self.resolve(queue));
         match (self.jobs.get_mut(&job), queue) {
@@ -387,6 +392,8 @@
             return Applied::Stale;
         };
         task.live.remove(at);
+        entry.begun |= end.shows_start();
+        let Some(task) = entry.task_mut(key.task) else { return Applied::Stale };
         if let Some(saved) = saved {
             task.saved = Some(Arc::clone(saved));
         }
--- a/toucangrade/src/jobs/mod.rs
+++ b/toucangrade/src/jobs/mod.rs
@@ -15,7 +15,7 @@
 
 use crate::core::Name;
 
-pub(crate) use self::book::{Applied, JobEntry, JobTable, LiveRun, Phase};
+pub(crate) use self::book::{Applied, JobEntry, JobTable, Phase};
 pub use self::declared::{Job, JobError, Need, Schedule, Step};
 pub use self::setup::{Configuration, ConfigurationError, Queue, Service};
 
@@ -84,6 +84,11 @@
 }
 
 impl End {
+    /// Whether a runner has listed this end, which shows that it had started the run.
+    pub(crate) fn shows_start(self) -> bool {
+        !matches!(self, Self::Lost | Self::Refused)
+    }
+
     fn label(self) -> &'static str {
         match self {
             Self::Alone => "end_alone",
@@ -112,6 +117,11 @@
         #[serde(rename = "life")]
         incarnation: Incarnation,
     },
+    /// Records that a runner has started a run of a job. Assignments are only intentions.
+    ///
+    /// It is not stored as such, see [`Command::into_stored`].
+    #[serde(skip)]
+    Begin { job: u64 },
     /// Cancels a job of a queue. If the job is unknown, a submission that is still under way has no
     /// effect later. Without a queue, as earlier versions wrote it, only a known job is cancelled.
     Cancel {
@@ -129,12 +139,33 @@
     Open { job: u64, round: u32 },
 }
 
+/// Repetition that no job has, as jobs have fewer.
+const NO_ROUND: u32 = u32::MAX;
+
 impl Command {
+    /// Form in which the log stores the command. Instances of earlier versions stop at commands that
+    /// they can't decode, so a new one is stored as an opening that they decode and ignore.
+    pub(crate) fn into_stored(self) -> Self {
+        match self {
+            Self::Begin { job } => Self::Open { job, round: NO_ROUND },
+            other => other,
+        }
+    }
+
+    /// The command that was stored in this form.
+    pub(crate) fn from_stored(stored: Self) -> Self {
+        match stored {
+            Self::Open { job, round: NO_ROUND } => Self::Begin { job },
+            other => other,
+        }
+    }
+
     /// Label of the command in metrics.
     pub(crate) fn kind(&self) -> &'static str {
         match self {
             Self::Accept { .. } => "accept",
             Self::Assign { .. } => "assign",
+            Self::Begin { .. } => "begin",
             Self::Cancel { .. } => "cancel",
             Self::Close { end, .. } => end.label(),
             Self::Configure(_) => "configure",
--- a/toucangrade/src/jobs/tests.rs
+++ b/toucangrade/src/jobs/tests.rs
@@ -299,3 +299,49 @@
     }
     assert_eq!(table.jobs[&1].phase, case.phase);
 }
+
+/// Command as instances before confirmed starts decode it.
+#[derive(Debug, Deserialize, PartialEq)]
+enum EarlierCommand {
+    Assign { key: RunKey, life: Incarnation },
+    Close { key: RunKey, end: End, saved: Option<Checkpoint> },
+    Open { job: u64, round: u32 },
+}
+
+struct Stored {
+    command: Command,
+    earlier: EarlierCommand,
+}
+
+/// An instance of an earlier version stopped at a command that it could not decode.
+#[test]
+fn stored_commands_are_decoded_by_earlier_versions() {
+    let task = TaskKey { job: 7, round: 0, step: 0, index: 0 };
+    let key = RunKey { task, run: 1 };
+    let runner = Name::new("i-1").expect("a valid name");
+    let incarnation = Incarnation { runner, born: 10 };
+    let cases = [
+        Stored {
+            command: Command::Assign { key, incarnation: incarnation.clone() },
+            earlier: EarlierCommand::Assign { key, life: incarnation },
+        },
+        Stored {
+            command: Command::Begin { job: 7 },
+            earlier: EarlierCommand::Open { job: 7, round: u32::MAX },
+        },
+        Stored {
+            command: Command::Close { key, end: End::Done, saved: None },
+            earlier: EarlierCommand::Close { key, end: End::Done, saved: None },
+        },
+        Stored {
+            command: Command::Open { job: 7, round: 3 },
+            earlier: EarlierCommand::Open { job: 7, round: 3 },
+        },
+    ];
+    for Stored { command, earlier } in cases {
+        let bytes = crate::peer::encode(&command.clone().into_stored());
+        assert_eq!(crate::peer::decode::<EarlierCommand>(&bytes), Some(earlier));
+        let read: Command = crate::peer::decode(&bytes).expect("a decodable command");
+        assert_eq!(Command::from_stored(read), command);
+    }
+}
--- a/toucangrade/src/node/control.rs
+++ b/toucangrade/src/node/control.rs
@@ -177,7 +177,8 @@
         match effect {
             agreement::Effect::Commit { index, ticket, command } => {
                 let bytes = command.len();
-                let commands: Vec<Command> = decode_or_exit(index, &command);
+                let stored: Vec<Command> = decode_or_exit(index, &command);
+                let commands: Vec<Command> = stored.into_iter().map(Command::from_stored).collect();
                 for command in &commands {
                     self.context.meter.count("commands_total", "kind", command.kind());
                 }
@@ -247,7 +248,8 @@
         let clock = self.context.clock.clone();
         duty.spawn(&self.dispatch, clock, move |_, effect| match effect {
             dispatch::Effect::Propose { ticket, commands } => {
-                let command = peer::encode(&commands);
+                let stored: Vec<Command> = commands.into_iter().map(Command::into_stored).collect();
+                let command = peer::encode(&stored);
                 let message = agreement::Message::Propose { ticket, command };
                 if control.agreement.offer(message).is_err() {
                     let lost = false;
--- a/toucangrade/src/simulation/jobs/control.rs
+++ b/toucangrade/src/simulation/jobs/control.rs
@@ -2,9 +2,10 @@
 
 use bytes::Bytes;
 
+use super::HOST;
 use super::world::{Event, World};
 use crate::core::{Moment, Span, invariant};
-use crate::dispatch::{ClientReply, ClientRequest, Dispatch, Effect, Message};
+use crate::dispatch::{ClientReply, ClientRequest, Dispatch, Effect, Message, Verb};
 use crate::jobs::{Command, JobTable};
 use crate::peer;
 
@@ -316,6 +317,32 @@
         }
     }
 
+    /// Number of waiting jobs of a queue that the leader gives, if there is a leader that has applied
+    /// the whole log.
+    pub(super) fn waiting_jobs(&mut self, queue: &str) -> Option<u64> {
+        let at = self.log.leader?;
+        let now = self.now;
+        let control = &mut self.controls[at];
+        let current = control.applied as usize == self.log.entries.len();
+        if !control.leading || control.frozen_until > now || !current {
+            return None;
+        }
+        let moment = Moment::micros(now - control.started + 1_000_000);
+        let (host, path) = (HOST.into(), format!("/{queue}/").into());
+        let request = ClientRequest { host, path, job: None, verb: Verb::Show };
+        let message = Message::Request { ticket: 0, request: Box::new(request) };
+        let mut waiting = None;
+        for effect in control.dispatch.as_mut()?.step(moment, message) {
+            match effect {
+                Effect::Reply { ticket: 0, reply: Some(ClientReply::Pending(jobs)) } => {
+                    waiting = Some(jobs);
+                },
+                effect => self.apply_control_effect(at, effect),
+            }
+        }
+        waiting
+    }
+
     /// State of the leader as JSON, for the trace.
     pub(super) fn leader_state(&self) -> String {
         let leader = self.log.leader.and_then(|at| self.controls[at].dispatch.as_ref());
--- a/toucangrade/src/simulation/jobs/mod.rs
+++ b/toucangrade/src/simulation/jobs/mod.rs
@@ -137,6 +137,7 @@
             self.random_action();
             self.world.advance(ACTION_INTERVAL);
             self.world.check_liveness();
+            self.world.check_waiting();
         }
     }
 
--- a/toucangrade/src/simulation/jobs/truth.rs
+++ b/toucangrade/src/simulation/jobs/truth.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
+use super::QUEUES;
 use super::world::{SERVICE, World};
 use crate::core::invariant;
 use crate::dispatch::EndedRun;
@@ -13,6 +14,8 @@
 const RESTART_GRACE: u64 = 6_000_000;
 /// Time without faults within which the system must act on a change, in microseconds.
 const REACTION_TIME: u64 = 3_000_000;
+/// Time from which on a job that waits must be counted as waiting, in microseconds.
+const WAITING_TIME: u64 = 5_000_000;
 /// Maximum number of lines in the trace; older ones are dropped.
 const TRACE_LINES: usize = 1_500;
 
@@ -29,6 +32,8 @@
     pub(super) jobs: BTreeMap<u64, Arc<Job>>,
     /// Runs that ever started, with the machine and the serial number of the runner.
     pub(super) started: BTreeMap<RunKey, (usize, u64)>,
+    /// Time at which a runner first started a task of each job.
+    begun: BTreeMap<u64, u64>,
     /// Tasks with an end as done that was acknowledged to the runner.
     acknowledged: BTreeSet<TaskKey>,
     /// Time at which the last run of each task ended.
@@ -85,6 +90,7 @@
         let Some(serial) = self.machines[agent].runner.as_ref().map(|runner| runner.serial) else {
             return;
         };
+        self.truth.begun.entry(key.task.job).or_insert(self.now);
         // A late copy of a start may reach the next incarnation of a runner under the same name.
         let again = self.truth.started.insert(key, (agent, serial));
         invariant!(
@@ -128,6 +134,7 @@
     pub(super) fn apply_command(&mut self, command: &Command) {
         let applied = self.log.job_table.apply(command);
         self.truth.note(self.now, || format!("committed {applied:?}: {}", describe(command)));
+        self.check_begun(command);
         let (job, failed) = match command {
             Command::Cancel { job, .. } => (*job, false),
             Command::Close { key, end, .. } => (key.task.job, *end == End::Failed),
@@ -152,12 +159,57 @@
         }
     }
 
+    /// Checks that a job is recorded as begun only after a runner has started a task of it.
+    fn check_begun(&self, command: &Command) {
+        let job = match command {
+            Command::Assign { key, .. } | Command::Close { key, .. } => key.task.job,
+            Command::Begin { job } => *job,
+            _ => return,
+        };
+        let entry = self.log.job_table.jobs.get(&job);
+        let recorded = entry.is_some_and(|entry| entry.begun);
+        let started = self.truth.begun.contains_key(&job);
+        invariant!(
+            started || !recorded,
+            "job {job:x} is recorded as begun, but no task has started"
+        );
+    }
+
+    /// Checks that a leader counts at least half of the jobs that have waited for `WAITING_TIME`,
+    /// whatever faults are active.
+    pub(super) fn check_waiting(&mut self) {
+        for queue in QUEUES.map(|(name, _)| name) {
+            let waiting = |entry: &&JobEntry| {
+                entry.phase == Phase::Active
+                    && *entry.job.queue == *queue
+                    && (entry.wall + WAITING_TIME / 1_000) < self.wall()
+                    && !self.truth.begun.contains_key(&entry.job.id)
+            };
+            let waiting = self.log.job_table.jobs.values().filter(waiting).count() as u64;
+            let Some(counted) = self.waiting_jobs(queue) else { return };
+            invariant!(
+                counted * 2 >= waiting,
+                "{counted} jobs of {queue} are said to wait, but {waiting} do"
+            );
+        }
+    }
+
+    /// Checks that the start of a job is recorded.
+    fn check_recorded(&self) {
+        for entry in self.unfinished_jobs().filter(|entry| !entry.begun) {
+            let started = self.truth.begun.get(&entry.job.id);
+            let late = started.is_some_and(|at| at + REACTION_TIME < self.now);
+            invariant!(!late, "job {:x} has begun at {started:?} us, not recorded", entry.job.id);
+        }
+    }
+
     /// Checks that the system acts within `REACTION_TIME` when there are no faults.
     pub(super) fn check_liveness(&mut self) {
         let Some(calm) = self.calm_since() else { return self.truth.idle.clear() };
         if calm + REACTION_TIME <= self.now {
             self.check_ends();
             self.check_cancelled();
+            self.check_recorded();
         }
         let mut idle = BTreeMap::new();
         let lasting = |entry: &&JobEntry| entry.phase == Phase::Active && entry.job.lasting();
