Place runs that were never ordered elsewhere once their runner is silent

Orders only leave as answers to held reports. After a cut no report is held, but the leader goes on assigning to the runner until it counts as silent, and the tasks then waited for the end of its lease. A run for which no order has left can't have started, so it is closed as refused.

A proposal that is lost may still be committed, and reports can arrive before the end of the term: its runs stay closed to orders until then.

--- a/toucangrade/src/dispatch/fleet.rs
+++ b/toucangrade/src/dispatch/fleet.rs
@@ -32,6 +32,9 @@
     pub(crate) target: u64,
     /// When this instance added it.
     pub(crate) since: Moment,
+    /// Whether this instance has proposed it in this term, so that no other leader can have sent the
+    /// order to start it.
+    pub(crate) own: bool,
     /// Whether this instance has sent the order to start it.
     pub(crate) ordered: bool,
     /// Whether the runner has listed it.
@@ -66,6 +69,11 @@
         }
     }
 
+    /// Whether no order to start it can have been sent.
+    pub(crate) fn never_ordered(&self) -> bool {
+        self.own && !self.ordered && !self.listed
+    }
+
     /// Whether it is a lasting task that is up.
     pub(crate) fn at_work(&self) -> bool {
         self.lasting && self.percent >= 100
@@ -189,9 +197,14 @@
         self.health_incarnation.as_ref()
     }
 
+    /// Time since the agent was heard, or since the runner answered it if that is longer.
+    pub(crate) fn silence(&self, now: Moment) -> Span {
+        now.since(self.received).max(self.report.silent)
+    }
+
     /// Reason for which no new task is placed on the runner, if any.
     pub(crate) fn exclusion(&self, now: Moment) -> Option<Exclusion> {
-        let silent = now.since(self.received).max(self.report.silent) >= SILENCE_LIMIT;
+        let silent = self.silence(now) >= SILENCE_LIMIT;
         match self.runner() {
             None => Some(Exclusion::Silent),
             Some(_) if silent || self.report.gone => Some(Exclusion::Silent),
--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -195,6 +195,7 @@
         }
         self.expire_leases(now);
         self.expire_reports(now);
+        self.give_back(now);
         self.open_rounds();
         self.forget(now);
         self.moving.retain(|_, (_, since)| now.since(*since) < MOVE_RESERVATION);
@@ -288,9 +289,9 @@
                 }
             },
             Command::Assign { key, incarnation } => {
-                self.assigning.remove(key);
+                let own = self.assigning.remove(key).is_some();
                 if applied == Applied::Assigned {
-                    self.add_run(now, *key, incarnation, touched);
+                    self.add_run(now, *key, incarnation, own, touched);
                 }
             },
             Command::Begin { job } => {
@@ -331,9 +332,11 @@
         now: Moment,
         key: RunKey,
         incarnation: &Incarnation,
+        own: bool,
         touched: &mut BTreeSet<Name>,
     ) {
         let Some(run) = self.new_run(now, key) else { return };
+        let run = Run { own, ..run };
         self.fleet.add_run(incarnation, key, run, now);
         touched.extend(self.fleet.agent(incarnation).cloned());
     }
@@ -354,6 +357,7 @@
             image: step.image.clone().unwrap_or_default(),
             target: step.target,
             since: now,
+            own: false,
             ordered: false,
             listed: false,
             saved: entry.task(key.task)?.saved.clone(),
@@ -532,6 +536,9 @@
                 Command::Assign { key, .. } => drop(self.assigning.remove(key)),
                 Command::Begin { job } => drop(self.beginning.remove(job)),
                 Command::Cancel { job, .. } => drop(self.opening.remove(&(*job, u32::MAX))),
+                // A lost proposal may still be committed. Its runs stay closed to orders until the
+                // end of the term, which follows.
+                Command::Close { .. } if lost => {},
                 Command::Close { key, .. } => drop(self.closing.remove(key)),
                 Command::Open { job, round } => drop(self.opening.remove(&(*job, *round))),
                 Command::Accept { .. } | Command::Configure(_) | Command::Forget(_) => {},
--- a/toucangrade/src/dispatch/reports.rs
+++ b/toucangrade/src/dispatch/reports.rs
@@ -2,9 +2,10 @@
 
 use super::fleet::{Parked, Worker, hold_end, lease_end};
 use super::message::{Denial, Effect, Orders, Report, RunProfile, Start};
+use super::place::Exclusion;
 use super::settings::{LEASE_DURATION, ORDERS_AFTER_ANSWER, PARK_LIMIT, TABLE_EVERY};
 use super::{Dispatch, Run, log};
-use crate::core::{Moment, Name};
+use crate::core::{Moment, Name, Span};
 use crate::jobs::{Checkpoint, Command, End, Incarnation, Phase, RunKey};
 use crate::pressure::{Sample, Serving, Table};
 
@@ -242,6 +243,39 @@
         }
     }
 
+    /// Proposes the end of runs on silent runners for which no order has left: they never start, so
+    /// their tasks need not wait for the end of a lease.
+    pub(super) fn give_back(&mut self, now: Moment) {
+        let mut unordered: Vec<(Incarnation, Option<Span>, Vec<RunKey>)> = Vec::new();
+        for (incarnation, lease) in &self.fleet.leases {
+            let open = |key: &RunKey, run: &Run| run.never_ordered() && !self.closing.contains(key);
+            let runs = lease.runs.iter().filter(|(key, run)| open(key, run));
+            let runs: Vec<RunKey> = runs.map(|(key, _)| *key).collect();
+            if runs.is_empty() {
+                continue;
+            }
+            let agent = self.fleet.agent(incarnation);
+            let worker = agent.and_then(|agent| self.fleet.workers.get(agent));
+            let exclusion = worker.map_or(Some(Exclusion::Silent), |w| w.exclusion(now));
+            if exclusion == Some(Exclusion::Silent) {
+                let silent = worker.map(|worker| worker.silence(now));
+                unordered.push((incarnation.clone(), silent, runs));
+            }
+        }
+        for (incarnation, silent, runs) in unordered {
+            tracing::info!(
+                runner = %incarnation.runner,
+                born = incarnation.born,
+                runs = runs.len(),
+                silent_ms = silent.map(Span::as_millis),
+                "assignments given back"
+            );
+            for key in runs {
+                self.propose_close(&incarnation, key, End::Refused, None);
+            }
+        }
+    }
+
     /// Answers reports that have been held for [`PARK_LIMIT`].
     pub(super) fn expire_reports(&mut self, now: Moment) {
         let mut due = Vec::new();
--- a/toucangrade/src/dispatch/tests.rs
+++ b/toucangrade/src/dispatch/tests.rs
@@ -12,6 +12,7 @@
 mod load;
 mod log;
 mod queues;
+mod unreachable;
 mod views;
 mod waits;
 
