Place tasks last on runners whose agents have stopped reporting

Agents report again as soon as they are answered, so a runner without a held report some hundred ms after its last answer can probably not be reached. It was preferred as the emptiest until it counted as silent. Its room stays in use when no other runner has any. The same holds for runners whose agents hold starts back, and no run is moved to either.

--- a/toucangrade/src/dispatch/fleet.rs
+++ b/toucangrade/src/dispatch/fleet.rs
@@ -10,8 +10,8 @@
 use super::message::{Report, RunStatus, Runner};
 use super::place::Exclusion;
 use super::settings::{
-    LEASE_DURATION, LEASE_MARGIN, SILENCE_LIMIT, SLOW_CLOCK_PERCENT, STARTUP_LIMIT, STUCK_LIMIT,
-    STUCK_SHARE,
+    LEASE_DURATION, LEASE_MARGIN, REPORT_GAP, SILENCE_LIMIT, SLOW_CLOCK_PERCENT, STARTS_HELD,
+    STARTUP_LIMIT, STUCK_LIMIT, STUCK_SHARE,
 };
 use crate::core::{Moment, Name, Span};
 use crate::jobs::{Checkpoint, Incarnation, Need, RunKey};
@@ -132,6 +132,8 @@
     #[serde(rename = "heard")]
     pub(crate) received: Moment,
     pub(crate) parked: Option<Parked>,
+    /// When the last held report was answered, or the first report was received.
+    pub(crate) answered: Moment,
     pub(crate) health: Health,
     /// The incarnation that `health` and `slowness` belong to. They outlast a restart of the agent,
     /// which reports no runner at first.
@@ -154,6 +156,7 @@
             report,
             received: now,
             parked: None,
+            answered: now,
             health: Health::default(),
             table: (0, Moment::START),
             slowness: 100,
@@ -202,6 +205,13 @@
         now.since(self.received).max(self.report.silent)
     }
 
+    /// Whether an order would probably reach the runner now: the agent's report is held or expected
+    /// soon, and the agent does not hold starts back.
+    pub(crate) fn is_reachable(&self, now: Moment) -> bool {
+        let reports = self.parked.is_some() || now.since(self.answered) < REPORT_GAP;
+        reports && self.report.silent < STARTS_HELD
+    }
+
     /// Reason for which no new task is placed on the runner, if any.
     pub(crate) fn exclusion(&self, now: Moment) -> Option<Exclusion> {
         let silent = self.silence(now) >= SILENCE_LIMIT;
--- a/toucangrade/src/dispatch/place.rs
+++ b/toucangrade/src/dispatch/place.rs
@@ -63,6 +63,8 @@
     pub(super) slowness: u64,
     /// Tasks that may be placed on it.
     pub(super) trust: Trust,
+    /// Whether an order would probably reach it now.
+    pub(super) reachable: bool,
 }
 
 impl Candidate {
@@ -194,8 +196,8 @@
         Self { constraints, siblings, ranks }
     }
 
-    /// Index of the best candidate for a task, if any is eligible. Those on whose agents the task
-    /// has failed come after others of the same trust.
+    /// Index of the best candidate for a task, if any is eligible. Among those of the same trust,
+    /// unreachable ones come last, and before them those on whose agents the task has failed.
     pub(super) fn best(
         &self,
         candidates: &[Candidate],
@@ -204,7 +206,7 @@
         let ranked = self.ranks.iter().enumerate().filter_map(|(at, rank)| {
             let (trust, rack, rank) = (*rank)?;
             let failed = avoided.is_some_and(|avoided| avoided.contains(&candidates[at].agent));
-            Some(((trust, !failed, rack, rank), at))
+            Some(((trust, candidates[at].reachable, !failed, rack, rank), at))
         });
         ranked.max_by_key(|(rank, _)| *rank).map(|(_, at)| at)
     }
--- a/toucangrade/src/dispatch/plan.rs
+++ b/toucangrade/src/dispatch/plan.rs
@@ -226,7 +226,9 @@
         self.refresh_views();
         let seen = agents.iter().filter_map(|agent| {
             let mut candidate = self.views.get(agent)?.clone();
-            candidate.trust = self.fleet.trust(self.fleet.workers.get(agent)?, now);
+            let worker = self.fleet.workers.get(agent)?;
+            candidate.trust = self.fleet.trust(worker, now);
+            candidate.reachable = worker.is_reachable(now);
             Some(candidate)
         });
         let mut candidates: Vec<Candidate> = seen.collect();
@@ -241,7 +243,7 @@
         candidates
     }
 
-    /// The runner of an agent, with the room that its assigned runs leave and full trust.
+    /// The runner of an agent, with the room that its assigned runs leave, fully trusted and reachable.
     pub(super) fn candidate(&self, agent: &Name) -> Option<Candidate> {
         let worker = self.fleet.workers.get(agent)?;
         let runner = worker.runner()?;
@@ -260,6 +262,7 @@
             allocated: false,
             slowness: worker.slowness,
             trust: Trust::Full,
+            reachable: true,
         };
         let cores = runner.capacity.millicores.max(1) as f64;
         let (mut serving, mut used, mut asked) = (Vec::new(), Vec::new(), Vec::new());
--- a/toucangrade/src/dispatch/reports.rs
+++ b/toucangrade/src/dispatch/reports.rs
@@ -281,6 +281,7 @@
         let mut due = Vec::new();
         for worker in self.fleet.workers.values_mut() {
             if let Some(parked) = worker.parked.take_if(|p| now.since(p.since) >= PARK_LIMIT) {
+                worker.answered = now;
                 due.push((parked.ticket, worker.report.agent.clone()));
             }
         }
@@ -306,7 +307,7 @@
             return;
         }
         if let Some(worker) = self.fleet.workers.get_mut(agent) {
-            worker.parked = None;
+            (worker.parked, worker.answered) = (None, now);
         }
         let orders = Some(Box::new(orders));
         self.out.push(Effect::Orders { ticket: parked.ticket, orders });
--- a/toucangrade/src/dispatch/settings.rs
+++ b/toucangrade/src/dispatch/settings.rs
@@ -20,6 +20,12 @@
 pub(crate) const LEASE_MARGIN: Span = Span::millis(150);
 /// Silence after which a runner gets no new work; agents report at least every 900 ms.
 pub(crate) const SILENCE_LIMIT: Span = Span::millis(1_600);
+/// Time after the answer to a report in which the next one is expected, as agents send it at once:
+/// the round trip of a slow link, and the confirmation that this instance leads. Runners from whose
+/// agents none has arrived by then come last in placement.
+pub(crate) const REPORT_GAP: Span = Span::millis(300);
+/// Time since a runner's last answer after which its agent holds starts back.
+pub(crate) const STARTS_HELD: Span = Span::millis(700);
 /// Longest time for which a report is held until there are orders. It leaves room for a round trip
 /// within the 900 ms that an agent's call may take.
 pub(crate) const PARK_LIMIT: Span = Span::millis(500);
