Don't take a report without a runner for a replaced incarnation

Callers could see a task run twice: a start that reaches the next incarnation of a runner goes on there for up to the longest lease, and was started again elsewhere 6 s later if the agent had restarted and not found the runner yet. Cause: a run that was never listed counted as lost with the short lease when no agent reports its incarnation. That also holds for an agent that reports no runner at all.

--- a/toucangrade/src/dispatch/fleet.rs
+++ b/toucangrade/src/dispatch/fleet.rs
@@ -366,6 +366,13 @@
         found.next().map(|(agent, _)| agent)
     }
 
+    /// Whether an agent reports another incarnation under the same name. An agent that reports none
+    /// may not have found the next one yet.
+    pub(crate) fn is_replaced(&self, incarnation: &Incarnation) -> bool {
+        let mut reported = self.workers.values().filter_map(Worker::incarnation);
+        reported.any(|other| other.runner == incarnation.runner && other != incarnation)
+    }
+
     /// Incarnations that are over or may be over, given that `agent` now reports `incarnation`: the
     /// one that it reported before, and earlier ones of the same runner.
     pub(crate) fn ended_incarnations(
--- a/toucangrade/src/dispatch/reports.rs
+++ b/toucangrade/src/dispatch/reports.rs
@@ -229,7 +229,7 @@
                 // The log may have refused the proposal that closed its runs.
                 over.push((incarnation.clone(), true));
             } else if lease.expires < now {
-                let replaced = self.fleet.agent(incarnation).is_none();
+                let replaced = self.fleet.is_replaced(incarnation);
                 over.push((incarnation.clone(), replaced || lease.expires + longer < now));
             }
         }
--- a/toucangrade/src/dispatch/tests/lives.rs
+++ b/toucangrade/src/dispatch/tests/lives.rs
@@ -55,6 +55,40 @@
     assert_eq!(!world.live(&other).is_empty(), case.moved);
 }
 
+struct Unseen {
+    /// What the restarted agent reports as its runner.
+    found: Option<Incarnation>,
+    /// Time after the order, in ms, at which the run is still live.
+    live_at: u64,
+}
+
+/// A restarted agent that had not found its runner was taken for proof that the runner's next
+/// incarnation had not started the run, which went on there beside a second one.
+#[rstest]
+#[case::no_runner(Unseen { found: None, live_at: 10_000 })]
+#[case::other_runner(Unseen { found: Some(incarnation("i-9", 30)), live_at: 5_000 })]
+fn run_outlasts_an_agent_without_its_runner(#[case] case: Unseen) {
+    let mut world = World::new();
+    world.advance(100);
+    let (old, other) = (incarnation("i-1", 10), incarnation("i-2", 10));
+    world.report(report("10.0.0.1", 1, &old));
+    world.submit("match", 7, vec![step(1, 1_000)]);
+    let run = key(7, 0, 0, 1);
+    assert_eq!(world.live(&old), [run]);
+    for at in 0..case.live_at / 500 {
+        let first = report("10.0.0.1", 1 + at, case.found.as_ref().unwrap_or(&old));
+        let runner = first.runner.clone().filter(|_| case.found.is_some());
+        world.report(Report { incarnation: 2, runner, ..first });
+        world.report(report("10.0.0.2", 1 + at, &other));
+        world.advance(500);
+        assert!(
+            world.live(&other).is_empty(),
+            "started again {} ms after the order",
+            500 * (at + 1)
+        );
+    }
+}
+
 /// What the first report of a new incarnation lists of a run that was assigned to the last one.
 #[derive(Clone, Copy)]
 enum Listed {
