Log when a runner's listings stop or start showing all ends

Neither the listings nor the logs told whether ends were left out, so that a task which was run again could not be traced to one.

The platform's parser says whether a listing is complete, and the agent writes a line when that changes.

--- a/toucangrade/src/hosting/message.rs
+++ b/toucangrade/src/hosting/message.rs
@@ -45,6 +45,9 @@
     /// Whether the answer has ends that can't be decoded. Those are never acknowledged, so the
     /// runner may keep listing them.
     pub unread: bool,
+    /// Whether the answer has all ends, also those that can't be decoded. Otherwise the runner may
+    /// list further ones once these are acknowledged.
+    pub complete: bool,
 }
 
 /// Destination of a call to a runner, with the fencing token of the call.
--- a/toucangrade/src/hosting/mod.rs
+++ b/toucangrade/src/hosting/mod.rs
@@ -289,6 +289,15 @@
         let Some(current) = &mut self.current else { return };
         let ended = |listing: &Listing| listing.ended.iter().map(|e| e.number).max();
         self.report_now |= ended(&listing) > ended(&current.listing);
+        if listing.complete != current.listing.complete {
+            tracing::info!(
+                runner = %target.incarnation.runner,
+                complete = listing.complete,
+                runs = listing.rows.len(),
+                ends = listing.ended.len(),
+                "completeness of listings"
+            );
+        }
         current.answered = now;
         current.listing = listing;
         self.listed = now;
--- a/toucangrade/src/hosting/tests.rs
+++ b/toucangrade/src/hosting/tests.rs
@@ -76,6 +76,8 @@
     reports: u32,
     /// Whether the listings have an end that can't be decoded.
     unread: bool,
+    /// Greatest number of ends in a listing.
+    page: usize,
     /// Number of listing requests.
     lists: u32,
     /// Listings that are answered when time passes next.
@@ -116,6 +118,7 @@
             report: None,
             reports: 0,
             unread: false,
+            page: usize::MAX,
             lists: 0,
             pending: Vec::new(),
             waits: Vec::new(),
@@ -150,13 +153,15 @@
                 self.ended.retain(|ended| ended.number > recorded);
                 let rows = self.rows.values().cloned().collect();
                 let clock = self.now.as_micros() / 1_000;
-                let ended = self.ended.clone();
+                let ended: Vec<_> = self.ended.iter().take(self.page).cloned().collect();
+                let complete = ended.len() < self.page;
                 let listing = Listing {
                     clock,
                     born: self.incarnation.born,
                     rows,
                     ended,
                     unread: self.unread,
+                    complete,
                 };
                 // The answer is sent when time passes next.
                 self.pending.push((seq, listing));
--- a/toucangrade/src/node/tests.rs
+++ b/toucangrade/src/node/tests.rs
@@ -75,6 +75,7 @@
                 rows,
                 ended,
                 unread: false,
+                complete: true,
             }));
         }),
         pace: Box::new(|_, _, _, done| done(Ok(()))),
--- a/toucangrade/src/simulation/jobs/runner.rs
+++ b/toucangrade/src/simulation/jobs/runner.rs
@@ -271,6 +271,7 @@
             rows: self.runs.iter().map(row).collect(),
             ended: self.ended.iter().map(|(_, ended)| ended.clone()).collect(),
             unread: false,
+            complete: true,
         }
     }
 
