Take a run for never started only by a listing that shows all ends

Cause: a runner lists 500 ends at once. The agent took a run that a listing lacked for one that had never started, also if the listing left out ends: after a start refused as old or confirmed stop by the next listing, and after a start refused for another reason at once. The leader closed such runs as refused and assigned their tasks anew.

Change: the platform's fact whether a listing is complete decides. A refused or stopped run stays pending until a listing with all ends, all of them decoded, lacks it; an end that can't be decoded delays this by 10 s at most. Runs that drop out of another listing are reported as being started, so that the leader doesn't order them again. Nothing that is sent or stored has changed.

The new tests in hosting::tests::listings failed before, except full_listings_hold_no_start_back, which guards the starts during such listings.

--- a/toucangrade/src/hosting/message.rs
+++ b/toucangrade/src/hosting/message.rs
@@ -50,6 +50,13 @@
     pub complete: bool,
 }
 
+impl Listing {
+    /// Whether the runner has neither a run nor an end that this listing doesn't show.
+    pub(super) fn shows_all(&self) -> bool {
+        self.complete && !self.unread
+    }
+}
+
 /// Destination of a call to a runner, with the fencing token of the call.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Target {
--- a/toucangrade/src/hosting/mod.rs
+++ b/toucangrade/src/hosting/mod.rs
@@ -17,7 +17,7 @@
 use self::message::Target;
 pub use self::message::{Announcement, Fault, Listing, Target as RunnerTarget};
 pub(crate) use self::message::{Effect, Message};
-use self::orders::PendingOrder;
+use self::orders::{PendingOrder, Stage};
 use crate::core::{Moment, Name, Span};
 use crate::dispatch::{Denial, Report, RunProfile, RunStatus, Runner};
 use crate::jobs::RunKey;
@@ -299,7 +299,10 @@
             );
         }
         current.answered = now;
-        current.listing = listing;
+        let before = std::mem::replace(&mut current.listing, listing);
+        if !current.listing.shows_all() {
+            self.keep_hidden_runs(now, &before);
+        }
         self.listed = now;
         self.resolve_orders(asked);
         let Some(current) = &self.current else { return };
@@ -318,6 +321,16 @@
         }
     }
 
+    /// Keeps the runs that the last listing lacks since the one `before`, as it may not show all
+    /// ends. The leader takes runs that are not reported for ones that have not reached the runner.
+    fn keep_hidden_runs(&mut self, now: Moment, before: &Listing) {
+        let listed = self.listed_runs();
+        for row in before.rows.iter().filter(|row| !listed.contains(&row.key)) {
+            let order = PendingOrder::new(Stage::Started { at: now }, Denial::Stopped);
+            self.pending.entry(row.key).or_insert(order);
+        }
+    }
+
     /// Handles a failed listing: schedules the retry, raises the fencing token if it was too low,
     /// and counts refused connections.
     fn listing_failed(&mut self, now: Moment, target: &Target, fault: Fault) {
--- a/toucangrade/src/hosting/orders.rs
+++ b/toucangrade/src/hosting/orders.rs
@@ -1,6 +1,8 @@
 //! Start and stop orders of the leader, resent until a listing shows their effect or the runner has
 //! confirmed that it won't carry them out.
 
+use std::collections::BTreeSet;
+
 use serde::Serialize;
 
 use super::Hosting;
@@ -15,6 +17,9 @@
 const SENDS_LIMIT: u32 = 4;
 /// Time within which an unanswered call may still take effect at the runner.
 const EFFECT_TIMEOUT: Span = Span::secs(12);
+/// Time after which an end that can't be decoded no longer keeps a run unknown. It may never be
+/// forgotten, if no later run ends on the runner.
+const UNREAD_TIMEOUT: Span = Span::secs(10);
 /// Maximum number of orders that wait for an answer at once, which bounds the connections to the
 /// runner.
 const OPEN_LIMIT: usize = 4;
@@ -47,7 +52,7 @@
 }
 
 impl PendingOrder {
-    fn new(stage: Stage, denial: Denial) -> Self {
+    pub(super) fn new(stage: Stage, denial: Denial) -> Self {
         Self { stage, sent: None, sends: 0, uncertain: false, denial }
     }
 
@@ -174,8 +179,11 @@
                 };
                 if order.uncertain {
                     (order.stage, order.sent) = (Stage::Stop, None);
-                } else {
+                } else if self.current.as_ref().is_some_and(|c| c.listing.shows_all()) {
                     self.deny(now, key);
+                } else {
+                    // An earlier start may have been carried out, and its end not be listed yet.
+                    order.stage = Stage::Stopped { at: now };
                 }
             },
         }
@@ -212,27 +220,35 @@
     }
 
     /// Removes orders whose effect the last listing shows. A listing that was requested at `asked`
-    /// can show the lack of a run only if the runner confirmed the order before.
+    /// can show the lack of a run only if the runner confirmed the order before, and if it has all
+    /// ends.
     pub(super) fn resolve_orders(&mut self, asked: Moment) {
         let Some(current) = &self.current else { return };
         let answered = current.answered;
-        let running: Vec<RunKey> = current.listing.rows.iter().map(|row| row.key).collect();
-        let ended: Vec<RunKey> = current.listing.ended.iter().map(|ended| ended.key).collect();
+        let running: BTreeSet<RunKey> = current.listing.rows.iter().map(|row| row.key).collect();
+        let ended: BTreeSet<RunKey> = current.listing.ended.iter().map(|ended| ended.key).collect();
+        let (complete, readable) = (current.listing.complete, current.listing.shows_all());
+        let lacked = |key: &RunKey, at: Moment| {
+            let known = readable || (complete && asked > at + UNREAD_TIMEOUT);
+            asked > at && known && !running.contains(key)
+        };
         let mut gone = Vec::new();
         self.pending.retain(|key, order| match order.stage {
             Stage::Start(_) => !running.contains(key) && !ended.contains(key),
-            Stage::Started { at } => !running.contains(key) && !ended.contains(key) && asked <= at,
+            Stage::Started { at } => {
+                !running.contains(key) && !ended.contains(key) && !lacked(key, at)
+            },
             Stage::Stop => !ended.contains(key),
             Stage::Stopped { at } => {
                 if ended.contains(key) {
                     return false;
                 }
-                if asked > at && !running.contains(key) {
+                if lacked(key, at) {
                     gone.push(*key);
                     return true;
                 }
                 // Stopping a run takes some time; after that the stop was lost and is sent again.
-                if asked > at + RESEND_AFTER + RESEND_AFTER {
+                if running.contains(key) && asked > at + RESEND_AFTER + RESEND_AFTER {
                     (order.stage, order.sent) = (Stage::Stop, None);
                 }
                 true
@@ -246,7 +262,8 @@
     /// Replaces an order by a denial, which reports to the leader that the run will never start.
     fn deny(&mut self, now: Moment, key: RunKey) {
         let Some(order) = self.pending.remove(&key) else { return };
-        tracing::info!(run = %key, denial = ?order.denial, sends = order.sends, "not started");
+        let unread = self.current.as_ref().is_some_and(|current| current.listing.unread);
+        tracing::info!(run = %key, denial = ?order.denial, sends = order.sends, unread, "not started");
         self.denied.insert(key, (order.denial, now));
         self.report_now = true;
     }
--- a/toucangrade/src/hosting/tests.rs
+++ b/toucangrade/src/hosting/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of an agent with a simulated runner and hand-written answers of the leader.
 
+mod listings;
 mod lives;
 
 use std::collections::BTreeMap;
