Leave room for other proposals beside confirmed starts

Callers' submissions could wait behind the log: each report with a first listing made a proposal of its own, and two of them fill the window of open proposals, which also holds placement back.

--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -90,6 +90,9 @@
     /// Runs for which a [`Command::Close`] is proposed.
     #[serde(skip)]
     closing: BTreeSet<RunKey>,
+    /// Jobs that are shown to have begun, for which [`Command::Begin`] is to be proposed.
+    #[serde(skip)]
+    begun: BTreeSet<u64>,
     /// Jobs for which a [`Command::Begin`] is proposed.
     #[serde(skip)]
     beginning: BTreeSet<u64>,
@@ -141,6 +144,7 @@
             assigning: BTreeMap::new(),
             moving: BTreeMap::new(),
             closing: BTreeSet::new(),
+            begun: BTreeSet::new(),
             beginning: BTreeSet::new(),
             opening: BTreeSet::new(),
             ended: BTreeMap::new(),
@@ -184,6 +188,10 @@
                 self.dirty = false;
                 self.plan(now);
             }
+            // Confirmed starts alone leave room for another proposal.
+            if !self.batch.is_empty() || self.proposals.is_empty() {
+                self.propose_begun();
+            }
             self.flush();
         }
         std::mem::take(&mut self.out)
@@ -515,6 +523,7 @@
         self.assigning.clear();
         self.moving.clear();
         self.closing.clear();
+        self.begun.clear();
         self.beginning.clear();
         self.opening.clear();
         self.clear_waits();
--- a/toucangrade/src/dispatch/reports.rs
+++ b/toucangrade/src/dispatch/reports.rs
@@ -47,7 +47,7 @@
             lease.expires = lease.expires.max(expires);
             lease.over = false;
             self.record_progress(now, read, incarnation, &report);
-            self.record_begun(incarnation, &report);
+            self.collect_begun(&report);
             self.record_sample(now, &report);
             self.record_ends(now, incarnation, &report);
             if report.gone {
@@ -126,21 +126,30 @@
         }
     }
 
-    /// Proposes to record the jobs that a listing shows to have begun. A refused proposal is repeated
-    /// with the next listing. For a run that has ended, the record of its end is enough.
-    fn record_begun(&mut self, incarnation: &Incarnation, report: &Report) {
-        for row in &report.rows {
-            let job = row.key.task.job;
-            let begun = self.job_table.jobs.get(&job).is_none_or(|entry| entry.begun);
-            if !begun
-                && self.fleet.run(incarnation, row.key).is_some()
-                && self.beginning.insert(job)
+    /// Collects the jobs that a report shows to have begun. If the log refuses to record them, they
+    /// are collected from the next report. For a run that has ended, the record of its end is enough.
+    fn collect_begun(&mut self, report: &Report) {
+        let listed = report.rows.iter().map(|row| row.key);
+        for key in listed.filter(|key| self.job_table.live(*key).is_some()) {
+            let entry = self.job_table.jobs.get(&key.task.job);
+            let unrecorded = entry.filter(|entry| !entry.begun && entry.phase == Phase::Active);
+            let task = unrecorded.and_then(|entry| entry.task(key.task));
+            if task.is_some_and(|task| key.run <= task.runs)
+                && !self.beginning.contains(&key.task.job)
             {
-                self.propose(Command::Begin { job }, None);
+                self.begun.insert(key.task.job);
             }
         }
     }
 
+    /// Proposes to record the starts that were collected.
+    pub(super) fn propose_begun(&mut self) {
+        for job in std::mem::take(&mut self.begun) {
+            self.beginning.insert(job);
+            self.propose(Command::Begin { job }, None);
+        }
+    }
+
     /// Passes the figures of tasks that share a runner to the interference model.
     fn record_sample(&mut self, now: Moment, report: &Report) {
         let Some(runner) = &report.runner else { return };
--- a/toucangrade/src/dispatch/tests/begun.rs
+++ b/toucangrade/src/dispatch/tests/begun.rs
@@ -10,6 +10,8 @@
 enum Event {
     /// The agent reports the end of the run, which no listing has shown before.
     Ended(End),
+    /// Leadership is lost and gained again before the log has taken what is proposed meanwhile.
+    Deposed(&'static Event),
     /// The log refuses what is proposed meanwhile.
     Refusing(&'static Event),
     /// The agent reports that it handles the order and has no answer.
@@ -68,20 +70,27 @@
         RunKey { task, run: entry.task(task).expect("an open task").runs }
     }
 
-    fn play(&mut self, event: Event) {
+    fn play(&mut self, played: Event) {
         let key = self.newest_run();
-        match event {
+        match played {
             Event::Ended(end) => {
                 self.ends += 1;
                 let ended = vec![EndedRun { number: self.ends, key, end, saved: None }];
                 self.report(|report| Report { ended, ..report });
             },
-            Event::Refusing(event) => {
+            Event::Deposed(event) | Event::Refusing(event) => {
                 self.world.hold = true;
                 self.play(*event);
+                let lost = matches!(played, Event::Deposed(_));
+                if lost {
+                    self.world.send(Message::Lead { leading: false });
+                }
                 self.world.hold = false;
                 for (ticket, _) in std::mem::take(&mut self.world.held) {
-                    self.world.send(Message::Rejected { ticket, lost: false });
+                    self.world.send(Message::Rejected { ticket, lost });
+                }
+                if lost {
+                    self.world.send(Message::Lead { leading: true });
                 }
                 self.play(*event);
             },
@@ -102,7 +111,7 @@
             },
             Event::Reborn | Event::RebornWith => {
                 self.runner = incarnation("i-1", self.runner.born + 10);
-                let rows = if matches!(event, Event::Reborn) { vec![] } else { vec![row(key)] };
+                let rows = if matches!(played, Event::Reborn) { vec![] } else { vec![row(key)] };
                 self.report(|report| Report { rows, ..report });
             },
             Event::Refused(denial) => {
@@ -158,6 +167,9 @@
 #[case::listed_while_the_log_refuses(Waiting {
     events: &[Event::Refusing(&Event::Listed)], pending: 0, state: JobState::Running,
 })]
+#[case::listed_by_a_deposed_leader(Waiting {
+    events: &[Event::Deposed(&Event::Listed)], pending: 0, state: JobState::Running,
+})]
 #[case::ended_unseen(Waiting {
     events: &[Event::Ended(End::Stopped)], pending: 0, state: JobState::Running,
 })]
@@ -204,3 +216,28 @@
     assert_eq!(scene.pending(), Some(ClientReply::Pending(0)));
     assert_eq!(scene.world.state("match", 7), Some(ClientReply::State(JobState::Cancelled)));
 }
+
+/// Confirmed starts filled the window of proposals, and submissions waited for the log to take them.
+#[test]
+fn submission_does_not_wait_for_confirmed_starts() {
+    let mut world = World::new();
+    let runners = [incarnation("i-1", 10), incarnation("i-2", 10), incarnation("i-3", 10)];
+    let agents = ["10.0.0.1", "10.0.0.2", "10.0.0.3"];
+    for (agent, runner) in agents.iter().zip(&runners) {
+        world.report(report(agent, 1, runner));
+    }
+    for job in 1..=3 {
+        world.submit("match", job, vec![step(1, 4_000)]);
+    }
+    world.hold = true;
+    for (agent, runner) in agents.iter().zip(&runners) {
+        let rows: Vec<_> = world.live(runner).into_iter().map(row).collect();
+        assert_eq!(rows.len(), 1);
+        world.report(Report { rows, ..report(agent, 2, runner) });
+    }
+    world.submit("match", 4, vec![step(1, 100)]);
+    let commands: Vec<&Command> = world.held.iter().flat_map(|(_, commands)| commands).collect();
+    assert!(commands.iter().any(|command| matches!(command, Command::Accept { .. })));
+    let begun = commands.iter().filter(|command| matches!(command, Command::Begin { .. })).count();
+    assert_eq!(begun, 3);
+}
