Record the start of a job whose run was closed before it was shown

Callers saw the state queued, and pending counted the job, although a runner had run a task of it. Cause: a run that is closed as lost leaves the leader's view, and only runs in that view counted when a later listing showed the run or its end. Change: a listed run, or a listed end that can't be recorded any more, records the start if the log has assigned that run. Two cases of dispatch::tests::begun failed before this change and pass now.

--- a/toucangrade/src/dispatch/reports.rs
+++ b/toucangrade/src/dispatch/reports.rs
@@ -127,10 +127,13 @@
     }
 
     /// Collects the jobs that a report shows to have begun. If the log refuses to record them, they
-    /// are collected from the next report. For a run that has ended, the record of its end is enough.
+    /// are collected from the next report. The recorded end of a run is enough, so only ends of runs
+    /// that were closed without it count here.
     fn collect_begun(&mut self, report: &Report) {
-        let listed = report.rows.iter().map(|row| row.key);
-        for key in listed.filter(|key| self.job_table.live(*key).is_some()) {
+        let ended = report.ended.iter().map(|ended| ended.key);
+        let ended = ended.filter(|key| self.job_table.live(*key).is_none());
+        let shown: Vec<RunKey> = report.rows.iter().map(|row| row.key).chain(ended).collect();
+        for key in shown {
             let entry = self.job_table.jobs.get(&key.task.job);
             let unrecorded = entry.filter(|entry| !entry.begun && entry.phase == Phase::Active);
             let task = unrecorded.and_then(|entry| entry.task(key.task));
--- a/toucangrade/src/dispatch/tests/begun.rs
+++ b/toucangrade/src/dispatch/tests/begun.rs
@@ -10,6 +10,8 @@
 enum Event {
     /// The agent reports the end of the run, which no listing has shown before.
     Ended(End),
+    /// The agent reports that the first run, which was closed meanwhile, has lapsed.
+    EndedAgain,
     /// Leadership is lost and gained again before the log has taken what is proposed meanwhile.
     Deposed(&'static Event),
     /// The log refuses what is proposed meanwhile.
@@ -20,6 +22,8 @@
     Installed,
     /// The agent reports that the runner lists the run.
     Listed,
+    /// The agent reports that the runner lists the first run, which was closed meanwhile.
+    ListedAgain,
     /// Another instance leads, which has applied the log.
     NewLeader,
     /// The agent reports the next incarnation of the runner, which runs nothing.
@@ -78,6 +82,12 @@
                 let ended = vec![EndedRun { number: self.ends, key, end, saved: None }];
                 self.report(|report| Report { ended, ..report });
             },
+            Event::EndedAgain => {
+                self.ends += 1;
+                let (number, key) = (self.ends, RunKey { run: 1, ..key });
+                let ended = vec![EndedRun { number, key, end: End::Lapsed, saved: None }];
+                self.report(|report| Report { ended, ..report });
+            },
             Event::Deposed(event) | Event::Refusing(event) => {
                 self.world.hold = true;
                 self.play(*event);
@@ -105,6 +115,10 @@
                 self.world.send(Message::Lead { leading: true });
             },
             Event::Listed => self.report(|report| Report { rows: vec![row(key)], ..report }),
+            Event::ListedAgain => {
+                let rows = vec![row(RunKey { run: 1, ..key })];
+                self.report(|report| Report { rows, ..report });
+            },
             Event::NewLeader => {
                 self.world.send(Message::Lead { leading: false });
                 self.world.send(Message::Lead { leading: true });
@@ -170,6 +184,14 @@
 #[case::listed_by_a_deposed_leader(Waiting {
     events: &[Event::Deposed(&Event::Listed)], pending: 0, state: JobState::Running,
 })]
+#[case::listed_after_it_was_lost(Waiting {
+    events: &[Event::Handled, Event::Silent, Event::ListedAgain],
+    pending: 0, state: JobState::Running,
+})]
+#[case::ended_after_it_was_lost(Waiting {
+    events: &[Event::Handled, Event::Silent, Event::EndedAgain],
+    pending: 0, state: JobState::Running,
+})]
 #[case::ended_unseen(Waiting {
     events: &[Event::Ended(End::Stopped)], pending: 0, state: JobState::Running,
 })]
