Count a run's progress and age from its first listing

Callers' work was stopped or moved soon after it had started, which throws it away: a run whose order took 1.4 s to reach its runner was stopped as stuck 1.2 s after its first listing (2.5 s are allowed; lasting tasks 3.7 of 5 s), and a filling run was moved after 0.1 s. Change: they count from the first listing that shows the run. dispatch::tests::late: three cases failed before, none now; 214 dispatch tests pass.

--- a/toucangrade/src/dispatch/fleet.rs
+++ b/toucangrade/src/dispatch/fleet.rs
@@ -39,6 +39,8 @@
     pub(crate) ordered: bool,
     /// Whether the runner has listed it.
     pub(crate) listed: bool,
+    /// When the first listing with it was read.
+    pub(crate) shown: Moment,
     pub(crate) saved: Option<Checkpoint>,
     pub(crate) percent: u8,
     /// Start of the time in which reports show no progress though it is allowed enough speed.
@@ -58,6 +60,10 @@
     pub(crate) fn update(&mut self, row: &RunStatus, read: Moment) {
         // Whether it made progress during a gap in the reports is not known.
         let gap = read.since(self.seen) >= SILENCE_LIMIT;
+        if !self.listed {
+            // It may have waited for its order until now.
+            (self.shown, self.stalled_since) = (read, read);
+        }
         if row.percent != self.percent || row.share < STUCK_SHARE || gap {
             self.stalled_since = read;
         }
--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -368,6 +368,7 @@
             own: false,
             ordered: false,
             listed: false,
+            shown: now,
             saved: entry.task(key.task)?.saved.clone(),
             percent: 0,
             stalled_since: now,
--- a/toucangrade/src/dispatch/settings.rs
+++ b/toucangrade/src/dispatch/settings.rs
@@ -77,7 +77,7 @@
 /// Smallest gain, as a fraction of full speed, that is worth a move. A move costs a restore and up
 /// to one checkpoint interval of work.
 pub(crate) const MOVE_GAIN: f64 = 0.4;
-/// Smallest age of a run that is moved, so that its averaged figures cover only its own time.
+/// Smallest time since the first listing of a run that is moved, so that its averaged figures cover only its own time.
 pub(crate) const MOVE_AGE: Span = Span::millis(1_200);
 /// Time for which room is reserved for a run that is being moved: a stop takes up to 0.9 s, and a
 /// lost order is repeated with the next report.
--- a/toucangrade/src/dispatch/tests.rs
+++ b/toucangrade/src/dispatch/tests.rs
@@ -7,6 +7,7 @@
 mod faulty_runners;
 mod fuzz;
 mod health;
+mod late;
 mod leases;
 mod lives;
 mod load;
