Measure the duration of tasks from their order

Callers' jobs were taken for late, or not, by a mean duration that held the time in which orders could not leave: the assignment was read as the start. Evidence: a review of the count of waiting jobs, with a test. Change: the duration counts from the first order of the run. An order that gets lost still counts from there. dispatch::tests::late::duration_counts_from_the_order failed before (1,400 ms in place of 600) and passes; 215 dispatch tests pass.

--- a/toucangrade/src/dispatch/fleet.rs
+++ b/toucangrade/src/dispatch/fleet.rs
@@ -37,6 +37,8 @@
     pub(crate) own: bool,
     /// Whether this instance has sent the order to start it.
     pub(crate) ordered: bool,
+    /// When the order first left this instance, or `since` before that.
+    pub(crate) sent: Moment,
     /// Whether the runner has listed it.
     pub(crate) listed: bool,
     /// When the first listing with it was read.
--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -102,7 +102,7 @@
     /// When this instance learned that a job had ended or was withdrawn.
     #[serde(skip)]
     ended: BTreeMap<u64, Moment>,
-    /// Moving average of the time from the assignment of a task to its end, by the host and prefix
+    /// Moving average of the time from the order of a task to its end, by the host and prefix
     /// of the queue.
     #[serde(serialize_with = "serialize_durations")]
     durations: BTreeMap<(Arc<str>, Arc<str>), Span>,
@@ -367,6 +367,7 @@
             since: now,
             own: false,
             ordered: false,
+            sent: now,
             listed: false,
             shown: now,
             saved: entry.task(key.task)?.saved.clone(),
@@ -394,7 +395,7 @@
             && end == End::Done
             && run.since > self.leading_since
         {
-            self.record_duration(key, now.since(run.since));
+            self.record_duration(key, now.since(run.sent));
         }
         let Some(agent) = self.fleet.agent(incarnation).cloned() else { return };
         if let Some(run) = run {
--- a/toucangrade/src/dispatch/reports.rs
+++ b/toucangrade/src/dispatch/reports.rs
@@ -368,15 +368,19 @@
         }
         let sent: Vec<RunKey> = orders.starts.iter().map(|start| start.key).collect();
         let incarnation = runner.incarnation.clone();
-        self.record_ordered(&incarnation, sent);
+        self.record_ordered(now, &incarnation, sent);
         orders
     }
 
     /// Marks runs as ordered, and logs those that had not been.
-    fn record_ordered(&mut self, incarnation: &Incarnation, mut runs: Vec<RunKey>) {
+    fn record_ordered(&mut self, now: Moment, incarnation: &Incarnation, mut runs: Vec<RunKey>) {
         runs.retain(|key| {
-            let run = self.fleet.run_mut(incarnation, *key);
-            run.is_some_and(|run| !std::mem::replace(&mut run.ordered, true))
+            let Some(run) = self.fleet.run_mut(incarnation, *key) else { return false };
+            let first = !std::mem::replace(&mut run.ordered, true);
+            if first {
+                run.sent = now;
+            }
+            first
         });
         if !runs.is_empty() {
             log::ordered(incarnation, &runs, self.index);
--- a/toucangrade/src/dispatch/tests/late.rs
+++ b/toucangrade/src/dispatch/tests/late.rs
@@ -65,3 +65,25 @@
     world.advance(100);
     assert!(world.dispatch.moving.is_empty(), "moved 100 ms after its first listing");
 }
+
+/// The mean duration of a queue, by which jobs are taken for late, held the time in which orders
+/// could not leave.
+#[test]
+fn duration_counts_from_the_order() {
+    let mut world = World::new();
+    let runner = incarnation("i-1", 10);
+    world.report(report("10.0.0.1", 1, &runner));
+    // The report is answered, so the next order waits for another one.
+    world.advance(700);
+    world.submit("match", 7, vec![step(1, 1_000)]);
+    let run = key(7, 0, 0, 1);
+    world.advance(800);
+    let orders = world.report(report("10.0.0.1", 2, &runner)).expect("a start order");
+    assert_eq!(orders.starts.len(), 1);
+    world.advance(300);
+    world.report(Report { rows: vec![listed(run, 50, 1_000)], ..report("10.0.0.1", 3, &runner) });
+    world.advance(300);
+    world.end(&runner, 4, &[(1, run, End::Done)]);
+    let took: Vec<u64> = world.dispatch.durations.values().map(|mean| mean.as_millis()).collect();
+    assert_eq!(took, [600]);
+}
