--- a/toucangrade/src/dispatch/log.rs
+++ b/toucangrade/src/dispatch/log.rs
@@ -15,7 +15,9 @@
             info!(run = %key, runner = %incarnation.runner, born = incarnation.born, outcome, "assign");
         },
         Command::Cancel { job, .. } => info!(job = format_args!("{job:016x}"), outcome, "cancel"),
-        Command::Close { key, end, .. } => info!(run = %key, ?end, outcome, "close"),
+        Command::Close { key, end, saved } => {
+            info!(run = %key, ?end, saved = saved.as_deref(), outcome, "close");
+        },
         Command::Configure(setup) => {
             info!(version = setup.version, queues = setup.queues.len(), outcome, "configure");
         },
