Assign gangs whole, and bring members with different run numbers together

Cause: the assignments of a gang were divided between proposals, and a loss of the leader kept the first part. After that the members had different run numbers, and the highest one, which all were given, was refused for the others.

Change: the assignments of a gang are one unit of a proposal. Members that lag are brought to the highest number by runs that are assigned and closed as refused in one proposal.

--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -4,6 +4,7 @@
 
 mod answers;
 mod fleet;
+mod gangs;
 mod health;
 mod log;
 mod message;
@@ -74,6 +75,9 @@
     /// Commands for the next proposal.
     #[serde(skip)]
     batch: Vec<Command>,
+    /// Positions in `batch` of commands that have to be in the same proposal as the one before.
+    #[serde(skip)]
+    joined: BTreeSet<usize>,
     /// Requests waiting for commands of `batch`, as (position of the command, ticket).
     waiters: Vec<(usize, u64)>,
     /// Proposals in flight, by ticket.
@@ -132,6 +136,7 @@
             learner: Learner::default(),
             active: BTreeSet::new(),
             batch: Vec::new(),
+            joined: BTreeSet::new(),
             waiters: Vec::new(),
             proposals: BTreeMap::new(),
             next_ticket: PROPOSAL_TICKET_BASE,
@@ -208,11 +213,20 @@
         self.batch.push(command);
     }
 
+    /// Adds commands that are committed together or not at all.
+    fn propose_together(&mut self, commands: Vec<Command>) {
+        let first = self.batch.len();
+        self.batch.extend(commands);
+        self.joined.extend(first + 1..self.batch.len());
+    }
+
     fn flush(&mut self) {
         while !self.batch.is_empty() && self.proposals.len() < PROPOSALS_LIMIT {
-            let rest = self.batch.split_off(batch_length(&self.batch));
+            let taken = batch_length(&self.batch, &self.joined);
+            let rest = self.batch.split_off(taken);
             let commands = std::mem::replace(&mut self.batch, rest);
-            let taken = commands.len();
+            let joined = self.joined.split_off(&taken);
+            self.joined = joined.into_iter().map(|at| at - taken).collect();
             let (waiters, later): (Vec<_>, Vec<_>) =
                 self.waiters.drain(..).partition(|(at, _)| *at < taken);
             self.waiters = later.into_iter().map(|(at, ticket)| (at - taken, ticket)).collect();
@@ -515,6 +529,7 @@
     /// instance decides from now on.
     fn step_down(&mut self) {
         self.batch.clear();
+        self.joined.clear();
         self.assigning.clear();
         self.moving.clear();
         self.closing.clear();
@@ -562,8 +577,10 @@
     )
 }
 
-/// Number of commands at the front that fit into one proposal, at least one.
-fn batch_length(commands: &[Command]) -> usize {
+/// Number of commands at the front that fit into one proposal, at least one. `joined` are positions
+/// at which they must not be divided: a larger proposal is made if need be, as the log takes one with
+/// the assignments of the largest step.
+fn batch_length(commands: &[Command], joined: &BTreeSet<usize>) -> usize {
     let mut bytes = 0;
     let fits = |command: &&Command| {
         bytes += match command {
@@ -580,7 +597,10 @@
         };
         bytes <= BATCH_BYTES
     };
-    commands.iter().take(BATCH_LIMIT).take_while(fits).count().max(1)
+    let fitting = commands.iter().take(BATCH_LIMIT).take_while(fits).count();
+    let undivided = |at: &usize| !joined.contains(at);
+    let length = (1..=fitting).rev().find(undivided);
+    length.or_else(|| (1..commands.len()).find(undivided)).unwrap_or(commands.len())
 }
 
 /// Key range of all runs of a job.
--- a/toucangrade/src/dispatch/plan.rs
+++ b/toucangrade/src/dispatch/plan.rs
@@ -122,8 +122,8 @@
                         continue;
                     }
                     let key = TaskKey { job: entry.job.id, round, step, index: index as u16 };
-                    let key = RunKey { task: key, run: task.runs + 1 };
-                    if !self.assigning.contains_key(&key) {
+                    if !self.is_assigning(key) {
+                        let key = RunKey { task: key, run: task.runs + 1 };
                         waiting.entry((round, step)).or_default().push(key);
                     }
                 }
@@ -132,6 +132,12 @@
         waiting
     }
 
+    /// Whether a run of a task is proposed.
+    pub(super) fn is_assigning(&self, task: TaskKey) -> bool {
+        let range = RunKey { task, run: 0 }..=RunKey { task, run: u32::MAX };
+        self.assigning.range(range).next().is_some()
+    }
+
     /// Assigns as many waiting tasks of a step as there is room for; a gang is assigned whole or
     /// not at all.
     fn place(
@@ -158,12 +164,7 @@
             Constraints { step: declared, service: &queue.service, table: &self.learner.table };
         let mut ranking = Ranking::new(candidates, constraints, siblings);
         let mut chosen: Vec<(RunKey, Incarnation)> = Vec::new();
-        // All members of a gang get the same run number.
-        let common = tasks.iter().map(|key| key.run).max().unwrap_or(1);
-        for mut key in tasks.iter().copied() {
-            if declared.gang {
-                key.run = common;
-            }
+        for key in tasks.iter().copied() {
             let avoided = self.avoided.get(&key.task);
             let Some(at) = ranking.best(candidates, avoided) else { break };
             ranking.allocate(candidates, at);
@@ -175,6 +176,9 @@
             }
             return;
         }
+        if declared.gang {
+            return self.assign_gang(chosen);
+        }
         for (key, incarnation) in chosen {
             self.assigning.insert(key, incarnation.clone());
             self.propose(Command::Assign { key, incarnation }, None);
--- a/toucangrade/src/dispatch/rescue.rs
+++ b/toucangrade/src/dispatch/rescue.rs
@@ -1,5 +1,5 @@
-//! Stops runs that are stuck, slowed down or on a draining runner, so that they are placed on
-//! another runner.
+//! Stops runs that are stuck, slowed down, without their gang or on a draining runner, so that they
+//! are placed on another runner.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -9,7 +9,7 @@
 use super::health::Trust;
 use super::place::{Candidate, Constraints, Ranking};
 use super::settings::{MOVE_AGE, MOVE_GAIN, MOVE_SPEED, MOVES_LIMIT, RESCUE_EVERY};
-use crate::core::{Moment, Name};
+use crate::core::Moment;
 use crate::jobs::{Incarnation, RunKey};
 
 /// A filling run that is slowed down on its runner.
@@ -21,13 +21,15 @@
 }
 
 impl Dispatch {
-    /// Periodically stops the runs on draining runners and those that are stuck.
+    /// Periodically stops the runs on draining runners, those that lack members of their gang and
+    /// those that are stuck.
     pub(super) fn rescue(&mut self, now: Moment) {
         if now.since(self.last_rescue) < RESCUE_EVERY {
             return;
         }
         self.last_rescue = now;
         self.evacuate(now);
+        self.mend_gangs(now);
         self.stop_stuck(now);
     }
 
@@ -35,12 +37,12 @@
     /// once elsewhere, and tasks with checkpoints. Others may finish before the runner shuts down.
     fn evacuate(&mut self, now: Moment) {
         let workers = self.fleet.workers.iter();
-        let leaving: Vec<(Name, Incarnation)> = workers
-            .filter_map(|(agent, worker)| Some((agent.clone(), worker.runner()?)))
-            .filter(|(_, runner)| runner.draining)
-            .map(|(agent, runner)| (agent, runner.incarnation.clone()))
+        let leaving: Vec<Incarnation> = workers
+            .filter_map(|(_, worker)| worker.runner())
+            .filter(|runner| runner.draining)
+            .map(|runner| runner.incarnation.clone())
             .collect();
-        for (agent, incarnation) in leaving {
+        for incarnation in leaving {
             let Some(lease) = self.fleet.leases.get(&incarnation) else { continue };
             let moves = |run: &Run| !run.stop && (run.lasting || run.saves);
             let keys: Vec<RunKey> =
@@ -53,7 +55,7 @@
                 );
             }
             for key in keys {
-                self.order_stop(&incarnation, key, &agent, now);
+                self.order_stop(&incarnation, key, now);
             }
         }
     }
@@ -71,7 +73,7 @@
             tracing::info!(run = %key, runner = %incarnation.runner, heard_ms, "no progress, stopping");
             let began = self.fleet.run(&incarnation, key).map_or(now, |run| run.since);
             self.count_failure(now, key, &agent, began);
-            self.order_stop(&incarnation, key, &agent, now);
+            self.order_stop(&incarnation, key, now);
         }
     }
 
@@ -128,17 +130,21 @@
             ranking.allocate(candidates, at);
             // The rankings for other steps don't know of this task.
             rankings.retain(|step, _| *step == key.task.step);
-            let Some(agent) = self.fleet.agent(&incarnation).cloned() else { continue };
+            if self.fleet.agent(&incarnation).is_none() {
+                continue;
+            }
             tracing::info!(run = %key, runner = %incarnation.runner, speed, better, "moving");
             self.moving.insert(key, (candidates[at].incarnation.clone(), now));
-            self.order_stop(&incarnation, key, &agent, now);
+            self.order_stop(&incarnation, key, now);
         }
     }
 
-    fn order_stop(&mut self, incarnation: &Incarnation, key: RunKey, agent: &Name, now: Moment) {
+    pub(super) fn order_stop(&mut self, incarnation: &Incarnation, key: RunKey, now: Moment) {
         if let Some(run) = self.fleet.run_mut(incarnation, key) {
             run.stop = true;
         }
-        self.answer_parked(agent, now);
+        if let Some(agent) = self.fleet.agent(incarnation).cloned() {
+            self.answer_parked(&agent, now);
+        }
     }
 }
--- a/toucangrade/src/dispatch/tests.rs
+++ b/toucangrade/src/dispatch/tests.rs
@@ -5,6 +5,7 @@
 mod extremes;
 mod faulty_runners;
 mod fuzz;
+mod gangs;
 mod health;
 mod leases;
 mod lives;
--- /dev/null
+++ b/toucangrade/src/dispatch/tests/gangs.rs
@@ -0,0 +1,204 @@
+//! Tests of gangs, whose members are assigned together with one run number.
+
+use super::*;
+
+/// A runner with room for any gang. It starts and stops what its agent is ordered to, and its runs
+/// make no progress.
+struct Host {
+    agent: &'static str,
+    incarnation: Incarnation,
+    seq: u64,
+    /// Ticket of the newest report.
+    ticket: u64,
+    rows: BTreeMap<RunKey, RunStatus>,
+    ended: Vec<EndedRun>,
+    /// Starts and stops in the order in which they came.
+    starts: Vec<Start>,
+    stops: Vec<RunKey>,
+}
+
+impl Host {
+    fn new(agent: &'static str, runner: &str) -> Self {
+        let incarnation = incarnation(runner, 10);
+        let (rows, ended) = (BTreeMap::new(), Vec::new());
+        let (starts, stops) = (Vec::new(), Vec::new());
+        Self { agent, incarnation, seq: 0, ticket: 0, rows, ended, starts, stops }
+    }
+
+    fn report(&self) -> Report {
+        let mut report = report(self.agent, self.seq, &self.incarnation);
+        if let Some(runner) = &mut report.runner {
+            runner.capacity = Need { millicores: 10_000_000, memory: 10_000_000, accelerators: 0 };
+        }
+        report.rows = self.rows.values().cloned().collect();
+        report.ended.clone_from(&self.ended);
+        report
+    }
+
+    /// Reports to the leader, lets 100 ms pass and obeys the orders.
+    fn step(&mut self, world: &mut World) {
+        self.seq += 1;
+        let orders = world.report(self.report());
+        self.ticket = world.ticket;
+        world.advance(100);
+        let later = world.orders.remove(&self.ticket).flatten().map(|orders| *orders);
+        for orders in orders.into_iter().chain(later) {
+            self.obey(orders);
+        }
+    }
+
+    fn obey(&mut self, orders: Orders) {
+        self.ended.retain(|ended| ended.number > orders.noted);
+        for start in orders.starts {
+            let row = RunStatus { saved: start.saved.clone(), percent: 0, ..row(start.key) };
+            self.rows.insert(start.key, row);
+            self.starts.push(start);
+        }
+        for key in orders.stops {
+            self.stops.push(key);
+            self.end(key, End::Stopped);
+        }
+    }
+
+    fn end(&mut self, key: RunKey, end: End) {
+        let saved = self.rows.remove(&key).and_then(|row| row.saved);
+        let number = self.seq * 10_000 + self.ended.len() as u64;
+        self.ended.push(EndedRun { number, key, end, saved });
+    }
+}
+
+fn gang(count: u32) -> Step {
+    Step { gang: true, ..step(count, 100) }
+}
+
+/// Commits commands that an earlier leader has proposed.
+fn replay(world: &mut World, commands: Vec<Command>) {
+    world.index += 1;
+    let message = Message::Commit { index: world.index, ticket: None, commands, bytes: 0 };
+    world.send(message);
+}
+
+struct Undivided {
+    /// Sizes of the gangs that wait for the runner.
+    gangs: Vec<u32>,
+    /// Single tasks that wait beside each of them.
+    singles: u32,
+}
+
+/// A loss of the leader between two proposals left a gang with only some of its members. They waited
+/// for the others in vain, and the others were never assigned.
+#[rstest]
+#[case::as_many_as_fit(Undivided { gangs: vec![36; 80], singles: 0 })]
+#[case::beside_others(Undivided { gangs: vec![100; 7], singles: 5 })]
+#[case::larger_than_a_proposal(Undivided { gangs: vec![3, 300, 36], singles: 1 })]
+#[case::largest_step(Undivided { gangs: vec![4_096], singles: 0 })]
+fn gang_is_not_divided_between_proposals(#[case] case: Undivided) {
+    let mut world = World::new();
+    for (count, job) in case.gangs.iter().zip(1..) {
+        let singles = if case.singles > 0 { vec![step(case.singles, 100)] } else { vec![] };
+        world.submit("match", job, [vec![gang(*count)], singles].concat());
+    }
+    world.hold = true;
+    let mut host = Host::new("10.0.0.1", &"x".repeat(63));
+    host.step(&mut world);
+    let mut assigned = 0;
+    while !world.held.is_empty() {
+        let (ticket, commands) = world.held.remove(0);
+        let bytes = crate::peer::encode(&commands).len();
+        assert!(bytes <= 1024 * 1024, "a proposal of {bytes} bytes");
+        let mut members: BTreeMap<u64, u32> = BTreeMap::new();
+        for command in &commands {
+            if let Command::Assign { key, .. } = command
+                && key.task.step == 0
+            {
+                *members.entry(key.task.job).or_default() += 1;
+            }
+        }
+        for (job, members) in members {
+            assert_eq!(members, case.gangs[job as usize - 1], "members of gang {job}");
+            assigned += 1;
+        }
+        world.index += 1;
+        let index = world.index;
+        world.send(Message::Commit { index, ticket: Some(ticket), commands, bytes });
+    }
+    assert_eq!(assigned, case.gangs.len());
+}
+
+/// What an earlier leader has left of a gang's member.
+#[derive(Clone, Copy)]
+struct Left {
+    /// Number of its last run.
+    runs: u32,
+    live: bool,
+}
+
+fn ended(runs: u32) -> Left {
+    Left { runs, live: false }
+}
+
+fn live(runs: u32) -> Left {
+    Left { runs, live: true }
+}
+
+struct EarlierGang {
+    members: Vec<Left>,
+    /// Whether the runner lists the live runs.
+    listed: bool,
+    /// Number of the run in which all members come together.
+    run: u32,
+}
+
+/// Members with different run numbers were given the highest one, and the log refused it for the
+/// others. So the gang of a job that an earlier leader had assigned in part never worked again.
+#[rstest]
+#[case::assigned_in_part(EarlierGang {
+    members: vec![live(1), live(1), ended(0)], listed: true, run: 2,
+})]
+#[case::started_in_part(EarlierGang {
+    members: vec![ended(0), live(1), ended(0)], listed: false, run: 2,
+})]
+#[case::some_were_alone(EarlierGang {
+    members: vec![ended(1), ended(0), ended(1)], listed: false, run: 2,
+})]
+#[case::alone_again_and_again(EarlierGang {
+    members: vec![ended(40), ended(0), ended(39), live(40)], listed: true, run: 41,
+})]
+#[case::alone_for_an_hour(EarlierGang {
+    members: [vec![ended(1_000); 2], vec![ended(0); 34]].concat(), listed: false, run: 1_001,
+})]
+#[case::live_in_different_runs(EarlierGang {
+    members: vec![live(2), live(1)], listed: true, run: 3,
+})]
+#[case::whole(EarlierGang { members: vec![live(1), live(1)], listed: true, run: 1 })]
+fn divided_gang_comes_together(#[case] case: EarlierGang) {
+    let mut world = World::new();
+    let mut host = Host::new("10.0.0.1", "i-1");
+    let count = case.members.len() as u32;
+    world.submit("match", 7, vec![gang(count)]);
+    for (left, index) in case.members.iter().zip(0..) {
+        for run in 1..=left.runs {
+            let key = key(7, 0, index, run);
+            let mut commands = vec![Command::Assign { key, incarnation: host.incarnation.clone() }];
+            if run < left.runs || !left.live {
+                commands.push(Command::Close { key, end: End::Alone, saved: None });
+            } else if case.listed {
+                host.rows.insert(key, RunStatus { percent: 0, ..row(key) });
+            }
+            replay(&mut world, commands);
+        }
+    }
+    world.send(Message::Lead { leading: false });
+    world.send(Message::Lead { leading: true });
+    let expected: Vec<RunKey> = (0..count as u16).map(|index| key(7, 0, index, case.run)).collect();
+    for _ in 0..24 {
+        host.step(&mut world);
+        for start in &host.starts {
+            let run = start.key.run;
+            assert!(run == case.run || !case.listed, "member started in run {run}");
+        }
+    }
+    let running: Vec<RunKey> = host.rows.keys().copied().collect();
+    assert_eq!(running, expected);
+    assert_eq!(world.live(&host.incarnation), expected);
+}
