Don't take members that wait for their gang for stuck

Cause: a member makes no progress until all are there, which counted as stuck after 2.5 s, and as a failure of its runner.

Change: the time without progress counts only from when the runners list all members.

Test: the case `for_a_member` failed before the change; `whole_gang_is_stuck` guards that a stuck gang is still stopped.

--- a/toucangrade/src/dispatch/gangs.rs
+++ b/toucangrade/src/dispatch/gangs.rs
@@ -58,12 +58,20 @@
     }
 
     /// Stops the members of gangs that lack others. They can't work, and the gang is assigned again
-    /// once all have ended.
+    /// once all have ended. The wait of a whole gang for its last members is no lack of progress.
     pub(super) fn mend_gangs(&mut self, now: Moment) {
         for LiveGang { members, whole } in self.live_gangs() {
             let run =
                 |(key, incarnation): &(RunKey, Incarnation)| self.fleet.run(incarnation, *key);
             if whole {
+                if members.iter().filter_map(run).all(|run| run.listed) {
+                    continue;
+                }
+                for (key, incarnation) in members {
+                    if let Some(run) = self.fleet.run_mut(&incarnation, key) {
+                        run.stalled_since = run.seen;
+                    }
+                }
                 continue;
             }
             let stops = |member: &&(RunKey, Incarnation)| run(member).is_some_and(|run| !run.stop);
--- a/toucangrade/src/dispatch/tests/gangs.rs
+++ b/toucangrade/src/dispatch/tests/gangs.rs
@@ -202,3 +202,31 @@
     assert_eq!(running, expected);
     assert_eq!(world.live(&host.incarnation), expected);
 }
+
+struct Waiting {
+    /// Whether the runner of the second member lists it.
+    listed: bool,
+    /// Whether the first member is stopped within 5 s.
+    stopped: bool,
+}
+
+/// Members that waited for the others were taken for stuck, and their runners for faulty.
+#[rstest]
+#[case::for_a_member(Waiting { listed: false, stopped: false })]
+#[case::whole_gang_is_stuck(Waiting { listed: true, stopped: true })]
+fn waiting_member_is_not_stuck(#[case] case: Waiting) {
+    let mut world = World::new();
+    let mut hosts = [Host::new("10.0.0.1", "i-1"), Host::new("10.0.0.2", "i-2")];
+    hosts.iter_mut().for_each(|host| host.step(&mut world));
+    world.submit("match", 7, vec![Step { spread: 1, ..gang(2) }]);
+    for _ in 0..25 {
+        for (at, host) in hosts.iter_mut().enumerate() {
+            host.step(&mut world);
+            if at == 1 && !case.listed {
+                host.rows.clear();
+            }
+        }
+    }
+    let stopped = !hosts[0].stops.is_empty();
+    assert_eq!(stopped, case.stopped);
+}
