Don't move single members of a gang to a faster runner

No caller has reported it. A slow filling run is stopped so that it is placed on a faster runner; the stop of a member ends the runs of its whole gang.

Change: members of gangs are not moved for their speed.

Test: `slow_member_is_not_moved` failed before the change.

--- a/toucangrade/src/dispatch/rescue.rs
+++ b/toucangrade/src/dispatch/rescue.rs
@@ -84,7 +84,9 @@
             for (key, run) in &lease.runs {
                 let speed = f64::from(run.figure) / run.cores.max(1) as f64;
                 let early = run.percent < 10;
-                let settled = run.listed && now.since(run.since) >= MOVE_AGE;
+                // A gang would have to be moved as a whole.
+                let gang = self.step_of(*key).is_some_and(|step| step.gang);
+                let settled = run.listed && !gang && now.since(run.since) >= MOVE_AGE;
                 if run.fills && !run.stop && settled && speed < MOVE_SPEED && (run.saves || early) {
                     let found = SlowRun { speed, incarnation: incarnation.clone(), key: *key };
                     slow.entry(key.task.job).or_default().push(found);
--- a/toucangrade/src/dispatch/tests/gangs.rs
+++ b/toucangrade/src/dispatch/tests/gangs.rs
@@ -230,3 +230,17 @@
     let stopped = !hosts[0].stops.is_empty();
     assert_eq!(stopped, case.stopped);
 }
+
+/// A slow member was moved to another runner, which ends the whole gang.
+#[test]
+fn slow_member_is_not_moved() {
+    let mut world = World::new();
+    let mut hosts = [Host::new("10.0.0.1", "i-1"), Host::new("10.0.0.2", "i-2")];
+    hosts.iter_mut().for_each(|host| host.step(&mut world));
+    world.submit("match", 7, vec![Step { fills: true, spread: 1, ..gang(2) }]);
+    for _ in 0..10 {
+        hosts.iter_mut().for_each(|host| host.step(&mut world));
+    }
+    assert_eq!(hosts.iter().map(|host| host.rows.len()).sum::<usize>(), 2);
+    assert!(hosts.iter().all(|host| host.stops.is_empty()), "a member was stopped");
+}
