Place a whole gang on a runner on trial

Cause: a runner that was barred gets one task at a time until one succeeds, and no gang of several fits into that.

Change: a gang is one trial, whatever its size.

Test: `runner_on_trial_takes_one_gang` failed before the change.

--- a/toucangrade/src/dispatch/health.rs
+++ b/toucangrade/src/dispatch/health.rs
@@ -1,7 +1,7 @@
 //! Circuit breaker of a runner, driven by how its tasks end.
 //!
 //! A runner that fails or refuses several tasks in a row is barred for a while. After that it is on
-//! trial: it gets one task at a time until one succeeds, and is barred again, for longer, if one
+//! trial: it gets one task or gang at a time until one succeeds, and is barred again, for longer, if one
 //! fails. Failures of runs that began before it was barred are ignored. Lasting tasks that fit on
 //! no other runner are placed there earlier.
 
@@ -18,7 +18,7 @@
     /// Only lasting tasks that no other runner has room for: they have to run somewhere, and lose
     /// no work if they fail.
     LastResort,
-    /// One task, and lasting tasks as in [`Self::LastResort`].
+    /// One task or gang, and lasting tasks as in [`Self::LastResort`].
     Trial,
     /// As many as there is room for.
     #[default]
--- a/toucangrade/src/dispatch/place.rs
+++ b/toucangrade/src/dispatch/place.rs
@@ -144,6 +144,14 @@
             self.reserved = self.reserved.saturating_add(step.need.millicores);
         }
         self.serving += u32::from(step.target > 0);
+        // The members of a gang are one trial.
+        if !step.gang {
+            self.begin_trial();
+        }
+    }
+
+    /// Takes no further task on trial.
+    pub(super) fn begin_trial(&mut self) {
         if self.trust == Trust::Trial {
             self.trust = Trust::LastResort;
         }
--- a/toucangrade/src/dispatch/plan.rs
+++ b/toucangrade/src/dispatch/plan.rs
@@ -177,6 +177,9 @@
             return;
         }
         if declared.gang {
+            for (_, incarnation) in &chosen {
+                index.get(incarnation).iter().for_each(|at| candidates[**at].begin_trial());
+            }
             return self.assign_gang(chosen);
         }
         for (key, incarnation) in chosen {
@@ -240,6 +243,7 @@
             let Some(&at) = index.get(incarnation) else { continue };
             if let Some(step) = self.step_of(*key) {
                 candidates[at].allocate(&self.learner.table, step);
+                candidates[at].begin_trial();
             }
         }
         candidates
--- a/toucangrade/src/dispatch/tests/gangs.rs
+++ b/toucangrade/src/dispatch/tests/gangs.rs
@@ -244,3 +244,35 @@
     assert_eq!(hosts.iter().map(|host| host.rows.len()).sum::<usize>(), 2);
     assert!(hosts.iter().all(|host| host.stops.is_empty()), "a member was stopped");
 }
+
+/// A runner on trial got one task at a time, so a gang with room on no other runner waited for
+/// another task to succeed there.
+#[test]
+fn runner_on_trial_takes_one_gang() {
+    let mut world = World::new();
+    let mut host = Host::new("10.0.0.1", "i-1");
+    host.step(&mut world);
+    let now = world.now;
+    for worker in world.dispatch.fleet.workers.values_mut() {
+        (0..3).for_each(|_| worker.record_failure(now, now));
+    }
+    for job in 7..10 {
+        world.submit("match", job, vec![gang(3)]);
+    }
+    for _ in 0..15 {
+        host.step(&mut world);
+        assert!(host.rows.is_empty(), "a run on a barred runner");
+    }
+    for job in 7..9 {
+        for _ in 0..10 {
+            host.step(&mut world);
+        }
+        let running: Vec<RunKey> = host.rows.keys().copied().collect();
+        let expected = match job {
+            7 => vec![key(7, 0, 0, 1), key(7, 0, 1, 1), key(7, 0, 2, 1)],
+            _ => (8..10).flat_map(|job| (0..3).map(move |at| key(job, 0, at, 1))).collect(),
+        };
+        assert_eq!(running, expected);
+        running.into_iter().for_each(|key| host.end(key, End::Done));
+    }
+}
