Start all members of a gang with one checkpoint

Cause: the log keeps a checkpoint for each task, and each member was started with its own. The member that was stopped on the draining runner had a newer one than the others, whose runs ended through it.

A state of an earlier version comes right in the same way.

No encoding and no rule of the replicated state has changed: an older follower applies the same entries with the same outcome.

--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -25,6 +25,7 @@
 use serde::{Serialize, Serializer};
 
 use self::fleet::{Fleet, Run, hold_end, lease_end};
+use self::gangs::GangSave;
 pub use self::message::{
     ClientReply, ClientRequest, Denial, EndedRun, JobState, Orders, Report, RunProfile, RunStatus,
     Runner, Start, Verb,
@@ -107,6 +108,9 @@
     /// Agents on whose runners each task has failed, was refused or got stuck.
     #[serde(skip)]
     avoided: BTreeMap<TaskKey, BTreeSet<Name>>,
+    /// Newest checkpoint of each gang, by its first member.
+    #[serde(skip)]
+    gang_saves: BTreeMap<TaskKey, GangSave>,
     /// Whether placement has to run, since a change may let a waiting task start.
     dirty: bool,
     /// When this instance became leader.
@@ -147,6 +151,7 @@
             ended: BTreeMap::new(),
             durations: BTreeMap::new(),
             avoided: BTreeMap::new(),
+            gang_saves: BTreeMap::new(),
             dirty: false,
             leading_since: Moment::START,
             last_rescue: Moment::START,
@@ -276,7 +281,8 @@
     /// `touched` the agents whose orders may have changed.
     fn apply(&mut self, now: Moment, command: &Command, touched: &mut BTreeSet<Name>) -> Applied {
         let ended = match command {
-            Command::Close { key, .. } => {
+            Command::Close { key, end, saved } => {
+                self.record_gang_save(*key, *end, saved.as_ref());
                 self.job_table.live(*key).map(|live| self.fleet.holder(&live.incarnation, *key))
             },
             _ => None,
@@ -435,6 +441,7 @@
         let over = |entry: &JobEntry| entry.phase != Phase::Active;
         if self.job_table.jobs.get(&job).is_none_or(over) && self.active.remove(&job) {
             self.avoided.retain(|task, _| task.job != job);
+            self.gang_saves.retain(|task, _| task.job != job);
             self.ended.insert(job, now);
             let range = run_range(job);
             for (incarnation, lease) in &self.fleet.leases {
@@ -447,6 +454,7 @@
 
     fn install(&mut self, now: Moment, index: u64, job_table: JobTable) {
         self.job_table = job_table;
+        self.gang_saves.clear();
         self.index = index;
         self.growth = (0, 0);
         self.rebuild(now);
--- a/toucangrade/src/dispatch/tests/gangs.rs
+++ b/toucangrade/src/dispatch/tests/gangs.rs
@@ -1,6 +1,7 @@
 //! Tests of gangs, whose members are assigned together with one run number.
 
 use super::*;
+use crate::jobs::Checkpoint;
 
 /// A runner with room for any gang. It starts and stops what its agent is ordered to, and its runs
 /// make no progress.
@@ -276,3 +277,77 @@
         running.into_iter().for_each(|key| host.end(key, End::Done));
     }
 }
+
+struct Saved {
+    /// How the runs of the members ended, and with which checkpoint, in this order.
+    ends: Vec<(End, Option<&'static str>)>,
+    /// Whether another instance leads before the gang starts again.
+    handed_over: bool,
+    /// The checkpoint with which all members start again.
+    common: Option<&'static str>,
+}
+
+/// Each member of a gang was started with the checkpoint of its own last run. After one had been
+/// stopped on a draining runner they differed, and members with different checkpoints never work.
+#[rstest]
+#[case::stopped_first(Saved {
+    ends: vec![(End::Stopped, Some("02")), (End::Broken, Some("01")), (End::Broken, Some("01"))],
+    handed_over: false,
+    common: Some("02"),
+})]
+#[case::stopped_last(Saved {
+    ends: vec![(End::Broken, Some("b")), (End::Broken, Some("b")), (End::Stopped, Some("a"))],
+    handed_over: false,
+    common: Some("a"),
+})]
+#[case::stopped_before_others(Saved {
+    ends: vec![(End::Broken, Some("b")), (End::Stopped, Some("a")), (End::Broken, Some("b"))],
+    handed_over: false,
+    common: Some("a"),
+})]
+#[case::only_one_has_saved(Saved {
+    ends: vec![(End::Broken, None), (End::Lost, None), (End::Broken, Some("01"))],
+    handed_over: false,
+    common: Some("01"),
+})]
+#[case::none_has_saved(Saved {
+    ends: vec![(End::Broken, None), (End::Failed, None)], handed_over: false, common: None,
+})]
+#[case::all_agree(Saved {
+    ends: vec![(End::Broken, Some("01")), (End::Broken, Some("01"))],
+    handed_over: false,
+    common: Some("01"),
+})]
+#[case::state_of_an_earlier_version(Saved {
+    ends: vec![(End::Broken, Some("01")), (End::Stopped, Some("02")), (End::Broken, Some("01"))],
+    handed_over: true,
+    common: Some("02"),
+})]
+fn gang_starts_with_one_checkpoint(#[case] case: Saved) {
+    let mut world = World::new();
+    let mut host = Host::new("10.0.0.1", "i-1");
+    let count = case.ends.len() as u32;
+    world.submit("match", 7, vec![Step { checkpoints: true, ..gang(count) }]);
+    let mut commands = Vec::new();
+    for ((end, saved), index) in case.ends.iter().zip(0..) {
+        let key = key(7, 0, index, 1);
+        commands.push(Command::Assign { key, incarnation: host.incarnation.clone() });
+        commands.push(Command::Close { key, end: *end, saved: saved.map(Into::into) });
+    }
+    replay(&mut world, commands);
+    if case.handed_over {
+        let job_table = Box::new(world.dispatch.job_table.clone());
+        world.send(Message::Lead { leading: false });
+        world.send(Message::Install { index: world.index, job_table });
+        world.send(Message::Lead { leading: true });
+    }
+    for _ in 0..4 {
+        host.step(&mut world);
+    }
+    let starts: Vec<_> = host.starts.iter().map(|start| (start.key, start.saved.clone())).collect();
+    let run = starts.first().map_or(0, |(key, _)| key.run);
+    let common: Option<Checkpoint> = case.common.map(Into::into);
+    let expected: Vec<_> =
+        (0..count as u16).map(|index| (key(7, 0, index, run), common.clone())).collect();
+    assert_eq!(starts, expected);
+}
