--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -4,6 +4,7 @@
 
 mod answers;
 mod fleet;
+mod gangs;
 mod health;
 mod log;
 mod message;
@@ -24,6 +25,7 @@
 use serde::{Serialize, Serializer};
 
 use self::fleet::{Fleet, Run, hold_end, lease_end};
+use self::gangs::GangSave;
 pub use self::message::{
     ClientReply, ClientRequest, Denial, EndedRun, JobState, Orders, Report, RunProfile, RunStatus,
     Runner, Start, Verb,
@@ -74,6 +76,9 @@
     /// Commands for the next proposal.
     #[serde(skip)]
     batch: Vec<Command>,
+    /// Positions in `batch` of commands that have to be in the same proposal as the one before.
+    #[serde(skip)]
+    joined: BTreeSet<usize>,
     /// Requests waiting for commands of `batch`, as (position of the command, ticket).
     waiters: Vec<(usize, u64)>,
     /// Proposals in flight, by ticket.
@@ -109,6 +114,9 @@
     /// Agents on whose runners each task has failed, was refused or got stuck.
     #[serde(skip)]
     avoided: BTreeMap<TaskKey, BTreeSet<Name>>,
+    /// Newest checkpoint of each gang, by its first member.
+    #[serde(skip)]
+    gang_saves: BTreeMap<TaskKey, GangSave>,
     /// Whether placement has to run, since a change may let a waiting task start.
     dirty: bool,
     /// When this instance became leader.
@@ -138,6 +146,7 @@
             learner: Learner::default(),
             active: BTreeSet::new(),
             batch: Vec::new(),
+            joined: BTreeSet::new(),
             waiters: Vec::new(),
             proposals: BTreeMap::new(),
             next_ticket: PROPOSAL_TICKET_BASE,
@@ -150,6 +159,7 @@
             ended: BTreeMap::new(),
             durations: BTreeMap::new(),
             avoided: BTreeMap::new(),
+            gang_saves: BTreeMap::new(),
             dirty: false,
             leading_since: Moment::START,
             last_rescue: Moment::START,
@@ -221,11 +231,20 @@
         self.batch.push(command);
     }
 
+    /// Adds commands that are committed together or not at all.
+    fn propose_together(&mut self, commands: Vec<Command>) {
+        let first = self.batch.len();
+        self.batch.extend(commands);
+        self.joined.extend(first + 1..self.batch.len());
+    }
+
     fn flush(&mut self) {
         while !self.batch.is_empty() && self.proposals.len() < PROPOSALS_LIMIT {
-            let rest = self.batch.split_off(batch_length(&self.batch));
+            let taken = batch_length(&self.batch, &self.joined);
+            let rest = self.batch.split_off(taken);
             let commands = std::mem::replace(&mut self.batch, rest);
-            let taken = commands.len();
+            let joined = self.joined.split_off(&taken);
+            self.joined = joined.into_iter().map(|at| at - taken).collect();
             let (waiters, later): (Vec<_>, Vec<_>) =
                 self.waiters.drain(..).partition(|(at, _)| *at < taken);
             self.waiters = later.into_iter().map(|(at, ticket)| (at - taken, ticket)).collect();
@@ -275,7 +294,8 @@
     /// `touched` the agents whose orders may have changed.
     fn apply(&mut self, now: Moment, command: &Command, touched: &mut BTreeSet<Name>) -> Applied {
         let ended = match command {
-            Command::Close { key, .. } => {
+            Command::Close { key, end, saved } => {
+                self.record_gang_save(*key, *end, saved.as_ref());
                 self.job_table.live(*key).map(|live| self.fleet.holder(&live.incarnation, *key))
             },
             _ => None,
@@ -444,6 +464,7 @@
         let over = |entry: &JobEntry| entry.phase != Phase::Active;
         if self.job_table.jobs.get(&job).is_none_or(over) && self.active.remove(&job) {
             self.avoided.retain(|task, _| task.job != job);
+            self.gang_saves.retain(|task, _| task.job != job);
             self.ended.insert(job, now);
             let range = run_range(job);
             for (incarnation, lease) in &self.fleet.leases {
@@ -456,6 +477,7 @@
 
     fn install(&mut self, now: Moment, index: u64, job_table: JobTable) {
         self.job_table = job_table;
+        self.gang_saves.clear();
         self.index = index;
         self.growth = (0, 0);
         self.rebuild(now);
@@ -522,6 +544,7 @@
     /// instance decides from now on.
     fn step_down(&mut self) {
         self.batch.clear();
+        self.joined.clear();
         self.assigning.clear();
         self.moving.clear();
         self.closing.clear();
@@ -575,8 +598,10 @@
     )
 }
 
-/// Number of commands at the front that fit into one proposal, at least one.
-fn batch_length(commands: &[Command]) -> usize {
+/// Number of commands at the front that fit into one proposal, at least one. `joined` are positions
+/// at which they must not be divided: a larger proposal is made if need be, as the log takes one with
+/// the assignments of the largest step.
+fn batch_length(commands: &[Command], joined: &BTreeSet<usize>) -> usize {
     let mut bytes = 0;
     let fits = |command: &&Command| {
         bytes += match command {
@@ -593,7 +618,10 @@
         };
         bytes <= BATCH_BYTES
     };
-    commands.iter().take(BATCH_LIMIT).take_while(fits).count().max(1)
+    let fitting = commands.iter().take(BATCH_LIMIT).take_while(fits).count();
+    let undivided = |at: &usize| !joined.contains(at);
+    let length = (1..=fitting).rev().find(undivided);
+    length.or_else(|| (1..commands.len()).find(undivided)).unwrap_or(commands.len())
 }
 
 /// Key range of all runs of a job.
--- a/toucangrade/src/dispatch/tests.rs
+++ b/toucangrade/src/dispatch/tests.rs
@@ -6,6 +6,7 @@
 mod extremes;
 mod faulty_runners;
 mod fuzz;
+mod gangs;
 mod health;
 mod late;
 mod leases;
--- a/toucangrade/src/simulation/jobs/truth.rs
+++ b/toucangrade/src/simulation/jobs/truth.rs
@@ -6,6 +6,8 @@
 use std::sync::Arc;
 
 use super::QUEUES;
+use super::Scope;
+use super::gangs::Gangs;
 use super::world::{SERVICE, World};
 use crate::core::invariant;
 use crate::dispatch::EndedRun;
@@ -14,7 +16,7 @@
 /// Time after the end of its last run in which a lasting task may be down, in microseconds.
 const RESTART_GRACE: u64 = 6_000_000;
 /// Time without faults within which the system must act on a change, in microseconds.
-const REACTION_TIME: u64 = 3_000_000;
+pub(super) const REACTION_TIME: u64 = 3_000_000;
 /// Time from which on a job that waits must be counted as waiting, in microseconds.
 const WAITING_TIME: u64 = 5_000_000;
 /// Maximum number of lines in the trace; older ones are dropped.
@@ -25,8 +27,8 @@
 pub(super) struct Truth {
     /// Whether runners refuse tasks that exceed their free resources.
     pub(super) guarded: bool,
-    /// Whether runners restart under their names and are cut off from their agents.
-    pub(super) restarts: bool,
+    pub(super) scope: Scope,
+    pub(super) gangs: Gangs,
     /// Maximum lease of runners, in ms.
     pub(super) longest: u64,
     /// Maximum number of ends in a listing.
@@ -106,7 +108,7 @@
         let again = self.truth.started.insert(key, (agent, serial, self.now));
         invariant!(
             again.is_none_or(|(earlier, last, _)| {
-                self.truth.restarts && earlier == agent && last < serial
+                self.truth.scope.restarts && earlier == agent && last < serial
             }),
             "{key} starts for a second time, at {agent}"
         );
@@ -323,7 +325,8 @@
         self.unfinished_jobs().count()
     }
 
-    /// Describes such a job with a running task, or with at least two places for a waiting one.
+    /// Describes such a job with a running task, with at least two places for a waiting one, or with
+    /// room for a whole waiting gang.
     pub(super) fn unfinished(&self) -> Option<String> {
         let entry = self.unfinished_jobs().find(|entry| self.can_progress(entry))?;
         Some(format!("job {:x} has not ended: {:?}", entry.job.id, entry.rounds))
@@ -333,10 +336,10 @@
         let id = entry.job.id;
         let runners = || self.machines.iter().flat_map(|machine| &machine.runner);
         runners().any(|runner| runner.runs.keys().any(|key| key.task.job == id))
-            || self
-                .waiting_tasks(entry)
-                .iter()
-                .any(|(task, step)| self.places(*task, step).len() > 1)
+            || self.waiting_tasks(entry).iter().any(|(task, step)| match step.gang {
+                true => self.gang_room(*task, step) >= step.count,
+                false => self.places(*task, step).len() > 1,
+            })
     }
 
     /// Total capacity of all runners, in millicores.
