Log why a filling job waits

Change: the leader writes `filling job waits` for a job without a run whose filling tasks could start, with the runners passed over by reason. Two reasons are new, `Interference` and `Cores`, which placement applied without a name. The bound on volume is that of lasting tasks: one line a job in 2 s, 16 lines a check. No decision changes.

--- a/toucangrade/src/dispatch/place.rs
+++ b/toucangrade/src/dispatch/place.rs
@@ -22,6 +22,10 @@
 pub(crate) enum Exclusion {
     /// It is barred after failures, or on trial with another task.
     Barred,
+    /// A filling task would be too slow, as others use its cores or it is slow itself.
+    Cores,
+    /// A filling task would be too slow, as it may disturb tasks with a latency target.
+    Interference,
     /// It lacks the label that the step requires.
     Label,
     /// It is draining.
@@ -87,13 +91,33 @@
 
     /// Fraction of full speed at which one more filling task would run.
     pub(super) fn speed(&mut self, table: &Table, step: &Step) -> f64 {
+        let allowed = self.allowed(table, step);
+        allowed.min(self.cores_speed(step)) * 100.0 / self.slowness.max(1) as f64
+    }
+
+    /// Fraction of full speed that the tasks with a latency target leave one more filling task.
+    pub(super) fn allowed(&mut self, table: &Table, step: &Step) -> f64 {
         let asked = self.fraction(step.need.millicores);
         let limit = step.image.as_ref().map(|image| self.limit(table, image));
         let limit = limit.unwrap_or_else(|| self.headroom.limit(table, ""));
-        let allowed = share_within(limit, asked);
+        share_within(limit, asked)
+    }
+
+    /// Fraction of full speed for which one more filling task finds unused cores.
+    pub(super) fn cores_speed(&self, step: &Step) -> f64 {
         let wanted = self.filling.saturating_add(step.need.millicores).max(1);
-        let cores = self.spare_cores() as f64 / wanted as f64;
-        allowed.min(cores).min(1.0) * 100.0 / self.slowness.max(1) as f64
+        (self.spare_cores() as f64 / wanted as f64).min(1.0)
+    }
+
+    /// Reason for which a filling task would be too slow here.
+    pub(super) fn slow_reason(&mut self, table: &Table, step: &Step) -> Option<Exclusion> {
+        if !step.fills || self.speed(table, step) >= MIN_SPEED {
+            None
+        } else if self.allowed(table, step) < MIN_SPEED {
+            Some(Exclusion::Interference)
+        } else {
+            Some(Exclusion::Cores)
+        }
     }
 
     fn label(&self, label: &str) -> bool {
--- a/toucangrade/src/dispatch/tests/waits.rs
+++ b/toucangrade/src/dispatch/tests/waits.rs
@@ -96,3 +96,50 @@
     world.advance(600);
     assert_eq!(world.gauges.get("lasting_waiting"), Some(&0));
 }
+
+struct FillingWait {
+    /// Tail latency of a task on the only runner, in ms; its target is 100. 0 for no such task.
+    tail: u32,
+    /// Millicores of a filling task that runs there.
+    filling: u64,
+    /// Millicores and memory of the waiting tasks.
+    need: (u64, u64),
+    reason: Exclusion,
+}
+
+fn filling(count: u32, millicores: u64) -> Step {
+    Step { fills: true, image: Some("batch".into()), ..step(count, millicores) }
+}
+
+/// Guards against a filling job that waits without a log line that says why: its caller sees it
+/// `queued` for as long as the services on all runners are near their targets.
+#[rstest]
+#[case::interference(FillingWait {
+    tail: 90, filling: 0, need: (500, 100), reason: Exclusion::Interference,
+})]
+#[case::cores(FillingWait { tail: 0, filling: 4_000, need: (5_000, 100), reason: Exclusion::Cores })]
+#[case::room(FillingWait { tail: 10, filling: 0, need: (500, 20_000), reason: Exclusion::Room })]
+fn filling_job_tells_why_it_waits(#[case] case: FillingWait) {
+    let mut world = World::new();
+    let runner = incarnation("i-1", 10);
+    world.report(report("10.0.0.1", 1, &runner));
+    let row = |key, figure| RunStatus { key, saved: None, percent: 100, figure, share: 100 };
+    let mut rows = Vec::new();
+    if case.tail > 0 {
+        let serving = Step { image: Some("shop".into()), target: 100, ..lasting(1_000) };
+        world.submit("match", 1, vec![serving]);
+        rows.push(row(key(1, 0, 0, 1), case.tail));
+    }
+    if case.filling > 0 {
+        world.submit("match", 2, vec![filling(1, case.filling)]);
+        rows.push(row(key(2, 0, 0, 1), case.filling as u32));
+    }
+    world.reports("10.0.0.1", &runner, 500, |_| rows.clone());
+    let (millicores, memory) = case.need;
+    let mut step = filling(2, millicores);
+    step.need.memory = memory;
+    world.submit("match", 7, vec![step]);
+    world.reports("10.0.0.1", &runner, 500, |_| rows.clone());
+    let expected = vec![(key(7, 0, 0, 1).task, BTreeMap::from([(case.reason, 1)]), 0)];
+    assert_eq!(world.dispatch.all_wait_reasons(world.now), expected);
+}
--- a/toucangrade/src/dispatch/waits.rs
+++ b/toucangrade/src/dispatch/waits.rs
@@ -1,16 +1,17 @@
-//! Diagnostics of lasting tasks that wait for a runner: log lines with the reasons, and gauges.
+//! Diagnostics of lasting tasks and of filling jobs that wait for a runner: log lines with the
+//! reasons, and gauges.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use serde::Serialize;
 
-use super::Dispatch;
 use super::message::Effect;
 use super::place::{Candidate, Exclusion};
 use super::plan::index;
+use super::{Dispatch, run_range};
 use crate::core::{Moment, Name, Span};
-use crate::jobs::{RunKey, Step, TaskKey};
+use crate::jobs::{JobEntry, RunKey, Step, TaskKey};
 
 /// Interval between two checks; a placement takes a few round trips.
 const CHECK_EVERY: Span = Span::millis(500);
@@ -21,7 +22,7 @@
 /// Most log lines of one check, which bounds the volume when a whole fleet is lost.
 const LINES_LIMIT: usize = 16;
 
-/// A lasting task that has no run.
+/// A lasting task that has no run, or a filling job without one.
 #[derive(Debug, Serialize)]
 struct Wait {
     since: Moment,
@@ -30,80 +31,103 @@
     logged: Moment,
 }
 
-/// Lasting tasks that have no run.
-#[derive(Debug, Default, Serialize)]
-pub(super) struct Waits {
-    #[serde(skip)]
-    tasks: BTreeMap<TaskKey, Wait>,
-    /// Time of the last check.
-    #[serde(rename = "looked")]
-    checked: Moment,
-    /// Last values of the gauges: tasks that have waited for [`LONG_WAIT`], and barred runners.
-    gauges: (u64, u64),
+/// Waits by what waits: a task or a job.
+#[derive(Debug)]
+struct Timers<K>(BTreeMap<K, Wait>);
+
+impl<K> Default for Timers<K> {
+    fn default() -> Self {
+        Self(BTreeMap::new())
+    }
 }
 
-impl Waits {
-    /// Replaces the waiting tasks, which are sorted, and returns those that are due for a log line,
-    /// with the length of their wait.
-    fn update(&mut self, now: Moment, waiting: &[TaskKey]) -> Vec<(TaskKey, Span)> {
-        self.tasks.retain(|task, _| waiting.binary_search(task).is_ok());
+impl<K: Copy + Ord> Timers<K> {
+    /// Replaces what waits and returns those that are due for a log line, with the length of their
+    /// wait.
+    fn update<V>(&mut self, now: Moment, waiting: &BTreeMap<K, V>) -> Vec<(K, Span)> {
+        self.0.retain(|key, _| waiting.contains_key(key));
         let mut due = Vec::new();
-        for &task in waiting {
-            let wait = self.tasks.entry(task).or_insert(Wait { since: now, logged: Moment::START });
+        for &key in waiting.keys() {
+            let wait = self.0.entry(key).or_insert(Wait { since: now, logged: Moment::START });
             let long = now.since(wait.since) >= LONG_WAIT;
             if long && now.since(wait.logged) >= LOG_EVERY && due.len() < LINES_LIMIT {
                 wait.logged = now;
-                due.push((task, now.since(wait.since)));
+                due.push((key, now.since(wait.since)));
             }
         }
         due
     }
 
     fn long_waits(&self, now: Moment) -> u64 {
-        self.tasks.values().filter(|wait| now.since(wait.since) >= LONG_WAIT).count() as u64
+        self.0.values().filter(|wait| now.since(wait.since) >= LONG_WAIT).count() as u64
     }
 }
 
+/// Lasting tasks that have no run, and jobs with waiting filling tasks and no run.
+#[derive(Debug, Default, Serialize)]
+pub(super) struct Waits {
+    #[serde(skip)]
+    tasks: Timers<TaskKey>,
+    #[serde(skip)]
+    jobs: Timers<u64>,
+    /// Time of the last check.
+    #[serde(rename = "looked")]
+    checked: Moment,
+    /// Last values of the gauges: lasting tasks that have waited for [`LONG_WAIT`], and barred
+    /// runners.
+    gauges: (u64, u64),
+}
+
+/// Waiting tasks of a step.
+struct Waiting {
+    /// Next run of the first one.
+    key: RunKey,
+    tasks: usize,
+    service: Arc<str>,
+    step: Step,
+}
+
 /// Why a task waits.
 #[derive(Debug, Default)]
-struct WaitReasons<'a> {
+struct WaitReasons {
     /// Number of runners excluded, by reason.
     excluded: BTreeMap<Exclusion, u32>,
     /// Number of eligible runners.
     eligible: u32,
-    /// Of the runners that the task fits on, the one with most free cores, and the reason that
-    /// excludes it, if any.
-    best: Option<(&'a Candidate, Option<Exclusion>)>,
+    /// Of the runners that the task fits on, the position of the one with most free cores, or for a
+    /// filling task of the one where it would be fastest, and the reason that excludes it, if any.
+    best: Option<(usize, Option<Exclusion>)>,
 }
 
 impl Dispatch {
-    /// Periodically logs why lasting tasks wait, and updates the gauges.
+    /// Periodically logs why lasting tasks and filling jobs wait, and updates the gauges.
     pub(super) fn report_waits(&mut self, now: Moment) {
         if now.since(self.waits.checked) < CHECK_EVERY {
             return;
         }
         self.waits.checked = now;
-        let waiting = self.lasting_waiting();
-        let tasks: Vec<TaskKey> = waiting.keys().copied().collect();
-        let due = self.waits.update(now, &tasks);
-        if !due.is_empty() {
+        let (tasks, jobs) = (self.lasting_waiting(), self.filling_waiting());
+        let due_tasks = self.waits.tasks.update(now, &tasks);
+        let due_jobs = self.waits.jobs.update(now, &jobs);
+        if !due_tasks.is_empty() || !due_jobs.is_empty() {
             let agents: Vec<Name> = self.fleet.workers.keys().cloned().collect();
-            let candidates = self.candidates_on(now, &agents);
-            for (task, waited) in due {
-                let (key, service, step) = &waiting[&task];
-                let reasons = self.wait_reasons(now, task, service, step, &candidates);
-                self.log_wait(now, *key, waited, step, &reasons);
+            let mut candidates = self.candidates_on(now, &agents);
+            for (task, waited) in due_tasks {
+                self.log_lasting(now, waited, &tasks[&task], &mut candidates);
+            }
+            for (job, waited) in due_jobs {
+                self.log_filling(now, waited, &jobs[&job], &mut candidates);
             }
         }
         let quarantined =
             self.fleet.workers.values().filter(|worker| worker.health.is_quarantined());
         let barred = quarantined.count() as u64;
-        self.set_wait_gauges(self.waits.long_waits(now), barred);
+        self.set_wait_gauges(self.waits.tasks.long_waits(now), barred);
     }
 
-    /// Forgets the waiting tasks and resets the gauges, since another instance decides from now on.
+    /// Forgets what waits and resets the gauges, since another instance decides from now on.
     pub(super) fn clear_waits(&mut self) {
-        self.waits.tasks.clear();
+        (self.waits.tasks, self.waits.jobs) = (Timers::default(), Timers::default());
         self.set_wait_gauges(0, 0);
     }
 
@@ -115,24 +139,26 @@
         }
     }
 
-    /// Numbers of excluded runners, by reason, and of eligible ones for each waiting lasting task.
+    /// Numbers of excluded runners, by reason, and of eligible ones for each waiting lasting task and
+    /// for the first task of each waiting filling job.
     #[cfg(test)]
     pub(super) fn all_wait_reasons(
         &mut self,
         now: Moment,
     ) -> Vec<(TaskKey, BTreeMap<Exclusion, u32>, u32)> {
         let agents: Vec<Name> = self.fleet.workers.keys().cloned().collect();
-        let candidates = self.candidates_on(now, &agents);
-        let waiting = self.lasting_waiting();
-        let all = waiting.iter().map(|(task, (_, service, step))| {
-            let reasons = self.wait_reasons(now, *task, service, step, &candidates);
-            (*task, reasons.excluded, reasons.eligible)
+        let mut candidates = self.candidates_on(now, &agents);
+        let mut waiting: Vec<Waiting> = self.lasting_waiting().into_values().collect();
+        waiting.extend(self.filling_waiting().into_values());
+        let all = waiting.iter().map(|waiting| {
+            let reasons = self.wait_reasons(now, waiting, &mut candidates);
+            (waiting.key.task, reasons.excluded, reasons.eligible)
         });
         all.collect()
     }
 
-    /// Lasting tasks that have no run, with the next run, the service and the step.
-    fn lasting_waiting(&self) -> BTreeMap<TaskKey, (RunKey, Arc<str>, Step)> {
+    /// Lasting tasks that have no run.
+    fn lasting_waiting(&self) -> BTreeMap<TaskKey, Waiting> {
         let mut found = BTreeMap::new();
         let entries = self.active.iter().filter_map(|id| self.job_table.jobs.get(id));
         for entry in entries.filter(|entry| entry.job.lasting()) {
@@ -140,35 +166,66 @@
             for ((_, step), keys) in self.waiting(entry) {
                 let step = &entry.job.steps[usize::from(step)];
                 for key in keys.into_iter().filter(|_| step.lasting) {
-                    found.insert(key.task, (key, Arc::clone(&queue.service), step.clone()));
+                    let (service, step) = (Arc::clone(&queue.service), step.clone());
+                    found.insert(key.task, Waiting { key, tasks: 1, service, step });
                 }
             }
         }
         found
     }
 
+    /// Jobs without a run and with filling tasks that could start: the first step of such tasks.
+    fn filling_waiting(&self) -> BTreeMap<u64, Waiting> {
+        let entries = self.active.iter().filter_map(|id| self.job_table.jobs.get(id));
+        let fills = |entry: &&JobEntry| entry.job.steps.iter().any(|step| step.fills);
+        let found = entries.filter(fills).filter(|entry| self.is_idle(entry)).filter_map(|entry| {
+            let service = Arc::clone(&self.job_table.queue(&entry.job.queue)?.service);
+            let mut waiting = self.waiting(entry).into_iter();
+            let (step, keys) = waiting.find_map(|((_, step), keys)| {
+                let step = &entry.job.steps[usize::from(step)];
+                step.fills.then_some((step, keys))
+            })?;
+            let (key, tasks, step) = (*keys.first()?, keys.len(), step.clone());
+            Some((entry.job.id, Waiting { key, tasks, service, step }))
+        });
+        found.collect()
+    }
+
+    /// Whether a job has no run, not even a proposed one.
+    fn is_idle(&self, entry: &JobEntry) -> bool {
+        let tasks = entry.rounds.values().flat_map(|round| round.steps.iter().flatten());
+        tasks.into_iter().all(|task| task.live.is_empty())
+            && self.assigning.range(run_range(entry.job.id)).next().is_none()
+    }
+
     /// Counts the runners excluded for a task, by reason, and the eligible ones.
-    fn wait_reasons<'a>(
+    fn wait_reasons(
         &self,
         now: Moment,
-        task: TaskKey,
-        service: &str,
-        step: &Step,
-        candidates: &'a [Candidate],
-    ) -> WaitReasons<'a> {
+        waiting: &Waiting,
+        candidates: &mut [Candidate],
+    ) -> WaitReasons {
+        let Waiting { key: RunKey { task, .. }, service, step, .. } = waiting;
+        let table = &self.learner.table;
         let siblings = self.siblings(&index(candidates), task.job, task.round, task.step);
         let mut reasons = WaitReasons::default();
-        for (candidate, siblings) in candidates.iter().zip(siblings) {
+        let mut most = 0;
+        for ((at, candidate), siblings) in candidates.iter_mut().enumerate().zip(siblings) {
             let worker = self.fleet.workers.get(&candidate.agent);
             let excluded = worker.and_then(|worker| worker.exclusion(now));
             let barred = candidate.barred(step).then_some(Exclusion::Barred);
-            let excluded = excluded.or(barred);
             let mismatch = candidate.mismatch(step, service, siblings);
-            let most = reasons.best.map_or(0, |(best, _): (&Candidate, _)| best.free.millicores);
-            if mismatch.is_none() && (reasons.best.is_none() || candidate.free.millicores > most) {
-                reasons.best = Some((candidate, excluded));
+            let slow = candidate.slow_reason(table, step);
+            let excluded = excluded.or(barred).or(mismatch).or(slow);
+            let merit = if step.fills {
+                (candidate.speed(table, step) * 1_000.0) as u64
+            } else {
+                candidate.free.millicores
+            };
+            if mismatch.is_none() && (reasons.best.is_none() || merit > most) {
+                (reasons.best, most) = (Some((at, excluded)), merit);
             }
-            match excluded.or(mismatch) {
+            match excluded {
                 Some(reason) => *reasons.excluded.entry(reason).or_default() += 1,
                 None => reasons.eligible += 1,
             }
@@ -176,14 +233,21 @@
         reasons
     }
 
-    fn log_wait(&self, now: Moment, key: RunKey, waited: Span, step: &Step, reasons: &WaitReasons) {
-        let best = reasons.best.map(|(candidate, _)| candidate);
+    fn log_lasting(
+        &self,
+        now: Moment,
+        waited: Span,
+        waiting: &Waiting,
+        candidates: &mut [Candidate],
+    ) {
+        let reasons = self.wait_reasons(now, waiting, candidates);
+        let best = reasons.best.map(|(at, _)| &candidates[at]);
         tracing::info!(
-            run = %key,
+            run = %waiting.key,
             waited_ms = waited.as_millis(),
             index = self.index,
-            millicores = step.counted().millicores,
-            memory_mb = step.need.memory,
+            millicores = waiting.step.counted().millicores,
+            memory_mb = waiting.step.need.memory,
             passed = ?reasons.excluded,
             open = reasons.eligible,
             flights = self.proposals.len(),
@@ -195,6 +259,38 @@
         );
     }
 
+    fn log_filling(
+        &self,
+        now: Moment,
+        waited: Span,
+        waiting: &Waiting,
+        candidates: &mut [Candidate],
+    ) {
+        let reasons = self.wait_reasons(now, waiting, candidates);
+        let (table, step) = (&self.learner.table, &waiting.step);
+        let mut best = reasons.best.map(|(at, _)| &mut candidates[at]);
+        let allowed = best.as_mut().map(|best| best.allowed(table, step));
+        tracing::info!(
+            run = %waiting.key,
+            waited_ms = waited.as_millis(),
+            index = self.index,
+            tasks = waiting.tasks,
+            image = step.image.as_deref(),
+            millicores = step.need.millicores,
+            memory_mb = step.need.memory,
+            passed = ?reasons.excluded,
+            open = reasons.eligible,
+            flights = self.proposals.len(),
+            best = best.as_ref().map(|best| best.incarnation.runner.as_str()),
+            best_reason = ?reasons.best.and_then(|(_, reason)| reason),
+            best_allowed = allowed,
+            best_cores = best.as_ref().map(|best| best.cores_speed(step)),
+            best_slowness = best.as_ref().map(|best| best.slowness),
+            heard_ms = best.as_ref().and_then(|best| self.report_age_ms(&best.agent, now)),
+            "filling job waits"
+        );
+    }
+
     /// Age of the newest report of an agent, in ms.
     pub(super) fn report_age_ms(&self, agent: &Name, now: Moment) -> Option<u64> {
         self.fleet.workers.get(agent).map(|worker| now.since(worker.received).as_millis())
