Start filling jobs that have waited on trial, and probe paused runs

Cause: placement passed over each runner on which a task would get less than half of its speed, without a bound on the wait. What is known of an image changes only while its use of cores changes, so a doubtful estimate kept the image from running and was never corrected.

Change: after 1.5 s one task of a filling job without a run (a gang whole) is started at any speed on the runner with most headroom, one on a runner at a time, while at most half of the service's cores and memory is in use and there is room for twice the need. Its agent paces it, and probes runs that have had a share of 0 for 3 s (12 s if the image's effect is known): 0.9 s at 30% at most, within 90% of all targets. Nothing that is sent or stored changes.

Tests: `dispatch::tests::trials`, `paused_run_is_probed`.

--- a/toucangrade/src/dispatch/place.rs
+++ b/toucangrade/src/dispatch/place.rs
@@ -13,8 +13,8 @@
 /// Average share of their reserved cores that lasting tasks use, in percent; the reservation covers
 /// their peak.
 const RESERVED_USE_PERCENT: u64 = 50;
-/// Smallest fraction of full speed at which a filling task is started. Below this it would miss its
-/// objective while holding memory that another task could use.
+/// Smallest fraction of full speed at which a filling task is started, except for trials. Below this
+/// it would miss its objective while holding memory that another task could use.
 const MIN_SPEED: f64 = 0.5;
 
 /// Reason for which a runner is not eligible for a task.
@@ -63,6 +63,8 @@
     pub(super) limits: BTreeMap<Arc<str>, f64>,
     /// Whether `limits` lacks the tasks that were allocated in this round.
     pub(super) allocated: bool,
+    /// Whether a filling task was started so recently that its effect is not known yet.
+    pub(super) settling: bool,
     /// Slowness relative to other runners, in percent.
     pub(super) slowness: u64,
     /// Tasks that may be placed on it.
@@ -124,6 +126,13 @@
         self.labels.iter().any(|own| **own == *label)
     }
 
+    /// Whether a filling task that has waited long may start here although the estimates slow it down.
+    /// Its agent paces it, and tries it at a small share while no latency is too close to its target.
+    /// One task of a gang alone would not work, so a gang is started whole.
+    fn takes_trial(&self, step: &Step) -> bool {
+        (step.gang || !self.settling) && self.cores_speed(step) >= MIN_SPEED
+    }
+
     /// Reason for which this runner can't take a task of the step; `siblings` is the number of
     /// tasks of the step that it already runs.
     pub(super) fn mismatch(&self, step: &Step, service: &str, siblings: u32) -> Option<Exclusion> {
@@ -163,6 +172,7 @@
             self.headroom.spend(table, image, asked);
             self.limits.clear();
             self.allocated = true;
+            self.settling = true;
         }
         if step.lasting {
             self.reserved = self.reserved.saturating_add(step.need.millicores);
@@ -188,6 +198,8 @@
     pub(super) service: &'a str,
     /// Estimates of how images interfere with each other.
     pub(super) table: &'a Table,
+    /// Whether the task may start although it would be slowed down to protect latency targets.
+    pub(super) trial: bool,
 }
 
 /// Rank of a candidate: its trust, whether it is on the requested rack, and a rank by the kind of
@@ -198,7 +210,8 @@
 ///
 /// Tasks with a latency target are packed onto few runners, so that the others stay free for
 /// filling tasks, which would disturb them. Filling tasks go where they run fastest: where cores
-/// are unused, and where they disturb no task with a latency target. Other tasks go where the
+/// are unused, and where they disturb no task with a latency target; trials go where the tasks with
+/// a latency target have most headroom. Other tasks go where the
 /// largest share of the cores stays free. Runners on trial come last.
 pub(super) struct Ranking<'a> {
     constraints: Constraints<'a>,
@@ -210,9 +223,10 @@
 impl<'a> Ranking<'a> {
     pub(super) fn new(
         candidates: &mut [Candidate],
-        constraints: Constraints<'a>,
+        mut constraints: Constraints<'a>,
         siblings: Vec<u32>,
     ) -> Self {
+        constraints.trial = constraints.trial && has_spare_room(candidates, constraints, &siblings);
         let ranks = candidates.iter_mut().zip(&siblings).map(|(c, n)| rank(c, constraints, *n));
         let ranks = ranks.collect();
         Self { constraints, siblings, ranks }
@@ -242,8 +256,35 @@
     }
 }
 
+/// Whether trials are worth their memory: at most half of the service's capacity is in use, and there
+/// is room for twice the tasks that have to start together. With less room a job that waits for a
+/// faster runner is served sooner than one that holds a slow one.
+fn has_spare_room(
+    candidates: &[Candidate],
+    constraints: Constraints<'_>,
+    siblings: &[u32],
+) -> bool {
+    let Constraints { step, service, .. } = constraints;
+    let (mut total, mut unused, mut filling) = (Need::default(), Need::default(), 0_u64);
+    for candidate in candidates.iter().filter(|candidate| *candidate.service == *service) {
+        total.add(&candidate.capacity);
+        unused.add(&candidate.free);
+        filling = candidate.filling.saturating_add(filling);
+    }
+    let cores = unused.millicores.saturating_sub(filling);
+    if cores < total.millicores / 2 || unused.memory < total.memory / 2 {
+        return false;
+    }
+    let open = candidates.iter().zip(siblings).filter(|(candidate, siblings)| {
+        !candidate.barred(step) && candidate.mismatch(step, service, **siblings).is_none()
+    });
+    let counted = step.counted();
+    let slots = open.fold(0, |sum: u64, (c, _)| sum.saturating_add(c.free.times(&counted)));
+    slots >= 2 * if step.gang { u64::from(step.count) } else { 1 }
+}
+
 fn rank(candidate: &mut Candidate, constraints: Constraints<'_>, siblings: u32) -> Option<Rank> {
-    let Constraints { step, service, table } = constraints;
+    let Constraints { step, service, table, trial } = constraints;
     if candidate.barred(step) || candidate.mismatch(step, service, siblings).is_some() {
         return None;
     }
@@ -253,7 +294,12 @@
     let rank = if step.fills {
         let speed = candidate.speed(table, step);
         if speed < MIN_SPEED {
-            return None;
+            if !trial || !candidate.takes_trial(step) {
+                return None;
+            }
+            let headroom = (candidate.headroom.least().clamp(-1.0, 1.0) + 1.0) * 1_000.0;
+            let rank = ((speed * 20.0) as u64, headroom as u64, left);
+            return Some((candidate.trust, right_rack, rank));
         }
         // Equally fast runners are ranked by whether they run no task with a latency target, then
         // by free cores.
--- a/toucangrade/src/dispatch/plan.rs
+++ b/toucangrade/src/dispatch/plan.rs
@@ -6,9 +6,10 @@
 use super::Dispatch;
 use super::health::Trust;
 use super::place::{Candidate, Constraints, Ranking};
+use super::settings::TRIAL_SETTLE;
 use crate::core::{Moment, Name};
 use crate::jobs::{Command, Incarnation, Job, JobEntry, Phase, Queue, RunKey, TaskKey};
-use crate::pressure::{Headroom, Serving};
+use crate::pressure::{AIM_PERCENT, Headroom, Serving};
 
 /// Multiple of its objective at which a late job loses all its value.
 const LATE_FACTOR: u64 = 3;
@@ -154,8 +155,11 @@
             vec![0; candidates.len()]
         };
         let before = declared.gang.then(|| candidates.clone());
-        let constraints =
-            Constraints { step: declared, service: &queue.service, table: &self.learner.table };
+        // One task of a job is tried at a time.
+        let trial = declared.fills && self.waits.trial_due(job.id);
+        let tasks = if trial && !declared.gang { &tasks[..tasks.len().min(1)] } else { tasks };
+        let (service, table) = (&queue.service, &self.learner.table);
+        let constraints = Constraints { step: declared, service, table, trial };
         let mut ranking = Ranking::new(candidates, constraints, siblings);
         let mut chosen: Vec<(RunKey, Incarnation)> = Vec::new();
         // All members of a gang get the same run number.
@@ -175,6 +179,9 @@
             }
             return;
         }
+        if !chosen.is_empty() {
+            self.waits.started(job.id);
+        }
         for (key, incarnation) in chosen {
             self.assigning.insert(key, incarnation.clone());
             self.propose(Command::Assign { key, incarnation }, None);
@@ -258,6 +265,7 @@
             headroom: Headroom::default(),
             limits: BTreeMap::new(),
             allocated: false,
+            settling: false,
             slowness: worker.slowness,
             trust: Trust::Full,
         };
@@ -269,6 +277,8 @@
             candidate.free.remove(&run.need);
             if run.fills {
                 candidate.filling += run.cores;
+                let settled = run.listed && run.seen.since(run.since) >= TRIAL_SETTLE;
+                candidate.settling |= !settled;
                 used.push((Arc::clone(&run.image), f64::from(run.figure) / cores));
                 asked.push((Arc::clone(&run.image), run.cores as f64 / cores));
             }
@@ -282,7 +292,7 @@
             }
         }
         let table = &self.learner.table;
-        candidate.headroom = Headroom::new(table, serving.iter(), &used);
+        candidate.headroom = Headroom::new(table, AIM_PERCENT, serving.iter(), &used);
         for (image, asked) in asked {
             candidate.headroom.spend(table, &image, asked);
         }
--- a/toucangrade/src/dispatch/rescue.rs
+++ b/toucangrade/src/dispatch/rescue.rs
@@ -116,7 +116,7 @@
             }
             let Some(step) = job.steps.get(usize::from(key.task.step)) else { continue };
             let ranking = rankings.entry(key.task.step).or_insert_with(|| {
-                let constraints = Constraints { step, service, table: &table };
+                let constraints = Constraints { step, service, table: &table, trial: false };
                 Ranking::new(candidates, constraints, siblings.clone())
             });
             let Some(at) = ranking.best(candidates, None) else { continue };
--- a/toucangrade/src/dispatch/settings.rs
+++ b/toucangrade/src/dispatch/settings.rs
@@ -78,6 +78,12 @@
 pub(crate) const MOVE_RESERVATION: Span = Span::millis(2_500);
 /// Runs that may be moving at once. Few, since each move changes the conditions for the next.
 pub(crate) const MOVES_LIMIT: usize = 8;
+/// Wait after which one task of a filling job without a run is started on trial. With the interval of
+/// the checks and the start itself it stays below the 3 s for which a job may wait beside free room.
+pub(crate) const TRIAL_AFTER: Span = Span::millis(1_500);
+/// Time after the start of a filling task in which its runner gets no trial, so that the effects of
+/// two are not confused.
+pub(crate) const TRIAL_SETTLE: Span = Span::millis(1_500);
 /// Weight of the newest run in a queue's mean task duration, in percent: the mean follows about the
 /// last hundred runs.
 pub(crate) const DURATION_WEIGHT_PERCENT: u64 = 2;
--- a/toucangrade/src/dispatch/tests.rs
+++ b/toucangrade/src/dispatch/tests.rs
@@ -11,6 +11,7 @@
 mod load;
 mod log;
 mod queues;
+mod trials;
 mod views;
 mod waits;
 
--- a/toucangrade/src/dispatch/waits.rs
+++ b/toucangrade/src/dispatch/waits.rs
@@ -1,7 +1,7 @@
 //! Diagnostics of lasting tasks and of filling jobs that wait for a runner: log lines with the
 //! reasons, and gauges.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use serde::Serialize;
@@ -9,6 +9,7 @@
 use super::message::Effect;
 use super::place::{Candidate, Exclusion};
 use super::plan::index;
+use super::settings::TRIAL_AFTER;
 use super::{Dispatch, run_range};
 use crate::core::{Moment, Name, Span};
 use crate::jobs::{JobEntry, RunKey, Step, TaskKey};
@@ -58,8 +59,9 @@
         due
     }
 
-    fn long_waits(&self, now: Moment) -> u64 {
-        self.0.values().filter(|wait| now.since(wait.since) >= LONG_WAIT).count() as u64
+    /// What has waited for at least `limit`.
+    fn longer(&self, now: Moment, limit: Span) -> impl Iterator<Item = K> {
+        self.0.iter().filter(move |(_, wait)| now.since(wait.since) >= limit).map(|(key, _)| *key)
     }
 }
 
@@ -70,6 +72,9 @@
     tasks: Timers<TaskKey>,
     #[serde(skip)]
     jobs: Timers<u64>,
+    /// Of these jobs, those that are due for a trial.
+    #[serde(skip)]
+    trials: BTreeSet<u64>,
     /// Time of the last check.
     #[serde(rename = "looked")]
     checked: Moment,
@@ -78,6 +83,18 @@
     gauges: (u64, u64),
 }
 
+impl Waits {
+    /// Whether a filling job has waited so long that one of its tasks may be started at any speed.
+    pub(super) fn trial_due(&self, job: u64) -> bool {
+        self.trials.contains(&job)
+    }
+
+    /// Records that a task of a job was assigned.
+    pub(super) fn started(&mut self, job: u64) {
+        self.trials.remove(&job);
+    }
+}
+
 /// Waiting tasks of a step.
 struct Waiting {
     /// Next run of the first one.
@@ -109,6 +126,7 @@
         let (tasks, jobs) = (self.lasting_waiting(), self.filling_waiting());
         let due_tasks = self.waits.tasks.update(now, &tasks);
         let due_jobs = self.waits.jobs.update(now, &jobs);
+        self.waits.trials = self.waits.jobs.longer(now, TRIAL_AFTER).collect();
         if !due_tasks.is_empty() || !due_jobs.is_empty() {
             let agents: Vec<Name> = self.fleet.workers.keys().cloned().collect();
             let mut candidates = self.candidates_on(now, &agents);
@@ -122,12 +140,14 @@
         let quarantined =
             self.fleet.workers.values().filter(|worker| worker.health.is_quarantined());
         let barred = quarantined.count() as u64;
-        self.set_wait_gauges(self.waits.tasks.long_waits(now), barred);
+        let waiting = self.waits.tasks.longer(now, LONG_WAIT).count() as u64;
+        self.set_wait_gauges(waiting, barred);
     }
 
     /// Forgets what waits and resets the gauges, since another instance decides from now on.
     pub(super) fn clear_waits(&mut self) {
         (self.waits.tasks, self.waits.jobs) = (Timers::default(), Timers::default());
+        self.waits.trials.clear();
         self.set_wait_gauges(0, 0);
     }
 
--- a/toucangrade/src/jobs/declared.rs
+++ b/toucangrade/src/jobs/declared.rs
@@ -44,6 +44,13 @@
             && self.accelerators >= other.accelerators
     }
 
+    /// How often `other` fits into these resources.
+    pub(crate) fn times(&self, other: &Self) -> u64 {
+        let times = |own: u64, other: u64| own.checked_div(other).unwrap_or(u64::MAX);
+        let least = times(self.millicores, other.millicores).min(times(self.memory, other.memory));
+        least.min(times(self.accelerators, other.accelerators))
+    }
+
     /// Adds `other`, saturating at the maximum of the type.
     pub fn add(&mut self, other: &Self) {
         self.millicores = self.millicores.saturating_add(other.millicores);
--- a/toucangrade/src/pacing/tests.rs
+++ b/toucangrade/src/pacing/tests.rs
@@ -124,3 +124,47 @@
     pacing.step(Moment::micros(1_000_000), CORES, &rows, &profiles);
     assert_eq!([1, 2].map(|index| pacing.share_of(key(index))), case.shares);
 }
+
+struct Probe {
+    /// Tail latency in ms, with a target of 50 ms and a base latency of 10 ms.
+    tail: u32,
+    images: Vec<&'static str>,
+    /// Probed tasks, with the half seconds at which the probe begins and ends.
+    probes: Vec<(u16, u64, u64)>,
+}
+
+/// A task without a share is probed while the service has a margin to its target, one task at a time
+/// and sooner if its effect is in doubt. Otherwise a wrong estimate is never corrected, since a task
+/// at a share of 0 shows no effect, and a task that does disturb others never ends.
+#[rstest]
+#[case::doubtful(Probe { tail: 41, images: vec!["new"], probes: vec![(1, 6, 8), (1, 14, 16)] })]
+#[case::known(Probe { tail: 41, images: vec!["heavy"], probes: vec![(1, 24, 26)] })]
+#[case::one_at_a_time(Probe {
+    tail: 41, images: vec!["new", "new"], probes: vec![(1, 6, 8), (2, 14, 16)],
+})]
+#[case::no_margin(Probe { tail: 49, images: vec!["new"], probes: vec![] })]
+#[case::over_target(Probe { tail: 60, images: vec!["new"], probes: vec![] })]
+fn paused_run_is_probed(#[case] case: Probe) {
+    let mut pacing = Pacing::default();
+    pacing.set_table(table());
+    let mut profiles = BTreeMap::from([(key(0), serves(50))]);
+    let mut rows = vec![row(0, case.tail)];
+    for (image, index) in case.images.into_iter().zip(1..) {
+        profiles.insert(key(index), fills(image));
+        rows.push(row(index, 0));
+    }
+    let last = case.probes.iter().map(|(_, _, end)| *end).max().unwrap_or(40);
+    for half in 0..=last {
+        let now = Moment::micros(1_000_000 + half * 500_000);
+        pacing.step(now, CORES, &rows, &profiles);
+        for index in 1..rows.len() as u16 {
+            let probed = |&(task, begin, end): &(u16, u64, u64)| {
+                task == index && (begin..end).contains(&half)
+            };
+            let share = pacing.share_of(key(index));
+            let expected = case.probes.iter().any(probed);
+            assert_eq!(share > 0, expected, "task {index} at half second {half}: {share}%");
+            assert!(share <= MAX_INCREASE);
+        }
+    }
+}
--- a/toucangrade/src/pressure/headroom.rs
+++ b/toucangrade/src/pressure/headroom.rs
@@ -7,12 +7,16 @@
 
 /// Share of its target that a tail latency should stay below, in percent. The margin is needed
 /// since latency grows steeply near saturation and figures are half a second old.
-const AIM_PERCENT: u64 = 80;
+pub(crate) const AIM_PERCENT: u64 = 80;
+/// Share of its target that a tail latency should stay below during a short probe, in percent.
+pub(crate) const PROBE_AIM_PERCENT: u64 = 90;
 /// Pressures below this count as zero, so that harmless tasks are never slowed down. At half of a
 /// runner's cores such a pressure adds 5% of load.
 const MIN_PRESSURE: f64 = 0.1;
 /// Safety margin added to an estimated pressure, in standard deviations.
 const CAUTION_SIGMAS: f64 = 0.5;
+/// Variance of an estimated pressure above which it is in doubt.
+const DOUBTFUL_VARIANCE: f64 = 0.3 * 0.3;
 /// Assumed load of a task that has not reported any latency yet: services are sized for twice their
 /// mean load.
 const TYPICAL_LOAD: f64 = 0.45;
@@ -27,16 +31,18 @@
 }
 
 impl Headroom {
-    /// Headroom without any filling task. The load added by the current ones is subtracted again:
-    /// `filling` gives the share of the runner's cores that each of their images uses.
+    /// Headroom without any filling task, for tail latencies of up to `aim` percent of their targets.
+    /// The load added by the current ones is subtracted again: `filling` gives the share of the
+    /// runner's cores that each of their images uses.
     pub(crate) fn new<'a>(
         table: &Table,
+        aim: u64,
         serving: impl Iterator<Item = &'a Serving>,
         filling: &[(Arc<str>, f64)],
     ) -> Self {
         let left = serving.map(|task| {
             let Serving { image, figure, target, .. } = task;
-            let allowed = table.load(image, target.saturating_mul(AIM_PERCENT) / 100, *target);
+            let allowed = table.load(image, target.saturating_mul(aim) / 100, *target);
             if *figure == 0 {
                 return (Arc::clone(image), allowed - TYPICAL_LOAD);
             }
@@ -71,6 +77,18 @@
         self.left.iter().map(limit).fold(f64::INFINITY, f64::min)
     }
 
+    /// Whether the effect of an image on some task with a latency target is not known well.
+    pub(crate) fn is_doubtful(&self, table: &Table, image: &str) -> bool {
+        let mut serving = self.left.iter().map(|(serving, _)| serving);
+        serving.any(|serving| table.pressure(serving, image).variance > DOUBTFUL_VARIANCE)
+    }
+
+    /// Load left for the task that has least of it; negative for one above its aim, infinite if there
+    /// is no task with a latency target.
+    pub(crate) fn least(&self) -> f64 {
+        self.left.iter().map(|(_, left)| *left).fold(f64::INFINITY, f64::min)
+    }
+
     /// Subtracts the load that a filling task adds by using the fraction `used` of the cores.
     pub(crate) fn spend(&mut self, table: &Table, image: &str, used: f64) {
         for (serving, left) in &mut self.left {
--- a/toucangrade/src/pressure/mod.rs
+++ b/toucangrade/src/pressure/mod.rs
@@ -17,7 +17,7 @@
 
 use serde::{Deserialize, Serialize};
 
-pub(crate) use self::headroom::{Headroom, share_within};
+pub(crate) use self::headroom::{AIM_PERCENT, Headroom, PROBE_AIM_PERCENT, share_within};
 use crate::core::{Moment, Name, Span};
 use crate::jobs::RunKey;
 
