--- a/toucangrade/src/dispatch/tests.rs
+++ b/toucangrade/src/dispatch/tests.rs
@@ -14,6 +14,7 @@
 mod load;
 mod log;
 mod queues;
+mod trials;
 mod unreachable;
 mod views;
 mod waits;
