--- a/toucangrade/src/hosting/mod.rs
+++ b/toucangrade/src/hosting/mod.rs
@@ -197,7 +197,6 @@
                 self.denied.retain(|_, (_, at)| now.since(*at) < DENIED_RETENTION);
                 self.expire_others(now);
                 self.retry_orders(now);
-                self.deny_held(now);
             },
         }
         self.send_orders(now);
--- a/toucangrade/src/hosting/orders.rs
+++ b/toucangrade/src/hosting/orders.rs
@@ -13,9 +13,6 @@
 const RESEND_AFTER: Span = Span::millis(250);
 /// Number of times that a start is sent before it is given up and stopped.
 const SENDS_LIMIT: u32 = 4;
-/// Time without an answer of the runner after which starts that were held back are denied: the
-/// leader's limit for silent runners, so that it places them elsewhere.
-const HELD_LIMIT: Span = Span::millis(1_600);
 /// Time within which an unanswered call may still take effect at the runner.
 const EFFECT_TIMEOUT: Span = Span::secs(12);
 /// Maximum number of orders that wait for an answer at once, which bounds the connections to the
@@ -154,22 +151,6 @@
         }
     }
 
-    /// Denies the starts that were never sent to a runner which has stopped answering. Those that
-    /// were sent may have been carried out.
-    pub(super) fn deny_held(&mut self, now: Moment) {
-        let Some(current) = &self.current else { return };
-        if self.is_confirmed(now) || now.since(current.answered) < HELD_LIMIT {
-            return;
-        }
-        let unsent =
-            |order: &PendingOrder| matches!(order.stage, Stage::Start(_)) && order.sends == 0;
-        let held = self.pending.iter().filter(|(_, order)| unsent(order));
-        let held: Vec<RunKey> = held.map(|(key, _)| *key).collect();
-        for key in held {
-            self.deny(now, key);
-        }
-    }
-
     pub(super) fn started(&mut self, now: Moment, key: RunKey, result: Result<(), Fault>) {
         let Some(order) = self.pending.get_mut(&key) else { return };
         if !matches!(order.stage, Stage::Start(_)) {
--- a/toucangrade/src/hosting/tests.rs
+++ b/toucangrade/src/hosting/tests.rs
@@ -1,6 +1,5 @@
 //! Tests of an agent with a simulated runner and hand-written answers of the leader.
 
-mod held;
 mod lives;
 
 use std::collections::BTreeMap;
@@ -45,8 +44,6 @@
     AnswersLost(u32),
     /// Neither answers nor carries out stops.
     IgnoresStops,
-    /// Neither answers nor carries out any call.
-    Hangs,
     /// Carries out and answers all calls.
     Healthy,
     /// Answers listings, but neither answers nor carries out orders.
@@ -149,9 +146,6 @@
                 if let Err(fault) = self.check_call(&target) {
                     return Some(Message::Listed { seq, listing: Err(fault) });
                 }
-                if self.behaviour == Behaviour::Hangs {
-                    return None;
-                }
                 self.until = self.until.max(lease_end);
                 self.ended.retain(|ended| ended.number > recorded);
                 let rows = self.rows.values().cloned().collect();
@@ -189,7 +183,7 @@
                     let result = Err(Fault::Denied(Denial::Room));
                     return Some(Message::Started { key, result });
                 }
-                if matches!(self.behaviour, Behaviour::Hangs | Behaviour::IgnoresOrders) {
+                if self.behaviour == Behaviour::IgnoresOrders {
                     return None;
                 }
                 if self.stopped.contains(&key) {
@@ -204,10 +198,7 @@
                 }
             },
             Effect::Stop { key, .. } => {
-                if matches!(
-                    self.behaviour,
-                    Behaviour::Hangs | Behaviour::IgnoresStops | Behaviour::IgnoresOrders
-                ) {
+                if matches!(self.behaviour, Behaviour::IgnoresStops | Behaviour::IgnoresOrders) {
                     return None;
                 }
                 if self.rows.remove(&key).is_some() {
