--- a/toucangrade/src/dispatch/rescue.rs
+++ b/toucangrade/src/dispatch/rescue.rs
@@ -122,7 +122,8 @@
             let Some(at) = ranking.best(candidates, None) else { continue };
             let better = candidates[at].speed(&table, step);
             let suitable = candidates[at].trust == Trust::Full && candidates[at].reachable;
-            if candidates[at].incarnation == incarnation || better < speed + MOVE_GAIN || !suitable {
+            if candidates[at].incarnation == incarnation || better < speed + MOVE_GAIN || !suitable
+            {
                 continue;
             }
             ranking.allocate(candidates, at);
