simulation: lose proposals of leaders whose term ended before the last one

In the replicated log a later leader's entries replace such a proposal. Change: at an election only proposals of the last leader may turn out to have reached a majority.

--- a/toucangrade/src/simulation/jobs/control.rs
+++ b/toucangrade/src/simulation/jobs/control.rs
@@ -121,12 +121,14 @@
         let at = eligible[self.draw(0..eligible.len() as u64) as usize];
         self.log.term += 1;
         let term = self.log.term;
-        // Pending proposals of earlier leaders either had reached a majority, and are appended in
-        // order, or are lost.
+        // Pending proposals of the last leader either had reached a majority, and are appended in
+        // order, or are lost. Those of earlier terms are lost, as the log of a later leader replaces
+        // them.
         for event in self.withdraw_proposals() {
             let Event::Append { control, epoch, ticket, commands } = event else { continue };
             self.mark_uncertain(control, epoch, ticket);
-            if self.chance(500) {
+            let last = self.controls[control].term + 1 == term;
+            if self.chance(500) && last {
                 self.append(control, epoch, ticket, commands);
             }
         }
