Show a job as running only once its workers have confirmed the start

Callers of `toucangraded` saw `running` on watch streams, and "execution 1 at w1" in `explain`, for jobs that no worker had started: the order was on its way, lost or refused, or the worker was gone. An execution also counted as resumed when it was assigned. Cause: JobRecord::step took an assignment in the log for a running execution. The planner knew which starts were confirmed, but the log did not. Change: the leader proposes Decision::Begin when the agents of all members have reported the start, and repeats it with the next report if the log drops it. The phase, the steps and the number of resumptions follow it. A job that is only assigned stays `waiting`, or `evicted` if an execution preceded, without a new line on the stream. `explain` also has the phase as `state`. Instances of earlier versions decode both and ignore them; a new variant or field would stop them.

Tests changed: watch_streams_report_job_states expected Running at the assignment, and history_gets_each_eviction_once counted resumptions there. Both now commit the start first and have cases without it.

--- a/toucangrade/src/daemon/operator.rs
+++ b/toucangrade/src/daemon/operator.rs
@@ -435,6 +435,7 @@
     let steps: Vec<Value> =
         run.steps.iter().map(|(index, text)| json!({ "at": index, "text": text })).collect();
     json!({
+        "state": run.step().phase,
         "fence": run.fence,
         "workers": run.members.as_ref().map(|members| {
             members.iter().map(|member| member.worker.clone()).collect::<Vec<_>>()
--- a/toucangrade/src/placement/commits.rs
+++ b/toucangrade/src/placement/commits.rs
@@ -26,6 +26,11 @@
             Decision::Assign { fence, from, job, members } => {
                 self.assigned(now, &job, fence, from, &members, out);
             },
+            Decision::Begin { fence, job } => {
+                if let Some(job) = self.jobs.get_mut(&job).filter(|job| job.fence == fence) {
+                    job.begun = true;
+                }
+            },
             Decision::Evict { cause, fence, from, job } => {
                 self.evicted(now, &job, fence, cause, from, out);
             },
@@ -108,6 +113,7 @@
         if let Some(job) = self.jobs.get_mut(name) {
             invariant!(fence > job.fence, "{name} started again under {fence}");
             job.fence = fence;
+            job.begun = false;
             job.advance_checkpoint(from);
             job.done = job.checkpoint.done;
             job.state = State::Running(places);
@@ -265,6 +271,8 @@
                     self.enqueue(name);
                 }
             },
+            // The next report proposes it again.
+            Decision::Begin { fence, .. } => job.begun &= job.fence != *fence,
             Decision::Evict { .. } => {
                 self.evicting.remove(name);
             },
--- a/toucangrade/src/placement/job.rs
+++ b/toucangrade/src/placement/job.rs
@@ -58,6 +58,8 @@
     /// Since when it has found no room, as an urgent job or as the first of its team.
     #[serde(rename = "blocked")]
     pub(super) blocked_since: Option<Moment>,
+    /// Whether the confirmed start of the newest execution is proposed or in the log.
+    pub(super) begun: bool,
     pub(super) checkpoint: Checkpoint,
     /// Whether it was checked if it can ever run, with all workers known.
     pub(super) checked: bool,
@@ -95,6 +97,7 @@
         Self {
             repeat_failures: 0,
             blocked_since: None,
+            begun: false,
             checkpoint: Checkpoint::default(),
             checked: false,
             proposed_outcome: None,
--- a/toucangrade/src/placement/message.rs
+++ b/toucangrade/src/placement/message.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::fmt;
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
 use super::settings::Objective;
 use crate::core::{Name, Span};
@@ -62,6 +62,8 @@
     Report(Report),
     /// A job of the log, part of the replay; `members` is set if it has an execution.
     Restore {
+        /// Whether the log holds a confirmed start of the execution.
+        begun: bool,
         /// Fencing token of the newest execution, 0 when there was none.
         fence: u64,
         /// Newest synced checkpoint in the log.
@@ -153,6 +155,17 @@
         /// Worker and grant of each member; a single one for a job that is not a gang.
         members: Vec<Member>,
     },
+    /// Record that the workers have confirmed the start of an execution. An assignment is only an
+    /// intention.
+    ///
+    /// The log stores it in a form that earlier versions decode, see `Decision::into_stored`.
+    #[serde(skip)]
+    Begin {
+        /// Fencing token of the execution.
+        fence: u64,
+        /// The job.
+        job: Name,
+    },
     /// End the execution under `fence` and resume the job later.
     Evict {
         /// Why the execution is ended.
@@ -184,11 +197,50 @@
     },
 }
 
+/// Fencing token that no execution has.
+const NO_FENCE: u64 = 0;
+
 impl Decision {
+    /// Form in which the log stores the decision.
+    ///
+    /// Instances of earlier versions stop at decisions that they can't decode, so a confirmed start
+    /// is stored as an assignment that they decode and reject: without members, under a fencing
+    /// token that no execution has, and with the confirmed one as the checkpoint's number.
+    pub(crate) fn into_stored(self) -> Self {
+        match self {
+            Self::Begin { fence, job } => {
+                let from = Checkpoint { done: 0, number: fence };
+                Self::Assign { fence: NO_FENCE, from, job, members: Vec::new() }
+            },
+            other => other,
+        }
+    }
+
+    /// The decision that was stored in this form.
+    pub(crate) fn from_stored(stored: Self) -> Self {
+        match stored {
+            Self::Assign { fence: NO_FENCE, from, job, .. } => {
+                Self::Begin { fence: from.number, job }
+            },
+            other => other,
+        }
+    }
+
+    /// Serialises the stored form.
+    pub(crate) fn serialize_stored<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
+        self.clone().into_stored().serialize(to)
+    }
+
+    /// Deserialises the stored form.
+    pub(crate) fn deserialize_stored<'de, D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        Self::deserialize(from).map(Self::from_stored)
+    }
+
     /// The job that the decision is about.
     pub const fn job(&self) -> &Name {
         match self {
             Self::Assign { job, .. }
+            | Self::Begin { job, .. }
             | Self::Evict { job, .. }
             | Self::Finish { job, .. }
             | Self::Refuse { job, .. } => job,
--- a/toucangrade/src/placement/mod.rs
+++ b/toucangrade/src/placement/mod.rs
@@ -179,9 +179,12 @@
             Message::Quota(quota) => self.shares.set(&quota),
             Message::Rejected(decision) => self.rejected(now, &decision),
             Message::Report(report) => self.report(now, &report, &mut out),
-            Message::Restore { fence, from, leaving, members, spec } => {
+            Message::Restore { begun, fence, from, leaving, members, spec } => {
                 let name = spec.name.clone();
                 self.restore(now, spec, fence, from, members.as_deref(), &mut out);
+                if let Some(job) = self.jobs.get_mut(&name) {
+                    job.begun = begun;
+                }
                 if leaving {
                     self.evicted(now, &name, fence, Cause::Lost, from, &mut out);
                 }
--- a/toucangrade/src/placement/runs.rs
+++ b/toucangrade/src/placement/runs.rs
@@ -216,8 +216,11 @@
             task.confirmed = true;
         }
         match report.event {
-            Event::Started => {},
-            Event::Progress { checkpoint, done } => self.progress(name, checkpoint, done, out),
+            Event::Started => self.propose_begin(name, out),
+            Event::Progress { checkpoint, done } => {
+                self.propose_begin(name, out);
+                self.progress(name, checkpoint, done, out);
+            },
             Event::Stopped(checkpoint) => {
                 self.end_place(now, name, id, false);
                 if let Some(job) = self.jobs.get_mut(name) {
@@ -243,6 +246,25 @@
         }
     }
 
+    /// Proposes to record the start of an execution once the workers of all members have confirmed
+    /// it.
+    fn propose_begin(&mut self, name: &Name, out: &mut Vec<Effect>) {
+        let begins = |job: &Job| {
+            let confirmed = |place: &Place| {
+                let mut tasks = self.workers[place.id].tasks.iter();
+                place.finished || tasks.any(|task| task.job == *name && task.confirmed)
+            };
+            !job.begun && job.is_running() && job.places().iter().all(confirmed)
+        };
+        if !self.leading || !self.jobs.get(name).is_some_and(begins) {
+            return;
+        }
+        if let Some(job) = self.jobs.get_mut(name) {
+            job.begun = true;
+            out.push(Effect::Propose(Decision::Begin { fence: job.fence, job: name.clone() }));
+        }
+    }
+
     /// Counts a stale report, and stops the execution if it is still running.
     fn refuse_report(&mut self, report: &Report, out: &mut Vec<Effect>) {
         let job = self.jobs.get(&report.target.job);
--- a/toucangrade/src/placement/tests.rs
+++ b/toucangrade/src/placement/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the planner: job life cycle, fencing, leases, quarantine and replay.
 
+mod begin;
 mod order;
 mod replay;
 
--- a/toucangrade/src/placement/tests/replay.rs
+++ b/toucangrade/src/placement/tests/replay.rs
@@ -68,6 +68,7 @@
         (harness.now, Member { grant: Size::new(4_000, 4_000, 0), worker: worker(0) });
     let target = Target { fence: 3, job: name("j"), worker: worker(0) };
     harness.send(Message::Restore {
+        begun: false,
         fence: 3,
         from: Checkpoint { done: 9, number: 2 },
         leaving: case.leaving,
@@ -128,7 +129,8 @@
     harness.planner = Planner::new(Settings::latency());
     let members = vec![Member { grant: Size::new(4_000, 4_000, 0), worker: worker(0) }];
     let (from, spec) = (Checkpoint::default(), spec("j", 4));
-    harness.send(Message::Restore { fence: 3, from, leaving: false, members: Some(members), spec });
+    let (begun, leaving, members) = (true, false, Some(members));
+    harness.send(Message::Restore { begun, fence: 3, from, leaving, members, spec });
     harness.send(Message::Lead);
     harness
 }
--- a/toucangrade/src/runs/mod.rs
+++ b/toucangrade/src/runs/mod.rs
@@ -23,12 +23,14 @@
 pub(crate) enum Phase {
     Cancelled,
     Done,
-    /// Its execution was evicted or lost; it waits for the next one.
+    /// Its execution was evicted or lost, or failed and is repeated; it waits until the workers have
+    /// confirmed the start of the next one.
     Evicted,
     Failed,
     Refused,
+    /// The workers have confirmed the start of its execution.
     Running,
-    /// It waits for its first execution.
+    /// It waits until the workers have confirmed the start of its first execution.
     Waiting,
 }
 
@@ -39,6 +41,44 @@
     pub(crate) fence: u64,
 }
 
+/// What the log holds about the newest execution of a job, besides its assignment.
+///
+/// Encoded as the optional members by which earlier versions store only `Leaving`. These ignore it
+/// while the job has an execution, and no execution has zero members.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(from = "Option<Vec<Member>>", into = "Option<Vec<Member>>")]
+pub(crate) enum Evidence {
+    /// Workers of the evicted execution, until the workers of the next one have confirmed its start.
+    /// The log does not say whether it has ended, so a new leader has to make sure of that while
+    /// there is no next one.
+    Leaving(Vec<Member>),
+    /// None.
+    #[default]
+    Missing,
+    /// The workers have confirmed its start.
+    Started,
+}
+
+impl From<Option<Vec<Member>>> for Evidence {
+    fn from(stored: Option<Vec<Member>>) -> Self {
+        match stored {
+            None => Self::Missing,
+            Some(members) if members.is_empty() => Self::Started,
+            Some(members) => Self::Leaving(members),
+        }
+    }
+}
+
+impl From<Evidence> for Option<Vec<Member>> {
+    fn from(evidence: Evidence) -> Self {
+        match evidence {
+            Evidence::Leaving(members) => Some(members),
+            Evidence::Missing => None,
+            Evidence::Started => Some(Vec::new()),
+        }
+    }
+}
+
 /// Agreed state of one job.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) struct JobRecord {
@@ -47,7 +87,8 @@
     pub(crate) fence: u64,
     /// Newest synced checkpoint that the log holds.
     pub(crate) from: Checkpoint,
-    /// Workers and grants of the current execution; `None` while the job waits.
+    /// Workers and grants of the current execution, which may not have started yet; `None` while the
+    /// job has none.
     pub(crate) members: Option<Vec<Member>>,
     pub(crate) outcome: Option<Outcome>,
     /// Number of evictions of this job.
@@ -60,14 +101,13 @@
     /// Number of executions that were evicted or lost, by cause.
     #[serde(default)]
     pub(crate) causes: BTreeMap<Cause, u64>,
-    /// Number of executions that resumed the job after such an end.
+    /// Number of executions that resumed the job after such an end and whose start is confirmed.
     #[serde(default)]
     pub(crate) resumed: u64,
-    /// Workers of the evicted execution, until the next one is assigned. The log does not say
-    /// whether it has ended, so a new leader has to make sure of that. Snapshots of earlier
-    /// versions end before this field.
+    /// Snapshots of earlier versions end before this field.
     #[serde(default)]
-    pub(crate) leaving: Option<Vec<Member>>,
+    #[serde(rename = "leaving")]
+    pub(crate) evidence: Evidence,
 }
 
 /// Agreed state of all jobs.
@@ -100,7 +140,7 @@
             steps: VecDeque::new(),
             causes: BTreeMap::new(),
             resumed: 0,
-            leaving: None,
+            evidence: Evidence::Missing,
         };
         run.add_step(index, "declared".to_owned());
         self.runs.insert(name, run);
@@ -134,30 +174,47 @@
                 if from.number < run.from.number {
                     return false;
                 }
-                // A failed execution is not evicted, so `members` is still set and nothing is
-                // resumed.
-                run.resumed += u64::from(run.members.is_none() && run.fence > 0);
                 run.fence = *fence;
                 run.members = Some(members.clone());
-                run.leaving = None;
+                // A failed execution is not evicted, and nothing is resumed after it.
+                if run.evidence == Evidence::Started {
+                    run.evidence = Evidence::Missing;
+                }
                 let workers: Vec<&str> = members.iter().map(|m| m.worker.as_str()).collect();
                 let (done, at) = (from.done, workers.join(", "));
-                run.add_step(index, format!("execution {fence} at {at} from {done} core seconds"));
+                run.add_step(
+                    index,
+                    format!("execution {fence} is assigned to {at}, from {done} core seconds"),
+                );
+            },
+            Decision::Begin { fence, .. } => {
+                if run.members.is_none() || *fence != run.fence {
+                    return false;
+                }
+                run.begin(index);
             },
             Decision::Evict { cause, fence, from, .. } => {
                 if run.members.is_none() || *fence != run.fence {
                     return false;
                 }
-                run.leaving = run.members.take();
+                let ends = match run.evidence {
+                    Evidence::Started => "ends",
+                    _ => "ends without a confirmed start",
+                };
+                run.evidence = run.members.take().into();
                 run.from = run.from.max_by_number(*from);
                 run.evicted += u64::from(is_eviction(*cause));
                 *run.causes.entry(*cause).or_default() += 1;
-                run.add_step(index, format!("execution {fence} ends: {cause}"));
+                run.add_step(index, format!("execution {fence} {ends}: {cause}"));
             },
             Decision::Finish { fence, outcome, .. } => {
                 if *fence != run.fence && *outcome != Outcome::Cancelled {
                     return false;
                 }
+                if *outcome == Outcome::Done && run.members.is_some() {
+                    // The confirmed start may have been dropped.
+                    run.begin(index);
+                }
                 run.add_step(index, format!("outcome {outcome}"));
                 self.end(&name.clone(), outcome.clone());
             },
@@ -181,7 +238,7 @@
     pub(crate) fn record(&mut self, decision: &Decision) -> Option<(u64, Body)> {
         let run = self.runs.get(decision.job())?;
         let body = match decision {
-            Decision::Assign { .. } => return None,
+            Decision::Assign { .. } | Decision::Begin { .. } => return None,
             Decision::Evict { cause, .. } => {
                 Body::Evicted { kind: run.spec.kind.clone(), cause: cause.label()?.to_owned() }
             },
@@ -195,7 +252,7 @@
         let Some(run) = self.runs.get_mut(name) else { return };
         invariant!(run.outcome.is_none(), "{name} has a second outcome");
         run.outcome = Some(outcome);
-        (run.members, run.leaving) = (None, None);
+        (run.members, run.evidence) = (None, Evidence::Missing);
         self.ended.push_back(name.clone());
         if self.ended.len() > ENDED_KEPT
             && let Some(oldest) = self.ended.pop_front()
@@ -228,13 +285,25 @@
             Some(Outcome::Done) => Phase::Done,
             Some(Outcome::Failed) => Phase::Failed,
             Some(Outcome::Refused) => Phase::Refused,
-            None if self.members.is_some() => Phase::Running,
-            None if self.fence > 0 => Phase::Evicted,
-            None => Phase::Waiting,
+            None => match (&self.members, &self.evidence) {
+                (Some(_), Evidence::Started) => Phase::Running,
+                (Some(_), _) if self.fence > 1 => Phase::Evicted,
+                (None, _) if self.fence > 0 => Phase::Evicted,
+                _ => Phase::Waiting,
+            },
         };
         Step { phase, fence: self.fence }
     }
 
+    /// Records that the current execution has started, once.
+    fn begin(&mut self, index: u64) {
+        let before = std::mem::replace(&mut self.evidence, Evidence::Started);
+        if before != Evidence::Started {
+            self.resumed += u64::from(before != Evidence::Missing);
+            self.add_step(index, format!("execution {} has started", self.fence));
+        }
+    }
+
     fn ending(&self) -> Option<Ending> {
         let labelled = self.causes.iter().filter_map(|(cause, n)| Some((cause.label()?, *n)));
         Some(Ending {
--- a/toucangrade/src/runs/tests.rs
+++ b/toucangrade/src/runs/tests.rs
@@ -32,6 +32,10 @@
     Decision::Assign { fence, from: Checkpoint { done: number, number }, job: name("oak"), members }
 }
 
+fn begin(fence: u64) -> Decision {
+    Decision::Begin { fence, job: name("oak") }
+}
+
 fn evict(fence: u64, number: u64) -> Decision {
     let from = Checkpoint { done: number, number };
     Decision::Evict { cause: Cause::Quick, fence, from, job: name("oak") }
@@ -74,6 +78,18 @@
     fence: 2,
     outcome: None,
 })]
+#[case::begun(Case {
+    decisions: vec![assign(1, 0), begin(1), begin(1), finish(1, Outcome::Done), begin(1)],
+    accepted: vec![true, true, true, true, false],
+    fence: 1,
+    outcome: Some(Outcome::Done),
+})]
+#[case::stale_start(Case {
+    decisions: vec![begin(0), assign(1, 0), evict(1, 0), begin(1), assign(2, 0), begin(1)],
+    accepted: vec![false, true, true, false, true, false],
+    fence: 2,
+    outcome: None,
+})]
 #[case::cancelled_while_waiting(Case {
     decisions: vec![finish(0, Outcome::Cancelled), assign(1, 0)],
     accepted: vec![true, false],
@@ -113,11 +129,25 @@
 })]
 #[case::two_causes(HistoryCase {
     decisions: vec![
-        assign(1, 0), evict_for(1, Cause::Quick), assign(2, 0), evict_for(2, Cause::Lost),
-        assign(3, 0), finish(3, Outcome::Done),
+        assign(1, 0), begin(1), evict_for(1, Cause::Quick), assign(2, 0), begin(2),
+        evict_for(2, Cause::Lost), assign(3, 0), begin(3), finish(3, Outcome::Done),
     ],
     evictions: vec![("lost", 1), ("protect", 1)], resumed: 2, records: 3,
 })]
+#[case::resumed_without_a_confirmed_start(HistoryCase {
+    decisions: vec![
+        assign(1, 0), begin(1), evict_for(1, Cause::Quick), assign(2, 0),
+        evict_for(2, Cause::Lost), assign(3, 0), finish(3, Outcome::Failed),
+    ],
+    evictions: vec![("lost", 1), ("protect", 1)], resumed: 0, records: 3,
+})]
+#[case::confirmed_only_by_its_end(HistoryCase {
+    decisions: vec![
+        assign(1, 0), begin(1), evict_for(1, Cause::Quick), assign(2, 0),
+        finish(2, Outcome::Done),
+    ],
+    evictions: vec![("protect", 1)], resumed: 1, records: 2,
+})]
 #[case::repeated(HistoryCase {
     decisions: vec![
         assign(1, 0), evict_for(1, Cause::Aged), evict_for(1, Cause::Aged),
@@ -127,12 +157,15 @@
 })]
 #[case::gang_ends_together(HistoryCase {
     decisions: vec![
-        assign(1, 0), evict_for(1, Cause::Gang), assign(2, 0), finish(2, Outcome::Failed),
+        assign(1, 0), begin(1), evict_for(1, Cause::Gang), assign(2, 0), begin(2),
+        finish(2, Outcome::Failed),
     ],
     evictions: vec![], resumed: 1, records: 1,
 })]
 #[case::failed_execution(HistoryCase {
-    decisions: vec![assign(1, 0), assign(2, 0), finish(2, Outcome::Done)],
+    decisions: vec![
+        assign(1, 0), begin(1), assign(2, 0), begin(2), finish(2, Outcome::Done),
+    ],
     evictions: vec![], resumed: 0, records: 1,
 })]
 fn history_gets_each_eviction_once(#[case] case: HistoryCase) {
@@ -150,3 +183,71 @@
     let evictions: Vec<_> = ending.evictions.iter().map(|(c, n)| (c.as_str(), *n)).collect();
     assert_eq!((evictions, ending.resumed), (case.evictions, case.resumed));
 }
+
+/// Record as instances before confirmed starts encode it.
+#[derive(Debug, Deserialize, PartialEq, Serialize)]
+struct EarlierRecord {
+    spec: Spec,
+    fence: u64,
+    from: Checkpoint,
+    members: Option<Vec<Member>>,
+    outcome: Option<Outcome>,
+    evicted: u64,
+    cancelled: bool,
+    steps: VecDeque<(u64, String)>,
+    causes: BTreeMap<Cause, u64>,
+    resumed: u64,
+    leaving: Option<Vec<Member>>,
+}
+
+struct Stored {
+    decisions: Vec<Decision>,
+    phase: Phase,
+    /// Whether earlier versions read that the job has an execution, and the number of workers that
+    /// they read as leaving.
+    earlier: (bool, Option<usize>),
+}
+
+/// Snapshots are read by instances of the previous version, and the reverse.
+#[rstest]
+#[case::declared(Stored { decisions: vec![], phase: Phase::Waiting, earlier: (false, None) })]
+#[case::assigned(Stored {
+    decisions: vec![assign(1, 0)], phase: Phase::Waiting, earlier: (true, None),
+})]
+#[case::begun(Stored {
+    decisions: vec![assign(1, 0), begin(1)], phase: Phase::Running, earlier: (true, Some(0)),
+})]
+#[case::evicted(Stored {
+    decisions: vec![assign(1, 0), begin(1), evict(1, 3)],
+    phase: Phase::Evicted,
+    earlier: (false, Some(1)),
+})]
+#[case::assigned_again(Stored {
+    decisions: vec![assign(1, 0), begin(1), evict(1, 3), assign(2, 3)],
+    phase: Phase::Evicted,
+    earlier: (true, Some(1)),
+})]
+#[case::resumed(Stored {
+    decisions: vec![assign(1, 0), begin(1), evict(1, 3), assign(2, 3), begin(2)],
+    phase: Phase::Running,
+    earlier: (true, Some(0)),
+})]
+#[case::done(Stored {
+    decisions: vec![assign(1, 0), begin(1), finish(1, Outcome::Done)],
+    phase: Phase::Done,
+    earlier: (false, None),
+})]
+fn snapshots_are_decoded_by_earlier_versions(#[case] case: Stored) {
+    let mut runs = JobRecords::default();
+    runs.submit(1, spec());
+    for (index, decision) in (2..).zip(&case.decisions) {
+        assert!(runs.apply(index, decision), "{decision:?}");
+    }
+    let run = runs.get(&name("oak")).unwrap();
+    let bytes = crate::peer::encode(run);
+    let earlier: EarlierRecord = crate::peer::decode(&bytes).expect("an earlier record");
+    let leaving = earlier.leaving.as_ref().map(Vec::len);
+    assert_eq!((earlier.members.is_some(), leaving), case.earlier);
+    let read: JobRecord = crate::peer::decode(&crate::peer::encode(&earlier)).expect("a record");
+    assert_eq!((&read, read.step().phase), (run, case.phase));
+}
--- a/toucangrade/src/scheduling/mod.rs
+++ b/toucangrade/src/scheduling/mod.rs
@@ -15,7 +15,7 @@
 use crate::membership::Config;
 use crate::placement::{self, Instance, Planner, Quota, Settings, Summary};
 use crate::resources::QuotaSpec;
-use crate::runs::JobRecord;
+use crate::runs::{Evidence, JobRecord};
 
 /// Time without a heartbeat after which a worker counts as silent.
 const SILENT_AFTER: Span = Span::millis(3_000);
@@ -126,10 +126,15 @@
             runs.iter().filter(|run| run.cancelled).map(|run| run.spec.name.clone()).collect();
         // The planner gets the quotas first, so that no waiting job is tried without them.
         let mut effects = self.configure(now, &BTreeMap::new());
-        for JobRecord { spec, fence, from, members, leaving, .. } in runs {
+        for JobRecord { spec, fence, from, members, evidence, .. } in runs {
             self.kinds.insert(spec.name.clone(), spec.kind.clone());
-            let (leaving, members) = (members.is_none() && leaving.is_some(), members.or(leaving));
-            let restore = placement::Message::Restore { fence, from, leaving, members, spec };
+            let begun = evidence == Evidence::Started;
+            let (leaving, members) = match (members, evidence) {
+                (None, Evidence::Leaving(members)) => (true, Some(members)),
+                (members, _) => (false, members),
+            };
+            let restore =
+                placement::Message::Restore { begun, fence, from, leaving, members, spec };
             effects.extend(self.step_planner(now, restore));
         }
         effects.extend(self.step_planner(now, placement::Message::Lead));
--- a/toucangrade/src/scheduling/tests.rs
+++ b/toucangrade/src/scheduling/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the leader's scheduling duty.
 
+mod starts;
+
 use rstest::rstest;
 
 use super::*;
@@ -159,6 +161,8 @@
     index: u64,
     now: Moment,
     starts: usize,
+    /// Whether the log drops proposals.
+    dropping: bool,
 }
 
 impl StateHarness {
@@ -181,6 +185,7 @@
     fn send(&mut self, message: Message) {
         for effect in self.scheduling.step(self.now, message) {
             match effect {
+                Effect::Propose(decision) if self.dropping => self.send(Message::Dropped(decision)),
                 Effect::Propose(decision) => self.apply(Command::Run(decision)),
                 Effect::Orders { orders, .. } => {
                     let start = |order: &&Order| matches!(order, Order::Start { .. });
@@ -219,7 +224,7 @@
 fn quotas_of_teams_reach_the_planner(#[case] case: Quotas) {
     let (state, now) = (State::default(), Moment::START);
     let scheduling = Scheduling::new(Settings::latency());
-    let mut harness = StateHarness { state, scheduling, index: 0, now, starts: 0 };
+    let mut harness = StateHarness { state, scheduling, index: 0, now, starts: 0, dropping: false };
     for body in case.before {
         harness.apply(write(Collection::Quotas, "nave", body));
     }
--- a/toucangrade/src/state/message.rs
+++ b/toucangrade/src/state/message.rs
@@ -19,7 +19,13 @@
     Learned(Summary),
     Partition(partitions::Command),
     Resource(resources::Command),
-    Run(placement::Decision),
+    Run(
+        #[serde(
+            deserialize_with = "placement::Decision::deserialize_stored",
+            serialize_with = "placement::Decision::serialize_stored"
+        )]
+        placement::Decision,
+    ),
 }
 
 /// Query of the replicated state.
--- a/toucangrade/src/state/mod.rs
+++ b/toucangrade/src/state/mod.rs
@@ -15,7 +15,7 @@
 use crate::membership::Config;
 use crate::partitions::Partitions;
 use crate::resources::{Collection, Resources, Spec};
-use crate::runs::JobRecords;
+use crate::runs::{JobRecords, Phase};
 use crate::scheduling;
 
 /// Number of log entries between two snapshots.
@@ -62,6 +62,10 @@
         Some(scheduling::Message::Submit(run.clone()))
     }
 
+    fn phase(&self, name: &Name) -> Option<Phase> {
+        self.runs.get(name).map(|run| run.step().phase)
+    }
+
     /// Records the current state of a job or watch as a change for watch streams.
     fn record_step(&mut self, index: u64, name: &Name) {
         let Some(run) = self.runs.get(name) else { return };
@@ -134,10 +138,14 @@
                 Reply::Granted
             },
             Command::Run(decision) => {
+                let before = machine.phase(decision.job());
                 let accepted = machine.runs.apply(index, &decision);
                 if accepted {
-                    machine.record_step(index, decision.job());
-                    effects.push(Effect::Changed { revision: index });
+                    // An assignment alone changes nothing for a job that waits.
+                    if machine.phase(decision.job()) != before {
+                        machine.record_step(index, decision.job());
+                        effects.push(Effect::Changed { revision: index });
+                    }
                     if let Some((number, body)) = machine.runs.record(&decision) {
                         effects.push(Effect::Note { number, body });
                     }
--- a/toucangrade/src/state/tests.rs
+++ b/toucangrade/src/state/tests.rs
@@ -6,7 +6,7 @@
 use crate::core::Name;
 use crate::partitions;
 use crate::peer;
-use crate::placement::{Cause, Checkpoint, Decision, Outcome, Summary};
+use crate::placement::{Cause, Checkpoint, Decision, Member, Outcome, Size, Summary};
 use crate::resources::{self, Collection, Expect, Spec};
 
 /// Guards against replicas that diverge after the same commands, and against missing replies.
@@ -71,7 +71,13 @@
 
 fn assign(fence: u64) -> Command {
     let from = Checkpoint::default();
-    Command::Run(Decision::Assign { fence, from, job: job_name(), members: Vec::new() })
+    let grant = Size::new(5, 9, 0);
+    let members = vec![Member { grant, worker: Name::new("w1").unwrap() }];
+    Command::Run(Decision::Assign { fence, from, job: job_name(), members })
+}
+
+fn begin(fence: u64) -> Command {
+    Command::Run(Decision::Begin { fence, job: job_name() })
 }
 
 fn evict(fence: u64) -> Command {
@@ -111,26 +117,40 @@
 #[rstest]
 #[case::evicted_and_done(StreamCase {
     commands: vec![
-        create(Collection::Jobs), assign(1), evict(1), evict(1), assign(2),
-        finish(1, Outcome::Done), finish(2, Outcome::Done), finish(2, Outcome::Failed),
+        create(Collection::Jobs), assign(1), begin(1), begin(1), evict(1), evict(1), assign(2),
+        begin(1), begin(2), finish(1, Outcome::Done), finish(2, Outcome::Done),
+        finish(2, Outcome::Failed),
     ],
     lines: vec![
-        "1 put jobs Waiting 0", "2 state jobs Running 1", "3 state jobs Evicted 1",
-        "5 state jobs Running 2", "7 state jobs Done 2",
+        "1 put jobs Waiting 0", "3 state jobs Running 1", "5 state jobs Evicted 1",
+        "9 state jobs Running 2", "11 state jobs Done 2",
     ],
 })]
 #[case::failed(StreamCase {
-    commands: vec![create(Collection::Jobs), assign(1), finish(1, Outcome::Failed)],
-    lines: vec!["1 put jobs Waiting 0", "2 state jobs Running 1", "3 state jobs Failed 1"],
+    commands: vec![create(Collection::Jobs), assign(1), begin(1), finish(1, Outcome::Failed)],
+    lines: vec!["1 put jobs Waiting 0", "3 state jobs Running 1", "4 state jobs Failed 1"],
+})]
+#[case::never_started(StreamCase {
+    commands: vec![create(Collection::Jobs), assign(1), evict(1), assign(2), evict(2)],
+    lines: vec!["1 put jobs Waiting 0", "3 state jobs Evicted 1"],
+})]
+#[case::failed_and_repeated(StreamCase {
+    commands: vec![create(Collection::Jobs), assign(1), begin(1), assign(2), begin(2)],
+    lines: vec![
+        "1 put jobs Waiting 0", "3 state jobs Running 1", "4 state jobs Evicted 2",
+        "5 state jobs Running 2",
+    ],
 })]
 #[case::refused(StreamCase {
     commands: vec![create(Collection::Jobs), refuse()],
     lines: vec!["1 put jobs Waiting 0", "2 state jobs Refused 0"],
 })]
 #[case::deletion_precedes_outcome(StreamCase {
-    commands: vec![create(Collection::Jobs), assign(1), delete(), finish(1, Outcome::Done)],
+    commands: vec![
+        create(Collection::Jobs), assign(1), begin(1), delete(), finish(1, Outcome::Done),
+    ],
     lines: vec![
-        "1 put jobs Waiting 0", "2 state jobs Running 1", "3 delete jobs", "4 state jobs Done 1",
+        "1 put jobs Waiting 0", "3 state jobs Running 1", "4 delete jobs", "5 state jobs Done 1",
     ],
 })]
 #[case::cancelled(StreamCase {
@@ -146,10 +166,12 @@
     ],
 })]
 #[case::standing_watch(StreamCase {
-    commands: vec![create(Collection::Watches), assign(1), evict(1), assign(2)],
+    commands: vec![
+        create(Collection::Watches), assign(1), begin(1), evict(1), assign(2), begin(2),
+    ],
     lines: vec![
-        "1 put watches Waiting 0", "2 state watches Running 1", "3 state watches Evicted 1",
-        "4 state watches Running 2",
+        "1 put watches Waiting 0", "3 state watches Running 1", "4 state watches Evicted 1",
+        "6 state watches Running 2",
     ],
 })]
 fn watch_streams_report_job_states(#[case] case: StreamCase) {
@@ -227,3 +249,62 @@
     two.step(at(110), install(&earlier));
     assert_eq!(two.machine.learned, Learned::default());
 }
+
+/// Decision as instances before confirmed starts decode it.
+#[derive(Debug, Deserialize, PartialEq)]
+enum EarlierDecision {
+    Assign { fence: u64, from: Checkpoint, job: Name, members: Vec<Member> },
+    Evict { cause: Cause, fence: u64, from: Checkpoint, job: Name },
+    Finish { fence: u64, job: Name, outcome: Outcome },
+}
+
+/// Command as instances before confirmed starts decode it.
+#[derive(Debug, Deserialize, PartialEq)]
+enum EarlierCommand {
+    Run(EarlierDecision),
+}
+
+struct Stored {
+    command: Command,
+    earlier: EarlierDecision,
+}
+
+/// An instance of an earlier version stops at a command that it can't decode.
+#[rstest]
+#[case::assigned(Stored {
+    command: assign(1),
+    earlier: EarlierDecision::Assign {
+        fence: 1,
+        from: Checkpoint::default(),
+        job: job_name(),
+        members: vec![Member { grant: Size::new(5, 9, 0), worker: Name::new("w1").unwrap() }],
+    },
+})]
+#[case::begun(Stored {
+    command: begin(7),
+    // Earlier versions reject an assignment unless its token follows the newest one.
+    earlier: EarlierDecision::Assign {
+        fence: 0,
+        from: Checkpoint { done: 0, number: 7 },
+        job: job_name(),
+        members: Vec::new(),
+    },
+})]
+#[case::evicted(Stored {
+    command: evict(1),
+    earlier: EarlierDecision::Evict {
+        cause: Cause::Lost,
+        fence: 1,
+        from: Checkpoint::default(),
+        job: job_name(),
+    },
+})]
+#[case::done(Stored {
+    command: finish(1, Outcome::Done),
+    earlier: EarlierDecision::Finish { fence: 1, job: job_name(), outcome: Outcome::Done },
+})]
+fn stored_decisions_are_decoded_by_earlier_versions(#[case] case: Stored) {
+    let bytes = peer::encode(&case.command);
+    assert_eq!(peer::decode::<EarlierCommand>(&bytes), Some(EarlierCommand::Run(case.earlier)));
+    assert_eq!(peer::decode::<Command>(&bytes), Some(case.command));
+}
