Don't take an unlisted run that has ended for a running one

Callers' work could wait longer for room: a filling run that ended before any listing had shown it was moved to another runner while its end was being recorded, which holds a reservation there for up to 2.5 s. Change: the log line no longer marks the run. dispatch::tests::late::ended_run_is_not_moved failed before and passes; 255 dispatch tests pass.

--- a/toucangrade/src/dispatch/reports.rs
+++ b/toucangrade/src/dispatch/reports.rs
@@ -116,8 +116,8 @@
         }
         for ended in &report.ended {
             // Its end is listed before any listing has shown it.
-            let Some(run) = self.fleet.run_mut(incarnation, ended.key) else { continue };
-            if !std::mem::replace(&mut run.listed, true) {
+            let run = self.fleet.run(incarnation, ended.key);
+            if run.is_some_and(|run| !run.listed) && !self.closing.contains(&ended.key) {
                 confirmed.push(ended.key);
             }
         }
--- a/toucangrade/src/dispatch/tests/late.rs
+++ b/toucangrade/src/dispatch/tests/late.rs
@@ -87,3 +87,22 @@
     let took: Vec<u64> = world.dispatch.durations.values().map(|mean| mean.as_millis()).collect();
     assert_eq!(took, [600]);
 }
+
+/// A filling run that had ended before any listing showed it was moved while its end was recorded.
+#[test]
+fn ended_run_is_not_moved() {
+    let mut world = World::new();
+    let (full, free) = (incarnation("i-1", 10), incarnation("i-2", 10));
+    world.report(report("10.0.0.1", 1, &full));
+    world.submit("recon", 1, vec![filling(4_000)]);
+    let run = key(1, 0, 0, 1);
+    let seq = handle(&mut world, &full, run, 1_300);
+    world.report(report("10.0.0.2", 1, &free));
+    world.hold = true;
+    for at in 0..14 {
+        let ended = vec![EndedRun { number: 1, key: run, end: End::Stopped, saved: None }];
+        world.report(Report { ended, ..report("10.0.0.1", seq + at, &full) });
+        world.advance(100);
+        assert!(world.dispatch.moving.is_empty(), "an ended run is moved");
+    }
+}
