simulation: let a gang's member neither fail nor finish before the gang is whole

On the platform a gang works only from the moment when all members are present. The simulated runner now waits for that.

--- a/toucangrade/src/simulation/jobs/runner.rs
+++ b/toucangrade/src/simulation/jobs/runner.rs
@@ -373,6 +373,9 @@
                 End::Stopped
             } else if let Some(end) = run.gang_end {
                 end
+            } else if !run.together {
+                // A member of a gang that waits for the others doesn't work, whatever it resumed from.
+                continue;
             } else if run.fails.is_some_and(|fails| run.done >= fails) && !hung {
                 End::Failed
             } else if run.done >= run.work && !run.step().lasting {
