Test the count of waiting jobs after a replay of the log, also one of an earlier version

A replay uses the stored form of the commands, so the conversion of confirmed starts is covered as well. A log without recorded starts counts a running job as waiting until its runner lists it or its end is recorded, as docs/platform.md says. No product code changes.

--- a/toucangrade/src/dispatch/tests.rs
+++ b/toucangrade/src/dispatch/tests.rs
@@ -42,6 +42,8 @@
     /// Whether proposals are collected in `held` instead of being committed.
     hold: bool,
     held: Vec<(u64, Vec<Command>)>,
+    /// The committed proposals as the log stores them.
+    log: Vec<Bytes>,
 }
 
 pub(super) fn name(text: &str) -> Name {
@@ -122,6 +124,7 @@
             ticket: 0,
             hold: false,
             held: Vec::new(),
+            log: Vec::new(),
         };
         // The time of day is known from the first tick on.
         world.advance(100);
@@ -157,6 +160,8 @@
 
     fn commit(&mut self, ticket: u64, commands: Vec<Command>) -> Vec<Effect> {
         self.index += 1;
+        let stored: Vec<Command> = commands.iter().cloned().map(Command::into_stored).collect();
+        self.log.push(crate::peer::encode(&stored));
         let message =
             Message::Commit { index: self.index, ticket: Some(ticket), commands, bytes: 0 };
         self.dispatch.step(self.now, message)
--- a/toucangrade/src/dispatch/tests/begun.rs
+++ b/toucangrade/src/dispatch/tests/begun.rs
@@ -26,6 +26,9 @@
     ListedAgain,
     /// Another instance leads, which has applied the log.
     NewLeader,
+    /// Another instance leads, which has read the log from its files. An earlier version that led
+    /// before has not recorded any start.
+    Replayed { earlier: bool },
     /// The agent reports the next incarnation of the runner, which runs nothing.
     Reborn,
     /// The same, but the start has reached the next incarnation.
@@ -114,6 +117,18 @@
                 self.world.advance(100);
                 self.world.send(Message::Lead { leading: true });
             },
+            Event::Replayed { earlier } => {
+                self.world.dispatch = Dispatch::new();
+                for (bytes, index) in self.world.log.clone().iter().zip(1..) {
+                    let stored: Vec<Command> = crate::peer::decode(bytes).expect("a stored entry");
+                    let commands = stored.into_iter().map(Command::from_stored);
+                    let recorded = |command: &Command| !matches!(command, Command::Begin { .. });
+                    let commands = commands.filter(|c| !earlier || recorded(c)).collect();
+                    self.world.send(Message::Commit { index, ticket: None, commands, bytes: 0 });
+                }
+                self.world.advance(100);
+                self.world.send(Message::Lead { leading: true });
+            },
             Event::Listed => self.report(|report| Report { rows: vec![row(key)], ..report }),
             Event::ListedAgain => {
                 let rows = vec![row(RunKey { run: 1, ..key })];
@@ -167,6 +182,25 @@
 #[case::restarted(Waiting { events: &[Event::Reborn], pending: 1, state: JobState::Queued })]
 #[case::new_leader(Waiting { events: &[Event::NewLeader], pending: 1, state: JobState::Queued })]
 #[case::snapshot(Waiting { events: &[Event::Installed], pending: 1, state: JobState::Queued })]
+#[case::replayed(Waiting {
+    events: &[Event::Replayed { earlier: false }], pending: 1, state: JobState::Queued,
+})]
+#[case::log_of_an_earlier_version(Waiting {
+    events: &[Event::Listed, Event::Replayed { earlier: true }],
+    pending: 1, state: JobState::Queued,
+})]
+#[case::log_of_an_earlier_version_and_listed(Waiting {
+    events: &[Event::Listed, Event::Replayed { earlier: true }, Event::Listed],
+    pending: 0, state: JobState::Running,
+})]
+#[case::end_in_the_log_of_an_earlier_version(Waiting {
+    events: &[Event::Ended(End::Stopped), Event::Replayed { earlier: true }],
+    pending: 0, state: JobState::Running,
+})]
+#[case::begun_before_the_replay(Waiting {
+    events: &[Event::Listed, Event::Replayed { earlier: false }],
+    pending: 0, state: JobState::Running,
+})]
 #[case::listed(Waiting { events: &[Event::Listed], pending: 0, state: JobState::Running })]
 #[case::listed_late(Waiting {
     events: &[Event::Handled, Event::Handled, Event::Listed], pending: 0, state: JobState::Running,
