--- a/toucangrade/src/lib.rs
+++ b/toucangrade/src/lib.rs
@@ -12,6 +12,9 @@
 mod core;
 mod daemon;
 mod dispatch;
+// Used by the hosts that keep evacuations in their replicated state.
+#[allow(dead_code)]
+mod evacuation;
 mod eviction;
 mod execution;
 mod history;
@@ -50,6 +53,7 @@
     ClientReply, ClientRequest, Denial, EndedRun, JobState, Orders, Report, RunProfile, RunStatus,
     Runner, Start, Verb,
 };
+pub use crate::evacuation::{Evacuation, EvacuationOrder, EvacuationVerb, Evacuations};
 pub use crate::hosting::{Announcement, Fault, Listing, RunnerTarget};
 pub use crate::http::{
     CallError, Client, Exchange, Handler, Inbound, Outbound, Parts, Payload, Response, Server,
