Evacuate data centres by entries of the replicated log

An operator had no way to keep new work out of a data centre. The leader excludes the runners there from placement, gives back assignments whose order has not left it, and orders a stop for starts that no listing shows. Listed runs go on.

--- a/toucangrade/src/dispatch/answers.rs
+++ b/toucangrade/src/dispatch/answers.rs
@@ -18,6 +18,7 @@
         Applied::Accepted => ClientReply::Accepted,
         Applied::Cancelled => ClientReply::Cancelled,
         Applied::Configured => ClientReply::Configured,
+        Applied::Evacuating => ClientReply::Evacuating,
         // The queue was removed while the submission was proposed.
         Applied::NoQueue => return None,
         Applied::Occupied => occupied(),
@@ -36,7 +37,7 @@
 }
 
 impl Dispatch {
-    pub(super) fn ask(&mut self, ticket: u64, request: ClientRequest) {
+    pub(super) fn ask(&mut self, now: Moment, ticket: u64, request: ClientRequest) {
         if !self.leading {
             return self.answer(ticket, None);
         }
@@ -48,6 +49,9 @@
                 }
                 return self.propose(Command::Configure(setup), Some(ticket));
             },
+            Verb::Evacuate { centre, verb, by } => {
+                return self.order_evacuation(now, ticket, centre, verb, by);
+            },
             Verb::ReadSetup => {
                 let source = self.job_table.setup.source.clone();
                 return self.answer(ticket, Some(ClientReply::Setup(source)));
--- a/toucangrade/src/dispatch/log.rs
+++ b/toucangrade/src/dispatch/log.rs
@@ -49,6 +49,10 @@
         Command::Configure(setup) => {
             info!(version = setup.version, queues = setup.queues.len(), outcome, "configure");
         },
+        Command::Evacuate(order) => {
+            let (centre, verb, by) = (&*order.centre, order.verb, &*order.by);
+            info!(centre, ?verb, by, wall = order.wall, outcome, "evacuate");
+        },
         Command::Forget(jobs) => info!(jobs = jobs.len(), "forget"),
         Command::Open { job, round } => {
             info!(job = format_args!("{job:016x}"), round, outcome, "open");
--- a/toucangrade/src/dispatch/message.rs
+++ b/toucangrade/src/dispatch/message.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::core::{Name, Span};
+use crate::evacuation::EvacuationVerb;
 use crate::jobs::{
     Checkpoint, Command, Configuration, End, Incarnation, JobTable, Need, RunKey, Schedule, Step,
 };
@@ -31,6 +32,15 @@
     Cancel,
     /// Replace the configuration if this one is newer.
     Configure(Arc<Configuration>),
+    /// Evacuate a data centre, so that nothing is started there, or take that back.
+    Evacuate {
+        /// Name of the data centre.
+        centre: Arc<str>,
+        /// What is asked.
+        verb: EvacuationVerb,
+        /// Name or address of the requester, empty if unknown.
+        by: Arc<str>,
+    },
     /// Read the newest configuration.
     ReadSetup,
     /// Read the state of a job, or the number of jobs of a queue that have not begun.
@@ -72,6 +82,8 @@
     Cancelled,
     /// The configuration is stored.
     Configured,
+    /// The order for the data centre is stored.
+    Evacuating,
     /// No such job exists.
     Gone,
     /// Number of jobs of the queue that have not begun.
--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -3,6 +3,7 @@
 //! and take effect once it has committed them.
 
 mod answers;
+mod evacuation;
 mod fleet;
 mod gangs;
 mod health;
@@ -24,6 +25,7 @@
 
 use serde::{Serialize, Serializer};
 
+use self::evacuation::EvacuationState;
 use self::fleet::{Fleet, Run, hold_end, lease_end};
 use self::gangs::GangSave;
 pub use self::message::{
@@ -126,6 +128,7 @@
     #[serde(rename = "rescued")]
     last_rescue: Moment,
     waits: Waits,
+    evacuation: EvacuationState,
     #[serde(skip)]
     views: Views,
     /// Number and bytes of the commands applied since the last snapshot.
@@ -164,6 +167,7 @@
             leading_since: Moment::START,
             last_rescue: Moment::START,
             waits: Waits::default(),
+            evacuation: EvacuationState::default(),
             views: Views::default(),
             growth: (0, 0),
             out: Vec::new(),
@@ -180,7 +184,7 @@
     /// Handles a message and returns the effects to perform.
     pub(crate) fn step(&mut self, now: Moment, message: Message) -> Vec<Effect> {
         match message {
-            Message::Request { ticket, request } => self.ask(ticket, *request),
+            Message::Request { ticket, request } => self.ask(now, ticket, *request),
             Message::Commit { index, ticket, commands, bytes } => {
                 self.commit(now, index, ticket, &commands, bytes);
             },
@@ -219,6 +223,7 @@
         self.moving.retain(|_, (_, since)| now.since(*since) < MOVE_RESERVATION);
         self.rescue(now);
         self.report_waits(now);
+        self.report_evacuations(now);
         self.dirty = true;
     }
 
@@ -284,6 +289,9 @@
             self.out.push(Effect::Snapshot { index, job_table: Box::new(self.job_table.clone()) });
         }
         if self.leading {
+            if !self.job_table.evacuations.is_empty() {
+                self.give_back(now);
+            }
             for agent in touched {
                 self.answer_parked(&agent, now);
             }
@@ -343,6 +351,7 @@
             Command::Open { job, round } => {
                 self.opening.remove(&(*job, *round));
             },
+            Command::Evacuate(order) => self.evacuation_changed(order, touched),
             Command::Forget(jobs) => self.ended.retain(|id, _| !jobs.contains(id)),
             // A configuration may end jobs by its limits.
             Command::Configure(_) => {
@@ -552,6 +561,7 @@
         self.beginning.clear();
         self.opening.clear();
         self.clear_waits();
+        self.clear_evacuations();
         for (_, ticket) in self.waiters.drain(..) {
             self.out.push(Effect::Reply { ticket, reply: None });
         }
@@ -575,7 +585,13 @@
                 Command::Close { .. } if lost => {},
                 Command::Close { key, .. } => drop(self.closing.remove(key)),
                 Command::Open { job, round } => drop(self.opening.remove(&(*job, *round))),
-                Command::Accept { .. } | Command::Configure(_) | Command::Forget(_) => {},
+                Command::Evacuate(order) if lost => {
+                    self.evacuation.unsettled.insert(Arc::clone(&order.centre));
+                },
+                Command::Accept { .. }
+                | Command::Configure(_)
+                | Command::Evacuate(_)
+                | Command::Forget(_) => {},
             }
         }
         let reply = lost.then_some(ClientReply::Unknown);
--- a/toucangrade/src/dispatch/place.rs
+++ b/toucangrade/src/dispatch/place.rs
@@ -24,6 +24,8 @@
     Barred,
     /// A filling task would be too slow, as others use its cores or it is slow itself.
     Cores,
+    /// Its data centre is evacuated.
+    Evacuated,
     /// A filling task would be too slow, as it may disturb tasks with a latency target.
     Interference,
     /// It lacks the label that the step requires.
--- a/toucangrade/src/dispatch/plan.rs
+++ b/toucangrade/src/dispatch/plan.rs
@@ -229,7 +229,7 @@
     /// Runners that accept new tasks, with the room left on each.
     fn candidates(&mut self, now: Moment) -> Vec<Candidate> {
         let workers = self.fleet.workers.iter();
-        let open = workers.filter(|(_, worker)| worker.exclusion(now).is_none());
+        let open = workers.filter(|(_, worker)| self.exclusion(worker, now).is_none());
         let open: Vec<Name> = open.map(|(agent, _)| agent.clone()).collect();
         self.candidates_on(now, &open)
     }
--- a/toucangrade/src/dispatch/reports.rs
+++ b/toucangrade/src/dispatch/reports.rs
@@ -255,10 +255,11 @@
         }
     }
 
-    /// Proposes the end of runs on silent runners for which no order has left: they never start, so
-    /// their tasks need not wait for the end of a lease.
+    /// Proposes the end of runs for which no order has left, on silent runners and in evacuated data
+    /// centres: they never start, so their tasks need not wait for the end of a lease.
     pub(super) fn give_back(&mut self, now: Moment) {
-        let mut unordered: Vec<(Incarnation, Option<Span>, Vec<RunKey>)> = Vec::new();
+        type Cause = (Exclusion, Option<Span>);
+        let mut unordered: Vec<(Incarnation, Cause, Vec<RunKey>)> = Vec::new();
         for (incarnation, lease) in &self.fleet.leases {
             let open = |key: &RunKey, run: &Run| run.never_ordered() && !self.closing.contains(key);
             let runs = lease.runs.iter().filter(|(key, run)| open(key, run));
@@ -268,17 +269,18 @@
             }
             let agent = self.fleet.agent(incarnation);
             let worker = agent.and_then(|agent| self.fleet.workers.get(agent));
-            let exclusion = worker.map_or(Some(Exclusion::Silent), |w| w.exclusion(now));
-            if exclusion == Some(Exclusion::Silent) {
+            let exclusion = worker.map_or(Some(Exclusion::Silent), |w| self.exclusion(w, now));
+            if let Some(reason @ (Exclusion::Evacuated | Exclusion::Silent)) = exclusion {
                 let silent = worker.map(|worker| worker.silence(now));
-                unordered.push((incarnation.clone(), silent, runs));
+                unordered.push((incarnation.clone(), (reason, silent), runs));
             }
         }
-        for (incarnation, silent, runs) in unordered {
+        for (incarnation, (reason, silent), runs) in unordered {
             tracing::info!(
                 runner = %incarnation.runner,
                 born = incarnation.born,
                 runs = runs.len(),
+                ?reason,
                 silent_ms = silent.map(Span::as_millis),
                 "assignments given back"
             );
@@ -335,6 +337,7 @@
         let Some(runner) = worker.runner() else { return Orders::default() };
         let until = Some(runner.clock.saturating_add(LEASE_DURATION.as_millis()));
         let mut orders = Orders { until, table, ..Orders::default() };
+        let evacuated = self.job_table.evacuations.covers(&runner.centre);
         let lease = self.fleet.leases.get(&runner.incarnation);
         let live = |key: &RunKey| lease.is_some_and(|lease| lease.runs.contains_key(key));
         orders.late = Some(self.late_runs(&runner.incarnation));
@@ -349,7 +352,7 @@
         let report = &worker.report;
         for key in report.rows.iter().map(|row| &row.key).chain(&report.handling) {
             let stopping = report.stopping.contains(key);
-            if !stopping && (!live(key) || !self.should_run(*key, &runner.incarnation)) {
+            if !stopping && (!live(key) || !self.should_run(*key, &runner.incarnation, evacuated)) {
                 orders.stops.push(*key);
             }
         }
@@ -360,7 +363,7 @@
             if worker.reported_runs.contains(key) || self.closing.contains(key) {
                 continue;
             }
-            if self.should_run(*key, &runner.incarnation) {
+            if self.should_run(*key, &runner.incarnation, evacuated) {
                 orders.starts.extend(self.start(*key));
             } else {
                 orders.stops.push(*key);
@@ -405,11 +408,13 @@
         Some(Box::new(Table::clone(&self.learner.table)))
     }
 
-    /// Whether a live run should keep running.
-    fn should_run(&self, key: RunKey, incarnation: &Incarnation) -> bool {
+    /// Whether a live run should keep running. In an evacuated data centre only runs do that their
+    /// runner has listed; the others may not have begun.
+    fn should_run(&self, key: RunKey, incarnation: &Incarnation, evacuated: bool) -> bool {
         let Some(entry) = self.job_table.jobs.get(&key.task.job) else { return false };
         let done = entry.task(key.task).is_none_or(|task| task.done);
-        let stop = self.fleet.run(incarnation, key).is_some_and(|run| run.stop);
+        let run = self.fleet.run(incarnation, key);
+        let stop = run.is_some_and(|run| run.stop || (evacuated && !run.listed));
         entry.phase == Phase::Active && !done && !stop
     }
 
--- a/toucangrade/src/dispatch/rescue.rs
+++ b/toucangrade/src/dispatch/rescue.rs
@@ -28,14 +28,14 @@
             return;
         }
         self.last_rescue = now;
-        self.evacuate(now);
+        self.leave_draining(now);
         self.mend_gangs(now);
         self.stop_stuck(now);
     }
 
     /// Stops the runs on draining runners that would lose most: lasting tasks, which continue at
     /// once elsewhere, and tasks with checkpoints. Others may finish before the runner shuts down.
-    fn evacuate(&mut self, now: Moment) {
+    fn leave_draining(&mut self, now: Moment) {
         let workers = self.fleet.workers.iter();
         let leaving: Vec<Incarnation> = workers
             .filter_map(|(_, worker)| worker.runner())
--- a/toucangrade/src/dispatch/tests.rs
+++ b/toucangrade/src/dispatch/tests.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod begun;
+mod evacuation;
 mod exclusion;
 mod extremes;
 mod faulty_runners;
--- a/toucangrade/src/dispatch/waits.rs
+++ b/toucangrade/src/dispatch/waits.rs
@@ -232,7 +232,7 @@
         let mut most = 0;
         for ((at, candidate), siblings) in candidates.iter_mut().enumerate().zip(siblings) {
             let worker = self.fleet.workers.get(&candidate.agent);
-            let excluded = worker.and_then(|worker| worker.exclusion(now));
+            let excluded = worker.and_then(|worker| self.exclusion(worker, now));
             let barred = candidate.barred(step).then_some(Exclusion::Barred);
             let mismatch = candidate.mismatch(step, service, siblings);
             let slow = candidate.slow_reason(table, step);
--- a/toucangrade/src/jobs/book.rs
+++ b/toucangrade/src/jobs/book.rs
@@ -8,6 +8,7 @@
 
 use super::{Checkpoint, Command, Configuration, End, Incarnation, Job, Queue, RunKey, TaskKey};
 use crate::core::invariant;
+use crate::evacuation::Evacuations;
 
 /// Maximum number of concurrent runs of a task whose step allows speculative copies.
 const COPIES_LIMIT: usize = 2;
@@ -151,6 +152,8 @@
     Configured,
     /// The job's queue does not exist.
     NoQueue,
+    /// The order for a data centre is in force, by this command or before.
+    Evacuating,
     /// A job of another queue has this id.
     Occupied,
     /// The command does not match the agreed state; nothing changed.
@@ -173,6 +176,10 @@
     /// search would take most of a placement round with a thousand queues.
     #[serde(skip)]
     positions: OnceLock<BTreeMap<Arc<str>, usize>>,
+    /// Evacuated data centres. Earlier versions refuse a snapshot with a field more, so it is left out
+    /// while there are none.
+    #[serde(default, skip_serializing_if = "Evacuations::is_empty")]
+    pub(crate) evacuations: Evacuations,
 }
 
 impl JobTable {
@@ -190,6 +197,10 @@
                 }
                 Applied::Configured
             },
+            Command::Evacuate(order) => {
+                self.evacuations.apply(order);
+                Applied::Evacuating
+            },
             Command::Forget(ids) => {
                 for id in ids {
                     let ended = |entry: &JobEntry| entry.phase != Phase::Active;
--- a/toucangrade/src/jobs/mod.rs
+++ b/toucangrade/src/jobs/mod.rs
@@ -14,6 +14,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::core::Name;
+use crate::evacuation::EvacuationOrder;
 
 pub(crate) use self::book::{Applied, JobEntry, JobTable, Phase, Task};
 pub use self::declared::{Job, JobError, Need, Schedule, Step};
@@ -133,6 +134,9 @@
     Close { key: RunKey, end: End, saved: Option<Checkpoint> },
     /// Replaces the configuration if this one is newer.
     Configure(Arc<Configuration>),
+    /// Evacuates a data centre, or takes that back. Instances of earlier versions can't decode it, so
+    /// it is only written once an operator has ordered an evacuation.
+    Evacuate(EvacuationOrder),
     /// Removes jobs and withdrawn names that ended long ago.
     Forget(Vec<u64>),
     /// Adds the next repetition of a job, once it is due.
@@ -169,6 +173,7 @@
             Self::Cancel { .. } => "cancel",
             Self::Close { end, .. } => end.label(),
             Self::Configure(_) => "configure",
+            Self::Evacuate(_) => "evacuate",
             Self::Forget(_) => "forget",
             Self::Open { .. } => "open",
         }
--- a/toucangrade/src/jobs/tests.rs
+++ b/toucangrade/src/jobs/tests.rs
@@ -4,6 +4,7 @@
 
 use super::*;
 use crate::core::Span;
+use crate::evacuation::EvacuationVerb;
 
 fn step(count: u32, after: Vec<u16>) -> Step {
     Step { count, after, estimate: Span::secs(1), ..Step::default() }
@@ -345,3 +346,66 @@
         assert_eq!(Command::from_stored(read), command);
     }
 }
+
+/// Table as instances before evacuations decode a snapshot.
+#[derive(Debug, Deserialize)]
+struct EarlierTable {
+    setup: Configuration,
+    jobs: std::collections::BTreeMap<u64, u8>,
+    withdrawn: std::collections::BTreeSet<(u64, Arc<str>)>,
+}
+
+struct Evacuated {
+    orders: &'static [(&'static str, EvacuationVerb)],
+    /// Whether an instance of an earlier version can decode the snapshot.
+    earlier: bool,
+    covered: &'static [&'static str],
+}
+
+/// Evacuations are rebuilt from the log and from a snapshot. A snapshot without any must not have a
+/// further field, as earlier versions stop at it.
+#[rstest]
+#[case::unused(Evacuated { orders: &[], earlier: true, covered: &[] })]
+#[case::in_force(Evacuated {
+    orders: &[("a", EvacuationVerb::Start), ("b", EvacuationVerb::Start)],
+    earlier: false,
+    covered: &["a", "b"],
+})]
+#[case::finished(Evacuated {
+    orders: &[("a", EvacuationVerb::Start), ("a", EvacuationVerb::Finish)],
+    earlier: true,
+    covered: &[],
+})]
+#[case::repeated(Evacuated {
+    orders: &[("a", EvacuationVerb::Start), ("a", EvacuationVerb::Start)],
+    earlier: false,
+    covered: &["a"],
+})]
+fn evacuations_survive_the_log_and_snapshots(#[case] case: Evacuated) {
+    let order = |(wall, (centre, verb)): (u64, &(&str, EvacuationVerb))| EvacuationOrder {
+        centre: (*centre).into(),
+        verb: *verb,
+        wall,
+        by: "10.0.0.9".into(),
+    };
+    let orders: Vec<EvacuationOrder> = (0..).zip(case.orders).map(order).collect();
+    let mut table = JobTable::default();
+    for order in orders {
+        let stored = crate::peer::encode(&Command::Evacuate(order).into_stored());
+        let read: Command = crate::peer::decode(&stored).expect("a decodable command");
+        assert_eq!(table.apply(&Command::from_stored(read)), Applied::Evacuating);
+    }
+    let covered: Vec<&str> = table.evacuations.iter().map(|(centre, _)| &**centre).collect();
+    assert_eq!(covered, case.covered);
+    let snapshot = crate::peer::encode(&table);
+    let read: JobTable = crate::peer::decode(&snapshot).expect("a decodable snapshot");
+    assert_eq!(read.evacuations, table.evacuations);
+    let earlier = crate::peer::decode::<EarlierTable>(&snapshot);
+    assert_eq!(earlier.is_some(), case.earlier);
+    let Some(EarlierTable { setup, jobs, withdrawn }) = earlier else { return };
+    assert!(jobs.is_empty() && withdrawn.is_empty());
+    // A snapshot that an earlier version has written lacks the field.
+    let written = rmp_serde::to_vec(&(setup, jobs, withdrawn)).expect("encodes");
+    let read: JobTable = rmp_serde::from_slice(&written).expect("decodes");
+    assert!(read.evacuations.is_empty());
+}
--- a/toucangrade/src/lib.rs
+++ b/toucangrade/src/lib.rs
@@ -12,8 +12,6 @@
 mod core;
 mod daemon;
 mod dispatch;
-// Used by the hosts that keep evacuations in their replicated state.
-#[allow(dead_code)]
 mod evacuation;
 mod eviction;
 mod execution;
--- a/toucangrade/src/node/entry.rs
+++ b/toucangrade/src/node/entry.rs
@@ -90,6 +90,7 @@
     match verb {
         Verb::Cancel => "answer_seconds{verb=\"cancel\"}",
         Verb::Configure(_) | Verb::ReadSetup => "answer_seconds{verb=\"configure\"}",
+        Verb::Evacuate { .. } => "answer_seconds{verb=\"evacuate\"}",
         Verb::Show => "answer_seconds{verb=\"show\"}",
         Verb::Submit { .. } => "answer_seconds{verb=\"submit\"}",
     }
@@ -102,6 +103,7 @@
         Ok(ClientReply::Bad(_)) => "bad",
         Ok(ClientReply::Cancelled) => "cancelled",
         Ok(ClientReply::Configured | ClientReply::Setup(_)) => "configuration",
+        Ok(ClientReply::Evacuating) => "evacuating",
         Ok(ClientReply::Gone) => "gone",
         Ok(ClientReply::NoQueue) => "no_queue",
         Ok(ClientReply::Pending(_) | ClientReply::State(_)) => "shown",
--- a/toucangrade/src/node/mod.rs
+++ b/toucangrade/src/node/mod.rs
@@ -13,6 +13,7 @@
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use serde::Serialize;
@@ -47,6 +48,8 @@
     losses: usize,
     /// Longest lease that runners accept.
     hold_limit: Span,
+    /// Names of the data centres, empty if they are not known.
+    centres: Vec<Arc<str>>,
 }
 
 /// Builder of [`NodeSettings`].
@@ -57,8 +60,16 @@
     /// Builder of settings with the address of this process and the port of control instances.
     pub fn builder(ip: IpAddr, port: u16) -> NodeSettingsBuilder {
         let (seeds, hold_limit) = (Vec::new(), Span::secs(10));
-        let settings = Self { ip, port, seeds, first: false, data: None, losses: 1, hold_limit };
-        NodeSettingsBuilder(settings)
+        NodeSettingsBuilder(Self {
+            ip,
+            port,
+            seeds,
+            first: false,
+            data: None,
+            losses: 1,
+            hold_limit,
+            centres: Vec::new(),
+        })
     }
 
     /// Address at which the control instance of this name accepts requests.
@@ -108,6 +119,14 @@
         self
     }
 
+    /// Sets the names of the data centres. Orders for others are refused, unless a runner announces
+    /// them; without names all are accepted.
+    #[must_use]
+    pub fn centres(mut self, centres: Vec<Arc<str>>) -> Self {
+        self.0.centres = centres;
+        self
+    }
+
     /// Builds the settings.
     pub fn build(self) -> NodeSettings {
         self.0
