Start cold and restored runners slowly

After an evacuation all work that waits went at once to the runners of the restored data centre, which may be cold. Conclusion: only runners that are cold or were restored are affected; the state is soft, so a new leader knows of cold ones only.

--- a/toucangrade/src/dispatch/evacuation.rs
+++ b/toucangrade/src/dispatch/evacuation.rs
@@ -11,8 +11,9 @@
 use super::message::{ClientReply, Effect};
 use super::place::Exclusion;
 use super::settings::SILENCE_LIMIT;
+use super::slow_start::Cause;
 use crate::core::{Moment, Name, Span};
-use crate::evacuation::{EvacuationOrder, EvacuationVerb};
+use crate::evacuation::{EvacuationOrder, EvacuationVerb, Evacuations};
 use crate::jobs::Command;
 
 /// Most data centres that may be evacuated at a time. The largest deployment has five, and the state
@@ -50,6 +51,11 @@
         self
     }
 
+    /// Evacuations in force.
+    pub(crate) fn evacuations(&self) -> &Evacuations {
+        &self.job_table.evacuations
+    }
+
     /// Handles an operator's order. A repeat of what is in force needs no log entry, unless another
     /// order for the data centre may still be committed and reverse it.
     pub(super) fn order_evacuation(
@@ -136,6 +142,7 @@
     /// are ordered to stop what has not begun.
     pub(super) fn evacuation_changed(
         &mut self,
+        now: Moment,
         order: &EvacuationOrder,
         touched: &mut BTreeSet<Name>,
     ) {
@@ -146,8 +153,11 @@
         });
         let (agents, incarnations): (BTreeSet<Name>, BTreeSet<_>) =
             workers.map(|(agent, runner)| (agent.clone(), runner.incarnation.clone())).unzip();
-        if order.verb == EvacuationVerb::Start {
-            self.moving.retain(|_, (incarnation, _)| !incarnations.contains(incarnation));
+        match order.verb {
+            EvacuationVerb::Finish => self.start_slowly(now, &incarnations, Cause::Restored),
+            EvacuationVerb::Start => {
+                self.moving.retain(|_, (incarnation, _)| !incarnations.contains(incarnation));
+            },
         }
         touched.extend(agents);
     }
--- a/toucangrade/src/dispatch/fleet.rs
+++ b/toucangrade/src/dispatch/fleet.rs
@@ -202,6 +202,11 @@
         self.runner().map(|runner| &runner.incarnation)
     }
 
+    /// Whether the newest report shows that the runner is cold.
+    pub(crate) fn is_cold(&self) -> bool {
+        self.runner().is_some_and(|runner| runner.cold > Span::ZERO)
+    }
+
     /// The last incarnation that the agent has reported. A newer report may name none, as the agent
     /// has restarted or has not fenced the next one yet.
     pub(crate) fn last_incarnation(&self) -> Option<&Incarnation> {
--- a/toucangrade/src/dispatch/message.rs
+++ b/toucangrade/src/dispatch/message.rs
@@ -123,6 +123,14 @@
     pub draining: bool,
     /// The runner's clock in ms, read before the report was sent.
     pub clock: u64,
+    /// Time for which it will still be cold. Earlier versions refuse a report with a field more, so it
+    /// is left out for warm runners.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub cold: Span,
+}
+
+fn is_zero(span: &Span) -> bool {
+    *span == Span::ZERO
 }
 
 /// A run that a runner lists as running.
--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -14,6 +14,7 @@
 mod reports;
 mod rescue;
 mod settings;
+mod slow_start;
 mod views;
 mod waits;
 
@@ -37,6 +38,7 @@
     BATCH_BYTES, BATCH_LIMIT, DURATION_WEIGHT_PERCENT, FENCED_AGE, HOLD_LIMIT, LEASE_DURATION,
     MOVE_RESERVATION, PROPOSALS_LIMIT, SNAPSHOT_BYTES, SNAPSHOT_COMMANDS, STEP_BYTES,
 };
+use self::slow_start::SlowStart;
 use self::views::Views;
 use self::waits::Waits;
 use crate::core::{Moment, Name, Span};
@@ -129,6 +131,7 @@
     last_rescue: Moment,
     waits: Waits,
     evacuation: EvacuationState,
+    slow_start: SlowStart,
     #[serde(skip)]
     views: Views,
     /// Number and bytes of the commands applied since the last snapshot.
@@ -168,6 +171,7 @@
             last_rescue: Moment::START,
             waits: Waits::default(),
             evacuation: EvacuationState::default(),
+            slow_start: SlowStart::default(),
             views: Views::default(),
             growth: (0, 0),
             out: Vec::new(),
@@ -224,6 +228,7 @@
         self.rescue(now);
         self.report_waits(now);
         self.report_evacuations(now);
+        self.report_slow_starts(now);
         self.dirty = true;
     }
 
@@ -351,7 +356,7 @@
             Command::Open { job, round } => {
                 self.opening.remove(&(*job, *round));
             },
-            Command::Evacuate(order) => self.evacuation_changed(order, touched),
+            Command::Evacuate(order) => self.evacuation_changed(now, order, touched),
             Command::Forget(jobs) => self.ended.retain(|id, _| !jobs.contains(id)),
             // A configuration may end jobs by its limits.
             Command::Configure(_) => {
@@ -562,6 +567,7 @@
         self.opening.clear();
         self.clear_waits();
         self.clear_evacuations();
+        self.clear_slow_starts();
         for (_, ticket) in self.waiters.drain(..) {
             self.out.push(Effect::Reply { ticket, reply: None });
         }
--- a/toucangrade/src/dispatch/place.rs
+++ b/toucangrade/src/dispatch/place.rs
@@ -39,6 +39,8 @@
     /// It has not answered or been reported for too long, it is not known yet, or its port refuses
     /// connections.
     Silent,
+    /// It starts slowly and has had all starts of the present step.
+    SlowStart,
     /// It already runs as many tasks of the step as the step's spread allows.
     Spread,
 }
@@ -73,6 +75,10 @@
     pub(super) trust: Trust,
     /// Whether an order would probably reach it now.
     pub(super) reachable: bool,
+    /// Whether it is neither cold nor in a slow start.
+    pub(super) warm: bool,
+    /// Starts that it may still get in this step of its slow start.
+    pub(super) starts: Option<u32>,
 }
 
 impl Candidate {
@@ -148,6 +154,8 @@
             Some(Exclusion::Spread)
         } else if !self.free.holds(&step.counted()) {
             Some(Exclusion::Room)
+        } else if self.starts == Some(0) {
+            Some(Exclusion::SlowStart)
         } else {
             None
         }
@@ -169,6 +177,7 @@
     /// Subtracts the resources of a task.
     pub(super) fn allocate(&mut self, table: &Table, step: &Step) {
         self.free.remove(&step.counted());
+        self.starts = self.starts.map(|starts| starts.saturating_sub(1));
         if step.fills {
             self.filling = self.filling.saturating_add(step.need.millicores);
             let image = step.image.as_deref().unwrap_or_default();
@@ -318,9 +327,9 @@
         let quiet = u64::from(candidate.serving == 0);
         ((speed * 20.0) as u64, quiet, left)
     } else if step.target > 0 {
-        (u64::from(candidate.serving > 0), 1_000 - left, 0)
+        (u64::from(candidate.serving > 0), 1_000 - left, u64::from(candidate.warm))
     } else {
-        (left * 100 / candidate.slowness.max(1), 0, 0)
+        (left * 100 / candidate.slowness.max(1), u64::from(candidate.warm), 0)
     };
     Some((candidate.trust, right_rack, rank))
 }
--- a/toucangrade/src/dispatch/plan.rs
+++ b/toucangrade/src/dispatch/plan.rs
@@ -243,6 +243,7 @@
             let worker = self.fleet.workers.get(agent)?;
             candidate.trust = self.fleet.trust(worker, now);
             candidate.reachable = worker.is_reachable(now);
+            self.limit_starts(now, worker, &mut candidate);
             Some(candidate)
         });
         let mut candidates: Vec<Candidate> = seen.collect();
@@ -279,6 +280,8 @@
             slowness: worker.slowness,
             trust: Trust::Full,
             reachable: true,
+            warm: true,
+            starts: None,
         };
         let cores = runner.capacity.millicores.max(1) as f64;
         let (mut serving, mut used, mut asked) = (Vec::new(), Vec::new(), Vec::new());
--- a/toucangrade/src/dispatch/reports.rs
+++ b/toucangrade/src/dispatch/reports.rs
@@ -48,6 +48,8 @@
             lease.over = false;
             self.record_progress(now, read, incarnation, &report);
             self.collect_begun(&report);
+            let cold = report.runner.as_ref().map_or(Span::ZERO, |runner| runner.cold);
+            self.note_cold(now, incarnation, cold);
             self.record_sample(now, &report);
             self.record_ends(now, incarnation, &report);
             if report.gone {
--- a/toucangrade/src/dispatch/tests.rs
+++ b/toucangrade/src/dispatch/tests.rs
@@ -15,6 +15,7 @@
 mod load;
 mod log;
 mod queues;
+mod slow_start;
 mod trials;
 mod unreachable;
 mod views;
@@ -97,6 +98,7 @@
             incarnation: incarnation.clone(),
             service: SERVICE.into(),
             centre: "ljubljana-a".into(),
+            cold: Span::ZERO,
             labels: vec!["a".into(), "r1".into()],
             capacity: Need { millicores: 4_000, memory: 10_000, accelerators: 0 },
             draining: false,
--- a/toucangrade/src/hosting/heard.rs
+++ b/toucangrade/src/hosting/heard.rs
@@ -46,6 +46,12 @@
         }
     }
 
+    /// Time for which the runner will still be cold, by its last announcement.
+    pub(super) fn cold(&self, now: Moment) -> Span {
+        let cold = self.announced.cold.as_micros();
+        Span::micros(cold.saturating_sub(now.since(self.at).as_micros()))
+    }
+
     /// Whether the announcement has the same incarnation and address.
     fn matches(&self, other: &Announcement) -> bool {
         self.announced.incarnation == other.incarnation && self.announced.addr == other.addr
--- a/toucangrade/src/hosting/message.rs
+++ b/toucangrade/src/hosting/message.rs
@@ -27,6 +27,8 @@
     pub capacity: Need,
     /// Whether it is about to shut down.
     pub draining: bool,
+    /// Time for which it will still be cold, when it was sent.
+    pub cold: Span,
     /// Increases with each announcement of one incarnation.
     pub sequence: u64,
 }
--- a/toucangrade/src/hosting/mod.rs
+++ b/toucangrade/src/hosting/mod.rs
@@ -418,6 +418,7 @@
                 capacity: announced.capacity,
                 draining: announced.draining,
                 clock: current.listing.clock,
+                cold: current.candidate.cold(now),
             }
         });
         let listing = current.map(|current| &current.listing);
--- a/toucangrade/src/hosting/tests.rs
+++ b/toucangrade/src/hosting/tests.rs
@@ -27,6 +27,7 @@
         addr: "127.0.0.1:9".parse().expect("an address"),
         service: "balcao".into(),
         centre: "olinda".into(),
+        cold: Span::ZERO,
         labels: vec!["a".into(), "r1".into()],
         capacity: Need { millicores: 8_000, memory: 8_000, accelerators: 0 },
         draining: false,
--- a/toucangrade/src/node/tests.rs
+++ b/toucangrade/src/node/tests.rs
@@ -130,6 +130,7 @@
         addr: "127.0.0.1:9".parse().expect("valid address"),
         service: "balcao".into(),
         centre: "olinda".into(),
+        cold: Span::ZERO,
         labels: vec!["a".into(), "r1".into()],
         capacity: Need { millicores: 8_000, memory: 8_000, accelerators: 0 },
         draining: false,
--- a/toucangrade/src/peer/tests/fuzz.rs
+++ b/toucangrade/src/peer/tests/fuzz.rs
@@ -68,6 +68,7 @@
             incarnation: Incarnation { runner: name("i-1"), born: 10 },
             service: "balcao".into(),
             centre: "olinda".into(),
+            cold: Span::ZERO,
             labels: vec!["a".into(), "r1".into()],
             capacity: Need { millicores: 4_000, memory: 10_000, accelerators: 0 },
             draining: false,
--- a/toucangrade/src/simulation/jobs/machine.rs
+++ b/toucangrade/src/simulation/jobs/machine.rs
@@ -5,7 +5,7 @@
 
 use super::runner::{Habit, Plan, Runner};
 use super::world::{Delivery, Event, Order, SERVICE, World, copy_failure, runner_name};
-use crate::core::invariant;
+use crate::core::{Span, invariant};
 use crate::dispatch::Denial;
 use crate::hosting::{Announcement, Fault as Failure, Listing, Message, RunnerTarget as Target};
 use crate::jobs::{End, Incarnation, Job, Need, RunKey};
@@ -67,6 +67,7 @@
             addr: ([127, 0, 0, 1], 9).into(),
             service: SERVICE.into(),
             centre: "olinda".into(),
+            cold: Span::ZERO,
             labels: runner.labels.clone(),
             capacity: runner.capacity,
             draining: runner.draining,
