Check evacuations in the randomised runs

No randomised run ordered an evacuation. With the scope evacuations, operators evacuate one of three data centres and restore it at random, under the usual faults.

--- a/toucangrade/src/simulation/jobs/control.rs
+++ b/toucangrade/src/simulation/jobs/control.rs
@@ -313,12 +313,43 @@
             return;
         }
         let Some(request) = self.requests.remove(&ticket) else { return };
+        self.check_evacuation_answer(ticket, &request);
         if let Some(job) = request.job.filter(|_| reply == Some(ClientReply::Accepted)) {
             let stored = self.log.job_table.jobs.contains_key(&job);
             invariant!(stored, "job {job:x} is accepted, but missing from the log");
         }
     }
 
+    /// Whether an instance answers a request now. Orders of operators wait for the confirmation that it
+    /// leads and has applied the whole log.
+    pub(super) fn may_answer(&self, at: usize, request: &ClientRequest) -> bool {
+        let current = self.controls[at].applied as usize == self.log.entries.len();
+        let ordered = matches!(request.verb, Verb::Evacuate { .. });
+        !ordered || (self.log.leader == Some(at) && current)
+    }
+
+    /// Whether there is a leader that is not frozen, and the log takes its proposals.
+    pub(super) fn has_sound_control(&self) -> bool {
+        let leader = self.log.leader.map(|at| &self.controls[at]);
+        let sound = leader.is_some_and(|c| c.dispatch.is_some() && c.frozen_until <= self.now);
+        sound && self.log.slow == 0 && self.log.refusals == 0
+    }
+
+    /// Checks that the instances that have applied the whole log hold its evacuations, also after a
+    /// replay or a snapshot.
+    pub(super) fn check_evacuations_applied(&self) {
+        let expected = &self.log.job_table.evacuations;
+        for (at, control) in self.controls.iter().enumerate() {
+            let Some(dispatch) = &control.dispatch else { continue };
+            let current = control.applied as usize == self.log.entries.len();
+            let held = dispatch.evacuations();
+            invariant!(
+                !current || held == expected,
+                "control {at} holds {held:?}, the log {expected:?}"
+            );
+        }
+    }
+
     /// Number of waiting jobs of a queue that the leader gives, if there is a leader that has applied
     /// the whole log.
     pub(super) fn waiting_jobs(&mut self, queue: &str) -> Option<u64> {
--- a/toucangrade/src/simulation/jobs/machine.rs
+++ b/toucangrade/src/simulation/jobs/machine.rs
@@ -59,6 +59,7 @@
     }
 
     pub(super) fn heartbeat(&mut self, agent: usize, serial: u64) {
+        let centre = self.centre(agent);
         let running = self.machines[agent].runner.as_mut();
         let Some(runner) = running.filter(|runner| runner.serial == serial) else { return };
         runner.sequence += 1;
@@ -66,7 +67,7 @@
             incarnation: runner.incarnation.clone(),
             addr: ([127, 0, 0, 1], 9).into(),
             service: SERVICE.into(),
-            centre: "olinda".into(),
+            centre,
             cold: Span::ZERO,
             labels: runner.labels.clone(),
             capacity: runner.capacity,
@@ -180,6 +181,7 @@
             _ => {
                 if late {
                     self.record_disturbance();
+                    self.record_late_order(agent);
                 }
                 self.execute_order(agent, call, &target, &order);
             },
--- a/toucangrade/src/simulation/jobs/mod.rs
+++ b/toucangrade/src/simulation/jobs/mod.rs
@@ -2,6 +2,7 @@
 //! replicated log, control failover, and random faults of links, processes and runners.
 
 mod control;
+mod evacuations;
 mod faults;
 mod gangs;
 mod machine;
@@ -60,6 +61,8 @@
 /// What runs include beyond single tasks and the usual faults.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Scope {
+    /// Operators evacuate data centres and restore them.
+    pub evacuations: bool,
     /// Jobs whose tasks work only together.
     pub gangs: bool,
     /// Runners that restart under their names and are cut off from their agents.
@@ -171,6 +174,9 @@
         if self.world.chance(20) {
             self.cancel();
         }
+        if self.world.truth.scope.evacuations && self.world.chance(30) {
+            self.world.order_random_evacuation();
+        }
     }
 
     fn configure(&mut self) {
@@ -293,6 +299,9 @@
     /// Runs without faults until all jobs have ended except lasting ones.
     fn settle(&mut self) {
         self.world.recover();
+        if self.world.truth.scope.evacuations {
+            self.world.restore_all();
+        }
         let until = self.world.now + SETTLE_TIMEOUT;
         while self.world.now < until && self.world.open_jobs() > 0 {
             self.world.advance(ACTION_INTERVAL);
--- a/toucangrade/src/simulation/jobs/tests.rs
+++ b/toucangrade/src/simulation/jobs/tests.rs
@@ -14,6 +14,7 @@
     let report = try_run(seed, steps, scope);
     report.unwrap_or_else(|violation| {
         let part = match scope {
+            Scope { evacuations: true, .. } => "evacuations",
             Scope { gangs: true, .. } => "gangs",
             Scope { restarts: true, .. } => "restarts",
             _ => "jobs",
@@ -29,13 +30,15 @@
 
 /// Guards against violations of the safety and liveness invariants under random faults. With
 /// restarts, a task ran twice at a time, and was run again after an acknowledged end as done. With
-/// gangs, members started with different checkpoints (seed 1) or never came together (seed 4).
+/// gangs, members started with different checkpoints (seed 1) or never came together (seed 4). With
+/// evacuations, a task must not start in an evacuated data centre.
 #[rstest]
 #[case::one(Case { first: 1, scope: Scope::default() })]
 #[case::two(Case { first: 10_001, scope: Scope::default() })]
-#[case::restarts(Case { first: 1, scope: Scope { restarts: true, gangs: false } })]
-#[case::gangs(Case { first: 1, scope: Scope { restarts: false, gangs: true } })]
-#[case::gangs_again(Case { first: 4, scope: Scope { restarts: false, gangs: true } })]
+#[case::evacuations(Case { first: 1, scope: Scope { evacuations: true, ..Scope::default() } })]
+#[case::restarts(Case { first: 1, scope: Scope { restarts: true, ..Scope::default() } })]
+#[case::gangs(Case { first: 1, scope: Scope { gangs: true, ..Scope::default() } })]
+#[case::gangs_again(Case { first: 4, scope: Scope { gangs: true, ..Scope::default() } })]
 fn random_faults_break_no_invariant(#[case] case: Case) {
     let count = std::env::var("TOUCANGRADE_SEEDS").map_or(SEEDS, |count| count.parse().unwrap());
     for seed in case.first..case.first + count {
@@ -46,8 +49,13 @@
 /// Guards against nondeterminism, which would make a failed seed impossible to replay.
 #[test]
 fn a_seed_gives_the_same_run() {
-    for (restarts, gangs) in [(false, false), (true, false), (false, true)] {
-        let scope = Scope { gangs, restarts };
+    let scopes = [
+        Scope::default(),
+        Scope { evacuations: true, ..Scope::default() },
+        Scope { gangs: true, ..Scope::default() },
+        Scope { restarts: true, ..Scope::default() },
+    ];
+    for scope in scopes {
         assert_eq!(run(7, 5_000, scope), run(7, 5_000, scope));
     }
 }
--- a/toucangrade/src/simulation/jobs/truth.rs
+++ b/toucangrade/src/simulation/jobs/truth.rs
@@ -7,7 +7,9 @@
 
 use super::QUEUES;
 use super::Scope;
+use super::evacuations::Evacuations;
 use super::gangs::Gangs;
+use super::runner::Runner;
 use super::world::{SERVICE, World};
 use crate::core::invariant;
 use crate::dispatch::EndedRun;
@@ -29,6 +31,7 @@
     pub(super) guarded: bool,
     pub(super) scope: Scope,
     pub(super) gangs: Gangs,
+    pub(super) evacuations: Evacuations,
     /// Maximum lease of runners, in ms.
     pub(super) longest: u64,
     /// Maximum number of ends in a listing.
@@ -112,6 +115,7 @@
             }),
             "{key} starts for a second time, at {agent}"
         );
+        self.check_evacuated_start(agent, key);
         let acknowledged = self.truth.acknowledged.contains(&key.task);
         invariant!(!acknowledged, "{key} starts at {agent} after an acknowledged end as done");
         for (other, machine) in self.machines.iter().enumerate() {
@@ -151,6 +155,7 @@
         let (job, failed) = match command {
             Command::Cancel { job, .. } => (*job, false),
             Command::Close { key, end, .. } => (key.task.job, *end == End::Failed),
+            Command::Evacuate(order) => return self.record_evacuation(order),
             _ => return,
         };
         let Some(entry) = self.log.job_table.jobs.get(&job) else { return };
@@ -220,6 +225,7 @@
 
     /// Checks that the system acts within `REACTION_TIME` when there are no faults.
     pub(super) fn check_liveness(&mut self) {
+        self.watch_evacuations();
         let Some(calm) = self.calm_since() else { return self.truth.idle.clear() };
         if calm + REACTION_TIME <= self.now {
             self.check_ends();
@@ -294,9 +300,8 @@
     pub(super) fn places(&self, task: TaskKey, step: &Step) -> Vec<usize> {
         let mut places = Vec::new();
         for (agent, machine) in self.machines.iter().enumerate() {
-            let Some(runner) = machine.runner.as_ref().filter(|runner| !runner.draining) else {
-                continue;
-            };
+            let open = |runner: &&Runner| !runner.draining && !self.is_evacuated(agent);
+            let Some(runner) = machine.runner.as_ref().filter(open) else { continue };
             if step.label.as_ref().is_some_and(|label| !runner.labels.contains(label)) {
                 continue;
             }
--- a/toucangrade/src/simulation/jobs/world.rs
+++ b/toucangrade/src/simulation/jobs/world.rs
@@ -331,7 +331,9 @@
                 self.propose(control, epoch, ticket, commands);
             },
             Event::Request { control, ticket, request, .. } => {
-                self.step_control(control, dispatch::Message::Request { ticket, request });
+                if self.may_answer(control, &request) {
+                    self.step_control(control, dispatch::Message::Request { ticket, request });
+                }
             },
             Event::Heartbeat { agent, serial } => self.heartbeat(agent, serial),
             Event::StartRunner { agent, incarnation } => self.start_runner(agent, incarnation),
--- a/toucangrade_standin/src/bin/toucangrade_simulate/runs.rs
+++ b/toucangrade_standin/src/bin/toucangrade_simulate/runs.rs
@@ -9,6 +9,9 @@
 /// Steps of a run without `--steps`.
 const DEFAULT_STEPS: u64 = 40_000;
 
+/// Names of the parts.
+const PARTS: [&str; 6] = ["requests", "log", "jobs", "restarts", "gangs", "evacuations"];
+
 /// Part, seeds and steps of the runs; all parts without `part`.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) struct Options {
@@ -33,6 +36,7 @@
         };
         let jobs = run(JobsScope::default());
         let restarts = run(JobsScope { restarts: true, ..JobsScope::default() });
+        let evacuations = run(JobsScope { evacuations: true, ..JobsScope::default() });
         let gangs = run(JobsScope { gangs: true, ..JobsScope::default() });
         Self(vec![
             ("requests", Box::new(requests)),
@@ -40,6 +44,7 @@
             ("jobs", Box::new(jobs)),
             ("restarts", Box::new(restarts)),
             ("gangs", Box::new(gangs)),
+            ("evacuations", Box::new(evacuations)),
         ])
     }
 }
@@ -50,12 +55,13 @@
         .help(
             "Run entries, agents and control (requests), the replicated log (log), jobs of \
              several steps on runners (jobs), the same with runners that restart under their \
-             names (restarts) or with tasks that work only together (gangs) only",
+             names (restarts), with tasks that work only together (gangs) or with data centres \
+             that are evacuated (evacuations) only",
         )
-        .argument::<String>("requests|log|jobs|restarts|gangs")
+        .argument::<String>("requests|log|jobs|restarts|gangs|evacuations")
         .guard(
-            |part| ["requests", "log", "jobs", "restarts", "gangs"].contains(&part.as_str()),
-            "allowed is requests, log, jobs, restarts or gangs",
+            |part| PARTS.contains(&part.as_str()),
+            "allowed is requests, log, jobs, restarts, gangs or evacuations",
         )
         .optional();
     let seed = long("seed")
