--- a/toucangrade/src/simulation/jobs/machine.rs
+++ b/toucangrade/src/simulation/jobs/machine.rs
@@ -5,7 +5,7 @@
 
 use super::runner::{Habit, Plan, Runner};
 use super::world::{Delivery, Event, Order, SERVICE, World, copy_failure, runner_name};
-use crate::core::invariant;
+use crate::core::{Span, invariant};
 use crate::dispatch::Denial;
 use crate::hosting::{Announcement, Fault as Failure, Listing, Message, RunnerTarget as Target};
 use crate::jobs::{End, Incarnation, Job, Need, RunKey};
@@ -59,6 +59,7 @@
     }
 
     pub(super) fn heartbeat(&mut self, agent: usize, serial: u64) {
+        let centre = self.centre(agent);
         let running = self.machines[agent].runner.as_mut();
         let Some(runner) = running.filter(|runner| runner.serial == serial) else { return };
         runner.sequence += 1;
@@ -66,7 +67,8 @@
             incarnation: runner.incarnation.clone(),
             addr: ([127, 0, 0, 1], 9).into(),
             service: SERVICE.into(),
-            centre: "olinda".into(),
+            centre,
+            cold: Span::ZERO,
             labels: runner.labels.clone(),
             capacity: runner.capacity,
             draining: runner.draining,
@@ -179,6 +181,7 @@
             _ => {
                 if late {
                     self.record_disturbance();
+                    self.record_late_order(agent);
                 }
                 self.execute_order(agent, call, &target, &order);
             },
