Limit the filling work that is started to the jobs that can end in time

Cause: the objective of a filling job was computed from the time its tasks took while they were paced down, so it grew with the load: jobs that had missed their objective were served first, and all heavy jobs ended late together. Change: with `--overload on` the work of a task is measured at full speed, jobs that can't end in time any more or not behind those ahead of them come after the others in placement and pacing, started jobs go on before new ones start, and a task starts where it would really work as fast as its job needs.

--- a/toucangrade/src/dispatch/fleet.rs
+++ b/toucangrade/src/dispatch/fleet.rs
@@ -15,6 +15,7 @@
 };
 use crate::core::{Moment, Name, Span};
 use crate::jobs::{Checkpoint, Incarnation, Need, RunKey};
+use crate::overload::Worked;
 
 /// A run that is assigned to a runner in the replicated state.
 #[derive(Clone, Debug, Serialize)]
@@ -43,6 +44,9 @@
     pub(crate) listed: bool,
     /// When the first listing with it was read.
     pub(crate) shown: Moment,
+    /// Work done between its listings.
+    #[serde(skip)]
+    pub(crate) worked: Worked,
     pub(crate) saved: Option<Checkpoint>,
     pub(crate) percent: u8,
     /// Start of the time in which reports show no progress though it is allowed enough speed.
@@ -69,6 +73,8 @@
         if row.percent != self.percent || row.share < STUCK_SHARE || gap {
             self.stalled_since = read;
         }
+        let speed = f64::from(row.figure) / self.cores.max(1) as f64;
+        self.worked.record(row.percent, speed, read.since(self.seen));
         self.listed = true;
         self.seen = read;
         (self.percent, self.figure, self.share) = (row.percent, row.figure, row.share);
--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -3,6 +3,7 @@
 //! and take effect once it has committed them.
 
 mod answers;
+mod backlog;
 mod fleet;
 mod gangs;
 mod health;
@@ -41,6 +42,7 @@
 use crate::jobs::{
     Applied, Command, End, Incarnation, JobEntry, JobTable, Phase, RunKey, Step, TaskKey,
 };
+use crate::overload::{Overload, Worked};
 use crate::pressure::Learner;
 
 /// Interval between two [`Message::Tick`]s.
@@ -108,7 +110,7 @@
     #[serde(skip)]
     ended: BTreeMap<u64, Moment>,
     /// Moving average of the time from the order of a task to its end, by the host and prefix
-    /// of the queue.
+    /// of the queue. With `overload` enabled, that of filling tasks is their time at full speed.
     #[serde(serialize_with = "serialize_durations")]
     durations: BTreeMap<(Arc<str>, Arc<str>), Span>,
     /// Agents on whose runners each task has failed, was refused or got stuck.
@@ -127,6 +129,8 @@
     last_rescue: Moment,
     waits: Waits,
     #[serde(skip)]
+    overload: Overload,
+    #[serde(skip)]
     views: Views,
     /// Number and bytes of the commands applied since the last snapshot.
     growth: (usize, usize),
@@ -164,6 +168,7 @@
             leading_since: Moment::START,
             last_rescue: Moment::START,
             waits: Waits::default(),
+            overload: Overload::default(),
             views: Views::default(),
             growth: (0, 0),
             out: Vec::new(),
@@ -390,6 +395,7 @@
             sent: now,
             listed: false,
             shown: now,
+            worked: Worked::default(),
             saved: entry.task(key.task)?.saved.clone(),
             percent: 0,
             stalled_since: now,
@@ -415,7 +421,10 @@
             && end == End::Done
             && run.since > self.leading_since
         {
-            self.record_duration(key, now.since(run.sent));
+            let took = now.since(run.sent);
+            // The objective counts the work of a task, not the time for which it was paced down.
+            let whole = run.worked.whole().filter(|_| self.overload.enabled && run.fills);
+            self.record_duration(key, whole.unwrap_or(took));
         }
         let Some(agent) = self.fleet.agent(incarnation).cloned() else { return };
         if let Some(run) = run {
@@ -552,6 +561,7 @@
         self.beginning.clear();
         self.opening.clear();
         self.clear_waits();
+        self.overload.clear();
         for (_, ticket) in self.waiters.drain(..) {
             self.out.push(Effect::Reply { ticket, reply: None });
         }
--- a/toucangrade/src/dispatch/place.rs
+++ b/toucangrade/src/dispatch/place.rs
@@ -8,6 +8,7 @@
 use super::health::Trust;
 use crate::core::Name;
 use crate::jobs::{Incarnation, Need, Step};
+use crate::overload::HALF_SPEED;
 use crate::pressure::{Headroom, Table, share_within};
 
 /// Average share of their reserved cores that lasting tasks use, in percent; the reservation covers
@@ -15,7 +16,7 @@
 const RESERVED_USE_PERCENT: u64 = 50;
 /// Smallest fraction of full speed at which a filling task is started, except for trials. Below this
 /// it would miss its objective while holding memory that another task could use.
-const MIN_SPEED: f64 = 0.5;
+pub(super) const MIN_SPEED: f64 = HALF_SPEED;
 
 /// Reason for which a runner is not eligible for a task.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize)]
@@ -210,6 +211,8 @@
     pub(super) table: &'a Table,
     /// Whether the task may start although it would be slowed down to protect latency targets.
     pub(super) trial: bool,
+    /// Smallest fraction of full speed at which a filling task is started, except for trials.
+    pub(super) least: f64,
 }
 
 /// Rank of a candidate: its trust, whether it is on the requested rack, and a rank by the kind of
@@ -294,7 +297,7 @@
 }
 
 fn rank(candidate: &mut Candidate, constraints: Constraints<'_>, siblings: u32) -> Option<Rank> {
-    let Constraints { step, service, table, trial } = constraints;
+    let Constraints { step, service, table, trial, least } = constraints;
     if candidate.barred(step) || candidate.mismatch(step, service, siblings).is_some() {
         return None;
     }
@@ -303,7 +306,7 @@
     let left = share(candidate.free.millicores - step.counted().millicores, cores, 1_000);
     let rank = if step.fills {
         let speed = candidate.speed(table, step);
-        if speed < MIN_SPEED {
+        if speed < least {
             if !trial || !candidate.takes_trial(step) {
                 return None;
             }
--- a/toucangrade/src/dispatch/plan.rs
+++ b/toucangrade/src/dispatch/plan.rs
@@ -27,6 +27,9 @@
     pub(super) fn plan(&mut self, now: Moment) {
         let setup = Arc::clone(&self.job_table.setup);
         let mut slow = self.slow_runs(now);
+        if self.overload.enabled {
+            self.decide_filling(now);
+        }
         let order = self.job_order().into_iter().filter_map(|id| {
             let waiting = self.waiting(self.job_table.jobs.get(&id)?);
             (!waiting.is_empty() || slow.contains_key(&id)).then_some((id, waiting))
@@ -40,6 +43,8 @@
             return;
         }
         let index = index(&candidates);
+        // Jobs that ask for more than half speed get a second turn behind all others.
+        let mut again = Vec::new();
         for (id, waiting) in order {
             let Some(entry) = self.job_table.jobs.get(&id) else { continue };
             let position = self.job_table.queue_position(&entry.job.queue);
@@ -52,12 +57,21 @@
             for ((round, step), tasks) in waiting {
                 self.place(&mut candidates, &index, queue, &job, (round, step), &tasks);
             }
+            if self.overload.relax(id) {
+                again.push((queue, job));
+            }
+        }
+        for (queue, job) in again {
+            let Some(entry) = self.job_table.jobs.get(&job.id) else { continue };
+            for (at, tasks) in self.waiting(entry) {
+                self.place(&mut candidates, &index, queue, &job, at, &tasks);
+            }
         }
         self.views.keep_limits(candidates);
     }
 
     /// Active jobs in the order in which they are placed: by priority of the queue, lateness,
-    /// remaining work and age.
+    /// whether they have started if `overload` is enabled, remaining work and age.
     fn job_order(&self) -> Vec<u64> {
         let entries = self.active.iter().filter_map(|id| self.job_table.jobs.get(id));
         let mut order: Vec<_> = entries
@@ -65,11 +79,12 @@
                 let queue = self.job_table.queue(&entry.job.queue)?;
                 let lateness = self.lateness(entry, queue);
                 let work = self.work_left(entry);
-                Some((queue.priority, lateness, work, entry.wall, entry.job.id))
+                let fresh = self.overload.enabled && !entry.begun;
+                Some((queue.priority, lateness, fresh, work, entry.wall, entry.job.id))
             })
             .collect();
         order.sort_unstable();
-        order.into_iter().map(|(_, _, _, _, id)| id).collect()
+        order.into_iter().map(|(_, _, _, _, _, id)| id).collect()
     }
 
     /// Whether a job can still meet its objective, or else still has value.
@@ -77,13 +92,9 @@
         if entry.job.lasting() || entry.job.schedule.is_some() {
             return Lateness::OnTime;
         }
-        let address = (Arc::clone(&queue.host), Arc::clone(&queue.prefix));
-        let task = self.durations.get(&address).copied().unwrap_or_default();
-        let depth = entry.job.depth() as f64;
-        let chain = depth * task.as_micros() as f64 * queue.stretch;
-        let objective = chain as u64 / 1_000 + queue.objective.as_millis();
+        let objective = self.objective(entry, queue);
         let age = self.wall.saturating_sub(entry.wall);
-        if age <= objective {
+        if age <= objective && !self.overload.is_doomed(entry.job.id) {
             Lateness::OnTime
         } else if age <= LATE_FACTOR * objective {
             Lateness::Late
@@ -92,7 +103,17 @@
         }
     }
 
-    /// Whether a job has missed its objective.
+    /// Time after its acceptance at which a job is to be done, in ms.
+    pub(super) fn objective(&self, entry: &JobEntry, queue: &Queue) -> u64 {
+        let chain = match self.learned_duration(queue) {
+            Some(task) => entry.job.depth() as f64 * task.as_micros() as f64,
+            None if self.overload.enabled => entry.job.longest_chain().as_micros() as f64,
+            None => 0.0,
+        };
+        (chain * queue.stretch) as u64 / 1_000 + queue.objective.as_millis()
+    }
+
+    /// Whether a job has missed its objective, or is not expected to meet it.
     pub(super) fn is_late(&self, job: u64) -> bool {
         let entry = self.job_table.jobs.get(&job);
         let queue = entry.and_then(|entry| self.job_table.queue(&entry.job.queue));
@@ -165,7 +186,8 @@
         let trial = declared.fills && self.waits.trial_due(job.id);
         let tasks = if trial && !declared.gang { &tasks[..tasks.len().min(1)] } else { tasks };
         let (service, table) = (&queue.service, &self.learner.table);
-        let constraints = Constraints { step: declared, service, table, trial };
+        let least = self.overload.least_speed(job.id);
+        let constraints = Constraints { step: declared, service, table, trial, least };
         let mut ranking = Ranking::new(candidates, constraints, siblings);
         let mut chosen: Vec<(RunKey, Incarnation)> = Vec::new();
         for key in tasks.iter().copied() {
--- a/toucangrade/src/dispatch/rescue.rs
+++ b/toucangrade/src/dispatch/rescue.rs
@@ -7,7 +7,7 @@
 use super::Dispatch;
 use super::fleet::Run;
 use super::health::Trust;
-use super::place::{Candidate, Constraints, Ranking};
+use super::place::{Candidate, Constraints, MIN_SPEED, Ranking};
 use super::settings::{MOVE_AGE, MOVE_GAIN, MOVE_SPEED, MOVES_LIMIT, RESCUE_EVERY};
 use crate::core::Moment;
 use crate::jobs::{Incarnation, RunKey};
@@ -120,7 +120,8 @@
             }
             let Some(step) = job.steps.get(usize::from(key.task.step)) else { continue };
             let ranking = rankings.entry(key.task.step).or_insert_with(|| {
-                let constraints = Constraints { step, service, table: &table, trial: false };
+                let constraints =
+                    Constraints { step, service, table: &table, trial: false, least: MIN_SPEED };
                 Ranking::new(candidates, constraints, siblings.clone())
             });
             let Some(at) = ranking.best(candidates, None) else { continue };
--- a/toucangrade/src/jobs/declared.rs
+++ b/toucangrade/src/jobs/declared.rs
@@ -276,6 +276,16 @@
         self.steps.iter().any(|step| step.lasting)
     }
 
+    /// Duration of the longest chain of dependencies, by the estimates of its steps.
+    pub(crate) fn longest_chain(&self) -> Span {
+        let mut ends: Vec<Span> = Vec::with_capacity(self.steps.len());
+        for step in &self.steps {
+            let before = step.after.iter().filter_map(|&after| ends.get(usize::from(after)));
+            ends.push(before.max().copied().unwrap_or(Span::ZERO) + step.estimate);
+        }
+        ends.into_iter().max().unwrap_or(Span::ZERO)
+    }
+
     /// Number of steps in the longest chain of dependencies.
     pub fn depth(&self) -> usize {
         let mut depths: Vec<usize> = Vec::with_capacity(self.steps.len());
--- a/toucangrade/src/jobs/mod.rs
+++ b/toucangrade/src/jobs/mod.rs
@@ -15,7 +15,7 @@
 
 use crate::core::Name;
 
-pub(crate) use self::book::{Applied, JobEntry, JobTable, Phase, Task};
+pub(crate) use self::book::{Applied, JobEntry, JobTable, Phase, Repetition, Task};
 pub use self::declared::{Job, JobError, Need, Schedule, Step};
 pub use self::setup::{Configuration, ConfigurationError, Queue, Service};
 
--- a/toucangrade/src/lib.rs
+++ b/toucangrade/src/lib.rs
@@ -27,6 +27,7 @@
 mod membership;
 mod metrics;
 mod node;
+mod overload;
 mod pacing;
 mod partitions;
 mod peer;
--- a/toucangrade/src/node/mod.rs
+++ b/toucangrade/src/node/mod.rs
@@ -47,6 +47,8 @@
     losses: usize,
     /// Longest lease that runners accept.
     hold_limit: Span,
+    /// Whether decisions for times of overload are made.
+    overload: bool,
 }
 
 /// Builder of [`NodeSettings`].
@@ -57,7 +59,8 @@
     /// Builder of settings with the address of this process and the port of control instances.
     pub fn builder(ip: IpAddr, port: u16) -> NodeSettingsBuilder {
         let (seeds, hold_limit) = (Vec::new(), Span::secs(10));
-        let settings = Self { ip, port, seeds, first: false, data: None, losses: 1, hold_limit };
+        let (first, data, losses, overload) = (false, None, 1, false);
+        let settings = Self { ip, port, seeds, first, data, losses, hold_limit, overload };
         NodeSettingsBuilder(settings)
     }
 
@@ -108,6 +111,13 @@
         self
     }
 
+    /// Sets whether a control instance makes decisions for times of overload, off unless set.
+    #[must_use]
+    pub fn overload(mut self, overload: bool) -> Self {
+        self.0.overload = overload;
+        self
+    }
+
     /// Builds the settings.
     pub fn build(self) -> NodeSettings {
         self.0
