--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -3,6 +3,7 @@
 //! and take effect once it has committed them.
 
 mod answers;
+mod backlog;
 mod evacuation;
 mod fleet;
 mod gangs;
@@ -45,6 +46,7 @@
 use crate::jobs::{
     Applied, Command, End, Incarnation, JobEntry, JobTable, Phase, RunKey, Step, TaskKey,
 };
+use crate::overload::{Overload, Worked};
 use crate::pressure::Learner;
 
 /// Interval between two [`Message::Tick`]s.
@@ -112,7 +114,7 @@
     #[serde(skip)]
     ended: BTreeMap<u64, Moment>,
     /// Moving average of the time from the order of a task to its end, by the host and prefix
-    /// of the queue.
+    /// of the queue. With `overload` enabled, that of filling tasks is their time at full speed.
     #[serde(serialize_with = "serialize_durations")]
     durations: BTreeMap<(Arc<str>, Arc<str>), Span>,
     /// Agents on whose runners each task has failed, was refused or got stuck.
@@ -133,6 +135,8 @@
     evacuation: EvacuationState,
     slow_start: SlowStart,
     #[serde(skip)]
+    overload: Overload,
+    #[serde(skip)]
     views: Views,
     /// Number and bytes of the commands applied since the last snapshot.
     growth: (usize, usize),
@@ -172,6 +176,7 @@
             waits: Waits::default(),
             evacuation: EvacuationState::default(),
             slow_start: SlowStart::default(),
+            overload: Overload::default(),
             views: Views::default(),
             growth: (0, 0),
             out: Vec::new(),
@@ -404,6 +409,7 @@
             sent: now,
             listed: false,
             shown: now,
+            worked: Worked::default(),
             saved: entry.task(key.task)?.saved.clone(),
             percent: 0,
             stalled_since: now,
@@ -429,7 +435,10 @@
             && end == End::Done
             && run.since > self.leading_since
         {
-            self.record_duration(key, now.since(run.sent));
+            let took = now.since(run.sent);
+            // The objective counts the work of a task, not the time for which it was paced down.
+            let whole = run.worked.whole().filter(|_| self.overload.enabled && run.fills);
+            self.record_duration(key, whole.unwrap_or(took));
         }
         let Some(agent) = self.fleet.agent(incarnation).cloned() else { return };
         if let Some(run) = run {
@@ -568,6 +577,7 @@
         self.clear_waits();
         self.clear_evacuations();
         self.clear_slow_starts();
+        self.overload.clear();
         for (_, ticket) in self.waiters.drain(..) {
             self.out.push(Effect::Reply { ticket, reply: None });
         }
--- a/toucangrade/src/node/control.rs
+++ b/toucangrade/src/node/control.rs
@@ -246,7 +246,8 @@
         let settings = &self.context.settings;
         let state = Dispatch::new()
             .with_hold_limit(settings.hold_limit)
-            .with_centres(settings.centres.iter().cloned());
+            .with_centres(settings.centres.iter().cloned())
+            .with_overload(settings.overload);
         let duty = Duty { state, step: Dispatch::step, tick, period: dispatch::TICK };
         let clock = self.context.clock.clone();
         duty.spawn(&self.dispatch, clock, move |_, effect| match effect {
--- a/toucangrade/src/node/mod.rs
+++ b/toucangrade/src/node/mod.rs
@@ -50,6 +50,8 @@
     hold_limit: Span,
     /// Names of the data centres, empty if they are not known.
     centres: Vec<Arc<str>>,
+    /// Whether decisions for times of overload are made.
+    overload: bool,
 }
 
 /// Builder of [`NodeSettings`].
@@ -69,6 +71,7 @@
             losses: 1,
             hold_limit,
             centres: Vec::new(),
+            overload: false,
         })
     }
 
@@ -127,6 +130,13 @@
         self
     }
 
+    /// Sets whether a control instance makes decisions for times of overload, off unless set.
+    #[must_use]
+    pub fn overload(mut self, overload: bool) -> Self {
+        self.0.overload = overload;
+        self
+    }
+
     /// Builds the settings.
     pub fn build(self) -> NodeSettings {
         self.0
