--- a/toucangrade/src/dispatch/tests.rs
+++ b/toucangrade/src/dispatch/tests.rs
@@ -8,6 +8,7 @@
 mod fuzz;
 mod gangs;
 mod health;
+mod interference;
 mod late;
 mod leases;
 mod lives;
