--- a/toucangrade/src/dispatch/tests.rs
+++ b/toucangrade/src/dispatch/tests.rs
@@ -15,6 +15,7 @@
 mod lives;
 mod load;
 mod log;
+mod overload;
 mod queues;
 mod slow_start;
 mod trials;
@@ -152,7 +153,7 @@
                         self.orders.insert(ticket, orders);
                     },
                     Effect::Gauge { name, value } => drop(self.gauges.insert(name, value)),
-                    Effect::Snapshot { .. } => {},
+                    Effect::Count { .. } | Effect::Snapshot { .. } => {},
                     Effect::Reply { ticket, reply } => {
                         self.answers.insert(ticket, reply);
                     },
