Compute the objective of a job from the slowest task of each step

Change: the variance of task durations is learned beside the mean, and a step counts with the expected slowest of its tasks.

--- a/toucangrade/src/dispatch/backlog.rs
+++ b/toucangrade/src/dispatch/backlog.rs
@@ -9,7 +9,7 @@
 use super::settings::MOVE_AGE;
 use crate::core::{Moment, Span};
 use crate::jobs::{Command, Job, JobEntry, Need, Phase, Queue, Repetition, Step};
-use crate::overload::{Backlog, HALF_SPEED, Kind, Refusal, Usage, VALUE_FACTOR};
+use crate::overload::{Backlog, HALF_SPEED, Kind, Refusal, TaskTime, Usage, VALUE_FACTOR};
 
 /// Running tasks of a step: their number, least progress and sum of progress, in percent.
 #[derive(Clone, Copy, Default)]
@@ -87,12 +87,15 @@
     /// Work of a job and its longest chain, at full speed.
     fn whole_work(&self, job: &Job, queue: &Queue) -> (f64, f64) {
         let learned = self.learned_duration(queue);
-        let task = |step: &Step| learned.unwrap_or(step.estimate).as_micros() as f64 / 1_000.0;
+        let task = |step: &Step| {
+            learned.map_or(step.estimate, |time| time.mean()).as_micros() as f64 / 1_000.0
+        };
         let work = |step: &Step| f64::from(step.count) * task(step) * step.need.millicores as f64;
         let chain = match learned {
-            Some(task) => job.depth() as f64 * task.as_micros() as f64 / 1_000.0,
-            None => job.longest_chain().as_micros() as f64 / 1_000.0,
+            Some(time) => job.longest_chain(|step| time.slowest(step.count)),
+            None => job.longest_chain(|step| step.estimate),
         };
+        let chain = chain.as_micros() as f64 / 1_000.0;
         (job.steps.iter().map(work).sum(), chain)
     }
 
@@ -201,8 +204,8 @@
         (usage, running)
     }
 
-    /// Mean duration of the tasks of a queue; of filling ones at full speed.
-    pub(super) fn learned_duration(&self, queue: &Queue) -> Option<Span> {
+    /// Durations of the tasks of a queue; of filling ones at full speed.
+    pub(super) fn learned_duration(&self, queue: &Queue) -> Option<TaskTime> {
         let address = (Arc::clone(&queue.host), Arc::clone(&queue.prefix));
         self.durations.get(&address).copied()
     }
@@ -219,18 +222,20 @@
     number: u32,
     round: &Repetition,
     running: &RunningSteps,
-    learned: Option<Span>,
+    learned: Option<TaskTime>,
 ) -> (f64, f64) {
     let mut work = 0.0;
     let mut ends: Vec<f64> = Vec::with_capacity(entry.job.steps.len());
     for (at, step) in entry.job.steps.iter().enumerate() {
         let open = round.open.get(at).copied().unwrap_or(0);
-        let task = learned.unwrap_or(step.estimate).as_micros() as f64 / 1_000.0;
+        let millis = |span: Span| span.as_micros() as f64 / 1_000.0;
+        let task = millis(learned.map_or(step.estimate, |time| time.mean()));
+        let slowest = millis(learned.map_or(step.estimate, |time| time.slowest(step.count)));
         let current = running.get(&(entry.job.id, number, at as u16)).copied().unwrap_or_default();
         let done = current.sum as f64 / 100.0;
         work += (f64::from(open) - done).max(0.0) * task * step.need.millicores as f64;
         let begun = if current.count >= open { f64::from(current.least) / 100.0 } else { 0.0 };
-        let own = if open == 0 { 0.0 } else { task * (1.0 - begun) };
+        let own = if open == 0 { 0.0 } else { slowest * (1.0 - begun) };
         let before = step.after.iter().filter_map(|&before| ends.get(usize::from(before)));
         ends.push(before.copied().fold(0.0, f64::max) + own);
     }
--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -22,6 +22,7 @@
 #[cfg(test)]
 mod tests;
 
+use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -36,8 +37,8 @@
 };
 pub(crate) use self::message::{Effect, Message};
 use self::settings::{
-    BATCH_BYTES, BATCH_LIMIT, DURATION_WEIGHT_PERCENT, FENCED_AGE, HOLD_LIMIT, LEASE_DURATION,
-    MOVE_RESERVATION, PROPOSALS_LIMIT, SNAPSHOT_BYTES, SNAPSHOT_COMMANDS, STEP_BYTES,
+    BATCH_BYTES, BATCH_LIMIT, FENCED_AGE, HOLD_LIMIT, LEASE_DURATION, MOVE_RESERVATION,
+    PROPOSALS_LIMIT, SNAPSHOT_BYTES, SNAPSHOT_COMMANDS, STEP_BYTES,
 };
 use self::slow_start::SlowStart;
 use self::views::Views;
@@ -46,7 +47,7 @@
 use crate::jobs::{
     Applied, Command, End, Incarnation, JobEntry, JobTable, Phase, RunKey, Step, TaskKey,
 };
-use crate::overload::{Overload, Worked};
+use crate::overload::{Overload, TaskTime, Worked};
 use crate::pressure::Learner;
 
 /// Interval between two [`Message::Tick`]s.
@@ -116,7 +117,7 @@
     /// Moving average of the time from the order of a task to its end, by the host and prefix
     /// of the queue. With `overload` enabled, that of filling tasks is their time at full speed.
     #[serde(serialize_with = "serialize_durations")]
-    durations: BTreeMap<(Arc<str>, Arc<str>), Span>,
+    durations: BTreeMap<(Arc<str>, Arc<str>), TaskTime>,
     /// Agents on whose runners each task has failed, was refused or got stuck.
     #[serde(skip)]
     avoided: BTreeMap<TaskKey, BTreeSet<Name>>,
@@ -477,9 +478,10 @@
         let queue = entry.and_then(|entry| self.job_table.queue(&entry.job.queue));
         let Some(queue) = queue else { return };
         let address = (Arc::clone(&queue.host), Arc::clone(&queue.prefix));
-        let mean = self.durations.entry(address).or_insert(took);
-        let weight = DURATION_WEIGHT_PERCENT;
-        *mean = mean.percent(100 - weight) + took.percent(weight);
+        match self.durations.entry(address) {
+            Entry::Occupied(mut known) => known.get_mut().record(took),
+            Entry::Vacant(vacant) => drop(vacant.insert(TaskTime::first(took))),
+        }
     }
 
     /// Removes a job that has ended from the active ones; adds the agents that still run it to
@@ -625,11 +627,11 @@
 
 /// Writes the mean durations by host and prefix as one text, as keys of JSON objects are texts.
 fn serialize_durations<S: Serializer>(
-    durations: &BTreeMap<(Arc<str>, Arc<str>), Span>,
+    durations: &BTreeMap<(Arc<str>, Arc<str>), TaskTime>,
     serializer: S,
 ) -> Result<S::Ok, S::Error> {
     serializer.collect_map(
-        durations.iter().map(|((host, prefix), mean)| (format!("{host}{prefix}"), mean)),
+        durations.iter().map(|((host, prefix), time)| (format!("{host}{prefix}"), time.mean())),
     )
 }
 
--- a/toucangrade/src/dispatch/plan.rs
+++ b/toucangrade/src/dispatch/plan.rs
@@ -7,7 +7,7 @@
 use super::health::Trust;
 use super::place::{Candidate, Constraints, Ranking};
 use super::settings::TRIAL_SETTLE;
-use crate::core::{Moment, Name};
+use crate::core::{Moment, Name, Span};
 use crate::jobs::{Command, Incarnation, Job, JobEntry, Phase, Queue, RunKey, TaskKey};
 use crate::pressure::{AIM_PERCENT, Headroom, Serving};
 
@@ -111,10 +111,12 @@
     /// Time after its acceptance at which a job of a queue is to be done, in ms.
     pub(super) fn job_objective(&self, job: &Job, queue: &Queue) -> u64 {
         let chain = match self.learned_duration(queue) {
-            Some(task) => job.depth() as f64 * task.as_micros() as f64,
-            None if self.overload.enabled => job.longest_chain().as_micros() as f64,
-            None => 0.0,
+            Some(time) if self.overload.enabled => job.longest_chain(|s| time.slowest(s.count)),
+            Some(time) => time.mean().percent(100 * job.depth() as u64),
+            None if self.overload.enabled => job.longest_chain(|step| step.estimate),
+            None => Span::ZERO,
         };
+        let chain = chain.as_micros() as f64;
         (chain * queue.stretch) as u64 / 1_000 + queue.objective.as_millis()
     }
 
--- a/toucangrade/src/dispatch/settings.rs
+++ b/toucangrade/src/dispatch/settings.rs
@@ -90,6 +90,3 @@
 /// Time after the start of a filling task in which its runner gets no trial, so that the effects of
 /// two are not confused.
 pub(crate) const TRIAL_SETTLE: Span = Span::millis(1_500);
-/// Weight of the newest run in a queue's mean task duration, in percent: the mean follows about the
-/// last hundred runs.
-pub(crate) const DURATION_WEIGHT_PERCENT: u64 = 2;
--- a/toucangrade/src/dispatch/tests/late.rs
+++ b/toucangrade/src/dispatch/tests/late.rs
@@ -84,7 +84,8 @@
     world.report(Report { rows: vec![listed(run, 50, 1_000)], ..report("10.0.0.1", 3, &runner) });
     world.advance(300);
     world.end(&runner, 4, &[(1, run, End::Done)]);
-    let took: Vec<u64> = world.dispatch.durations.values().map(|mean| mean.as_millis()).collect();
+    let took: Vec<u64> =
+        world.dispatch.durations.values().map(|time| time.mean().as_millis()).collect();
     assert_eq!(took, [600]);
 }
 
--- a/toucangrade/src/jobs/declared.rs
+++ b/toucangrade/src/jobs/declared.rs
@@ -276,12 +276,12 @@
         self.steps.iter().any(|step| step.lasting)
     }
 
-    /// Duration of the longest chain of dependencies, by the estimates of its steps.
-    pub(crate) fn longest_chain(&self) -> Span {
+    /// Duration of the longest chain of dependencies, by that of each step.
+    pub(crate) fn longest_chain(&self, duration: impl Fn(&Step) -> Span) -> Span {
         let mut ends: Vec<Span> = Vec::with_capacity(self.steps.len());
         for step in &self.steps {
             let before = step.after.iter().filter_map(|&after| ends.get(usize::from(after)));
-            ends.push(before.max().copied().unwrap_or(Span::ZERO) + step.estimate);
+            ends.push(before.max().copied().unwrap_or(Span::ZERO) + duration(step));
         }
         ends.into_iter().max().unwrap_or(Span::ZERO)
     }
--- a/toucangrade/src/overload/mod.rs
+++ b/toucangrade/src/overload/mod.rs
@@ -2,6 +2,7 @@
 //! they end in time.
 
 mod admission;
+mod durations;
 mod limit;
 mod worked;
 
@@ -15,6 +16,7 @@
 
 pub(crate) use self::admission::VALUE_FACTOR;
 use self::admission::{Demand, Forecast, Refused, forecast, retry_after};
+pub(crate) use self::durations::TaskTime;
 pub(crate) use self::limit::{Backlog, HALF_SPEED, Pool, Usage, choose};
 pub(crate) use self::worked::Worked;
 use crate::core::{Moment, Span};
