--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -2,6 +2,7 @@
 //! stops their runs, and answers callers and agents. Decisions are proposed to the replicated log
 //! and take effect once it has committed them.
 
+mod ahead;
 mod answers;
 mod fleet;
 mod gangs;
@@ -41,6 +42,7 @@
 use crate::jobs::{
     Applied, Command, End, Incarnation, JobEntry, JobTable, Phase, RunKey, Step, TaskKey,
 };
+use crate::lookahead::Lookahead;
 use crate::pressure::Learner;
 
 /// Interval between two [`Message::Tick`]s.
@@ -127,6 +129,8 @@
     last_rescue: Moment,
     waits: Waits,
     #[serde(skip)]
+    lookahead: Lookahead,
+    #[serde(skip)]
     views: Views,
     /// Number and bytes of the commands applied since the last snapshot.
     growth: (usize, usize),
@@ -164,6 +168,7 @@
             leading_since: Moment::START,
             last_rescue: Moment::START,
             waits: Waits::default(),
+            lookahead: Lookahead::default(),
             views: Views::default(),
             growth: (0, 0),
             out: Vec::new(),
@@ -177,6 +182,19 @@
         self
     }
 
+    /// Sets whether placement looks at what waits and at what will end soon.
+    #[must_use]
+    pub(crate) fn with_lookahead(mut self, on: bool) -> Self {
+        self.lookahead = Lookahead::new(on);
+        self
+    }
+
+    #[cfg(test)]
+    pub(crate) fn with_lookahead_state(mut self, lookahead: Lookahead) -> Self {
+        self.lookahead = lookahead;
+        self
+    }
+
     /// Handles a message and returns the effects to perform.
     pub(crate) fn step(&mut self, now: Moment, message: Message) -> Vec<Effect> {
         match message {
@@ -453,6 +471,9 @@
         let queue = entry.and_then(|entry| self.job_table.queue(&entry.job.queue));
         let Some(queue) = queue else { return };
         let address = (Arc::clone(&queue.host), Arc::clone(&queue.prefix));
+        if self.lookahead.is_on() {
+            self.lookahead.durations.record(address.clone(), took);
+        }
         let mean = self.durations.entry(address).or_insert(took);
         let weight = DURATION_WEIGHT_PERCENT;
         *mean = mean.percent(100 - weight) + took.percent(weight);
@@ -464,6 +485,7 @@
         let over = |entry: &JobEntry| entry.phase != Phase::Active;
         if self.job_table.jobs.get(&job).is_none_or(over) && self.active.remove(&job) {
             self.avoided.retain(|task, _| task.job != job);
+            self.lookahead.ended(job);
             self.gang_saves.retain(|task, _| task.job != job);
             self.ended.insert(job, now);
             let range = run_range(job);
@@ -552,6 +574,7 @@
         self.beginning.clear();
         self.opening.clear();
         self.clear_waits();
+        self.clear_lookahead();
         for (_, ticket) in self.waiters.drain(..) {
             self.out.push(Effect::Reply { ticket, reply: None });
         }
--- a/toucangrade/src/dispatch/place.rs
+++ b/toucangrade/src/dispatch/place.rs
@@ -8,6 +8,7 @@
 use super::health::Trust;
 use crate::core::Name;
 use crate::jobs::{Incarnation, Need, Step};
+use crate::lookahead::{Claim, Room, Score, Work};
 use crate::pressure::{Headroom, Table, share_within};
 
 /// Average share of their reserved cores that lasting tasks use, in percent; the reservation covers
@@ -16,6 +17,8 @@
 /// Smallest fraction of full speed at which a filling task is started, except for trials. Below this
 /// it would miss its objective while holding memory that another task could use.
 const MIN_SPEED: f64 = 0.5;
+/// Slowness in percent above which a runner is not chosen for the gap that a task leaves elsewhere.
+const GAP_SLOWNESS: u64 = 130;
 
 /// Reason for which a runner is not eligible for a task.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize)]
@@ -71,6 +74,8 @@
     pub(super) trust: Trust,
     /// Whether an order would probably reach it now.
     pub(super) reachable: bool,
+    /// Reservations of its room.
+    pub(super) claims: Vec<Claim>,
 }
 
 impl Candidate {
@@ -124,8 +129,10 @@
         }
     }
 
-    fn label(&self, label: &str) -> bool {
-        self.labels.iter().any(|own| **own == *label)
+    /// Whether the runner has the label that the step requires, if any.
+    pub(super) fn has_label(&self, step: &Step) -> bool {
+        let Some(label) = &step.label else { return true };
+        self.labels.iter().any(|own| own == label)
     }
 
     /// Whether a filling task that has waited long may start here although the estimates slow it down.
@@ -140,7 +147,7 @@
     pub(super) fn mismatch(&self, step: &Step, service: &str, siblings: u32) -> Option<Exclusion> {
         if *self.service != *service {
             Some(Exclusion::Service)
-        } else if step.label.as_ref().is_some_and(|label| !self.label(label)) {
+        } else if !self.has_label(step) {
             Some(Exclusion::Label)
         } else if step.spread > 0 && siblings >= step.spread {
             Some(Exclusion::Spread)
@@ -210,11 +217,37 @@
     pub(super) table: &'a Table,
     /// Whether the task may start although it would be slowed down to protect latency targets.
     pub(super) trial: bool,
+    /// What reservations are compared with; `None` if the task needs not respect them.
+    pub(super) work: Option<&'a Work>,
+    /// Needs of other steps that wait, for which room is left.
+    pub(super) wanted: &'a [Need],
+    /// Ranks runners by the room that is left for `wanted`.
+    pub(super) score: Score,
 }
 
-/// Rank of a candidate: its trust, whether it is on the requested rack, and a rank by the kind of
-/// the task.
-type Rank = (Trust, bool, (u64, u64, u64));
+impl Constraints<'_> {
+    /// Whether the reservations on a candidate admit the task.
+    fn admitted(&self, candidate: &Candidate) -> bool {
+        let Some(work) = self.work else { return true };
+        candidate.claims.iter().all(|claim| claim.admits(work, &self.step.counted()))
+    }
+
+    /// Rank of a candidate by the room that the task leaves there for what waits.
+    fn gap(&self, candidate: &Candidate) -> u64 {
+        // A slow runner would delay the task for longer than the others wait for room.
+        if self.wanted.is_empty() || candidate.slowness > GAP_SLOWNESS {
+            return 0;
+        }
+        let before = candidate.free;
+        let mut after = before;
+        after.remove(&self.step.counted());
+        (self.score)(&Room { before, after }, self.wanted)
+    }
+}
+
+/// Rank of a candidate: its trust, whether its reservations admit the task, whether it is on the
+/// requested rack, and a rank by the kind of the task.
+type Rank = (Trust, bool, bool, (u64, u64, u64));
 
 /// Ranks of all candidates for the tasks of a step; `None` for those that are not eligible.
 ///
@@ -250,17 +283,22 @@
         avoided: Option<&BTreeSet<Name>>,
     ) -> Option<usize> {
         let ranked = self.ranks.iter().enumerate().filter_map(|(at, rank)| {
-            let (trust, rack, rank) = (*rank)?;
+            let (trust, admitted, rack, rank) = (*rank)?;
             let failed = avoided.is_some_and(|avoided| avoided.contains(&candidates[at].agent));
-            Some(((trust, candidates[at].reachable, !failed, rack, rank), at))
+            let reachable = candidates[at].reachable;
+            Some(((trust, reachable, !failed, admitted, rack, rank), at))
         });
         ranked.max_by_key(|(rank, _)| *rank).map(|(_, at)| at)
     }
 
     /// Allocates a task to a candidate.
     pub(super) fn allocate(&mut self, candidates: &mut [Candidate], at: usize) {
-        let Constraints { step, table, .. } = self.constraints;
+        let Constraints { step, table, work, .. } = self.constraints;
         candidates[at].allocate(table, step);
+        if let Some(work) = work {
+            let need = step.counted();
+            candidates[at].claims.iter_mut().for_each(|claim| claim.take(work, &need));
+        }
         self.siblings[at] += 1;
         self.ranks[at] = rank(&mut candidates[at], self.constraints, self.siblings[at]);
     }
@@ -294,10 +332,15 @@
 }
 
 fn rank(candidate: &mut Candidate, constraints: Constraints<'_>, siblings: u32) -> Option<Rank> {
-    let Constraints { step, service, table, trial } = constraints;
+    let Constraints { step, service, table, trial, .. } = constraints;
     if candidate.barred(step) || candidate.mismatch(step, service, siblings).is_some() {
         return None;
     }
+    let admitted = constraints.admitted(candidate);
+    // A lasting task has to run wherever there is room for it.
+    if !admitted && !step.lasting {
+        return None;
+    }
     let cores = candidate.capacity.millicores;
     let right_rack = step.rack.is_none() || step.rack.as_ref() == candidate.rack();
     let left = share(candidate.free.millicores - step.counted().millicores, cores, 1_000);
@@ -309,7 +352,7 @@
             }
             let headroom = (candidate.headroom.least().clamp(-1.0, 1.0) + 1.0) * 1_000.0;
             let rank = ((speed * 20.0) as u64, headroom as u64, left);
-            return Some((candidate.trust, right_rack, rank));
+            return Some((candidate.trust, admitted, right_rack, rank));
         }
         // Equally fast runners are ranked by whether they run no task with a latency target, then
         // by free cores.
@@ -318,7 +361,7 @@
     } else if step.target > 0 {
         (u64::from(candidate.serving > 0), 1_000 - left, 0)
     } else {
-        (left * 100 / candidate.slowness.max(1), 0, 0)
+        (constraints.gap(candidate), left * 100 / candidate.slowness.max(1), 0)
     };
-    Some((candidate.trust, right_rack, rank))
+    Some((candidate.trust, admitted, right_rack, rank))
 }
--- a/toucangrade/src/dispatch/plan.rs
+++ b/toucangrade/src/dispatch/plan.rs
@@ -16,7 +16,7 @@
 
 /// State of a job relative to its objective.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum Lateness {
+pub(super) enum Lateness {
     OnTime,
     Late,
     Expired,
@@ -33,13 +33,15 @@
         });
         let order: Vec<_> = order.collect();
         if order.is_empty() {
-            return;
+            return self.clear_lookahead();
         }
         let mut candidates = self.candidates(now);
         if candidates.is_empty() {
             return;
         }
         let index = index(&candidates);
+        self.claim_room(now, &mut candidates, &index);
+        let mut passed = Vec::new();
         for (id, waiting) in order {
             let Some(entry) = self.job_table.jobs.get(&id) else { continue };
             let position = self.job_table.queue_position(&entry.job.queue);
@@ -50,9 +52,13 @@
                 self.move_slow(now, &mut candidates, &queue.service, runs);
             }
             for ((round, step), tasks) in waiting {
-                self.place(&mut candidates, &index, queue, &job, (round, step), &tasks);
+                let placed =
+                    self.place(&mut candidates, &index, queue, &job, (round, step), &tasks);
+                let first = TaskKey { job: id, round, step, index: 0 };
+                passed.extend(self.passed_over(first, queue, &job, tasks.len() - placed));
             }
         }
+        self.look_ahead(now, &candidates, &index, passed);
         self.views.keep_limits(candidates);
     }
 
@@ -73,7 +79,7 @@
     }
 
     /// Whether a job can still meet its objective, or else still has value.
-    fn lateness(&self, entry: &JobEntry, queue: &Queue) -> Lateness {
+    pub(super) fn lateness(&self, entry: &JobEntry, queue: &Queue) -> Lateness {
         if entry.job.lasting() || entry.job.schedule.is_some() {
             return Lateness::OnTime;
         }
@@ -139,8 +145,8 @@
         self.assigning.range(range).next().is_some()
     }
 
-    /// Assigns as many waiting tasks of a step as there is room for; a gang is assigned whole or
-    /// not at all.
+    /// Assigns as many waiting tasks of a step as there is room for, and returns their number; a gang
+    /// is assigned whole or not at all.
     fn place(
         &mut self,
         candidates: &mut Vec<Candidate>,
@@ -149,11 +155,11 @@
         job: &Job,
         (round, step): (u32, u16),
         tasks: &[RunKey],
-    ) {
+    ) -> usize {
         let declared = &job.steps[usize::from(step)];
         let whole = declared.count as usize;
         if declared.gang && tasks.len() < whole {
-            return;
+            return 0;
         }
         let siblings = if declared.spread > 0 {
             self.siblings(index, job.id, round, step)
@@ -165,7 +171,17 @@
         let trial = declared.fills && self.waits.trial_due(job.id);
         let tasks = if trial && !declared.gang { &tasks[..tasks.len().min(1)] } else { tasks };
         let (service, table) = (&queue.service, &self.learner.table);
-        let constraints = Constraints { step: declared, service, table, trial };
+        let work = self.work(job.id, queue, declared);
+        let (wanted, score) = self.larger_wanted(service, declared);
+        let constraints = Constraints {
+            step: declared,
+            service,
+            table,
+            trial,
+            work: work.as_ref(),
+            wanted: &wanted,
+            score,
+        };
         let mut ranking = Ranking::new(candidates, constraints, siblings);
         let mut chosen: Vec<(RunKey, Incarnation)> = Vec::new();
         for key in tasks.iter().copied() {
@@ -178,7 +194,11 @@
             if let Some(before) = before {
                 *candidates = before;
             }
-            return;
+            return 0;
+        }
+        let placed = chosen.len();
+        if placed == tasks.len() {
+            self.lookahead.started(TaskKey { job: job.id, round, step, index: 0 });
         }
         if !chosen.is_empty() {
             self.waits.started(job.id);
@@ -187,12 +207,14 @@
             for (_, incarnation) in &chosen {
                 index.get(incarnation).iter().for_each(|at| candidates[**at].begin_trial());
             }
-            return self.assign_gang(chosen);
+            self.assign_gang(chosen);
+            return placed;
         }
         for (key, incarnation) in chosen {
             self.assigning.insert(key, incarnation.clone());
             self.propose(Command::Assign { key, incarnation }, None);
         }
+        placed
     }
 
     /// Number of assigned or proposed tasks of a step on each candidate, given the positions of the
@@ -279,6 +301,7 @@
             slowness: worker.slowness,
             trust: Trust::Full,
             reachable: true,
+            claims: Vec::new(),
         };
         let cores = runner.capacity.millicores.max(1) as f64;
         let (mut serving, mut used, mut asked) = (Vec::new(), Vec::new(), Vec::new());
--- a/toucangrade/src/dispatch/rescue.rs
+++ b/toucangrade/src/dispatch/rescue.rs
@@ -120,7 +120,7 @@
             }
             let Some(step) = job.steps.get(usize::from(key.task.step)) else { continue };
             let ranking = rankings.entry(key.task.step).or_insert_with(|| {
-                let constraints = Constraints { step, service, table: &table, trial: false };
+                let constraints = Constraints::plain(step, service, &table);
                 Ranking::new(candidates, constraints, siblings.clone())
             });
             let Some(at) = ranking.best(candidates, None) else { continue };
--- a/toucangrade/src/dispatch/tests.rs
+++ b/toucangrade/src/dispatch/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of dispatch with a log that commits at once and scripted agents.
 
+mod ahead;
 mod answers;
 mod begun;
 mod exclusion;
--- a/toucangrade/src/jobs/declared.rs
+++ b/toucangrade/src/jobs/declared.rs
@@ -51,6 +51,23 @@
         least.min(times(self.accelerators, other.accelerators))
     }
 
+    /// Whether these are at least one `part`-th of some resource of `whole`.
+    pub(crate) fn takes_part(&self, whole: &Self, part: u64) -> bool {
+        let takes = |own: u64, whole: u64| own > 0 && own.saturating_mul(part) >= whole;
+        takes(self.millicores, whole.millicores)
+            || takes(self.memory, whole.memory)
+            || takes(self.accelerators, whole.accelerators)
+    }
+
+    /// The greater amount of each resource.
+    pub(crate) fn most(&self, other: &Self) -> Self {
+        Self {
+            millicores: self.millicores.max(other.millicores),
+            memory: self.memory.max(other.memory),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
     /// Adds `other`, saturating at the maximum of the type.
     pub fn add(&mut self, other: &Self) {
         self.millicores = self.millicores.saturating_add(other.millicores);
--- a/toucangrade/src/lib.rs
+++ b/toucangrade/src/lib.rs
@@ -24,6 +24,7 @@
 mod jobs;
 mod learned;
 mod limits;
+mod lookahead;
 mod membership;
 mod metrics;
 mod node;
--- a/toucangrade/src/node/control.rs
+++ b/toucangrade/src/node/control.rs
@@ -243,7 +243,9 @@
     fn spawn_dispatch(&self) -> io::Result<()> {
         let control = self.clone();
         let tick = || dispatch::Message::Tick { wall: wall_ms() };
-        let state = Dispatch::new().with_hold_limit(self.context.settings.hold_limit);
+        let settings = &self.context.settings;
+        let state =
+            Dispatch::new().with_hold_limit(settings.hold_limit).with_lookahead(settings.lookahead);
         let duty = Duty { state, step: Dispatch::step, tick, period: dispatch::TICK };
         let clock = self.context.clock.clone();
         duty.spawn(&self.dispatch, clock, move |_, effect| match effect {
--- a/toucangrade/src/node/mod.rs
+++ b/toucangrade/src/node/mod.rs
@@ -47,6 +47,8 @@
     losses: usize,
     /// Longest lease that runners accept.
     hold_limit: Span,
+    /// Whether placement looks at what waits and at what will end soon.
+    lookahead: bool,
 }
 
 /// Builder of [`NodeSettings`].
@@ -57,8 +59,16 @@
     /// Builder of settings with the address of this process and the port of control instances.
     pub fn builder(ip: IpAddr, port: u16) -> NodeSettingsBuilder {
         let (seeds, hold_limit) = (Vec::new(), Span::secs(10));
-        let settings = Self { ip, port, seeds, first: false, data: None, losses: 1, hold_limit };
-        NodeSettingsBuilder(settings)
+        NodeSettingsBuilder(Self {
+            ip,
+            port,
+            seeds,
+            first: false,
+            data: None,
+            losses: 1,
+            hold_limit,
+            lookahead: false,
+        })
     }
 
     /// Address at which the control instance of this name accepts requests.
@@ -108,6 +118,13 @@
         self
     }
 
+    /// Sets whether placement looks at what waits and at what will end soon; off unless set.
+    #[must_use]
+    pub fn lookahead(mut self, on: bool) -> Self {
+        self.0.lookahead = on;
+        self
+    }
+
     /// Builds the settings.
     pub fn build(self) -> NodeSettings {
         self.0
