Explain where the tasks of a job would be placed

Cause: nobody can ask why a job waits or where a new one would go. Change: Dispatch::explain runs a round of placement up to the job with the code that places, on candidates of its own, and restores what it had to set. The choice of runners for a step is split from proposing it (plan.rs), so that both use it. The answer holds by step the tasks that would be placed, the classes of excluded runners, the best eligible ones and the forecast start. The command is not built.

--- a/toucangrade/src/dispatch/ahead.rs
+++ b/toucangrade/src/dispatch/ahead.rs
@@ -160,7 +160,7 @@
     }
 
     /// Most tasks of a step that a runner may take beside those that it has.
-    fn most_tasks(&self, owner: TaskKey, candidate: &Candidate) -> u64 {
+    pub(super) fn most_tasks(&self, owner: TaskKey, candidate: &Candidate) -> u64 {
         let Some(step) = self.step_of(RunKey { task: owner, run: 0 }) else { return 0 };
         if candidate.trust != Trust::Full || !candidate.has_label(step) {
             return 0;
@@ -176,7 +176,7 @@
     }
 
     /// Runners of the services of what was passed over, with the expected ends of their runs.
-    fn places(
+    pub(super) fn places(
         &self,
         now: Moment,
         candidates: &[Candidate],
--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -4,6 +4,9 @@
 
 mod ahead;
 mod answers;
+// The command that shows it to operators is not built yet; the tests use all of it.
+#[allow(dead_code)]
+mod explain;
 mod fleet;
 mod gangs;
 mod health;
--- a/toucangrade/src/dispatch/place.rs
+++ b/toucangrade/src/dispatch/place.rs
@@ -33,6 +33,8 @@
     Label,
     /// It is draining.
     Leaving,
+    /// Its room is reserved for another step that waits.
+    Reserved,
     /// It has too little free room.
     Room,
     /// It belongs to another service.
@@ -227,7 +229,7 @@
 
 impl Constraints<'_> {
     /// Whether the reservations on a candidate admit the task.
-    fn admitted(&self, candidate: &Candidate) -> bool {
+    pub(super) fn admitted(&self, candidate: &Candidate) -> bool {
         let Some(work) = self.work else { return true };
         candidate.claims.iter().all(|claim| claim.admits(work, &self.step.counted()))
     }
@@ -291,6 +293,18 @@
         ranked.max_by_key(|(rank, _)| *rank).map(|(_, at)| at)
     }
 
+    /// Positions of the eligible candidates, from the best one.
+    pub(super) fn order(&self, candidates: &[Candidate]) -> Vec<usize> {
+        let mut ranked: Vec<_> = (0..candidates.len())
+            .filter_map(|at| Some((self.ranks[at]?, candidates[at].reachable, at)))
+            .map(|((trust, admitted, rack, rank), open, at)| {
+                ((trust, open, admitted, rack, rank), at)
+            })
+            .collect();
+        ranked.sort_unstable();
+        ranked.into_iter().rev().map(|(_, at)| at).collect()
+    }
+
     /// Allocates a task to a candidate.
     pub(super) fn allocate(&mut self, candidates: &mut [Candidate], at: usize) {
         let Constraints { step, table, work, .. } = self.constraints;
--- a/toucangrade/src/dispatch/plan.rs
+++ b/toucangrade/src/dispatch/plan.rs
@@ -64,7 +64,7 @@
 
     /// Active jobs in the order in which they are placed: by priority of the queue, lateness,
     /// remaining work and age.
-    fn job_order(&self) -> Vec<u64> {
+    pub(super) fn job_order(&self) -> Vec<u64> {
         let entries = self.active.iter().filter_map(|id| self.job_table.jobs.get(id));
         let mut order: Vec<_> = entries
             .filter_map(|entry| {
@@ -145,8 +145,7 @@
         self.assigning.range(range).next().is_some()
     }
 
-    /// Assigns as many waiting tasks of a step as there is room for, and returns their number; a gang
-    /// is assigned whole or not at all.
+    /// Assigns as many waiting tasks of a step as there is room for, and returns their number.
     fn place(
         &mut self,
         candidates: &mut Vec<Candidate>,
@@ -156,10 +155,41 @@
         (round, step): (u32, u16),
         tasks: &[RunKey],
     ) -> usize {
+        let chosen = self.choose(candidates, index, queue, job, (round, step), tasks);
+        let placed = chosen.len();
+        if placed == 0 {
+            return 0;
+        }
+        if placed == tasks.len() {
+            self.lookahead.started(TaskKey { job: job.id, round, step, index: 0 });
+        }
+        self.waits.started(job.id);
+        if job.steps[usize::from(step)].gang {
+            self.assign_gang(chosen);
+            return placed;
+        }
+        for (key, incarnation) in chosen {
+            self.assigning.insert(key, incarnation.clone());
+            self.propose(Command::Assign { key, incarnation }, None);
+        }
+        placed
+    }
+
+    /// Chooses runners for as many waiting tasks of a step as there is room for, and allocates the
+    /// tasks there; a gang gets room for all of them or for none.
+    pub(super) fn choose(
+        &self,
+        candidates: &mut Vec<Candidate>,
+        index: &BTreeMap<Incarnation, usize>,
+        queue: &Queue,
+        job: &Job,
+        (round, step): (u32, u16),
+        tasks: &[RunKey],
+    ) -> Vec<(RunKey, Incarnation)> {
         let declared = &job.steps[usize::from(step)];
         let whole = declared.count as usize;
         if declared.gang && tasks.len() < whole {
-            return 0;
+            return Vec::new();
         }
         let siblings = if declared.spread > 0 {
             self.siblings(index, job.id, round, step)
@@ -194,27 +224,14 @@
             if let Some(before) = before {
                 *candidates = before;
             }
-            return 0;
-        }
-        let placed = chosen.len();
-        if placed == tasks.len() {
-            self.lookahead.started(TaskKey { job: job.id, round, step, index: 0 });
-        }
-        if !chosen.is_empty() {
-            self.waits.started(job.id);
+            return Vec::new();
         }
         if declared.gang {
             for (_, incarnation) in &chosen {
                 index.get(incarnation).iter().for_each(|at| candidates[**at].begin_trial());
             }
-            self.assign_gang(chosen);
-            return placed;
         }
-        for (key, incarnation) in chosen {
-            self.assigning.insert(key, incarnation.clone());
-            self.propose(Command::Assign { key, incarnation }, None);
-        }
-        placed
+        chosen
     }
 
     /// Number of assigned or proposed tasks of a step on each candidate, given the positions of the
@@ -249,7 +266,7 @@
     }
 
     /// Runners that accept new tasks, with the room left on each.
-    fn candidates(&mut self, now: Moment) -> Vec<Candidate> {
+    pub(super) fn candidates(&mut self, now: Moment) -> Vec<Candidate> {
         let workers = self.fleet.workers.iter();
         let open = workers.filter(|(_, worker)| worker.exclusion(now).is_none());
         let open: Vec<Name> = open.map(|(agent, _)| agent.clone()).collect();
--- a/toucangrade/src/dispatch/tests.rs
+++ b/toucangrade/src/dispatch/tests.rs
@@ -4,6 +4,7 @@
 mod answers;
 mod begun;
 mod exclusion;
+mod explain;
 mod extremes;
 mod faulty_runners;
 mod fuzz;
--- a/toucangrade/src/lookahead/durations.rs
+++ b/toucangrade/src/lookahead/durations.rs
@@ -50,7 +50,7 @@
 }
 
 /// Learned durations by queue.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Durations(BTreeMap<Address, Learned>);
 
 impl Durations {
--- a/toucangrade/src/lookahead/forecast.rs
+++ b/toucangrade/src/lookahead/forecast.rs
@@ -108,6 +108,19 @@
     slots
 }
 
+/// When the first of `count` tasks is expected to have room, and all of them if they work only
+/// together; `None` if it is not known.
+pub(crate) fn expected_start(
+    places: &[Place],
+    now: Moment,
+    need: &Need,
+    count: u64,
+    gang: bool,
+) -> Option<Moment> {
+    let slots = earliest(places, now, need, count, gang, |_| false);
+    slots.iter().map(|slot| slot.start).min()
+}
+
 /// `need` for `tasks` tasks.
 pub(super) fn times(need: &Need, tasks: u64) -> Need {
     Need {
--- a/toucangrade/src/lookahead/mod.rs
+++ b/toucangrade/src/lookahead/mod.rs
@@ -17,10 +17,10 @@
 use std::sync::Arc;
 
 pub(crate) use self::durations::{Durations, Learned, Progress};
-pub(crate) use self::forecast::Place;
+pub(crate) use self::forecast::{Place, expected_start};
 pub(crate) use self::gap::{Room, Score, keep_slots};
 pub(crate) use self::reservations::{Claim, Passed, Reason, Usage};
-use self::reservations::{Reservation, SERVICE_LIMIT};
+use self::reservations::{LINES_LIMIT, Reservation, SERVICE_LIMIT};
 use crate::core::{Moment, Span};
 use crate::jobs::{Need, TaskKey};
 
@@ -41,7 +41,7 @@
 }
 
 /// State of the look-ahead.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Lookahead {
     on: bool,
     pub(crate) durations: Durations,
@@ -117,6 +117,11 @@
         self.now
     }
 
+    /// A copy for a trial run, which logs nothing.
+    pub(crate) fn trial(&self, now: Moment) -> Self {
+        Self { lines: (now, LINES_LIMIT), ..self.clone() }
+    }
+
     /// Whether a forecast is due.
     pub(crate) fn is_due(&self) -> bool {
         self.on && self.now.since(self.looked) >= LOOK_EVERY
--- a/toucangrade/src/lookahead/reservations.rs
+++ b/toucangrade/src/lookahead/reservations.rs
@@ -30,7 +30,7 @@
 /// Interval between two log lines about a reservation that is kept.
 const KEPT_EVERY: Span = Span::secs(2);
 /// Most other log lines in a second.
-const LINES_LIMIT: u32 = 8;
+pub(super) const LINES_LIMIT: u32 = 8;
 
 /// Why a step gets a reservation.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
