--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -2,9 +2,13 @@
 //! stops their runs, and answers callers and agents. Decisions are proposed to the replicated log
 //! and take effect once it has committed them.
 
+mod ahead;
 mod answers;
 mod backlog;
 mod evacuation;
+// The command that shows it to operators is not built yet; the tests use all of it.
+#[allow(dead_code)]
+mod explain;
 mod fleet;
 mod gangs;
 mod health;
@@ -47,6 +51,7 @@
 use crate::jobs::{
     Applied, Command, End, Incarnation, JobEntry, JobTable, Phase, RunKey, Step, TaskKey,
 };
+use crate::lookahead::Lookahead;
 use crate::overload::{Overload, TaskTime, Worked};
 use crate::pressure::Learner;
 
@@ -138,6 +143,8 @@
     #[serde(skip)]
     overload: Overload,
     #[serde(skip)]
+    lookahead: Lookahead,
+    #[serde(skip)]
     views: Views,
     /// Number and bytes of the commands applied since the last snapshot.
     growth: (usize, usize),
@@ -178,6 +185,7 @@
             evacuation: EvacuationState::default(),
             slow_start: SlowStart::default(),
             overload: Overload::default(),
+            lookahead: Lookahead::default(),
             views: Views::default(),
             growth: (0, 0),
             out: Vec::new(),
@@ -191,6 +199,19 @@
         self
     }
 
+    /// Sets whether placement looks at what waits and at what will end soon.
+    #[must_use]
+    pub(crate) fn with_lookahead(mut self, on: bool) -> Self {
+        self.lookahead = Lookahead::new(on);
+        self
+    }
+
+    #[cfg(test)]
+    pub(crate) fn with_lookahead_state(mut self, lookahead: Lookahead) -> Self {
+        self.lookahead = lookahead;
+        self
+    }
+
     /// Handles a message and returns the effects to perform.
     pub(crate) fn step(&mut self, now: Moment, message: Message) -> Vec<Effect> {
         match message {
@@ -478,6 +499,9 @@
         let queue = entry.and_then(|entry| self.job_table.queue(&entry.job.queue));
         let Some(queue) = queue else { return };
         let address = (Arc::clone(&queue.host), Arc::clone(&queue.prefix));
+        if self.lookahead.is_on() {
+            self.lookahead.durations.record(address.clone(), took);
+        }
         match self.durations.entry(address) {
             Entry::Occupied(mut known) => known.get_mut().record(took),
             Entry::Vacant(vacant) => drop(vacant.insert(TaskTime::first(took))),
@@ -490,6 +514,7 @@
         let over = |entry: &JobEntry| entry.phase != Phase::Active;
         if self.job_table.jobs.get(&job).is_none_or(over) && self.active.remove(&job) {
             self.avoided.retain(|task, _| task.job != job);
+            self.lookahead.ended(job);
             self.gang_saves.retain(|task, _| task.job != job);
             self.count_value(job);
             self.ended.insert(job, now);
@@ -582,6 +607,7 @@
         self.clear_evacuations();
         self.clear_slow_starts();
         self.overload.clear();
+        self.clear_lookahead();
         for (_, ticket) in self.waiters.drain(..) {
             self.out.push(Effect::Reply { ticket, reply: None });
         }
--- a/toucangrade/src/dispatch/plan.rs
+++ b/toucangrade/src/dispatch/plan.rs
@@ -16,7 +16,7 @@
 
 /// State of a job relative to its objective.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum Lateness {
+pub(super) enum Lateness {
     OnTime,
     Late,
     Expired,
@@ -36,7 +36,7 @@
         });
         let order: Vec<_> = order.collect();
         if order.is_empty() {
-            return;
+            return self.clear_lookahead();
         }
         let mut candidates = self.candidates(now);
         if candidates.is_empty() {
@@ -45,6 +45,8 @@
         let index = index(&candidates);
         // Jobs that ask for more than half speed get a second turn behind all others.
         let mut again = Vec::new();
+        self.claim_room(now, &mut candidates, &index);
+        let mut passed = Vec::new();
         for (id, waiting) in order {
             let Some(entry) = self.job_table.jobs.get(&id) else { continue };
             let position = self.job_table.queue_position(&entry.job.queue);
@@ -55,7 +57,10 @@
                 self.move_slow(now, &mut candidates, &queue.service, runs);
             }
             for ((round, step), tasks) in waiting {
-                self.place(&mut candidates, &index, queue, &job, (round, step), &tasks);
+                let placed =
+                    self.place(&mut candidates, &index, queue, &job, (round, step), &tasks);
+                let first = TaskKey { job: id, round, step, index: 0 };
+                passed.extend(self.passed_over(first, queue, &job, tasks.len() - placed));
             }
             if self.overload.relax(id) {
                 again.push((queue, job));
@@ -67,12 +72,13 @@
                 self.place(&mut candidates, &index, queue, &job, at, &tasks);
             }
         }
+        self.look_ahead(now, &candidates, &index, passed);
         self.views.keep_limits(candidates);
     }
 
     /// Active jobs in the order in which they are placed: by priority of the queue, lateness,
     /// whether they have started if `overload` is enabled, remaining work and age.
-    fn job_order(&self) -> Vec<u64> {
+    pub(super) fn job_order(&self) -> Vec<u64> {
         let entries = self.active.iter().filter_map(|id| self.job_table.jobs.get(id));
         let mut order: Vec<_> = entries
             .filter_map(|entry| {
@@ -88,7 +94,7 @@
     }
 
     /// Whether a job can still meet its objective, or else still has value.
-    fn lateness(&self, entry: &JobEntry, queue: &Queue) -> Lateness {
+    pub(super) fn lateness(&self, entry: &JobEntry, queue: &Queue) -> Lateness {
         if entry.job.lasting() || entry.job.schedule.is_some() {
             return Lateness::OnTime;
         }
@@ -167,8 +173,7 @@
         self.assigning.range(range).next().is_some()
     }
 
-    /// Assigns as many waiting tasks of a step as there is room for; a gang is assigned whole or
-    /// not at all.
+    /// Assigns as many waiting tasks of a step as there is room for, and returns their number.
     fn place(
         &mut self,
         candidates: &mut Vec<Candidate>,
@@ -177,11 +182,42 @@
         job: &Job,
         (round, step): (u32, u16),
         tasks: &[RunKey],
-    ) {
+    ) -> usize {
+        let chosen = self.choose(candidates, index, queue, job, (round, step), tasks);
+        let placed = chosen.len();
+        if placed == 0 {
+            return 0;
+        }
+        if placed == tasks.len() {
+            self.lookahead.started(TaskKey { job: job.id, round, step, index: 0 });
+        }
+        self.waits.started(job.id);
+        if job.steps[usize::from(step)].gang {
+            self.assign_gang(chosen);
+            return placed;
+        }
+        for (key, incarnation) in chosen {
+            self.assigning.insert(key, incarnation.clone());
+            self.propose(Command::Assign { key, incarnation }, None);
+        }
+        placed
+    }
+
+    /// Chooses runners for as many waiting tasks of a step as there is room for, and allocates the
+    /// tasks there; a gang gets room for all of them or for none.
+    pub(super) fn choose(
+        &self,
+        candidates: &mut Vec<Candidate>,
+        index: &BTreeMap<Incarnation, usize>,
+        queue: &Queue,
+        job: &Job,
+        (round, step): (u32, u16),
+        tasks: &[RunKey],
+    ) -> Vec<(RunKey, Incarnation)> {
         let declared = &job.steps[usize::from(step)];
         let whole = declared.count as usize;
         if declared.gang && tasks.len() < whole {
-            return;
+            return Vec::new();
         }
         let siblings = if declared.spread > 0 {
             self.siblings(index, job.id, round, step)
@@ -193,8 +229,18 @@
         let trial = declared.fills && self.waits.trial_due(job.id);
         let tasks = if trial && !declared.gang { &tasks[..tasks.len().min(1)] } else { tasks };
         let (service, table) = (&queue.service, &self.learner.table);
-        let least = self.overload.least_speed(job.id);
-        let constraints = Constraints { step: declared, service, table, trial, least };
+        let work = self.work(job.id, queue, declared);
+        let (wanted, score) = self.larger_wanted(service, declared);
+        let constraints = Constraints {
+            step: declared,
+            service,
+            table,
+            trial,
+            least: self.overload.least_speed(job.id),
+            work: work.as_ref(),
+            wanted: &wanted,
+            score,
+        };
         let mut ranking = Ranking::new(candidates, constraints, siblings);
         let mut chosen: Vec<(RunKey, Incarnation)> = Vec::new();
         for key in tasks.iter().copied() {
@@ -207,21 +253,14 @@
             if let Some(before) = before {
                 *candidates = before;
             }
-            return;
-        }
-        if !chosen.is_empty() {
-            self.waits.started(job.id);
+            return Vec::new();
         }
         if declared.gang {
             for (_, incarnation) in &chosen {
                 index.get(incarnation).iter().for_each(|at| candidates[**at].begin_trial());
             }
-            return self.assign_gang(chosen);
-        }
-        for (key, incarnation) in chosen {
-            self.assigning.insert(key, incarnation.clone());
-            self.propose(Command::Assign { key, incarnation }, None);
         }
+        chosen
     }
 
     /// Number of assigned or proposed tasks of a step on each candidate, given the positions of the
@@ -256,7 +295,7 @@
     }
 
     /// Runners that accept new tasks, with the room left on each.
-    fn candidates(&mut self, now: Moment) -> Vec<Candidate> {
+    pub(super) fn candidates(&mut self, now: Moment) -> Vec<Candidate> {
         let workers = self.fleet.workers.iter();
         let open = workers.filter(|(_, worker)| self.exclusion(worker, now).is_none());
         let open: Vec<Name> = open.map(|(agent, _)| agent.clone()).collect();
@@ -311,6 +350,7 @@
             reachable: true,
             warm: true,
             starts: None,
+            claims: Vec::new(),
         };
         let cores = runner.capacity.millicores.max(1) as f64;
         let (mut serving, mut used, mut asked) = (Vec::new(), Vec::new(), Vec::new());
--- a/toucangrade/src/dispatch/tests.rs
+++ b/toucangrade/src/dispatch/tests.rs
@@ -1,9 +1,11 @@
 //! Tests of dispatch with a log that commits at once and scripted agents.
 
+mod ahead;
 mod answers;
 mod begun;
 mod evacuation;
 mod exclusion;
+mod explain;
 mod extremes;
 mod faulty_runners;
 mod fuzz;
--- a/toucangrade/src/dispatch/tests/interference.rs
+++ b/toucangrade/src/dispatch/tests/interference.rs
@@ -348,7 +348,7 @@
         step: &Step,
     ) -> Option<(RunKey, f64)> {
         let table = Arc::clone(&self.learner.table);
-        let constraints = Constraints { step, service: SERVICE, table: &table, trial: false };
+        let constraints = Constraints::plain(step, SERVICE, &table);
         let tasks =
             self.runners.iter().enumerate().flat_map(|(at, runner)| {
                 runner.tasks.iter().map(move |(key, task)| (task, at, *key))
@@ -391,6 +391,9 @@
                 slowness: 100,
                 trust: Trust::Full,
                 reachable: true,
+                warm: true,
+                starts: None,
+                claims: Vec::new(),
             };
             let (mut serving, mut used, mut asked) = (Vec::new(), Vec::new(), Vec::new());
             for (key, task) in &runner.tasks {
@@ -427,7 +430,7 @@
         trial: bool,
     ) {
         let table = Arc::clone(&self.learner.table);
-        let constraints = Constraints { step, service: SERVICE, table: &table, trial };
+        let constraints = Constraints { trial, ..Constraints::plain(step, SERVICE, &table) };
         let mut ranking = Ranking::new(candidates, constraints, vec![0; candidates.len()]);
         waiting.retain(|&(key, left)| {
             let Some(at) = ranking.best(candidates, None) else { return true };
--- a/toucangrade/src/node/control.rs
+++ b/toucangrade/src/node/control.rs
@@ -247,6 +247,7 @@
         let state = Dispatch::new()
             .with_hold_limit(settings.hold_limit)
             .with_centres(settings.centres.iter().cloned())
+            .with_lookahead(settings.lookahead)
             .with_overload(settings.overload);
         let duty = Duty { state, step: Dispatch::step, tick, period: dispatch::TICK };
         let clock = self.context.clock.clone();
--- a/toucangrade/src/node/mod.rs
+++ b/toucangrade/src/node/mod.rs
@@ -52,6 +52,8 @@
     centres: Vec<Arc<str>>,
     /// Whether decisions for times of overload are made.
     overload: bool,
+    /// Whether placement looks at what waits and at what will end soon.
+    lookahead: bool,
 }
 
 /// Builder of [`NodeSettings`].
@@ -72,6 +74,7 @@
             hold_limit,
             centres: Vec::new(),
             overload: false,
+            lookahead: false,
         })
     }
 
@@ -130,6 +133,13 @@
         self
     }
 
+    /// Sets whether placement looks at what waits and at what will end soon; off unless set.
+    #[must_use]
+    pub fn lookahead(mut self, on: bool) -> Self {
+        self.0.lookahead = on;
+        self
+    }
+
     /// Sets whether a control instance makes decisions for times of overload, off unless set.
     #[must_use]
     pub fn overload(mut self, overload: bool) -> Self {
--- a/toucangrade/src/simulation/jobs/mod.rs
+++ b/toucangrade/src/simulation/jobs/mod.rs
@@ -65,6 +65,8 @@
     pub evacuations: bool,
     /// Jobs whose tasks work only together.
     pub gangs: bool,
+    /// Whether placement looks ahead.
+    pub lookahead: bool,
     /// Runners that restart under their names and are cut off from their agents.
     pub restarts: bool,
 }
@@ -150,6 +152,7 @@
             self.world.check_liveness();
             self.world.check_waiting();
             self.world.check_gangs();
+            self.world.check_reservations();
         }
     }
 
@@ -307,6 +310,7 @@
             self.world.advance(ACTION_INTERVAL);
             self.world.check_liveness();
             self.world.check_gangs();
+            self.world.check_reservations();
         }
         let unfinished = self.world.unfinished();
         invariant!(unfinished.is_none(), "not settled after all faults ended: {unfinished:?}");
@@ -315,6 +319,7 @@
             self.world.advance(ACTION_INTERVAL);
             self.world.check_liveness();
             self.world.check_gangs();
+            self.world.check_reservations();
         }
     }
 }
--- a/toucangrade/src/simulation/jobs/tests.rs
+++ b/toucangrade/src/simulation/jobs/tests.rs
@@ -15,6 +15,7 @@
     report.unwrap_or_else(|violation| {
         let part = match scope {
             Scope { evacuations: true, .. } => "evacuations",
+            Scope { lookahead: true, .. } => "lookahead",
             Scope { gangs: true, .. } => "gangs",
             Scope { restarts: true, .. } => "restarts",
             _ => "jobs",
@@ -23,6 +24,9 @@
     })
 }
 
+const LOOKAHEAD: Scope =
+    Scope { evacuations: false, gangs: true, lookahead: true, restarts: false };
+
 struct Case {
     first: u64,
     scope: Scope,
@@ -38,6 +42,7 @@
 #[case::evacuations(Case { first: 1, scope: Scope { evacuations: true, ..Scope::default() } })]
 #[case::restarts(Case { first: 1, scope: Scope { restarts: true, ..Scope::default() } })]
 #[case::gangs(Case { first: 1, scope: Scope { gangs: true, ..Scope::default() } })]
+#[case::lookahead(Case { first: 1, scope: LOOKAHEAD })]
 #[case::gangs_again(Case { first: 4, scope: Scope { gangs: true, ..Scope::default() } })]
 fn random_faults_break_no_invariant(#[case] case: Case) {
     let count = std::env::var("TOUCANGRADE_SEEDS").map_or(SEEDS, |count| count.parse().unwrap());
@@ -54,6 +59,7 @@
         Scope { evacuations: true, ..Scope::default() },
         Scope { gangs: true, ..Scope::default() },
         Scope { restarts: true, ..Scope::default() },
+        LOOKAHEAD,
     ];
     for scope in scopes {
         assert_eq!(run(7, 5_000, scope), run(7, 5_000, scope));
--- a/toucangrade_standin/src/bin/toucangrade_simulate/runs.rs
+++ b/toucangrade_standin/src/bin/toucangrade_simulate/runs.rs
@@ -10,7 +10,8 @@
 const DEFAULT_STEPS: u64 = 40_000;
 
 /// Names of the parts.
-const PARTS: [&str; 6] = ["requests", "log", "jobs", "restarts", "gangs", "evacuations"];
+const PARTS: [&str; 7] =
+    ["requests", "log", "jobs", "restarts", "gangs", "evacuations", "lookahead"];
 
 /// Part, seeds and steps of the runs; all parts without `part`.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -38,6 +39,7 @@
         let restarts = run(JobsScope { restarts: true, ..JobsScope::default() });
         let evacuations = run(JobsScope { evacuations: true, ..JobsScope::default() });
         let gangs = run(JobsScope { gangs: true, ..JobsScope::default() });
+        let lookahead = run(JobsScope { gangs: true, lookahead: true, ..JobsScope::default() });
         Self(vec![
             ("requests", Box::new(requests)),
             ("log", Box::new(log)),
@@ -45,6 +47,7 @@
             ("restarts", Box::new(restarts)),
             ("gangs", Box::new(gangs)),
             ("evacuations", Box::new(evacuations)),
+            ("lookahead", Box::new(lookahead)),
         ])
     }
 }
@@ -55,13 +58,14 @@
         .help(
             "Run entries, agents and control (requests), the replicated log (log), jobs of \
              several steps on runners (jobs), the same with runners that restart under their \
-             names (restarts), with tasks that work only together (gangs) or with data centres \
-             that are evacuated (evacuations) only",
+             names (restarts), with tasks that work only together (gangs), with data centres that \
+             are evacuated (evacuations) or with gangs and placement that looks ahead (lookahead) \
+             only",
         )
-        .argument::<String>("requests|log|jobs|restarts|gangs|evacuations")
+        .argument::<String>("requests|log|jobs|restarts|gangs|evacuations|lookahead")
         .guard(
             |part| PARTS.contains(&part.as_str()),
-            "allowed is requests, log, jobs, restarts, gangs or evacuations",
+            "allowed is requests, log, jobs, restarts, gangs, evacuations or lookahead",
         )
         .optional();
     let seed = long("seed")
