Keep the clients of a process within one account of memory and connections

Each server buffered every body up to 8 MiB before it looked at the path, with no total, no time limit and no limit on connections.

All servers of a process share a Budget. Its ledger is a plain state machine: memory is reserved as bytes arrive, outside clients and the system's own messages may each use three quarters, and the connection that holds most for longest is closed first, but never one whose request is being handled. A screen refuses from the head alone; bodies need progress, answers are written in small pieces under TCP_USER_TIMEOUT. Refusals are not-run and close the connection.

xitca-web limits heads, idle connections and write buffers, and is set to do so. It has no limit on connections and no way to close one from outside, so a service of ours stands around its connection service (xitca-http and xitca-io become direct dependencies; both were built already). Ruled out: reserving what a head declares, closing the newest, and not accepting (see the design note).

--- a/toucangrade/src/daemon/mod.rs
+++ b/toucangrade/src/daemon/mod.rs
@@ -45,7 +45,7 @@
 pub(crate) use self::worker::listed_tasks;
 use crate::agreement::Disk;
 use crate::core::{Clock, Moment, Span};
-use crate::http::{Client, Handler, Inbound, Outbound, Server};
+use crate::http::{Budget, Client, Handler, Inbound, Outbound, Server, Tier};
 use crate::peer::{self, Reply, Request};
 use crate::{admission, history, limits, membership};
 
@@ -187,14 +187,15 @@
     }
     let link = Link::new(context.client.clone(), members);
     let roles = start(&context, &link, addr)?;
-    let mut servers = serve(&context, &link, &roles)?;
+    let budget = Budget::default();
+    let mut servers = serve(&context, &link, &roles, &budget)?;
     let mut ports = vec![("peer", addr)];
     ports.extend(servers.iter().map(|(name, server)| (*name, server.addr)));
     if let Some(path) = &settings.ports {
         write_ports(path, &ports)?;
     }
-    servers
-        .push(("peer", Server::start(peers, HTTP_THREADS, peer_handler(&context, &link, &roles))?));
+    let peer = Server::builder(peers, peer_handler(&context, &link, &roles)).tier(Tier::Own);
+    servers.push(("peer", peer.budget(&budget).threads(HTTP_THREADS).start()?));
     let started = json!(ports.iter().map(|(n, a)| format!("{n}={a}")).collect::<Vec<_>>());
     info!(name = %settings.name, incarnation = context.incarnation, ports = %started, "started");
     Ok(drain_on_signal(&context, &roles, signals, servers))
@@ -218,7 +219,12 @@
 }
 
 /// Starts the HTTP servers of each role, except that of the peer port.
-fn serve(context: &Context, link: &Link, roles: &Roles) -> io::Result<Vec<(&'static str, Server)>> {
+fn serve(
+    context: &Context,
+    link: &Link,
+    roles: &Roles,
+    budget: &Budget,
+) -> io::Result<Vec<(&'static str, Server)>> {
     let settings = &context.settings;
     let dump = Arc::new(Dump {
         roles: roles.clone(),
@@ -226,7 +232,10 @@
         clock: context.clock.clone(),
         incarnation: context.incarnation,
     });
-    let listen = |addr, handler| Server::start(TcpListener::bind(addr)?, HTTP_THREADS, handler);
+    let listen = |addr, handler| {
+        let server = Server::builder(TcpListener::bind(addr)?, handler);
+        server.budget(budget).threads(HTTP_THREADS).start()
+    };
     let mut servers = Vec::new();
     if let (Some(control), Some(archive)) = (&roles.control, &roles.archive) {
         let operator = Operator::new(context, control.clone(), archive.clone(), link.clone());
--- a/toucangrade/src/http/body.rs
+++ b/toucangrade/src/http/body.rs
@@ -1,5 +1,5 @@
 //! Response bodies, which keep their request counted as in flight until the last byte is written to
-//! the socket.
+//! the socket, and its connection charged for the answer.
 
 use std::pin::Pin;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
@@ -9,11 +9,19 @@
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use tokio::sync::{mpsc, watch};
-use xitca_web::body::{Body, Frame, SizeHint};
+use tokio::time::Sleep;
+use xitca_web::body::{Body, Frame, RequestBody, SizeHint};
 use xitca_web::error::BodyError;
 
-/// Largest data frame that is copied into a connection's buffer at once, in bytes.
-const FRAME_LIMIT: usize = 64 * 1024;
+use super::budget::Connection;
+use super::ledger::Phase;
+use super::limits::WRITE_BUFFER;
+
+/// Longest time for which the rest of a refused body is read and discarded. Closing the connection
+/// at once would reset it, and the client could lose the answer.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
+/// Largest rest of a refused body that is discarded, in bytes.
+const DISCARD_LIMIT: usize = 512 * 1024;
 
 /// Counts the requests in flight of one server and signals its shutdown to them.
 pub(super) struct RequestTracker {
@@ -28,10 +36,17 @@
         Arc::new(Self { in_flight: Mutex::new(0), idle: Condvar::new(), stopping })
     }
 
-    /// Counts a request as in flight until the guard is dropped.
-    pub(super) fn track(self: &Arc<Self>) -> RequestGuard {
+    /// Counts a request of a connection as in flight until the guard is dropped.
+    pub(super) fn track(self: &Arc<Self>, connection: Arc<Connection>) -> RequestGuard {
         *self.lock() += 1;
-        RequestGuard(Arc::clone(self))
+        RequestGuard { tracker: Arc::clone(self), connection }
+    }
+
+    /// Waits until the server is being stopped.
+    pub(super) async fn stopped(&self) {
+        let mut stopping = self.stopping.subscribe();
+        // The sender isn't dropped meanwhile, as it is part of the tracker.
+        let _ = stopping.wait_for(|stopping| *stopping).await;
     }
 
     /// Whether connections should be closed after their current response.
@@ -66,14 +81,18 @@
 
 /// Counts a request as in flight from its arrival until its response is written or its connection
 /// is lost.
-pub(super) struct RequestGuard(Arc<RequestTracker>);
+pub(super) struct RequestGuard {
+    tracker: Arc<RequestTracker>,
+    connection: Arc<Connection>,
+}
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        let mut in_flight = self.0.lock();
+        self.connection.enter(Phase::Head);
+        let mut in_flight = self.tracker.lock();
         *in_flight -= 1;
         if *in_flight == 0 {
-            self.0.idle.notify_all();
+            self.tracker.idle.notify_all();
         }
     }
 }
@@ -90,6 +109,14 @@
 
 impl FullBody {
     pub(super) fn new(remaining: Bytes, guard: RequestGuard) -> Self {
+        let connection = &guard.connection;
+        connection.enter(Phase::Answer);
+        connection.release();
+        // A shared answer needs no memory of its own but the write buffer, which is part of its
+        // connection.
+        if remaining.len() > WRITE_BUFFER && remaining.is_unique() {
+            connection.charge(remaining.len());
+        }
         Self { remaining, flushed: false, _guard: guard }
     }
 }
@@ -104,7 +131,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let body = self.get_mut();
         if !body.remaining.is_empty() {
-            let frame = body.remaining.split_to(body.remaining.len().min(FRAME_LIMIT));
+            let frame = body.remaining.split_to(body.remaining.len().min(WRITE_BUFFER));
             return Poll::Ready(Some(Ok(Frame::Data(frame))));
         }
         if !body.flushed {
@@ -120,6 +147,53 @@
     }
 }
 
+/// The answer to a request whose body isn't wanted. After the answer it discards some of the rest.
+pub(super) struct RefusalBody {
+    answer: FullBody,
+    rest: Option<Pin<Box<RequestBody>>>,
+    left: usize,
+    end: Pin<Box<Sleep>>,
+}
+
+impl RefusalBody {
+    pub(super) fn new(answer: FullBody, rest: Option<Pin<Box<RequestBody>>>) -> Self {
+        let end = Box::pin(tokio::time::sleep(DISCARD_TIMEOUT));
+        Self { answer, rest, left: DISCARD_LIMIT, end }
+    }
+}
+
+impl Body for RefusalBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let body = self.get_mut();
+        if let Some(frame) = ready!(Pin::new(&mut body.answer).poll_frame(cx)) {
+            return Poll::Ready(Some(frame));
+        }
+        while let Some(rest) = &mut body.rest {
+            if body.end.as_mut().poll(cx).is_ready() {
+                break;
+            }
+            match ready!(rest.as_mut().poll_frame(cx)) {
+                Some(Ok(Frame::Data(chunk))) if chunk.len() < body.left => {
+                    body.left -= chunk.len();
+                },
+                _ => break,
+            }
+        }
+        body.rest = None;
+        Poll::Ready(None)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.answer.size_hint()
+    }
+}
+
 /// A body of chunks that are sent as they arrive, until the sender is dropped or the server stops.
 pub(super) struct StreamBody {
     chunks: mpsc::Receiver<Bytes>,
@@ -129,11 +203,8 @@
 
 impl StreamBody {
     pub(super) fn new(chunks: mpsc::Receiver<Bytes>, guard: RequestGuard) -> Self {
-        let mut stopping = guard.0.stopping.subscribe();
-        let stopped = Box::pin(async move {
-            // The sender isn't dropped meanwhile: the guard of this body keeps the tracker alive.
-            let _ = stopping.wait_for(|stopping| *stopping).await;
-        });
+        let tracker = Arc::clone(&guard.tracker);
+        let stopped = Box::pin(async move { tracker.stopped().await });
         Self { chunks, stopped, _guard: guard }
     }
 }
--- a/toucangrade/src/http/server.rs
+++ b/toucangrade/src/http/server.rs
@@ -1,26 +1,33 @@
-//! HTTP server on `xitca-web` that reads requests and writes the responses of a handler. It also
-//! limits body sizes, and waits for responses in flight when it is stopped.
+//! HTTP server on `xitca-web` that reads requests and writes the responses of a handler. It keeps
+//! its clients within the limits of the process, and waits for responses in flight when it is
+//! stopped.
 
 use std::convert::Infallible;
-use std::io;
+use std::io::{self, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::pin::pin;
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
-use futures_util::future::LocalBoxFuture;
+use bytes::Bytes;
+use futures_util::future::{LocalBoxFuture, select};
 use socket2::{SockFilter, SockRef};
 use tokio::sync::mpsc;
-use xitca_web::body::{BodyExt, RequestBody, ResponseBody};
+use xitca_http::HttpServiceBuilder;
+use xitca_http::config::HttpServiceConfig;
+use xitca_io::net::Stream;
+use xitca_web::body::ResponseBody;
 use xitca_web::http::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue};
 use xitca_web::http::{Method, StatusCode, WebResponse};
-use xitca_web::service::fn_service;
+use xitca_web::service::{Service, ServiceExt, fn_service};
 use xitca_web::{App, WebContext};
 
-use super::BODY_LIMIT;
-use super::body::{FullBody, RequestGuard, RequestTracker, StreamBody};
+use super::body::{FullBody, RefusalBody, RequestGuard, RequestTracker, StreamBody};
+use super::budget::{Budget, Cause, Connection};
+use super::intake::{self, Refused};
+use super::ledger::{Phase, Source, Tier};
+use super::limits::{READ_BUFFER, WRITE_BUFFER};
 
 /// Longest time that [`Server::stop`] waits for responses in flight; equal to the default of the
 /// drain timeout setting.
@@ -45,6 +52,10 @@
 /// has ended.
 const STREAM_END_DELAY: Duration = Duration::from_millis(50);
 
+/// Answer to a connection that isn't served.
+const NO_CONNECTION: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\n\
+    toucangrade-verdict: not-run\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+
 /// A request as passed to the handler.
 #[derive(Debug)]
 pub struct Inbound {
@@ -76,10 +87,15 @@
 
     /// The non-empty segments of the path.
     pub fn segments(&self) -> Vec<&str> {
-        self.path.split('/').filter(|segment| !segment.is_empty()).collect()
+        segments(&self.path)
     }
 }
 
+/// The non-empty segments of a path.
+pub fn segments(path: &str) -> Vec<&str> {
+    path.split('/').filter(|segment| !segment.is_empty()).collect()
+}
+
 /// Body of a response.
 #[derive(Debug)]
 pub enum Payload {
@@ -133,6 +149,21 @@
 /// Closure that handles one request.
 pub type Handler = Arc<dyn Fn(Inbound) -> LocalBoxFuture<'static, Outbound> + Send + Sync>;
 
+/// The head of a request, before its body is read.
+#[derive(Clone, Copy, Debug)]
+pub struct Head<'a> {
+    /// Method.
+    pub method: &'a Method,
+    /// Path without the query.
+    pub path: &'a str,
+    /// Headers.
+    pub headers: &'a HeaderMap,
+}
+
+/// Closure that sees the head of a request before its body is read. It returns the number of bytes
+/// that the body may have, or refuses the request, which then isn't run.
+pub type Screen = Arc<dyn Fn(Head<'_>) -> Result<usize, Outbound> + Send + Sync>;
+
 /// A running HTTP server.
 pub struct Server {
     tracker: Arc<RequestTracker>,
@@ -145,32 +176,19 @@
 }
 
 impl Server {
-    /// Starts a server on `listener` with `threads` worker threads.
+    /// Starts a server on `listener` with `threads` worker threads and the default limits.
     ///
     /// # Errors
     ///
     /// The error of the operating system if the server can't be started.
     pub fn start(listener: TcpListener, threads: usize, handler: Handler) -> io::Result<Self> {
-        let addr = listener.local_addr()?;
-        let listening_socket = listener.try_clone()?;
-        let tracker = RequestTracker::new();
-        let mut running = App::new()
-            .with_state((handler, Arc::clone(&tracker)))
-            .at("/", fn_service(handle_request))
-            .at("/{*path}", fn_service(handle_request))
-            .serve()
-            .worker_threads(threads)
-            .disable_signal()
-            .keep_alive_timeout(KEEP_ALIVE)
-            .listen(listener)?
-            .run();
-        let handle = running.handle()?;
-        let thread = std::thread::Builder::new().name("http".to_owned()).spawn(move || {
-            if let Err(error) = running.wait() {
-                tracing::error!(%error, "HTTP server failed");
-            }
-        })?;
-        Ok(Self { tracker, listener: listening_socket, handle, thread, addr })
+        Self::builder(listener, handler).threads(threads).start()
+    }
+
+    /// Builder of a server on `listener` with one worker thread, for clients outside the system.
+    pub fn builder(listener: TcpListener, handler: Handler) -> ServerBuilder {
+        let (budget, tier) = (Budget::default(), Tier::Open);
+        ServerBuilder { listener, handler, budget, screen: None, threads: 1, tier }
     }
 
     /// Stops the server after the responses in flight are written, for which it waits at most 30 s;
@@ -209,49 +227,169 @@
     }
 }
 
-type State = (Handler, Arc<RequestTracker>);
+/// Builder of [`Server`].
+pub struct ServerBuilder {
+    listener: TcpListener,
+    handler: Handler,
+    budget: Budget,
+    screen: Option<Screen>,
+    threads: usize,
+    tier: Tier,
+}
+
+impl ServerBuilder {
+    /// Sets the account of the process, which all its servers share; one of its own unless set.
+    #[must_use]
+    pub fn budget(mut self, budget: &Budget) -> Self {
+        self.budget = budget.clone();
+        self
+    }
+
+    /// Sets the closure that sees the head of each request first; unless set, all bodies up to the
+    /// limit are read.
+    #[must_use]
+    pub fn screen(mut self, screen: Screen) -> Self {
+        self.screen = Some(screen);
+        self
+    }
+
+    /// Sets the number of worker threads, one unless set.
+    #[must_use]
+    pub fn threads(mut self, threads: usize) -> Self {
+        self.threads = threads;
+        self
+    }
+
+    /// Sets whose requests the server serves, those of clients outside the system unless set.
+    #[must_use]
+    pub fn tier(mut self, tier: Tier) -> Self {
+        self.tier = tier;
+        self
+    }
+
+    /// Starts the server.
+    ///
+    /// # Errors
+    ///
+    /// The error of the operating system if the server can't be started.
+    pub fn start(self) -> io::Result<Server> {
+        let Self { listener, handler, budget, screen, threads, tier } = self;
+        let addr = listener.local_addr()?;
+        let listening_socket = listener.try_clone()?;
+        let limits = budget.limits();
+        // Accepted sockets inherit the timeout. The kernel resets a connection whose client doesn't
+        // read, which the server can't do while it writes.
+        SockRef::from(&listener).set_tcp_user_timeout(Some(limits.write_timeout))?;
+        let config = HttpServiceConfig::new()
+            .max_read_buf_size::<READ_BUFFER>()
+            .max_write_buf_size::<WRITE_BUFFER>()
+            .keep_alive_timeout(KEEP_ALIVE)
+            .request_head_timeout(limits.head_timeout);
+        let tracker = RequestTracker::new();
+        let source = Source { port: addr.port(), tier };
+        let state =
+            Arc::new(State { handler, screen, budget: budget.clone(), tracker: tracker.clone() });
+        let service = App::new()
+            .with_state(state)
+            .at("/", fn_service(handle_request))
+            .at("/{*path}", fn_service(handle_request))
+            .finish()
+            .enclosed(HttpServiceBuilder::with_config(config))
+            .enclosed_fn(async move |next: &_, stream: Stream| {
+                serve_connection(&budget, source, next, stream).await
+            });
+        let mut running = xitca_server::Builder::new()
+            .worker_threads(threads)
+            .disable_signal()
+            .listen("http", listener, service)
+            .build();
+        let handle = running.handle()?;
+        let thread = std::thread::Builder::new().name("http".to_owned()).spawn(move || {
+            if let Err(error) = running.wait() {
+                tracing::error!(%error, "HTTP server failed");
+            }
+        })?;
+        Ok(Server { tracker, listener: listening_socket, handle, thread, addr })
+    }
+}
+
+/// What all connections of a server share.
+pub(super) struct State {
+    handler: Handler,
+    pub(super) screen: Option<Screen>,
+    pub(super) budget: Budget,
+    pub(super) tracker: Arc<RequestTracker>,
+}
+
+tokio::task_local! {
+    /// The connection that the current task serves.
+    static CURRENT: Arc<Connection>;
+}
+
+/// Serves a connection until it ends or is closed in favour of another one.
+async fn serve_connection<S: Service<Stream, Response = ()>>(
+    budget: &Budget,
+    source: Source,
+    next: &S,
+    stream: Stream,
+) -> Result<(), S::Error> {
+    let Some(connection) = budget.open(source).map(Arc::new) else {
+        budget.note(Cause::Connections, source);
+        if let Stream::Tcp(mut socket, _) = stream {
+            // The buffer of a new socket has room for the answer, so this doesn't block.
+            let _ = socket.write_all(NO_CONNECTION);
+        }
+        return Ok(());
+    };
+    let serving = pin!(CURRENT.scope(Arc::clone(&connection), next.call(stream)));
+    select(pin!(connection.closed()), serving).await;
+    Ok(())
+}
 
-/// Reads the body, calls the handler and builds the response.
-async fn handle_request(mut ctx: WebContext<'_, State>) -> Result<WebResponse, Infallible> {
-    let (handler, tracker) = ctx.state().clone();
-    let guard = tracker.track();
-    let request = ctx.take_request();
-    let (head, ext) = request.into_parts();
+/// Screens the head, reads the body, calls the handler and builds the response.
+async fn handle_request(mut ctx: WebContext<'_, Arc<State>>) -> Result<WebResponse, Infallible> {
+    let state = Arc::clone(ctx.state());
+    let connection = CURRENT.with(Arc::clone);
+    let guard = state.tracker.track(Arc::clone(&connection));
+    let (head, ext) = ctx.take_request().into_parts();
     let (_, body) = ext.replace_body(());
-    let outbound = match read_body(body).await {
-        Ok(body) => {
+    let mut body = intake::has_body(&head).then(|| Box::pin(body));
+    let result = match intake::body_limit(&state, &head) {
+        Ok(limit) => intake::read(&state, &connection, &mut body, limit).await,
+        Err(refused) => Err(refused),
+    };
+    let mut response = match result {
+        Ok(body) if connection.enter(Phase::Handling) => {
             let path = head.uri.path().to_owned();
             let query = head.uri.query().unwrap_or_default().to_owned();
-            handler(Inbound { method: head.method, path, query, headers: head.headers, body }).await
+            let call = Inbound { method: head.method, path, query, headers: head.headers, body };
+            respond((state.handler)(call).await, guard)
+        },
+        Ok(_) => refuse(intake::shed(), None, guard),
+        Err(refused) => {
+            connection.note(refused.cause);
+            let rest = body.take().filter(|_| !intake::expects_continue(&head.headers));
+            refuse(refused, rest, guard)
         },
-        Err(refused) => refused,
     };
-    let mut response = respond(outbound, guard);
-    if tracker.stopping() {
+    if state.tracker.stopping() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     Ok(response)
 }
 
-/// Reads a request body of at most `BODY_LIMIT` bytes.
-async fn read_body(body: RequestBody) -> Result<Bytes, Outbound> {
-    let mut body = pin!(body);
-    let mut collected = BytesMut::new();
-    while let Some(chunk) = body.as_mut().data().await {
-        let chunk = chunk.map_err(|_| refusal(400, "cut-body", "the request body was cut off"))?;
-        if collected.len() + chunk.len() > BODY_LIMIT {
-            let reason = format!("the request body exceeds {BODY_LIMIT} bytes");
-            return Err(refusal(413, "body-too-large", &reason));
-        }
-        collected.extend_from_slice(&chunk);
+fn refuse(refused: Refused, rest: intake::Rest, guard: RequestGuard) -> WebResponse {
+    let Refused { outbound, close, .. } = refused;
+    let bytes = match outbound.body {
+        Payload::Whole(bytes) => bytes,
+        Payload::Stream(_) => Bytes::new(),
+    };
+    let body = RefusalBody::new(FullBody::new(bytes, guard), rest);
+    let mut response = build(outbound.status, outbound.headers, ResponseBody::boxed(body));
+    if close {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    Ok(collected.freeze())
-}
-
-/// Refuses a request before the handler is called, so nothing has run.
-fn refusal(status: u16, code: &str, reason: &str) -> Outbound {
-    let body = serde_json::json!({ "error": code, "reason": reason, "verdict": "not-run" });
-    Outbound::json(status, &body).with_text("toucangrade-verdict", "not-run")
+    response
 }
 
 fn respond(outbound: Outbound, guard: RequestGuard) -> WebResponse {
@@ -259,9 +397,13 @@
         Payload::Whole(bytes) => ResponseBody::boxed(FullBody::new(bytes, guard)),
         Payload::Stream(chunks) => ResponseBody::boxed(StreamBody::new(chunks, guard)),
     };
+    build(outbound.status, outbound.headers, body)
+}
+
+fn build(status: u16, headers: Vec<(HeaderName, HeaderValue)>, body: ResponseBody) -> WebResponse {
     let mut response = WebResponse::new(body);
     *response.status_mut() =
-        StatusCode::from_u16(outbound.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    response.headers_mut().extend(outbound.headers);
+        StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    response.headers_mut().extend(headers);
     response
 }
--- a/toucangrade/src/http/tests.rs
+++ b/toucangrade/src/http/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the HTTP server and client over loopback.
 
+mod limits;
 pub(crate) mod mutate;
 
 use std::io::{Read, Write};
--- a/toucangrade/src/lib.rs
+++ b/toucangrade/src/lib.rs
@@ -56,7 +56,9 @@
 pub use crate::evacuation::{Evacuation, EvacuationOrder, EvacuationVerb, Evacuations};
 pub use crate::hosting::{Announcement, Fault, Listing, RunnerTarget};
 pub use crate::http::{
-    CallError, Client, Exchange, Handler, Inbound, Outbound, Parts, Payload, Response, Server,
+    Budget, CallError, Client, Exchange, Handler, Head, Inbound, LimitError, Limits, LimitsBuilder,
+    Outbound, Parts, Payload, Response, Screen, Server, ServerBuilder, Tier, TooManyValues,
+    check_values, segments,
 };
 pub use crate::jobs::{
     Checkpoint, Configuration, ConfigurationError, End, Incarnation, Job, JobError, Need, Queue,
