--- a/toucangrade/src/node/control.rs
+++ b/toucangrade/src/node/control.rs
@@ -16,7 +16,10 @@
 use crate::agreement::{self, Disk, Driver, EffectHandlers, Members, Replica};
 use crate::core::{Duty, Handle, Name, Span};
 use crate::dispatch::{self, ClientReply, ClientRequest, Dispatch, Orders, Report};
-use crate::http::{CallError, Exchange, Handler, Inbound, Outbound, Replies, Server};
+use crate::http::{
+    BODY_LIMIT, CallError, Exchange, Handler, Head, Inbound, Outbound, Replies, Screen, Server,
+    Tier,
+};
 use crate::jobs::{Command, JobTable};
 use crate::peer::{self, Reply, Request};
 use crate::quorum::{self, Quorum};
@@ -116,7 +119,11 @@
         control.spawn_quorum()?;
         let settings = &control.context.settings;
         let listener = TcpListener::bind(SocketAddr::new(settings.ip, settings.port))?;
-        let server = Server::start(listener, 1, control.handler())?;
+        let server = Server::builder(listener, control.handler())
+            .budget(&settings.budget)
+            .tier(Tier::Own)
+            .screen(screen())
+            .start()?;
         *lock(&control.server) = Some(server);
         Ok(control)
     }
@@ -360,9 +367,6 @@
         Arc::new(move |call: Inbound| {
             let control = control.clone();
             Box::pin(async move {
-                if (&call.method, call.path.as_str()) != (&Method::POST, peer::PATH) {
-                    return Outbound::new(404, "no such path or method");
-                }
                 match peer::decode(&call.body) {
                     Some(request) => {
                         Outbound::new(200, peer::encode(&control.serve(request).await))
@@ -477,6 +481,14 @@
     }
 }
 
+/// Only messages of other processes are read, at their one path.
+fn screen() -> Screen {
+    Arc::new(|head: Head<'_>| match (head.method, head.path) {
+        (&Method::POST, peer::PATH) => Ok(BODY_LIMIT),
+        _ => Err(Outbound::new(404, "no such path or method")),
+    })
+}
+
 /// Number of voters that tolerates the configured losses.
 fn target_voters(settings: &NodeSettings) -> usize {
     2 * settings.losses + 1
--- a/toucangrade/src/node/meter.rs
+++ b/toucangrade/src/node/meter.rs
@@ -1,11 +1,12 @@
 //! Collects the metrics of a process and serves them as text for scrapes.
 
+use std::collections::BTreeMap;
 use std::fmt::Display;
 use std::io;
 use std::sync::{Arc, Mutex, PoisonError};
 
 use crate::core::{Clock, Duty, Handle, Moment, Span};
-use crate::http::{Handler, Inbound, Outbound, Replies};
+use crate::http::{Budget, Handler, Inbound, Outbound, Replies};
 use crate::metrics::{Effect, Load, Message, Metrics};
 
 type LoadSources = Arc<Mutex<Vec<Box<dyn Fn() -> Load + Send>>>>;
@@ -17,6 +18,13 @@
     duty: Handle<Message>,
     texts: Arc<Replies<String>>,
     sources: LoadSources,
+    account: Arc<Mutex<Option<Account>>>,
+}
+
+/// The account of the process's HTTP servers, and the refusals that are counted already.
+struct Account {
+    budget: Budget,
+    counted: BTreeMap<&'static str, u64>,
 }
 
 impl Meter {
@@ -31,6 +39,7 @@
             duty: Handle::new("metrics"),
             texts: Arc::new(Replies::new()),
             sources: Arc::default(),
+            account: Arc::default(),
         };
         let state = Metrics::new(&[]);
         let tick = || Message::Tick;
@@ -60,6 +69,26 @@
         })
     }
 
+    /// Includes the account of the process's HTTP servers in scrapes from now on.
+    pub fn watch_clients(&self, budget: &Budget) {
+        let account = Account { budget: budget.clone(), counted: BTreeMap::new() };
+        *self.account.lock().unwrap_or_else(PoisonError::into_inner) = Some(account);
+    }
+
+    /// Reports the account of the HTTP servers to the metrics duty.
+    fn report_clients(&self) {
+        let mut account = self.account.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(account) = account.as_mut() else { return };
+        let (connections, held) = account.budget.usage();
+        self.gauge("http_connections", connections as u64);
+        self.gauge("http_held_bytes", held as u64);
+        for (cause, count) in account.budget.refusals() {
+            let before = account.counted.insert(cause, count).unwrap_or_default();
+            let name = format!("http_refused_total{{cause=\"{cause}\"}}");
+            let _ = self.duty.offer(Message::Count { name, by: count - before });
+        }
+    }
+
     fn loads(&self) -> Vec<Load> {
         let rings = self.sources.lock().unwrap_or_else(PoisonError::into_inner);
         rings.iter().map(|load| load()).collect()
@@ -68,6 +97,7 @@
     /// The metrics since the start, as text; `None` if the ring is full.
     pub(super) async fn text(&self) -> Option<String> {
         self.duty.offer(Message::Loads(self.loads())).ok()?;
+        self.report_clients();
         let (ticket, text) = self.texts.open();
         self.duty.offer(Message::Scrape { ticket }).ok()?;
         text.await.ok()
--- a/toucangrade/src/node/mod.rs
+++ b/toucangrade/src/node/mod.rs
@@ -18,7 +18,7 @@
 use serde::Serialize;
 
 use crate::core::{Clock, Name, Span};
-use crate::http::Client;
+use crate::http::{Budget, Client};
 
 pub use self::agent::{Agent, Done, RunnerPort};
 pub use self::control::{Control, Elsewhere};
@@ -47,6 +47,9 @@
     losses: usize,
     /// Longest lease that runners accept.
     hold_limit: Span,
+    /// What clients of the process's HTTP servers may use.
+    #[serde(skip)]
+    budget: Budget,
 }
 
 /// Builder of [`NodeSettings`].
@@ -56,9 +59,16 @@
 impl NodeSettings {
     /// Builder of settings with the address of this process and the port of control instances.
     pub fn builder(ip: IpAddr, port: u16) -> NodeSettingsBuilder {
-        let (seeds, hold_limit) = (Vec::new(), Span::secs(10));
-        let settings = Self { ip, port, seeds, first: false, data: None, losses: 1, hold_limit };
-        NodeSettingsBuilder(settings)
+        NodeSettingsBuilder(Self {
+            ip,
+            port,
+            seeds: Vec::new(),
+            first: false,
+            data: None,
+            losses: 1,
+            hold_limit: Span::secs(10),
+            budget: Budget::default(),
+        })
     }
 
     /// Address at which the control instance of this name accepts requests.
@@ -108,6 +118,13 @@
         self
     }
 
+    /// Sets the account that all HTTP servers of the process share; one of its own unless set.
+    #[must_use]
+    pub fn budget(mut self, budget: &Budget) -> Self {
+        self.0.budget = budget.clone();
+        self
+    }
+
     /// Builds the settings.
     pub fn build(self) -> NodeSettings {
         self.0
