Compare latencies with the use of cores over the same half second

Latencies are averages over half a second, while a filling run is listed as soon as it starts and is missing as soon as it ends. The rise after a start was seen in two steps, of which the second had no change of use to be attributed to, and the fall after an end came later than that. Agents took the rest of an ended run's load for the own load of the tasks beside it.

The learner and each agent now keep when the runs of a runner began and ended, and use their share of the last half second. A start or end is assumed half-way between two listings.

Ruled out: waiting for samples without starts and ends, of which there are none on a busy runner. Whether real runners average the figures of new runs in the same way isn't known; if they count the time before the start as zero, the own load of serving tasks is estimated too high for half a second.

--- a/toucangrade/src/dispatch/tests/interference.rs
+++ b/toucangrade/src/dispatch/tests/interference.rs
@@ -286,7 +286,7 @@
             let image = task.profile.image.clone().unwrap_or_default();
             if task.profile.fills {
                 let used = f64::from(task.figure) / runner.cores as f64;
-                *sample.filling.entry(image).or_default() += used;
+                sample.filling.push((*key, image, used));
             } else {
                 let (figure, target) = (u64::from(task.figure), task.profile.target);
                 sample.serving.push(Serving { key: *key, image, figure, target });
--- a/toucangrade/src/pacing/mod.rs
+++ b/toucangrade/src/pacing/mod.rs
@@ -12,7 +12,7 @@
 use crate::core::{Moment, Span};
 use crate::dispatch::{RunProfile, RunStatus};
 use crate::jobs::RunKey;
-use crate::pressure::{AIM_PERCENT, Headroom, PROBE_AIM_PERCENT, Serving, Table};
+use crate::pressure::{AIM_PERCENT, Headroom, PROBE_AIM_PERCENT, Serving, Table, Usage};
 
 /// Most percentage points by which a share grows in one step.
 const MAX_INCREASE: u8 = 30;
@@ -72,6 +72,9 @@
     /// Runs over their latency target, and since when.
     #[serde(rename = "over")]
     over_since: BTreeMap<RunKey, Moment>,
+    /// Cores that filling runs used while the latencies were measured.
+    #[serde(skip)]
+    usage: Usage,
     /// Runs whose jobs have missed their objective.
     late: BTreeSet<RunKey>,
 }
@@ -100,6 +103,8 @@
         profiles: &BTreeMap<RunKey, RunProfile>,
     ) -> Vec<(RunKey, u8)> {
         self.cores = cores;
+        let filling = self.filling(rows, profiles);
+        self.usage.update(now, filling.iter().map(|t| (t.key, Arc::clone(&t.image), t.used)));
         self.sent.retain(|key, _| profiles.contains_key(key));
         self.unconfirmed.retain(|key, _| profiles.contains_key(key));
         self.paused.retain(|key, _| profiles.contains_key(key));
@@ -111,8 +116,7 @@
             return Vec::new();
         }
         self.changed = now;
-        let filling = self.filling(rows, profiles);
-        let used: Vec<_> = filling.iter().map(|t| (Arc::clone(&t.image), t.used)).collect();
+        let used: Vec<_> = self.usage.by_image().into_iter().collect();
         let serving = serving(rows, profiles);
         let mut headroom = Headroom::new(&self.table, AIM_PERCENT, serving.iter(), &used);
         let mut probing = Headroom::new(&self.table, PROBE_AIM_PERCENT, serving.iter(), &used);
--- a/toucangrade/src/pressure/mod.rs
+++ b/toucangrade/src/pressure/mod.rs
@@ -10,6 +10,7 @@
 
 mod headroom;
 mod pool;
+mod usage;
 
 #[cfg(test)]
 mod tests;
@@ -21,6 +22,7 @@
 
 pub(crate) use self::headroom::{AIM_PERCENT, Headroom, PROBE_AIM_PERCENT, share_within};
 use self::pool::Pool;
+pub(crate) use self::usage::Usage;
 use crate::core::{Moment, Name, Span};
 use crate::jobs::RunKey;
 
@@ -33,6 +35,8 @@
 const NOISE: f64 = 0.07 * 0.07;
 /// Lower bound for the variance of an estimate, so that it keeps following changes.
 const MIN_VARIANCE: f64 = 0.1 * 0.1;
+/// Time over which figures are averages.
+const FIGURE_WINDOW: Span = Span::millis(500);
 /// Shortest interval between two samples of a runner; figures are averages over half a second.
 const SAMPLE_EVERY: Span = Span::millis(450);
 /// Longest interval between two samples that are compared.
@@ -115,8 +119,18 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Sample {
     pub(crate) serving: Vec<Serving>,
-    /// Fraction of the runner's cores that each filling image uses.
-    pub(crate) filling: BTreeMap<Arc<str>, f64>,
+    /// Image of each filling run, and the fraction of the runner's cores that it uses.
+    pub(crate) filling: Vec<(RunKey, Arc<str>, f64)>,
+}
+
+/// The newest sample of a runner.
+#[derive(Debug)]
+struct Seen {
+    at: Moment,
+    serving: Vec<Serving>,
+    /// Fraction of the cores that each filling image used while the latencies were measured.
+    used: BTreeMap<Arc<str>, f64>,
+    usage: Usage,
 }
 
 /// Learns the pressure table from the samples of all runners.
@@ -133,29 +147,34 @@
     pool: Pool,
     /// Newest sample of each runner, by agent.
     #[serde(skip)]
-    last: BTreeMap<Name, (Moment, Sample)>,
+    last: BTreeMap<Name, Seen>,
 }
 
 impl Learner {
     /// Learns from a sample of the runner of `agent`.
     pub(crate) fn observe(&mut self, now: Moment, agent: &Name, sample: Sample) {
-        let last = self.last.get(agent);
-        if last.is_some_and(|(at, _)| now.since(*at) < SAMPLE_EVERY) {
+        let mut seen = self.last.remove(agent);
+        let mut usage = seen.as_mut().map(|s| std::mem::take(&mut s.usage)).unwrap_or_default();
+        usage.update(now, sample.filling);
+        if let Some(seen) = seen.take_if(|seen| now.since(seen.at) < SAMPLE_EVERY) {
+            self.last.insert(agent.clone(), Seen { usage, ..seen });
             return;
         }
         for serving in &sample.serving {
             self.lower_base(serving);
         }
-        let last = self.last.insert(agent.clone(), (now, sample.clone()));
-        if let Some((at, before)) = last
-            && now.since(at) <= COMPARE_LIMIT
+        let used = usage.by_image();
+        let after = Seen { at: now, serving: sample.serving, used, usage };
+        if let Some(before) = seen
+            && now.since(before.at) <= COMPARE_LIMIT
         {
-            let learned = self.compare(&before, &sample);
+            let learned = self.compare(&before, &after);
             if self.has_notable_change(&learned) {
                 self.version += 1;
                 self.published = Arc::clone(&self.table);
             }
         }
+        self.last.insert(agent.clone(), after);
     }
 
     fn lower_base(&mut self, serving: &Serving) {
@@ -169,12 +188,12 @@
     }
 
     /// Learns from two samples of a runner; returns the filling images whose estimates changed.
-    fn compare(&mut self, before: &Sample, after: &Sample) -> Vec<Arc<str>> {
+    fn compare(&mut self, before: &Seen, after: &Seen) -> Vec<Arc<str>> {
         let mut changes: BTreeMap<&Arc<str>, f64> = BTreeMap::new();
-        for (image, used) in &after.filling {
+        for (image, used) in &after.used {
             *changes.entry(image).or_default() += used;
         }
-        for (image, used) in &before.filling {
+        for (image, used) in &before.used {
             *changes.entry(image).or_default() -= used;
         }
         changes.retain(|_, change| change.abs() >= MIN_CHANGE);
--- a/toucangrade/src/pressure/tests.rs
+++ b/toucangrade/src/pressure/tests.rs
@@ -17,19 +17,20 @@
     fn sample(&self, half: u32) -> Sample {
         let swing = f64::from(half % 28) / 28.0 * std::f64::consts::TAU;
         let own = 0.45 + 0.2 * swing.sin();
-        let mut filling = BTreeMap::new();
+        let mut filling = Vec::new();
+        let key = |index| RunKey { task: TaskKey { job: 1, round: 0, step: 0, index }, run: 1 };
         for (index, (image, _)) in (0u32..).zip(&self.pressures) {
             // Each image starts and stops with its own period.
             if (half / (3 + index)).is_multiple_of(2) {
-                filling.insert((*image).into(), 0.2);
+                filling.push((key(1 + index as u16), Arc::from(*image), 0.2));
             }
         }
-        let added: f64 =
-            self.pressures.iter().map(|(i, p)| filling.get(*i).map_or(0.0, |used| p * used)).sum();
+        let pressure = |image: &str| self.pressures.iter().find(|(i, _)| *i == image);
+        let added = filling.iter().map(|(_, i, used)| pressure(i).map_or(0.0, |(_, p)| p * used));
+        let added: f64 = added.sum();
         let load = (own + added).min(0.95);
-        let key = RunKey { task: TaskKey { job: 1, round: 0, step: 0, index: 0 }, run: 1 };
         let figure = (10.0 / (1.0 - load)).round() as u64;
-        let serving = vec![Serving { key, image: "quotes".into(), figure, target: 50 }];
+        let serving = vec![Serving { key: key(0), image: "quotes".into(), figure, target: 50 }];
         Sample { serving, filling }
     }
 
@@ -122,3 +123,27 @@
     let found = learner.pool.estimate(&service, &image);
     assert!(found.mean > 1.0, "{found:?}");
 }
+
+struct Spells {
+    /// Half seconds in which a run that uses 0.4 of the cores is listed.
+    listed: std::ops::Range<u64>,
+    /// Share of the cores that its image used while the latencies of each listing were measured.
+    used: [f64; 6],
+}
+
+/// Guards against the load of a run that starts or ends between two listings being taken for that of
+/// the tasks beside it: latencies are averages over half a second, so they lag behind the listing.
+#[rstest]
+#[case::from_the_first_listing(Spells { listed: 0..6, used: [0.4; 6] })]
+#[case::starts_and_ends(Spells { listed: 2..4, used: [0.0, 0.0, 0.2, 0.4, 0.2, 0.0] })]
+fn use_is_that_of_the_measured_time(#[case] case: Spells) {
+    let key = RunKey { task: TaskKey { job: 1, round: 0, step: 0, index: 0 }, run: 1 };
+    let mut usage = Usage::default();
+    for half in 0..6 {
+        let listed = case.listed.contains(&half).then(|| (key, Arc::from("image"), 0.4));
+        usage.update(Moment::micros(1_000_000 + half * 500_000), listed);
+        let used = usage.by_image().values().sum::<f64>();
+        let expected = case.used[half as usize];
+        assert!((used - expected).abs() < 1e-9, "{used} in listing {half}, expected {expected}");
+    }
+}
