Start harmless filling tasks beside serving tasks

Of equally fast runners those without a task with a latency target came first, for all images. Harmless tasks took the quiet runners, and pressing ones had to start beside serving tasks.

An image that, by the estimates, disturbs none of the serving tasks of a runner now goes there first, and quiet runners come second. Other images go to quiet runners first, as before.

Not tried: packing lasting tasks further; they are packed by free cores already.

--- a/toucangrade/src/dispatch/place.rs
+++ b/toucangrade/src/dispatch/place.rs
@@ -220,7 +220,8 @@
 ///
 /// Tasks with a latency target are packed onto few runners, so that the others stay free for
 /// filling tasks, which would disturb them. Filling tasks go where they run fastest: where cores
-/// are unused, and where they disturb no task with a latency target; trials go where the tasks with
+/// are unused, and where they disturb no task with a latency target, and then rather beside such tasks
+/// than on a runner without any; trials go where the tasks with
 /// a latency target have most headroom. Other tasks go where the
 /// largest share of the cores stays free. Runners on trial come last.
 pub(super) struct Ranking<'a> {
@@ -311,10 +312,15 @@
             let rank = ((speed * 20.0) as u64, headroom as u64, left);
             return Some((candidate.trust, right_rack, rank));
         }
-        // Equally fast runners are ranked by whether they run no task with a latency target, then
-        // by free cores.
-        let quiet = u64::from(candidate.serving == 0);
-        ((speed * 20.0) as u64, quiet, left)
+        // Equally fast runners are ranked by the tasks with a latency target on them, then by free
+        // cores. An image that disturbs none of those leaves the quiet runners to the others.
+        let harmless = step.image.as_ref().is_some_and(|i| candidate.limit(table, i).is_infinite());
+        let place = match (candidate.serving > 0, harmless) {
+            (true, true) => 2,
+            (false, _) => 1,
+            (true, false) => 0,
+        };
+        ((speed * 20.0) as u64, place, left)
     } else if step.target > 0 {
         (u64::from(candidate.serving > 0), 1_000 - left, 0)
     } else {
