--- a/toucangrade/src/dispatch/place.rs
+++ b/toucangrade/src/dispatch/place.rs
@@ -18,6 +18,9 @@
 /// Smallest fraction of full speed at which a filling task is started, except for trials. Below this
 /// it would miss its objective while holding memory that another task could use.
 pub(super) const MIN_SPEED: f64 = HALF_SPEED;
+/// The same beside tasks with a latency target. Their load may still rise while the task runs, so it
+/// would be paced down further and disturb them meanwhile.
+const MIN_SPEED_SERVING: f64 = 0.9;
 /// Slowness in percent above which a runner is not chosen for the gap that a task leaves elsewhere.
 const GAP_SLOWNESS: u64 = 130;
 
@@ -129,11 +132,17 @@
         (self.spare_cores() as f64 / wanted as f64).min(1.0)
     }
 
+    /// Whether one more filling task would run fast enough here, at `least` of its full speed.
+    fn is_fast(&mut self, table: &Table, step: &Step, least: f64) -> bool {
+        let allowed = if self.serving > 0 { MIN_SPEED_SERVING } else { MIN_SPEED };
+        self.speed(table, step) >= least && self.allowed(table, step) >= allowed
+    }
+
     /// Reason for which a filling task would be too slow here.
     pub(super) fn slow_reason(&mut self, table: &Table, step: &Step) -> Option<Exclusion> {
-        if !step.fills || self.speed(table, step) >= MIN_SPEED {
+        if !step.fills || self.is_fast(table, step, MIN_SPEED) {
             None
-        } else if self.allowed(table, step) < MIN_SPEED {
+        } else if self.allowed(table, step) < MIN_SPEED_SERVING {
             Some(Exclusion::Interference)
         } else {
             Some(Exclusion::Cores)
@@ -269,7 +278,8 @@
 ///
 /// Tasks with a latency target are packed onto few runners, so that the others stay free for
 /// filling tasks, which would disturb them. Filling tasks go where they run fastest: where cores
-/// are unused, and where they disturb no task with a latency target; trials go where the tasks with
+/// are unused, and where they disturb no task with a latency target, and then rather beside such tasks
+/// than on a runner without any; trials go where the tasks with
 /// a latency target have most headroom. Other tasks go where the
 /// largest share of the cores stays free. Runners on trial come last.
 pub(super) struct Ranking<'a> {
@@ -374,7 +384,7 @@
     let left = share(candidate.free.millicores - step.counted().millicores, cores, 1_000);
     let rank = if step.fills {
         let speed = candidate.speed(table, step);
-        if speed < least {
+        if !candidate.is_fast(table, step, least) {
             if !trial || !candidate.takes_trial(step) {
                 return None;
             }
@@ -382,10 +392,15 @@
             let rank = ((speed * 20.0) as u64, headroom as u64, left);
             return Some((candidate.trust, admitted, right_rack, rank));
         }
-        // Equally fast runners are ranked by whether they run no task with a latency target, then
-        // by free cores.
-        let quiet = u64::from(candidate.serving == 0);
-        ((speed * 20.0) as u64, quiet, left)
+        // Equally fast runners are ranked by the tasks with a latency target on them, then by free
+        // cores. An image that disturbs none of those leaves the quiet runners to the others.
+        let harmless = step.image.as_ref().is_some_and(|i| candidate.limit(table, i).is_infinite());
+        let place = match (candidate.serving > 0, harmless) {
+            (true, true) => 2,
+            (false, _) => 1,
+            (true, false) => 0,
+        };
+        ((speed * 20.0) as u64, place, left)
     } else if step.target > 0 {
         (u64::from(candidate.serving > 0), 1_000 - left, u64::from(candidate.warm))
     } else {
