Give jobs that smaller ones overtake their turn

Change: of each priority, the oldest job that three later ones of at most half its size have overtaken is next and keeps its turn while it has value.

--- a/toucangrade/src/dispatch/backlog.rs
+++ b/toucangrade/src/dispatch/backlog.rs
@@ -73,8 +73,9 @@
             let objective = self.job_objective(job, &queue) as f64;
             let (work, chain) = self.whole_work(job, &queue);
             let (id, priority, left) = (job.id, queue.priority, objective);
-            let (started, age) = (false, Span::ZERO);
-            let job_left = Backlog { id, priority, objective, started, work, chain, left, age };
+            let (started, next, age, size) = (false, false, Span::ZERO, size(job));
+            let job_left =
+                Backlog { id, priority, objective, started, next, size, work, chain, left, age };
             let kind = kind(job);
             let floor = if kind == Kind::Counted { self.counted_floor(&queue) } else { 0.0 };
             self.overload.admit(now, &(Arc::clone(&queue.service), kind), job_left, floor)
@@ -162,7 +163,8 @@
         let objective = self.objective(entry, queue) as f64;
         let (id, priority, left) = (entry.job.id, queue.priority, objective - age as f64);
         let age = Span::millis(age);
-        Backlog { id, priority, objective, started, work, chain, left, age }
+        let (next, size) = (false, size(&entry.job));
+        Backlog { id, priority, objective, started, next, size, work, chain, left, age }
     }
 
     /// Use of cores by the runs of each service that end, and the progress of all running tasks.
@@ -208,6 +210,10 @@
     }
 }
 
+fn size(job: &Job) -> u64 {
+    job.steps.iter().map(|step| u64::from(step.count) * step.need.millicores).sum()
+}
+
 fn kind(job: &Job) -> Kind {
     if job.steps.iter().any(|step| step.fills) { Kind::Filling } else { Kind::Counted }
 }
--- a/toucangrade/src/dispatch/plan.rs
+++ b/toucangrade/src/dispatch/plan.rs
@@ -71,7 +71,7 @@
     }
 
     /// Active jobs in the order in which they are placed: by priority of the queue, lateness,
-    /// whether they have started if `overload` is enabled, remaining work and age.
+    /// their turn if `overload` is enabled, remaining work and age.
     fn job_order(&self) -> Vec<u64> {
         let entries = self.active.iter().filter_map(|id| self.job_table.jobs.get(id));
         let mut order: Vec<_> = entries
@@ -79,8 +79,8 @@
                 let queue = self.job_table.queue(&entry.job.queue)?;
                 let lateness = self.lateness(entry, queue);
                 let work = self.work_left(entry);
-                let fresh = self.overload.enabled && !entry.begun;
-                Some((queue.priority, lateness, fresh, work, entry.wall, entry.job.id))
+                let turn = self.overload.turn(entry.job.id, entry.begun);
+                Some((queue.priority, lateness, turn, work, entry.wall, entry.job.id))
             })
             .collect();
         order.sort_unstable();
@@ -94,7 +94,8 @@
         }
         let objective = self.objective(entry, queue);
         let age = self.wall.saturating_sub(entry.wall);
-        if age <= objective && !self.overload.is_doomed(entry.job.id) {
+        let doomed = self.overload.is_doomed(entry.job.id);
+        if (age <= objective && !doomed) || self.overload.is_next(entry.job.id) {
             Lateness::OnTime
         } else if age <= LATE_FACTOR * objective {
             Lateness::Late
--- a/toucangrade/src/overload/limit.rs
+++ b/toucangrade/src/overload/limit.rs
@@ -4,6 +4,8 @@
 //! It answers bursts of heavy jobs. Without it all of them are started as soon as there is memory,
 //! share the cores that are left unused, and end late together.
 
+use std::cmp::Ordering;
+
 use super::admission::VALUE_FACTOR;
 use crate::core::{Moment, Span};
 
@@ -88,6 +90,10 @@
     pub(crate) objective: f64,
     /// Whether a run of it has been assigned.
     pub(crate) started: bool,
+    /// Whether it has been passed over so often that it is the next one to start.
+    pub(crate) next: bool,
+    /// Millicores of all its tasks.
+    pub(crate) size: u64,
     /// Millicores times milliseconds that its open tasks need.
     pub(crate) work: f64,
     /// Time in ms that its longest chain of open steps takes at full speed.
@@ -124,19 +130,24 @@
 /// served. `rate` is the number of millicores that they can use together, if known; `speed` the
 /// fraction of full speed at which tasks really work.
 ///
-/// Started jobs come first, then those with the least work left. A job that would not end in time
+/// Started jobs come first, then those that were passed over too often, then those with the least
+/// work left. A job that would not end in time
 /// behind those chosen before it is not chosen, so that the ones after it, which have more time
 /// left, can be.
 pub(crate) fn choose(jobs: &mut [Backlog], rate: Option<f64>, speed: f64) -> Vec<Turn> {
     jobs.sort_by(|a, b| {
-        let turn = b.started.cmp(&a.started).then(a.work.total_cmp(&b.work));
-        turn.then(b.age.cmp(&a.age)).then(a.id.cmp(&b.id))
+        let turn = b.started.cmp(&a.started).then(b.next.cmp(&a.next));
+        let work = if a.next { Ordering::Equal } else { a.work.total_cmp(&b.work) };
+        turn.then(work).then(b.age.cmp(&a.age)).then(a.id.cmp(&b.id))
     });
     let mut ahead = 0.0;
     let turns = jobs.iter().map(|job| {
         // A started job is given up only once even full speed would not do, since its work would be
-        // lost.
-        let timely = if job.started {
+        // lost; one whose turn it is
+        // keeps it while it has value.
+        let timely = if job.next {
+            job.chain <= job.value_left()
+        } else if job.started {
             job.chain <= job.left
         } else {
             let served = rate.is_none_or(|rate| (ahead + job.work) / rate <= job.left);
--- a/toucangrade/src/overload/mod.rs
+++ b/toucangrade/src/overload/mod.rs
@@ -3,6 +3,7 @@
 
 mod admission;
 mod limit;
+mod turns;
 mod worked;
 
 #[cfg(test)]
@@ -16,6 +17,7 @@
 pub(crate) use self::admission::VALUE_FACTOR;
 use self::admission::{Demand, Forecast, Refused, forecast, retry_after};
 pub(crate) use self::limit::{Backlog, HALF_SPEED, Pool, Usage, choose};
+use self::turns::Turns;
 pub(crate) use self::worked::Worked;
 use crate::core::{Moment, Span};
 
@@ -47,6 +49,11 @@
     /// Work by service and kind.
     #[serde(skip)]
     pools: BTreeMap<(Arc<str>, Kind), Pool>,
+    #[serde(skip)]
+    turns: BTreeMap<(Arc<str>, Kind), Turns>,
+    /// Jobs that have been passed over so often that they are the next ones to start.
+    #[serde(skip)]
+    next: BTreeSet<u64>,
     /// Accepted jobs that are not done, by service and kind.
     #[serde(skip)]
     accepted: BTreeMap<(Arc<str>, Kind), Vec<Backlog>>,
@@ -77,6 +84,20 @@
         self.doomed.contains(&job)
     }
 
+    /// Whether a job was passed over so often that it keeps its turn although it is late.
+    pub(crate) fn is_next(&self, job: u64) -> bool {
+        self.next.contains(&job) && !self.is_doomed(job)
+    }
+
+    /// Turn of a job among those of its priority and lateness: started ones go on first, and among
+    /// both those that were passed over too often.
+    pub(crate) fn turn(&self, job: u64, started: bool) -> u8 {
+        if !self.enabled {
+            return 0;
+        }
+        2 * u8::from(!started) + u8::from(!self.next.contains(&job))
+    }
+
     /// Smallest fraction of full speed at which a filling task of a job is started now.
     pub(crate) fn least_speed(&self, job: u64) -> f64 {
         self.least.get(&job).copied().unwrap_or(HALF_SPEED)
@@ -97,9 +118,13 @@
     ) {
         self.least.clear();
         let before = std::mem::take(&mut self.doomed);
+        self.next.clear();
         self.pools.retain(|pool, _| jobs.contains_key(pool));
+        self.turns.retain(|pool, _| jobs.contains_key(pool));
         for (name, jobs) in &mut jobs {
             let (service, kind) = name;
+            self.turns.entry(name.clone()).or_default().update(jobs);
+            self.next.extend(jobs.iter().filter(|job| job.next).map(|job| job.id));
             let pool = self.pools.entry(name.clone()).or_default();
             let short = jobs.iter().any(|job| job.waits_long() && !before.contains(&job.id));
             pool.observe(now, usage.get(name).copied().unwrap_or_default(), short);
--- a/toucangrade/src/overload/tests.rs
+++ b/toucangrade/src/overload/tests.rs
@@ -31,6 +31,7 @@
     assert!(after.value() > before.value(), "{}: {after:?}, before {before:?}", case.name);
     assert!(after.median < before.median, "{}: {after:?}, before {before:?}", case.name);
     assert_eq!(after.jobs(), before.jobs(), "{}: other jobs arrived", case.name);
+    assert!(after.regained <= 6_000, "{}: {after:?}", case.name);
 }
 
 /// Under a load that all of the jobs can be served at, the limit must not cost anything.
@@ -103,3 +104,24 @@
     assert_eq!(refused.find(now, 4_999), Some(Span::millis(999)));
     assert_eq!(refused.find(now + Span::secs(30), 4_999), None, "kept for too long");
 }
+
+/// Under long overload the largest jobs of a queue were never served, as smaller ones overtook them
+/// until they had no value.
+#[rstest]
+#[case::overload(Case { name: "sizes", pattern: Pattern { rate: 1.4, mixed: true, ..Pattern::calm() } })]
+#[case::bursts(Case { name: "sizes, bursts", pattern: Pattern { rate: 1.0, burst: 3.0, mixed: true, ..Pattern::calm() } })]
+fn large_jobs_are_not_starved(#[case] case: Case) {
+    let shares = |outcome: &Outcome| {
+        let all: Vec<u64> = (0..10).collect();
+        [&[0][..], &[3, 7], &all].map(|digits| outcome.share(digits))
+    };
+    let (before, after) = (play(&case.pattern, Rule::Before), play(&case.pattern, Rule::Limit));
+    print(case.name, Rule::Before, &before);
+    print(case.name, Rule::Limit, &after);
+    let [large, medium, all] = shares(&after);
+    println!("{:16} large, medium, all: {:?}, {:?}", case.name, shares(&before), shares(&after));
+    assert!(large >= all / 2.0, "{}: large {large}, all {all}", case.name);
+    assert!(medium >= all / 2.0, "{}: medium {medium}, all {all}", case.name);
+    let [large, _, all] = shares(&before);
+    assert!(large < all / 2.0, "{}: large jobs were served before, {large} of {all}", case.name);
+}
--- a/toucangrade/src/overload/tests/replay.rs
+++ b/toucangrade/src/overload/tests/replay.rs
@@ -35,11 +35,13 @@
     pub(super) outage: u64,
     /// From 20 s on, each runner of this many is gone; 0 for none.
     pub(super) lost: usize,
+    /// Whether the jobs have three sizes.
+    pub(super) mixed: bool,
 }
 
 impl Pattern {
     pub(super) fn calm() -> Self {
-        Self { rate: 1.3, burst: 1.0, outage: 0, lost: 0 }
+        Self { rate: 1.3, burst: 1.0, outage: 0, lost: 0, mixed: false }
     }
 }
 
@@ -68,6 +70,14 @@
 }
 
 impl Outcome {
+    /// Fraction of the jobs that were served, of those whose id modulo 10 is one of `digits`.
+    pub(super) fn share(&self, digits: &[u64]) -> f64 {
+        let own = |id: &&u64| digits.contains(&(**id % 10));
+        let all = (1..=u64::from(self.jobs())).collect::<Vec<_>>();
+        let served = self.served.iter().filter(own).count();
+        served as f64 / all.iter().filter(own).count().max(1) as f64
+    }
+
     pub(super) fn jobs(&self) -> u32 {
         self.timely + self.late + self.worthless + self.refused
     }
@@ -92,12 +102,13 @@
     open: usize,
     waiting: usize,
     step: usize,
+    width: usize,
     runs: Vec<Run>,
 }
 
 impl Job {
     fn work(&self) -> f64 {
-        let left = self.open + (DEPTH - 1 - self.step) * WIDTH;
+        let left = self.open + (DEPTH - 1 - self.step) * self.width;
         let done: f64 = self.runs.iter().map(|run| run.done).sum();
         (left as f64 * TASK - done) * CORES
     }
@@ -109,7 +120,7 @@
     }
 
     fn started(&self) -> bool {
-        self.step > 0 || self.waiting < WIDTH
+        self.step > 0 || self.waiting < self.width
     }
 }
 
@@ -135,6 +146,15 @@
     due: f64,
 }
 
+/// Tasks of a step by size: a tenth of the jobs is large, and a fifth of medium size.
+fn width(id: u64) -> usize {
+    match id % 10 {
+        0 => 3 * WIDTH,
+        3 | 7 => 2 * WIDTH,
+        _ => WIDTH,
+    }
+}
+
 fn objective(task: f64) -> f64 {
     2.0 * DEPTH as f64 * task + 1_000.0
 }
@@ -155,7 +175,8 @@
             self.due -= 1.0;
             self.next += 1;
             let (id, since, runs) = (self.next, self.now, Vec::new());
-            let job = Job { id, since, open: WIDTH, waiting: WIDTH, step: 0, runs };
+            let width = if self.pattern.mixed { width(id) } else { WIDTH };
+            let job = Job { id, since, open: width, waiting: width, step: 0, width, runs };
             if self.refuses(&job) {
                 self.refused.insert(id);
                 continue;
@@ -166,7 +187,8 @@
 
     fn is_late(&self, job: &Job) -> bool {
         let age = (self.now - job.since) as f64;
-        age > objective(self.mean) || self.overload.is_doomed(job.id)
+        (age > objective(self.mean) || self.overload.is_doomed(job.id))
+            && !self.overload.is_next(job.id)
     }
 
     /// Runs tasks for one step of time. A runner's pacing serves jobs on time first.
@@ -194,7 +216,7 @@
             job.open -= before - job.runs.len();
             if job.open == 0 {
                 job.step += 1;
-                (job.open, job.waiting) = (WIDTH, WIDTH);
+                (job.open, job.waiting) = (job.width, job.width);
             }
         }
         self.jobs.retain(|job| {
@@ -238,7 +260,8 @@
         let (age, objective) = (self.now - job.since, objective(self.mean));
         let (id, started, left) = (job.id, job.started(), objective - age as f64);
         let (work, chain, age) = (job.work(), job.chain(), Span::millis(age));
-        Backlog { id, priority: 2, objective, started, work, chain, left, age }
+        let (priority, next, size) = (2, false, job.width as u64);
+        Backlog { id, priority, objective, started, next, size, work, chain, left, age }
     }
 
     fn refuses(&mut self, job: &Job) -> bool {
@@ -262,9 +285,9 @@
         order.sort_by_key(|&at| {
             let job = &self.jobs[at];
             let expired = (self.now - job.since) as f64 > 3.0 * objective(self.mean);
-            let fresh = self.rule != Rule::Before && !job.started();
-            let work = job.open + (DEPTH - 1 - job.step) * WIDTH;
-            (expired, self.is_late(job), fresh, work, job.since, job.id)
+            let turn = self.overload.turn(job.id, job.started());
+            let work = job.open + (DEPTH - 1 - job.step) * job.width;
+            (expired, self.is_late(job), turn, work, job.since, job.id)
         });
         let again = order.clone();
         for at in order.into_iter().chain(again) {
@@ -288,7 +311,9 @@
 }
 
 pub(super) fn play(pattern: &Pattern, rule: Rule) -> Outcome {
-    let (jobs, overload, times) = (Vec::new(), Overload::default(), BTreeMap::new());
+    let enabled = rule != Rule::Before;
+    let overload = Overload { enabled, ..Overload::default() };
+    let (jobs, times) = (Vec::new(), BTreeMap::new());
     let (mean, refused) = (TASK, BTreeSet::new());
     let (pattern, now, next, due) = (*pattern, 0, 0, 0.0);
     let mut service =
