--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -2,8 +2,13 @@
 //! stops their runs, and answers callers and agents. Decisions are proposed to the replicated log
 //! and take effect once it has committed them.
 
+mod ahead;
 mod answers;
+mod backlog;
 mod evacuation;
+// The command that shows it to operators is not built yet; the tests use all of it.
+#[allow(dead_code)]
+mod explain;
 mod fleet;
 mod gangs;
 mod health;
@@ -14,12 +19,14 @@
 mod reports;
 mod rescue;
 mod settings;
+mod slow_start;
 mod views;
 mod waits;
 
 #[cfg(test)]
 mod tests;
 
+use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -34,15 +41,18 @@
 };
 pub(crate) use self::message::{Effect, Message};
 use self::settings::{
-    BATCH_BYTES, BATCH_LIMIT, DURATION_WEIGHT_PERCENT, FENCED_AGE, HOLD_LIMIT, LEASE_DURATION,
-    MOVE_RESERVATION, PROPOSALS_LIMIT, SNAPSHOT_BYTES, SNAPSHOT_COMMANDS, STEP_BYTES,
+    BATCH_BYTES, BATCH_LIMIT, FENCED_AGE, HOLD_LIMIT, LEASE_DURATION, MOVE_RESERVATION,
+    PROPOSALS_LIMIT, SNAPSHOT_BYTES, SNAPSHOT_COMMANDS, STEP_BYTES,
 };
+use self::slow_start::SlowStart;
 use self::views::Views;
 use self::waits::Waits;
 use crate::core::{Moment, Name, Span};
 use crate::jobs::{
     Applied, Command, End, Incarnation, JobEntry, JobTable, Phase, RunKey, Step, TaskKey,
 };
+use crate::lookahead::Lookahead;
+use crate::overload::{Overload, TaskTime, Worked};
 use crate::pressure::Learner;
 
 /// Interval between two [`Message::Tick`]s.
@@ -110,9 +120,9 @@
     #[serde(skip)]
     ended: BTreeMap<u64, Moment>,
     /// Moving average of the time from the order of a task to its end, by the host and prefix
-    /// of the queue.
+    /// of the queue. With `overload` enabled, that of filling tasks is their time at full speed.
     #[serde(serialize_with = "serialize_durations")]
-    durations: BTreeMap<(Arc<str>, Arc<str>), Span>,
+    durations: BTreeMap<(Arc<str>, Arc<str>), TaskTime>,
     /// Agents on whose runners each task has failed, was refused or got stuck.
     #[serde(skip)]
     avoided: BTreeMap<TaskKey, BTreeSet<Name>>,
@@ -129,6 +139,11 @@
     last_rescue: Moment,
     waits: Waits,
     evacuation: EvacuationState,
+    slow_start: SlowStart,
+    #[serde(skip)]
+    overload: Overload,
+    #[serde(skip)]
+    lookahead: Lookahead,
     #[serde(skip)]
     views: Views,
     /// Number and bytes of the commands applied since the last snapshot.
@@ -168,6 +183,9 @@
             last_rescue: Moment::START,
             waits: Waits::default(),
             evacuation: EvacuationState::default(),
+            slow_start: SlowStart::default(),
+            overload: Overload::default(),
+            lookahead: Lookahead::default(),
             views: Views::default(),
             growth: (0, 0),
             out: Vec::new(),
@@ -181,6 +199,19 @@
         self
     }
 
+    /// Sets whether placement looks at what waits and at what will end soon.
+    #[must_use]
+    pub(crate) fn with_lookahead(mut self, on: bool) -> Self {
+        self.lookahead = Lookahead::new(on);
+        self
+    }
+
+    #[cfg(test)]
+    pub(crate) fn with_lookahead_state(mut self, lookahead: Lookahead) -> Self {
+        self.lookahead = lookahead;
+        self
+    }
+
     /// Handles a message and returns the effects to perform.
     pub(crate) fn step(&mut self, now: Moment, message: Message) -> Vec<Effect> {
         match message {
@@ -224,6 +255,7 @@
         self.rescue(now);
         self.report_waits(now);
         self.report_evacuations(now);
+        self.report_slow_starts(now);
         self.dirty = true;
     }
 
@@ -351,7 +383,7 @@
             Command::Open { job, round } => {
                 self.opening.remove(&(*job, *round));
             },
-            Command::Evacuate(order) => self.evacuation_changed(order, touched),
+            Command::Evacuate(order) => self.evacuation_changed(now, order, touched),
             Command::Forget(jobs) => self.ended.retain(|id, _| !jobs.contains(id)),
             // A configuration may end jobs by its limits.
             Command::Configure(_) => {
@@ -399,6 +431,7 @@
             sent: now,
             listed: false,
             shown: now,
+            worked: Worked::default(),
             saved: entry.task(key.task)?.saved.clone(),
             percent: 0,
             stalled_since: now,
@@ -424,7 +457,11 @@
             && end == End::Done
             && run.since > self.leading_since
         {
-            self.record_duration(key, now.since(run.sent));
+            let took = now.since(run.sent);
+            // The objective counts the work of a task, not the time for which it was paced down.
+            self.overload.record_end(now);
+            let whole = run.worked.whole().filter(|_| self.overload.enabled && run.fills);
+            self.record_duration(key, whole.unwrap_or(took));
         }
         let Some(agent) = self.fleet.agent(incarnation).cloned() else { return };
         if let Some(run) = run {
@@ -462,9 +499,13 @@
         let queue = entry.and_then(|entry| self.job_table.queue(&entry.job.queue));
         let Some(queue) = queue else { return };
         let address = (Arc::clone(&queue.host), Arc::clone(&queue.prefix));
-        let mean = self.durations.entry(address).or_insert(took);
-        let weight = DURATION_WEIGHT_PERCENT;
-        *mean = mean.percent(100 - weight) + took.percent(weight);
+        if self.lookahead.is_on() {
+            self.lookahead.durations.record(address.clone(), took);
+        }
+        match self.durations.entry(address) {
+            Entry::Occupied(mut known) => known.get_mut().record(took),
+            Entry::Vacant(vacant) => drop(vacant.insert(TaskTime::first(took))),
+        }
     }
 
     /// Removes a job that has ended from the active ones; adds the agents that still run it to
@@ -473,7 +514,9 @@
         let over = |entry: &JobEntry| entry.phase != Phase::Active;
         if self.job_table.jobs.get(&job).is_none_or(over) && self.active.remove(&job) {
             self.avoided.retain(|task, _| task.job != job);
+            self.lookahead.ended(job);
             self.gang_saves.retain(|task, _| task.job != job);
+            self.count_value(job);
             self.ended.insert(job, now);
             let range = run_range(job);
             for (incarnation, lease) in &self.fleet.leases {
@@ -562,6 +605,9 @@
         self.opening.clear();
         self.clear_waits();
         self.clear_evacuations();
+        self.clear_slow_starts();
+        self.overload.clear();
+        self.clear_lookahead();
         for (_, ticket) in self.waiters.drain(..) {
             self.out.push(Effect::Reply { ticket, reply: None });
         }
@@ -575,6 +621,7 @@
     /// Discards a proposal that the log refused, and answers its requests.
     fn drop_proposal(&mut self, ticket: u64, lost: bool) {
         let Some(proposal) = self.proposals.remove(&ticket) else { return };
+        self.overload.unsure |= lost;
         for command in &proposal.commands {
             match command {
                 Command::Assign { key, .. } => drop(self.assigning.remove(key)),
@@ -606,11 +653,11 @@
 
 /// Writes the mean durations by host and prefix as one text, as keys of JSON objects are texts.
 fn serialize_durations<S: Serializer>(
-    durations: &BTreeMap<(Arc<str>, Arc<str>), Span>,
+    durations: &BTreeMap<(Arc<str>, Arc<str>), TaskTime>,
     serializer: S,
 ) -> Result<S::Ok, S::Error> {
     serializer.collect_map(
-        durations.iter().map(|((host, prefix), mean)| (format!("{host}{prefix}"), mean)),
+        durations.iter().map(|((host, prefix), time)| (format!("{host}{prefix}"), time.mean())),
     )
 }
 
--- a/toucangrade/src/dispatch/place.rs
+++ b/toucangrade/src/dispatch/place.rs
@@ -8,6 +8,8 @@
 use super::health::Trust;
 use crate::core::Name;
 use crate::jobs::{Incarnation, Need, Step};
+use crate::lookahead::{Claim, Room, Score, Work};
+use crate::overload::HALF_SPEED;
 use crate::pressure::{Headroom, Table, share_within};
 
 /// Average share of their reserved cores that lasting tasks use, in percent; the reservation covers
@@ -15,7 +17,12 @@
 const RESERVED_USE_PERCENT: u64 = 50;
 /// Smallest fraction of full speed at which a filling task is started, except for trials. Below this
 /// it would miss its objective while holding memory that another task could use.
-const MIN_SPEED: f64 = 0.5;
+pub(super) const MIN_SPEED: f64 = HALF_SPEED;
+/// The same beside tasks with a latency target. Their load may still rise while the task runs, so it
+/// would be paced down further and disturb them meanwhile.
+const MIN_SPEED_SERVING: f64 = 0.9;
+/// Slowness in percent above which a runner is not chosen for the gap that a task leaves elsewhere.
+const GAP_SLOWNESS: u64 = 130;
 
 /// Reason for which a runner is not eligible for a task.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize)]
@@ -32,6 +39,8 @@
     Label,
     /// It is draining.
     Leaving,
+    /// Its room is reserved for another step that waits.
+    Reserved,
     /// It has too little free room.
     Room,
     /// It belongs to another service.
@@ -39,6 +48,8 @@
     /// It has not answered or been reported for too long, it is not known yet, or its port refuses
     /// connections.
     Silent,
+    /// It starts slowly and has had all starts of the present step.
+    SlowStart,
     /// It already runs as many tasks of the step as the step's spread allows.
     Spread,
 }
@@ -73,6 +84,12 @@
     pub(super) trust: Trust,
     /// Whether an order would probably reach it now.
     pub(super) reachable: bool,
+    /// Whether it is neither cold nor in a slow start.
+    pub(super) warm: bool,
+    /// Starts that it may still get in this step of its slow start.
+    pub(super) starts: Option<u32>,
+    /// Reservations of its room.
+    pub(super) claims: Vec<Claim>,
 }
 
 impl Candidate {
@@ -115,19 +132,27 @@
         (self.spare_cores() as f64 / wanted as f64).min(1.0)
     }
 
+    /// Whether one more filling task would run fast enough here, at `least` of its full speed.
+    fn is_fast(&mut self, table: &Table, step: &Step, least: f64) -> bool {
+        let allowed = if self.serving > 0 { MIN_SPEED_SERVING } else { MIN_SPEED };
+        self.speed(table, step) >= least && self.allowed(table, step) >= allowed
+    }
+
     /// Reason for which a filling task would be too slow here.
     pub(super) fn slow_reason(&mut self, table: &Table, step: &Step) -> Option<Exclusion> {
-        if !step.fills || self.speed(table, step) >= MIN_SPEED {
+        if !step.fills || self.is_fast(table, step, MIN_SPEED) {
             None
-        } else if self.allowed(table, step) < MIN_SPEED {
+        } else if self.allowed(table, step) < MIN_SPEED_SERVING {
             Some(Exclusion::Interference)
         } else {
             Some(Exclusion::Cores)
         }
     }
 
-    fn label(&self, label: &str) -> bool {
-        self.labels.iter().any(|own| **own == *label)
+    /// Whether the runner has the label that the step requires, if any.
+    pub(super) fn has_label(&self, step: &Step) -> bool {
+        let Some(label) = &step.label else { return true };
+        self.labels.iter().any(|own| own == label)
     }
 
     /// Whether a filling task that has waited long may start here although the estimates slow it down.
@@ -142,12 +167,14 @@
     pub(super) fn mismatch(&self, step: &Step, service: &str, siblings: u32) -> Option<Exclusion> {
         if *self.service != *service {
             Some(Exclusion::Service)
-        } else if step.label.as_ref().is_some_and(|label| !self.label(label)) {
+        } else if !self.has_label(step) {
             Some(Exclusion::Label)
         } else if step.spread > 0 && siblings >= step.spread {
             Some(Exclusion::Spread)
         } else if !self.free.holds(&step.counted()) {
             Some(Exclusion::Room)
+        } else if self.starts == Some(0) {
+            Some(Exclusion::SlowStart)
         } else {
             None
         }
@@ -169,6 +196,7 @@
     /// Subtracts the resources of a task.
     pub(super) fn allocate(&mut self, table: &Table, step: &Step) {
         self.free.remove(&step.counted());
+        self.starts = self.starts.map(|starts| starts.saturating_sub(1));
         if step.fills {
             self.filling = self.filling.saturating_add(step.need.millicores);
             let image = step.image.as_deref().unwrap_or_default();
@@ -212,17 +240,46 @@
     pub(super) table: &'a Table,
     /// Whether the task may start although it would be slowed down to protect latency targets.
     pub(super) trial: bool,
+    /// Smallest fraction of full speed at which a filling task is started, except for trials.
+    pub(super) least: f64,
+    /// What reservations are compared with; `None` if the task needs not respect them.
+    pub(super) work: Option<&'a Work>,
+    /// Needs of other steps that wait, for which room is left.
+    pub(super) wanted: &'a [Need],
+    /// Ranks runners by the room that is left for `wanted`.
+    pub(super) score: Score,
 }
 
-/// Rank of a candidate: its trust, whether it is on the requested rack, and a rank by the kind of
-/// the task.
-type Rank = (Trust, bool, (u64, u64, u64));
+impl Constraints<'_> {
+    /// Whether the reservations on a candidate admit the task.
+    pub(super) fn admitted(&self, candidate: &Candidate) -> bool {
+        let Some(work) = self.work else { return true };
+        candidate.claims.iter().all(|claim| claim.admits(work, &self.step.counted()))
+    }
+
+    /// Rank of a candidate by the room that the task leaves there for what waits.
+    fn gap(&self, candidate: &Candidate) -> u64 {
+        // A slow runner would delay the task for longer than the others wait for room.
+        if self.wanted.is_empty() || candidate.slowness > GAP_SLOWNESS {
+            return 0;
+        }
+        let before = candidate.free;
+        let mut after = before;
+        after.remove(&self.step.counted());
+        (self.score)(&Room { before, after }, self.wanted)
+    }
+}
+
+/// Rank of a candidate: its trust, whether its reservations admit the task, whether it is on the
+/// requested rack, and a rank by the kind of the task.
+type Rank = (Trust, bool, bool, (u64, u64, u64));
 
 /// Ranks of all candidates for the tasks of a step; `None` for those that are not eligible.
 ///
 /// Tasks with a latency target are packed onto few runners, so that the others stay free for
 /// filling tasks, which would disturb them. Filling tasks go where they run fastest: where cores
-/// are unused, and where they disturb no task with a latency target; trials go where the tasks with
+/// are unused, and where they disturb no task with a latency target, and then rather beside such tasks
+/// than on a runner without any; trials go where the tasks with
 /// a latency target have most headroom. Other tasks go where the
 /// largest share of the cores stays free. Runners on trial come last.
 pub(super) struct Ranking<'a> {
@@ -252,17 +309,34 @@
         avoided: Option<&BTreeSet<Name>>,
     ) -> Option<usize> {
         let ranked = self.ranks.iter().enumerate().filter_map(|(at, rank)| {
-            let (trust, rack, rank) = (*rank)?;
+            let (trust, admitted, rack, rank) = (*rank)?;
             let failed = avoided.is_some_and(|avoided| avoided.contains(&candidates[at].agent));
-            Some(((trust, candidates[at].reachable, !failed, rack, rank), at))
+            let reachable = candidates[at].reachable;
+            Some(((trust, reachable, !failed, admitted, rack, rank), at))
         });
         ranked.max_by_key(|(rank, _)| *rank).map(|(_, at)| at)
     }
 
+    /// Positions of the eligible candidates, from the best one.
+    pub(super) fn order(&self, candidates: &[Candidate]) -> Vec<usize> {
+        let mut ranked: Vec<_> = (0..candidates.len())
+            .filter_map(|at| Some((self.ranks[at]?, candidates[at].reachable, at)))
+            .map(|((trust, admitted, rack, rank), open, at)| {
+                ((trust, open, admitted, rack, rank), at)
+            })
+            .collect();
+        ranked.sort_unstable();
+        ranked.into_iter().rev().map(|(_, at)| at).collect()
+    }
+
     /// Allocates a task to a candidate.
     pub(super) fn allocate(&mut self, candidates: &mut [Candidate], at: usize) {
-        let Constraints { step, table, .. } = self.constraints;
+        let Constraints { step, table, work, .. } = self.constraints;
         candidates[at].allocate(table, step);
+        if let Some(work) = work {
+            let need = step.counted();
+            candidates[at].claims.iter_mut().for_each(|claim| claim.take(work, &need));
+        }
         self.siblings[at] += 1;
         self.ranks[at] = rank(&mut candidates[at], self.constraints, self.siblings[at]);
     }
@@ -296,31 +370,42 @@
 }
 
 fn rank(candidate: &mut Candidate, constraints: Constraints<'_>, siblings: u32) -> Option<Rank> {
-    let Constraints { step, service, table, trial } = constraints;
+    let Constraints { step, service, table, trial, least, .. } = constraints;
     if candidate.barred(step) || candidate.mismatch(step, service, siblings).is_some() {
         return None;
     }
+    let admitted = constraints.admitted(candidate);
+    // A lasting task has to run wherever there is room for it.
+    if !admitted && !step.lasting {
+        return None;
+    }
     let cores = candidate.capacity.millicores;
     let right_rack = step.rack.is_none() || step.rack.as_ref() == candidate.rack();
     let left = share(candidate.free.millicores - step.counted().millicores, cores, 1_000);
     let rank = if step.fills {
         let speed = candidate.speed(table, step);
-        if speed < MIN_SPEED {
+        if !candidate.is_fast(table, step, least) {
             if !trial || !candidate.takes_trial(step) {
                 return None;
             }
             let headroom = (candidate.headroom.least().clamp(-1.0, 1.0) + 1.0) * 1_000.0;
             let rank = ((speed * 20.0) as u64, headroom as u64, left);
-            return Some((candidate.trust, right_rack, rank));
+            return Some((candidate.trust, admitted, right_rack, rank));
         }
-        // Equally fast runners are ranked by whether they run no task with a latency target, then
-        // by free cores.
-        let quiet = u64::from(candidate.serving == 0);
-        ((speed * 20.0) as u64, quiet, left)
+        // Equally fast runners are ranked by the tasks with a latency target on them, then by free
+        // cores. An image that disturbs none of those leaves the quiet runners to the others.
+        let harmless = step.image.as_ref().is_some_and(|i| candidate.limit(table, i).is_infinite());
+        let place = match (candidate.serving > 0, harmless) {
+            (true, true) => 2,
+            (false, _) => 1,
+            (true, false) => 0,
+        };
+        ((speed * 20.0) as u64, place, left)
     } else if step.target > 0 {
-        (u64::from(candidate.serving > 0), 1_000 - left, 0)
+        (u64::from(candidate.serving > 0), 1_000 - left, u64::from(candidate.warm))
     } else {
-        (left * 100 / candidate.slowness.max(1), 0, 0)
+        let left = left * 100 / candidate.slowness.max(1);
+        (constraints.gap(candidate), left, u64::from(candidate.warm))
     };
-    Some((candidate.trust, right_rack, rank))
+    Some((candidate.trust, admitted, right_rack, rank))
 }
--- a/toucangrade/src/dispatch/plan.rs
+++ b/toucangrade/src/dispatch/plan.rs
@@ -7,7 +7,7 @@
 use super::health::Trust;
 use super::place::{Candidate, Constraints, Ranking};
 use super::settings::TRIAL_SETTLE;
-use crate::core::{Moment, Name};
+use crate::core::{Moment, Name, Span};
 use crate::jobs::{Command, Incarnation, Job, JobEntry, Phase, Queue, RunKey, TaskKey};
 use crate::pressure::{AIM_PERCENT, Headroom, Serving};
 
@@ -16,7 +16,7 @@
 
 /// State of a job relative to its objective.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum Lateness {
+pub(super) enum Lateness {
     OnTime,
     Late,
     Expired,
@@ -27,19 +27,26 @@
     pub(super) fn plan(&mut self, now: Moment) {
         let setup = Arc::clone(&self.job_table.setup);
         let mut slow = self.slow_runs(now);
+        if self.overload.enabled {
+            self.decide_overload(now);
+        }
         let order = self.job_order().into_iter().filter_map(|id| {
             let waiting = self.waiting(self.job_table.jobs.get(&id)?);
             (!waiting.is_empty() || slow.contains_key(&id)).then_some((id, waiting))
         });
         let order: Vec<_> = order.collect();
         if order.is_empty() {
-            return;
+            return self.clear_lookahead();
         }
         let mut candidates = self.candidates(now);
         if candidates.is_empty() {
             return;
         }
         let index = index(&candidates);
+        // Jobs that ask for more than half speed get a second turn behind all others.
+        let mut again = Vec::new();
+        self.claim_room(now, &mut candidates, &index);
+        let mut passed = Vec::new();
         for (id, waiting) in order {
             let Some(entry) = self.job_table.jobs.get(&id) else { continue };
             let position = self.job_table.queue_position(&entry.job.queue);
@@ -50,40 +57,51 @@
                 self.move_slow(now, &mut candidates, &queue.service, runs);
             }
             for ((round, step), tasks) in waiting {
-                self.place(&mut candidates, &index, queue, &job, (round, step), &tasks);
+                let placed =
+                    self.place(&mut candidates, &index, queue, &job, (round, step), &tasks);
+                let first = TaskKey { job: id, round, step, index: 0 };
+                passed.extend(self.passed_over(first, queue, &job, tasks.len() - placed));
+            }
+            if self.overload.relax(id) {
+                again.push((queue, job));
+            }
+        }
+        for (queue, job) in again {
+            let Some(entry) = self.job_table.jobs.get(&job.id) else { continue };
+            for (at, tasks) in self.waiting(entry) {
+                self.place(&mut candidates, &index, queue, &job, at, &tasks);
             }
         }
+        self.look_ahead(now, &candidates, &index, passed);
         self.views.keep_limits(candidates);
     }
 
     /// Active jobs in the order in which they are placed: by priority of the queue, lateness,
-    /// remaining work and age.
-    fn job_order(&self) -> Vec<u64> {
+    /// their turn if `overload` is enabled, remaining work and age.
+    pub(super) fn job_order(&self) -> Vec<u64> {
         let entries = self.active.iter().filter_map(|id| self.job_table.jobs.get(id));
         let mut order: Vec<_> = entries
             .filter_map(|entry| {
                 let queue = self.job_table.queue(&entry.job.queue)?;
                 let lateness = self.lateness(entry, queue);
                 let work = self.work_left(entry);
-                Some((queue.priority, lateness, work, entry.wall, entry.job.id))
+                let turn = self.overload.turn(entry.job.id, entry.begun);
+                Some((queue.priority, lateness, turn, work, entry.wall, entry.job.id))
             })
             .collect();
         order.sort_unstable();
-        order.into_iter().map(|(_, _, _, _, id)| id).collect()
+        order.into_iter().map(|(_, _, _, _, _, id)| id).collect()
     }
 
     /// Whether a job can still meet its objective, or else still has value.
-    fn lateness(&self, entry: &JobEntry, queue: &Queue) -> Lateness {
+    pub(super) fn lateness(&self, entry: &JobEntry, queue: &Queue) -> Lateness {
         if entry.job.lasting() || entry.job.schedule.is_some() {
             return Lateness::OnTime;
         }
-        let address = (Arc::clone(&queue.host), Arc::clone(&queue.prefix));
-        let task = self.durations.get(&address).copied().unwrap_or_default();
-        let depth = entry.job.depth() as f64;
-        let chain = depth * task.as_micros() as f64 * queue.stretch;
-        let objective = chain as u64 / 1_000 + queue.objective.as_millis();
+        let objective = self.objective(entry, queue);
         let age = self.wall.saturating_sub(entry.wall);
-        if age <= objective {
+        let doomed = self.overload.is_doomed(entry.job.id);
+        if (age <= objective && !doomed) || self.overload.is_next(entry.job.id) {
             Lateness::OnTime
         } else if age <= LATE_FACTOR * objective {
             Lateness::Late
@@ -92,7 +110,24 @@
         }
     }
 
-    /// Whether a job has missed its objective.
+    /// Time after its acceptance at which an accepted job is to be done, in ms.
+    pub(super) fn objective(&self, entry: &JobEntry, queue: &Queue) -> u64 {
+        self.job_objective(&entry.job, queue)
+    }
+
+    /// Time after its acceptance at which a job of a queue is to be done, in ms.
+    pub(super) fn job_objective(&self, job: &Job, queue: &Queue) -> u64 {
+        let chain = match self.learned_duration(queue) {
+            Some(time) if self.overload.enabled => job.longest_chain(|s| time.slowest(s.count)),
+            Some(time) => time.mean().percent(100 * job.depth() as u64),
+            None if self.overload.enabled => job.longest_chain(|step| step.estimate),
+            None => Span::ZERO,
+        };
+        let chain = chain.as_micros() as f64;
+        (chain * queue.stretch) as u64 / 1_000 + queue.objective.as_millis()
+    }
+
+    /// Whether a job has missed its objective, or is not expected to meet it.
     pub(super) fn is_late(&self, job: u64) -> bool {
         let entry = self.job_table.jobs.get(&job);
         let queue = entry.and_then(|entry| self.job_table.queue(&entry.job.queue));
@@ -139,8 +174,7 @@
         self.assigning.range(range).next().is_some()
     }
 
-    /// Assigns as many waiting tasks of a step as there is room for; a gang is assigned whole or
-    /// not at all.
+    /// Assigns as many waiting tasks of a step as there is room for, and returns their number.
     fn place(
         &mut self,
         candidates: &mut Vec<Candidate>,
@@ -149,11 +183,42 @@
         job: &Job,
         (round, step): (u32, u16),
         tasks: &[RunKey],
-    ) {
+    ) -> usize {
+        let chosen = self.choose(candidates, index, queue, job, (round, step), tasks);
+        let placed = chosen.len();
+        if placed == 0 {
+            return 0;
+        }
+        if placed == tasks.len() {
+            self.lookahead.started(TaskKey { job: job.id, round, step, index: 0 });
+        }
+        self.waits.started(job.id);
+        if job.steps[usize::from(step)].gang {
+            self.assign_gang(chosen);
+            return placed;
+        }
+        for (key, incarnation) in chosen {
+            self.assigning.insert(key, incarnation.clone());
+            self.propose(Command::Assign { key, incarnation }, None);
+        }
+        placed
+    }
+
+    /// Chooses runners for as many waiting tasks of a step as there is room for, and allocates the
+    /// tasks there; a gang gets room for all of them or for none.
+    pub(super) fn choose(
+        &self,
+        candidates: &mut Vec<Candidate>,
+        index: &BTreeMap<Incarnation, usize>,
+        queue: &Queue,
+        job: &Job,
+        (round, step): (u32, u16),
+        tasks: &[RunKey],
+    ) -> Vec<(RunKey, Incarnation)> {
         let declared = &job.steps[usize::from(step)];
         let whole = declared.count as usize;
         if declared.gang && tasks.len() < whole {
-            return;
+            return Vec::new();
         }
         let siblings = if declared.spread > 0 {
             self.siblings(index, job.id, round, step)
@@ -165,7 +230,18 @@
         let trial = declared.fills && self.waits.trial_due(job.id);
         let tasks = if trial && !declared.gang { &tasks[..tasks.len().min(1)] } else { tasks };
         let (service, table) = (&queue.service, &self.learner.table);
-        let constraints = Constraints { step: declared, service, table, trial };
+        let work = self.work(job.id, queue, declared);
+        let (wanted, score) = self.larger_wanted(service, declared);
+        let constraints = Constraints {
+            step: declared,
+            service,
+            table,
+            trial,
+            least: self.overload.least_speed(job.id),
+            work: work.as_ref(),
+            wanted: &wanted,
+            score,
+        };
         let mut ranking = Ranking::new(candidates, constraints, siblings);
         let mut chosen: Vec<(RunKey, Incarnation)> = Vec::new();
         for key in tasks.iter().copied() {
@@ -178,21 +254,14 @@
             if let Some(before) = before {
                 *candidates = before;
             }
-            return;
-        }
-        if !chosen.is_empty() {
-            self.waits.started(job.id);
+            return Vec::new();
         }
         if declared.gang {
             for (_, incarnation) in &chosen {
                 index.get(incarnation).iter().for_each(|at| candidates[**at].begin_trial());
             }
-            return self.assign_gang(chosen);
-        }
-        for (key, incarnation) in chosen {
-            self.assigning.insert(key, incarnation.clone());
-            self.propose(Command::Assign { key, incarnation }, None);
         }
+        chosen
     }
 
     /// Number of assigned or proposed tasks of a step on each candidate, given the positions of the
@@ -227,7 +296,7 @@
     }
 
     /// Runners that accept new tasks, with the room left on each.
-    fn candidates(&mut self, now: Moment) -> Vec<Candidate> {
+    pub(super) fn candidates(&mut self, now: Moment) -> Vec<Candidate> {
         let workers = self.fleet.workers.iter();
         let open = workers.filter(|(_, worker)| self.exclusion(worker, now).is_none());
         let open: Vec<Name> = open.map(|(agent, _)| agent.clone()).collect();
@@ -243,6 +312,7 @@
             let worker = self.fleet.workers.get(agent)?;
             candidate.trust = self.fleet.trust(worker, now);
             candidate.reachable = worker.is_reachable(now);
+            self.limit_starts(now, worker, &mut candidate);
             Some(candidate)
         });
         let mut candidates: Vec<Candidate> = seen.collect();
@@ -279,6 +349,9 @@
             slowness: worker.slowness,
             trust: Trust::Full,
             reachable: true,
+            warm: true,
+            starts: None,
+            claims: Vec::new(),
         };
         let cores = runner.capacity.millicores.max(1) as f64;
         let (mut serving, mut used, mut asked) = (Vec::new(), Vec::new(), Vec::new());
--- a/toucangrade/src/dispatch/reports.rs
+++ b/toucangrade/src/dispatch/reports.rs
@@ -48,6 +48,8 @@
             lease.over = false;
             self.record_progress(now, read, incarnation, &report);
             self.collect_begun(&report);
+            let cold = report.runner.as_ref().map_or(Span::ZERO, |runner| runner.cold);
+            self.note_cold(now, incarnation, cold);
             self.record_sample(now, &report);
             self.record_ends(now, incarnation, &report);
             if report.gone {
@@ -162,7 +164,7 @@
             let Some(profile) = self.profile(row.key) else { continue };
             let Some(image) = profile.image else { continue };
             if profile.fills {
-                *sample.filling.entry(image).or_default() += f64::from(row.figure) / cores;
+                sample.filling.push((row.key, image, f64::from(row.figure) / cores));
             } else if profile.target > 0 {
                 let (figure, target) = (u64::from(row.figure), profile.target);
                 sample.serving.push(Serving { key: row.key, image, figure, target });
--- a/toucangrade/src/dispatch/tests.rs
+++ b/toucangrade/src/dispatch/tests.rs
@@ -1,20 +1,25 @@
 //! Tests of dispatch with a log that commits at once and scripted agents.
 
+mod ahead;
 mod answers;
 mod begun;
 mod evacuation;
 mod exclusion;
+mod explain;
 mod extremes;
 mod faulty_runners;
 mod fuzz;
 mod gangs;
 mod health;
+mod interference;
 mod late;
 mod leases;
 mod lives;
 mod load;
 mod log;
+mod overload;
 mod queues;
+mod slow_start;
 mod trials;
 mod unreachable;
 mod views;
@@ -97,6 +102,7 @@
             incarnation: incarnation.clone(),
             service: SERVICE.into(),
             centre: "ljubljana-a".into(),
+            cold: Span::ZERO,
             labels: vec!["a".into(), "r1".into()],
             capacity: Need { millicores: 4_000, memory: 10_000, accelerators: 0 },
             draining: false,
@@ -149,7 +155,7 @@
                         self.orders.insert(ticket, orders);
                     },
                     Effect::Gauge { name, value } => drop(self.gauges.insert(name, value)),
-                    Effect::Snapshot { .. } => {},
+                    Effect::Count { .. } | Effect::Snapshot { .. } => {},
                     Effect::Reply { ticket, reply } => {
                         self.answers.insert(ticket, reply);
                     },
--- a/toucangrade/src/jobs/declared.rs
+++ b/toucangrade/src/jobs/declared.rs
@@ -51,6 +51,23 @@
         least.min(times(self.accelerators, other.accelerators))
     }
 
+    /// Whether these are at least one `part`-th of some resource of `whole`.
+    pub(crate) fn takes_part(&self, whole: &Self, part: u64) -> bool {
+        let takes = |own: u64, whole: u64| own > 0 && own.saturating_mul(part) >= whole;
+        takes(self.millicores, whole.millicores)
+            || takes(self.memory, whole.memory)
+            || takes(self.accelerators, whole.accelerators)
+    }
+
+    /// The greater amount of each resource.
+    pub(crate) fn most(&self, other: &Self) -> Self {
+        Self {
+            millicores: self.millicores.max(other.millicores),
+            memory: self.memory.max(other.memory),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
     /// Adds `other`, saturating at the maximum of the type.
     pub fn add(&mut self, other: &Self) {
         self.millicores = self.millicores.saturating_add(other.millicores);
@@ -276,6 +293,16 @@
         self.steps.iter().any(|step| step.lasting)
     }
 
+    /// Duration of the longest chain of dependencies, by that of each step.
+    pub(crate) fn longest_chain(&self, duration: impl Fn(&Step) -> Span) -> Span {
+        let mut ends: Vec<Span> = Vec::with_capacity(self.steps.len());
+        for step in &self.steps {
+            let before = step.after.iter().filter_map(|&after| ends.get(usize::from(after)));
+            ends.push(before.max().copied().unwrap_or(Span::ZERO) + duration(step));
+        }
+        ends.into_iter().max().unwrap_or(Span::ZERO)
+    }
+
     /// Number of steps in the longest chain of dependencies.
     pub fn depth(&self) -> usize {
         let mut depths: Vec<usize> = Vec::with_capacity(self.steps.len());
--- a/toucangrade/src/node/mod.rs
+++ b/toucangrade/src/node/mod.rs
@@ -19,7 +19,7 @@
 use serde::Serialize;
 
 use crate::core::{Clock, Name, Span};
-use crate::http::Client;
+use crate::http::{Budget, Client};
 
 pub use self::agent::{Agent, Done, RunnerPort};
 pub use self::control::{Control, Elsewhere};
@@ -50,6 +50,13 @@
     hold_limit: Span,
     /// Names of the data centres, empty if they are not known.
     centres: Vec<Arc<str>>,
+    /// Whether decisions for times of overload are made.
+    overload: bool,
+    /// Whether placement looks at what waits and at what will end soon.
+    lookahead: bool,
+    /// What clients of the process's HTTP servers may use.
+    #[serde(skip)]
+    budget: Budget,
 }
 
 /// Builder of [`NodeSettings`].
@@ -59,16 +66,18 @@
 impl NodeSettings {
     /// Builder of settings with the address of this process and the port of control instances.
     pub fn builder(ip: IpAddr, port: u16) -> NodeSettingsBuilder {
-        let (seeds, hold_limit) = (Vec::new(), Span::secs(10));
         NodeSettingsBuilder(Self {
             ip,
             port,
-            seeds,
+            seeds: Vec::new(),
             first: false,
             data: None,
             losses: 1,
-            hold_limit,
+            hold_limit: Span::secs(10),
             centres: Vec::new(),
+            overload: false,
+            lookahead: false,
+            budget: Budget::default(),
         })
     }
 
@@ -127,6 +136,27 @@
         self
     }
 
+    /// Sets whether placement looks at what waits and at what will end soon; off unless set.
+    #[must_use]
+    pub fn lookahead(mut self, on: bool) -> Self {
+        self.0.lookahead = on;
+        self
+    }
+
+    /// Sets whether a control instance makes decisions for times of overload, off unless set.
+    #[must_use]
+    pub fn overload(mut self, overload: bool) -> Self {
+        self.0.overload = overload;
+        self
+    }
+
+    /// Sets the account that all HTTP servers of the process share; one of its own unless set.
+    #[must_use]
+    pub fn budget(mut self, budget: &Budget) -> Self {
+        self.0.budget = budget.clone();
+        self
+    }
+
     /// Builds the settings.
     pub fn build(self) -> NodeSettings {
         self.0
