relay: don't pass on a refusal after an attempt with an unknown outcome

The caller was told that the job never runs, and it could still be committed. Ruled out: an answer of the same leader, which never refuses what it has proposed. Change: the outcome is unknown then, so the caller sends the job again. Measured: the case refused_after_lost_outcome failed before and passes.

--- a/toucangrade/src/relay/mod.rs
+++ b/toucangrade/src/relay/mod.rs
@@ -372,9 +372,16 @@
             Ok(reply) => {
                 self.set_leader(Some(to));
                 if let Purpose::Request(ticket) = purpose
-                    && self.pending.remove(&ticket).is_some()
+                    && let Some(pending) = self.pending.remove(&ticket)
                 {
-                    let outcome = Outcome::Reply(Box::new(reply));
+                    // A leader's refusal says nothing about an earlier attempt at another instance,
+                    // which may still take effect.
+                    let refused = matches!(reply, Reply::Told(ClientReply::Refused { .. }));
+                    let outcome = if refused && pending.uncertain {
+                        Outcome::Unknown
+                    } else {
+                        Outcome::Reply(Box::new(reply))
+                    };
                     self.out.push(Effect::Done { ticket, outcome });
                 }
                 return;
--- a/toucangrade/src/relay/tests.rs
+++ b/toucangrade/src/relay/tests.rs
@@ -28,6 +28,8 @@
     OutcomeUnknown,
     /// Refuses the request and knows no leader.
     NoLeader,
+    /// Leads, and refuses the job for lack of capacity.
+    RefusesJob,
 }
 
 struct Case {
@@ -81,7 +83,7 @@
                     Ok(Reply::Refused { reason: String::new(), leader })
                 };
                 let result = match peer {
-                    Peer::Leads if matches!(*request, Request::Find) => {
+                    Peer::Leads | Peer::RefusesJob if matches!(*request, Request::Find) => {
                         Ok(Reply::Found { leader: Some(to), members: vec![name("a"), name("b")] })
                     },
                     Peer::LosesAnswers | Peer::OutcomeUnknown
@@ -94,6 +96,10 @@
                     Peer::NamesLeader(leader) => refused(Some(leader)),
                     Peer::OutcomeUnknown => Ok(Reply::Told(ClientReply::Unknown)),
                     Peer::NoLeader => refused(None),
+                    Peer::RefusesJob => {
+                        let (reason, after) = ("no capacity".into(), Span::secs(1));
+                        Ok(Reply::Told(ClientReply::Refused { reason, after }))
+                    },
                     Peer::ConnectTimeout => {
                         timeouts.push((millis + 250, call, CallError::Connect));
                         continue;
@@ -157,6 +163,12 @@
 #[case::outcome_lost(Case {
     a: Peer::OutcomeUnknown, b: Peer::NoLeader, patient: false, outcome: "unknown", within: 2_050,
 })]
+#[case::job_refused(Case {
+    a: Peer::RefusesJob, b: Peer::NoLeader, patient: false, outcome: "reply", within: 200,
+})]
+#[case::refused_after_lost_outcome(Case {
+    a: Peer::OutcomeUnknown, b: Peer::RefusesJob, patient: false, outcome: "unknown", within: 400,
+})]
 fn request_reaches_the_leader_or_has_a_correct_outcome(#[case] case: Case) {
     let (outcome, at) = simulate(&case);
     assert_eq!(outcome, case.outcome);
