--- a/toucangrade/src/dispatch/plan.rs
+++ b/toucangrade/src/dispatch/plan.rs
@@ -9,11 +9,9 @@
 use super::settings::TRIAL_SETTLE;
 use crate::core::{Moment, Name, Span};
 use crate::jobs::{Command, Incarnation, Job, JobEntry, Phase, Queue, RunKey, TaskKey};
+use crate::overload::VALUE_FACTOR;
 use crate::pressure::{AIM_PERCENT, Headroom, Serving};
 
-/// Multiple of its objective at which a late job loses all its value.
-const LATE_FACTOR: u64 = 3;
-
 /// State of a job relative to its objective.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(super) enum Lateness {
@@ -103,7 +101,7 @@
         let doomed = self.overload.is_doomed(entry.job.id);
         if (age <= objective && !doomed) || self.overload.is_next(entry.job.id) {
             Lateness::OnTime
-        } else if age <= LATE_FACTOR * objective {
+        } else if age as f64 <= VALUE_FACTOR * objective as f64 {
             Lateness::Late
         } else {
             Lateness::Expired
--- a/toucangrade/src/http/shape.rs
+++ b/toucangrade/src/http/shape.rs
@@ -1,7 +1,7 @@
 //! Counts the values of a JSON text before anything is built from it.
 
 /// Error of a JSON text with more values than allowed.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, Eq, thiserror::Error, PartialEq)]
 #[error("the body has more than {limit} values")]
 pub struct TooManyValues {
     /// Largest number of values.
