--- a/toucangrade/src/dispatch/place.rs
+++ b/toucangrade/src/dispatch/place.rs
@@ -383,15 +383,10 @@
             let rank = ((speed * 20.0) as u64, headroom as u64, left);
             return Some((candidate.trust, admitted, right_rack, rank));
         }
-        // Equally fast runners are ranked by the tasks with a latency target on them, then by free
-        // cores. An image that disturbs none of those leaves the quiet runners to the others.
-        let harmless = step.image.as_ref().is_some_and(|i| candidate.limit(table, i).is_infinite());
-        let place = match (candidate.serving > 0, harmless) {
-            (true, true) => 2,
-            (false, _) => 1,
-            (true, false) => 0,
-        };
-        ((speed * 20.0) as u64, place, left)
+        // Equally fast runners are ranked by whether they run no task with a latency target, then
+        // by free cores.
+        let quiet = u64::from(candidate.serving == 0);
+        ((speed * 20.0) as u64, quiet, left)
     } else if step.target > 0 {
         (u64::from(candidate.serving > 0), 1_000 - left, u64::from(candidate.warm))
     } else {
--- a/toucangrade/src/dispatch/reports.rs
+++ b/toucangrade/src/dispatch/reports.rs
@@ -164,7 +164,7 @@
             let Some(profile) = self.profile(row.key) else { continue };
             let Some(image) = profile.image else { continue };
             if profile.fills {
-                sample.filling.push((row.key, image, f64::from(row.figure) / cores));
+                *sample.filling.entry(image).or_default() += f64::from(row.figure) / cores;
             } else if profile.target > 0 {
                 let (figure, target) = (u64::from(row.figure), profile.target);
                 sample.serving.push(Serving { key: row.key, image, figure, target });
--- a/toucangrade/src/dispatch/tests.rs
+++ b/toucangrade/src/dispatch/tests.rs
@@ -11,7 +11,6 @@
 mod fuzz;
 mod gangs;
 mod health;
-mod interference;
 mod late;
 mod leases;
 mod lives;
--- a/toucangrade/src/pacing/mod.rs
+++ b/toucangrade/src/pacing/mod.rs
@@ -3,18 +3,16 @@
 
 #[cfg(test)]
 mod tests;
-mod trend;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use serde::Serialize;
 
-use self::trend::Trend;
 use crate::core::{Moment, Span};
 use crate::dispatch::{RunProfile, RunStatus};
 use crate::jobs::RunKey;
-use crate::pressure::{AIM_PERCENT, Headroom, PROBE_AIM_PERCENT, Serving, Table, Usage, own_load};
+use crate::pressure::{AIM_PERCENT, Headroom, PROBE_AIM_PERCENT, Serving, Table};
 
 /// Most percentage points by which a share grows in one step.
 const MAX_INCREASE: u8 = 30;
@@ -74,12 +72,6 @@
     /// Runs over their latency target, and since when.
     #[serde(rename = "over")]
     over_since: BTreeMap<RunKey, Moment>,
-    /// Cores that filling runs used while the latencies were measured.
-    #[serde(skip)]
-    usage: Usage,
-    /// Course of the own load of each run with a latency target.
-    #[serde(skip)]
-    trends: BTreeMap<RunKey, Trend>,
     /// Runs whose jobs have missed their objective.
     late: BTreeSet<RunKey>,
 }
@@ -108,8 +100,6 @@
         profiles: &BTreeMap<RunKey, RunProfile>,
     ) -> Vec<(RunKey, u8)> {
         self.cores = cores;
-        let filling = self.filling(rows, profiles);
-        self.usage.update(now, filling.iter().map(|t| (t.key, Arc::clone(&t.image), t.used)));
         self.sent.retain(|key, _| profiles.contains_key(key));
         self.unconfirmed.retain(|key, _| profiles.contains_key(key));
         self.paused.retain(|key, _| profiles.contains_key(key));
@@ -121,11 +111,11 @@
             return Vec::new();
         }
         self.changed = now;
-        let used: Vec<_> = self.usage.by_image().into_iter().collect();
+        let filling = self.filling(rows, profiles);
+        let used: Vec<_> = filling.iter().map(|t| (Arc::clone(&t.image), t.used)).collect();
         let serving = serving(rows, profiles);
-        let rises = self.follow_loads(now, &serving, &used);
-        let headroom = |aim| Headroom::ahead(&self.table, aim, serving.iter(), &used, &rises);
-        let (mut headroom, mut probing) = (headroom(AIM_PERCENT), headroom(PROBE_AIM_PERCENT));
+        let mut headroom = Headroom::new(&self.table, AIM_PERCENT, serving.iter(), &used);
+        let mut probing = Headroom::new(&self.table, PROBE_AIM_PERCENT, serving.iter(), &used);
         let harmed = self.over_since.values().any(|since| now.since(*since) >= OVER_TARGET_LIMIT);
         let mut order: Vec<(f64, &Filling)> =
             filling.iter().map(|t| (headroom.clash(&self.table, &t.image), t)).collect();
@@ -176,22 +166,6 @@
         changes
     }
 
-    /// Follows the own load of each run with a latency target; returns the rises to be expected.
-    fn follow_loads(
-        &mut self,
-        now: Moment,
-        serving: &[Serving],
-        used: &[(Arc<str>, f64)],
-    ) -> BTreeMap<RunKey, f64> {
-        self.trends.retain(|key, _| serving.iter().any(|task| task.key == *key));
-        for task in serving.iter().filter(|task| task.figure > 0) {
-            let load = own_load(&self.table, task, used);
-            let trend = self.trends.entry(task.key).or_insert_with(|| Trend::new(now, load));
-            trend.follow(now, load);
-        }
-        self.trends.iter().map(|(key, trend)| (*key, trend.rise())).collect()
-    }
-
     /// The run to probe now and its share, given the shares of all runs and the headroom that they
     /// leave for probes. The longest paused run comes first.
     fn probe(
--- a/toucangrade/src/pressure/headroom.rs
+++ b/toucangrade/src/pressure/headroom.rs
@@ -1,11 +1,9 @@
 //! Headroom of the tasks with a latency target on one runner: the load that filling tasks may still
 //! add before a tail latency gets too close to its target.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use super::{Serving, Table};
-use crate::jobs::RunKey;
 
 /// Share of its target that a tail latency should stay below, in percent. The margin is needed
 /// since latency grows steeply near saturation and figures are half a second old.
@@ -41,17 +39,6 @@
         aim: u64,
         serving: impl Iterator<Item = &'a Serving>,
         filling: &[(Arc<str>, f64)],
-    ) -> Self {
-        Self::ahead(table, aim, serving, filling, &BTreeMap::new())
-    }
-
-    /// The same when the own loads of tasks will have changed by `changes`.
-    pub(crate) fn ahead<'a>(
-        table: &Table,
-        aim: u64,
-        serving: impl Iterator<Item = &'a Serving>,
-        filling: &[(Arc<str>, f64)],
-        changes: &BTreeMap<RunKey, f64>,
     ) -> Self {
         let left = serving.map(|task| {
             let Serving { image, figure, target, .. } = task;
@@ -59,8 +46,10 @@
             if *figure == 0 {
                 return (Arc::clone(image), allowed - TYPICAL_LOAD);
             }
-            let change = changes.get(&task.key).copied().unwrap_or_default();
-            (Arc::clone(image), allowed - own_load(table, task, filling) - change)
+            let load = table.load(image, *figure, *target);
+            let added: f64 =
+                filling.iter().map(|(fill, used)| table.pressure(image, fill).mean * used).sum();
+            (Arc::clone(image), allowed - (load - added).max(0.0))
         });
         Self { left: left.collect() }
     }
@@ -108,14 +97,6 @@
     }
 }
 
-/// Load of a task without what the filling tasks beside it add; `filling` gives the share of the
-/// runner's cores that each of their images uses.
-pub(crate) fn own_load(table: &Table, task: &Serving, filling: &[(Arc<str>, f64)]) -> f64 {
-    let load = table.load(&task.image, task.figure, task.target);
-    let added = filling.iter().map(|(fill, used)| table.pressure(&task.image, fill).mean * used);
-    (load - added.sum::<f64>()).max(0.0)
-}
-
 /// Largest fraction of its full speed that a task may run at, when it requests the fraction `asked`
 /// of the cores and may use the fraction `limit`.
 pub(crate) fn share_within(limit: f64, asked: f64) -> f64 {
--- a/toucangrade/src/pressure/mod.rs
+++ b/toucangrade/src/pressure/mod.rs
@@ -5,12 +5,9 @@
 //! Tail latency is modelled as that of a queue: `base / (1 - load)`. The load of a task is its own,
 //! which drifts slowly, plus what each image beside it adds in proportion to the cores that it
 //! uses. The difference of two samples cancels the slow part, and a Kalman filter with one variance
-//! for each pair attributes the rest to the images whose use changed. A pair that was not seen yet
-//! has a prior from what its filling image does beside other images.
+//! for each pair attributes the rest to the images whose use changed.
 
 mod headroom;
-mod pool;
-mod usage;
 
 #[cfg(test)]
 mod tests;
@@ -20,23 +17,19 @@
 
 use serde::{Deserialize, Serialize};
 
-pub(crate) use self::headroom::{AIM_PERCENT, Headroom, PROBE_AIM_PERCENT, own_load, share_within};
-use self::pool::Pool;
-pub(crate) use self::usage::Usage;
+pub(crate) use self::headroom::{AIM_PERCENT, Headroom, PROBE_AIM_PERCENT, share_within};
 use crate::core::{Moment, Name, Span};
 use crate::jobs::RunKey;
 
-/// Mean of the pressure of an image of which nothing is known: the load that it adds when it uses all
-/// cores of a runner. Once one pair with it was seen, the prior of the others comes from the pool.
+/// Prior mean of a pressure: the load that an image adds when it uses all cores of a runner. Images
+/// that interfere add one to two, others almost nothing.
 const PRIOR_MEAN: f64 = 0.8;
-/// Variance of the pressure of an image of which nothing is known.
+/// Prior variance of a pressure.
 const PRIOR_VARIANCE: f64 = 0.8 * 0.8;
 /// Variance of the unexplained difference of two loads, which is the swing of a task's own load.
 const NOISE: f64 = 0.07 * 0.07;
 /// Lower bound for the variance of an estimate, so that it keeps following changes.
 const MIN_VARIANCE: f64 = 0.1 * 0.1;
-/// Time over which figures are averages.
-const FIGURE_WINDOW: Span = Span::millis(500);
 /// Shortest interval between two samples of a runner; figures are averages over half a second.
 const SAMPLE_EVERY: Span = Span::millis(450);
 /// Longest interval between two samples that are compared.
@@ -119,18 +112,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Sample {
     pub(crate) serving: Vec<Serving>,
-    /// Image of each filling run, and the fraction of the runner's cores that it uses.
-    pub(crate) filling: Vec<(RunKey, Arc<str>, f64)>,
-}
-
-/// The newest sample of a runner.
-#[derive(Debug)]
-struct Seen {
-    at: Moment,
-    serving: Vec<Serving>,
-    /// Fraction of the cores that each filling image used while the latencies were measured.
-    used: BTreeMap<Arc<str>, f64>,
-    usage: Usage,
+    /// Fraction of the runner's cores that each filling image uses.
+    pub(crate) filling: BTreeMap<Arc<str>, f64>,
 }
 
 /// Learns the pressure table from the samples of all runners.
@@ -142,39 +125,31 @@
     /// The table at the last change of `version`.
     #[serde(skip)]
     published: Arc<Table>,
-    /// What the samples say about each pair.
-    #[serde(skip)]
-    pool: Pool,
     /// Newest sample of each runner, by agent.
     #[serde(skip)]
-    last: BTreeMap<Name, Seen>,
+    last: BTreeMap<Name, (Moment, Sample)>,
 }
 
 impl Learner {
     /// Learns from a sample of the runner of `agent`.
     pub(crate) fn observe(&mut self, now: Moment, agent: &Name, sample: Sample) {
-        let mut seen = self.last.remove(agent);
-        let mut usage = seen.as_mut().map(|s| std::mem::take(&mut s.usage)).unwrap_or_default();
-        usage.update(now, sample.filling);
-        if let Some(seen) = seen.take_if(|seen| now.since(seen.at) < SAMPLE_EVERY) {
-            self.last.insert(agent.clone(), Seen { usage, ..seen });
+        let last = self.last.get(agent);
+        if last.is_some_and(|(at, _)| now.since(*at) < SAMPLE_EVERY) {
             return;
         }
         for serving in &sample.serving {
             self.lower_base(serving);
         }
-        let used = usage.by_image();
-        let after = Seen { at: now, serving: sample.serving, used, usage };
-        if let Some(before) = seen
-            && now.since(before.at) <= COMPARE_LIMIT
+        let last = self.last.insert(agent.clone(), (now, sample.clone()));
+        if let Some((at, before)) = last
+            && now.since(at) <= COMPARE_LIMIT
         {
-            let learned = self.compare(&before, &after);
-            if self.has_notable_change(&learned) {
-                self.version += 1;
-                self.published = Arc::clone(&self.table);
-            }
+            self.compare(&before, &sample);
+        }
+        if self.has_notable_change(&sample) {
+            self.version += 1;
+            self.published = Arc::clone(&self.table);
         }
-        self.last.insert(agent.clone(), after);
     }
 
     fn lower_base(&mut self, serving: &Serving) {
@@ -187,20 +162,18 @@
         Arc::make_mut(&mut self.table).bases.insert(Arc::clone(&serving.image), base);
     }
 
-    /// Learns from two samples of a runner; returns the filling images whose estimates changed.
-    fn compare(&mut self, before: &Seen, after: &Seen) -> Vec<Arc<str>> {
+    fn compare(&mut self, before: &Sample, after: &Sample) {
         let mut changes: BTreeMap<&Arc<str>, f64> = BTreeMap::new();
-        for (image, used) in &after.used {
+        for (image, used) in &after.filling {
             *changes.entry(image).or_default() += used;
         }
-        for (image, used) in &before.used {
+        for (image, used) in &before.filling {
             *changes.entry(image).or_default() -= used;
         }
         changes.retain(|_, change| change.abs() >= MIN_CHANGE);
         if changes.is_empty() {
-            return Vec::new();
+            return;
         }
-        let mut learned = false;
         for serving in &after.serving {
             let Some(earlier) = before.serving.iter().find(|s| s.key == serving.key) else {
                 continue;
@@ -213,47 +186,41 @@
             // The difference of two loads at the bound carries no information.
             if old < LOAD_LIMIT || new < LOAD_LIMIT {
                 self.correct(&serving.image, &changes, new - old);
-                learned = true;
             }
         }
-        let changed: Vec<_> = changes.into_keys().filter(|_| learned).cloned().collect();
-        changed.iter().for_each(|filling| self.refresh(filling));
-        changed
-    }
-
-    /// Updates the estimates of a filling image beside all images with a latency target.
-    fn refresh(&mut self, filling: &Arc<str>) {
-        let Table { bases, pairs } = Arc::make_mut(&mut self.table);
-        for serving in bases.keys() {
-            let pairs = pairs.entry(Arc::clone(serving)).or_default();
-            pairs.insert(Arc::clone(filling), self.pool.estimate(serving, filling));
-        }
     }
 
     /// Kalman update of the pressures on one image from the `rise` of its load.
     fn correct(&mut self, serving: &Arc<str>, changes: &BTreeMap<&Arc<str>, f64>, rise: f64) {
-        let known: Vec<Pressure> =
-            changes.keys().map(|image| self.pool.estimate(serving, image)).collect();
-        let sum = |part: &dyn Fn(&Pressure, f64) -> f64| -> f64 {
-            known.iter().zip(changes.values()).map(|(pair, change)| part(pair, *change)).sum()
-        };
-        let error = rise - sum(&|pair, change| pair.mean * change);
-        let total = NOISE + sum(&|pair, change| pair.variance * change * change);
-        for ((&image, &change), pair) in changes.iter().zip(&known) {
+        let table = Arc::make_mut(&mut self.table);
+        let pairs = table.pairs.entry(Arc::clone(serving)).or_default();
+        for &image in changes.keys() {
+            if !pairs.contains_key(image) {
+                pairs.insert(Arc::clone(image), Pressure::default());
+            }
+        }
+        let known = |image: &Arc<str>| pairs.get(image).copied().unwrap_or_default();
+        let expected: f64 = changes.iter().map(|(image, c)| known(image).mean * c).sum();
+        let explained: f64 = changes.iter().map(|(image, c)| known(image).variance * c * c).sum();
+        let (error, total) = (rise - expected, explained + NOISE);
+        for (&image, change) in changes {
+            let Some(pair) = pairs.get_mut(image) else { continue };
             let gain = pair.variance * change / total;
-            let mean = (pair.mean + gain * error).max(0.0);
-            let variance = (pair.variance * (1.0 - gain * change)).max(MIN_VARIANCE);
-            self.pool.record(serving, image, Pressure { mean, variance });
+            pair.mean = (pair.mean + gain * error).max(0.0);
+            pair.variance = (pair.variance * (1.0 - gain * change)).max(MIN_VARIANCE);
         }
     }
 
-    /// Whether some estimate for one of the filling images differs notably from the published table.
-    fn has_notable_change(&self, filling: &[Arc<str>]) -> bool {
-        let servings = self.table.pairs.keys();
-        let mut pairs = servings.flat_map(|s| filling.iter().map(move |f| (s, f)));
-        pairs.any(|(serving, filling)| {
-            let mean = |table: &Table| table.pressure(serving, filling).mean;
-            (mean(&self.table) - mean(&self.published)).abs() > NOTABLE_CHANGE
+    /// Whether some estimate for an image of the sample, the only ones that it can have changed,
+    /// differs notably from the published table.
+    fn has_notable_change(&self, sample: &Sample) -> bool {
+        sample.serving.iter().any(|serving| {
+            let Some(pairs) = self.table.pairs.get(&serving.image) else { return false };
+            let published = self.published.pairs.get(&serving.image);
+            pairs.iter().any(|(filling, pair)| {
+                let known = published.and_then(|pairs| pairs.get(filling)).copied();
+                (pair.mean - known.unwrap_or_default().mean).abs() > NOTABLE_CHANGE
+            })
         })
     }
 
