dispatch: let a report say what the agent can't rule out

A leader counts a run as gone by guesses where the agent knows: whether a copy of its start may still be carried out, when the runner's incarnation was fenced, and whether the listing had all ends. Reports get a field for these. It is left out while there is nothing to say, as earlier versions refuse a report with a field more. Nothing sets or reads it yet.

--- a/toucangrade/src/dispatch/message.rs
+++ b/toucangrade/src/dispatch/message.rs
@@ -182,6 +182,25 @@
     Unreadable,
 }
 
+/// What an agent can't rule out about its runner.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Doubts {
+    /// Whether the runner may have ends that the report lacks.
+    pub partial: bool,
+    /// Time since the runner's incarnation was fenced, while calls to an earlier one may have given it
+    /// a lease that has not ended. `None` once that is ruled out.
+    pub fenced: Option<Span>,
+    /// Runs of which a copy of the start may still be carried out, at the next incarnation too, and
+    /// the time until that is ruled out.
+    pub starts: Vec<(RunKey, Span)>,
+}
+
+impl Doubts {
+    fn is_empty(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
 /// Periodic report of an agent to the leader.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Report {
@@ -209,6 +228,10 @@
     pub gone: bool,
     /// Whether the agent has restarted and lacks the orders for runs that are still running.
     pub amnesia: bool,
+    /// What the agent can't rule out. Earlier versions refuse a report with a field more, so it is
+    /// left out while there is nothing.
+    #[serde(default, skip_serializing_if = "Doubts::is_empty")]
+    pub doubts: Doubts,
 }
 
 /// Order to start a run.
--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -36,8 +36,8 @@
 use self::fleet::{Fleet, Run, hold_end, lease_end};
 use self::gangs::GangSave;
 pub use self::message::{
-    ClientReply, ClientRequest, Denial, EndedRun, JobState, Orders, Report, RunProfile, RunStatus,
-    Runner, Start, Verb,
+    ClientReply, ClientRequest, Denial, Doubts, EndedRun, JobState, Orders, Report, RunProfile,
+    RunStatus, Runner, Start, Verb,
 };
 pub(crate) use self::message::{Effect, Message};
 use self::settings::{
--- a/toucangrade/src/dispatch/tests.rs
+++ b/toucangrade/src/dispatch/tests.rs
@@ -115,6 +115,7 @@
         silent: Span::ZERO,
         gone: false,
         amnesia: false,
+        doubts: Doubts::default(),
     }
 }
 
--- a/toucangrade/src/hosting/mod.rs
+++ b/toucangrade/src/hosting/mod.rs
@@ -19,7 +19,7 @@
 pub(crate) use self::message::{Effect, Message};
 use self::orders::{PendingOrder, Stage};
 use crate::core::{Moment, Name, Span};
-use crate::dispatch::{Denial, Report, RunProfile, RunStatus, Runner};
+use crate::dispatch::{Denial, Doubts, Report, RunProfile, RunStatus, Runner};
 use crate::jobs::RunKey;
 use crate::pacing::Pacing;
 
@@ -440,6 +440,7 @@
             silent: current.map_or(Span::ZERO, |current| now.since(current.answered)),
             gone: self.refused >= REFUSALS_LIMIT,
             amnesia: self.amnesia,
+            doubts: Doubts::default(),
         }
     }
 
--- a/toucangrade/src/lib.rs
+++ b/toucangrade/src/lib.rs
@@ -50,8 +50,8 @@
 };
 pub use crate::daemon::{BadSetting, Role, Settings, parser, run};
 pub use crate::dispatch::{
-    ClientReply, ClientRequest, Denial, EndedRun, JobState, Orders, Report, RunProfile, RunStatus,
-    Runner, Start, Verb,
+    ClientReply, ClientRequest, Denial, Doubts, EndedRun, JobState, Orders, Report, RunProfile,
+    RunStatus, Runner, Start, Verb,
 };
 pub use crate::evacuation::{Evacuation, EvacuationOrder, EvacuationVerb, Evacuations};
 pub use crate::hosting::{Announcement, Fault, Listing, RunnerTarget};
--- a/toucangrade/src/lookahead/replay.rs
+++ b/toucangrade/src/lookahead/replay.rs
@@ -10,7 +10,8 @@
 use super::Lookahead;
 use crate::core::{Moment, Name, Span};
 use crate::dispatch::{
-    ClientRequest, Dispatch, Effect, EndedRun, Message, Orders, Report, RunStatus, Runner, Verb,
+    ClientRequest, Dispatch, Doubts, Effect, EndedRun, Message, Orders, Report, RunStatus, Runner,
+    Verb,
 };
 use crate::jobs::{Configuration, End, Incarnation, Need, Queue, RunKey, Service, Step};
 
@@ -280,6 +281,7 @@
             silent: Span::ZERO,
             gone: false,
             amnesia: false,
+            doubts: Doubts::default(),
         };
         self.send(Message::Report { ticket: self.ticket, report: Box::new(report) });
     }
--- a/toucangrade/src/peer/tests/fuzz.rs
+++ b/toucangrade/src/peer/tests/fuzz.rs
@@ -8,8 +8,8 @@
 use crate::core::{Moment, Name, Span};
 use crate::daemon::listed_tasks;
 use crate::dispatch::{
-    ClientReply, ClientRequest, Denial, EndedRun, Orders, Report, RunProfile, RunStatus, Runner,
-    Start, Verb,
+    ClientReply, ClientRequest, Denial, Doubts, EndedRun, Orders, Report, RunProfile, RunStatus,
+    Runner, Start, Verb,
 };
 use crate::hosting::{self, Hosting};
 use crate::http::tests::mutate::Mutator;
@@ -88,6 +88,7 @@
         silent: Span::millis(3),
         gone: false,
         amnesia: true,
+        doubts: Doubts::default(),
     }
 }
 
