dispatch: show that the next leader forgets which incarnation holds a run

Tasks that must run once ran twice after runners had restarted under their ids and the leader had changed. A start that reaches the next incarnation is moved to its lease by one leader, in memory only. The next leader gives the run back to the incarnation that the log names, whose lease counts 6.1 s.

--- a/toucangrade/src/dispatch/tests/lives.rs
+++ b/toucangrade/src/dispatch/tests/lives.rs
@@ -132,3 +132,38 @@
     assert!(world.live(&old).is_empty());
     assert_eq!(world.state("match", 7), Some(ClientReply::State(case.state)));
 }
+
+struct Forgotten {
+    /// Whether the next incarnation is reported with the run before the election.
+    adopted: bool,
+    /// Time without an answer of the runner and its agent after the election, in ms.
+    silent: u64,
+}
+
+/// A start that reached the next incarnation was forgotten with the leader: after an election the run
+/// counted as held by the earlier incarnation, and its task was started again while it went on.
+#[rstest]
+#[case::reported_before_the_election(Forgotten { adopted: true, silent: 10_400 })]
+#[case::never_reported(Forgotten { adopted: false, silent: 10_400 })]
+fn next_leader_knows_which_incarnation_may_hold_a_run(#[case] case: Forgotten) {
+    let mut world = World::new();
+    world.advance(50_000);
+    let (old, other) = (incarnation("i-1", wall(&world) - 50_000), incarnation("i-2", 10));
+    world.report(report("10.0.0.1", 1, &old));
+    world.submit("match", 7, vec![step(1, 1_000)]);
+    let run = key(7, 0, 0, 1);
+    assert_eq!(world.live(&old), [run]);
+    world.advance(1_000);
+    if case.adopted {
+        let new = incarnation("i-1", wall(&world) - 200);
+        world.report(Report { rows: vec![row(run)], ..report("10.0.0.1", 2, &new) });
+        assert_eq!(world.live(&new), [run]);
+    }
+    world.send(Message::Lead { leading: false });
+    world.send(Message::Lead { leading: true });
+    for tenth in 1..=case.silent / 100 {
+        world.advance(100);
+        world.report(report("10.0.0.2", tenth, &other));
+        assert_eq!(world.live(&other), [], "started again {} ms after the election", 100 * tenth);
+    }
+}
