simulation: let held calls reach the next incarnation of a runner

Users saw tasks run twice after runners had restarted under their ids, and no randomised run did. The runs dropped a call that a runner had left unanswered once the runner had restarted. The platform drops none: such a call may be carried out seconds later, and a runner that is back under its id takes calls meant for its former life. With restarts, held calls now reach any later incarnation under the same name; the other scopes drop them as before, so their runs don't change.

--- a/toucangrade/src/simulation/jobs/machine.rs
+++ b/toucangrade/src/simulation/jobs/machine.rs
@@ -149,7 +149,9 @@
             }
             return;
         };
-        if matches!(delivery, Delivery::Late(serial) if serial != runner.serial) {
+        // A held call reaches any later incarnation under the same name.
+        let held = matches!(delivery, Delivery::Late(serial) if serial != runner.serial);
+        if held && !self.truth.scope.restarts {
             return;
         }
         if target.incarnation.runner != runner.incarnation.runner {
--- a/toucangrade/src/simulation/jobs/world.rs
+++ b/toucangrade/src/simulation/jobs/world.rs
@@ -71,7 +71,8 @@
 #[derive(Clone, Copy, Eq, PartialEq)]
 pub(super) enum Delivery {
     Direct,
-    /// The runner with this serial number had left it unanswered, and executes it now.
+    /// The runner with this serial number had left it unanswered. It, or with restarts a later
+    /// incarnation, executes it now.
     Late(u64),
     /// The connection was only established once the port was open again.
     Reconnected,
