hosting: report which starts, ends and leases can't be ruled out

Callers saw a task run twice: a copy of a start was carried out by the runner's next incarnation after the leader had taken the run for gone. The agent knows which starts got no answer, but forgot them with the order, which ends with the first listing that shows the run, and with the incarnation. Reports also said nothing on listings that lack ends or on the age of the fence, so that the leader guessed both.

The agent now keeps each start without a definite answer until 12 s after its last send, and reports the time that is left. This outlives the order, the answer that comes after it, and the incarnation. For the first 12 s of a process it counts the runs that the runner lists and that this process has not started, as an earlier process may have sent them. A start in flight counts once its answer is overdue, and before that if the runner lists the run: a report would otherwise show the run without a doubt, and the answer may still be missed. Answers don't name their send, so an answer is counted for the oldest one and silence for the newest, which never ends a doubt early. Reports also say whether the listing may lack ends (ends that can't be decoded count for 10 s) and for 30 s how old the fence is.

Tests: hosting::tests::doubts.

Left: a start that this process has sent again and that was answered, while an earlier process's copy of it is still under way, doesn't count as in doubt.

--- a/toucangrade/src/hosting/heard.rs
+++ b/toucangrade/src/hosting/heard.rs
@@ -182,7 +182,7 @@
                 // Calls meant for the previous incarnation carry lower tokens, so this one refuses
                 // them once it has answered a call with the new token.
                 self.token = self.token.saturating_add(1);
-                let (listing, fenced) = (Listing::default(), false);
+                let (listing, fenced) = (Listing::default(), None);
                 self.current = Some(CurrentRunner { candidate, listing, answered: now, fenced });
             },
         }
--- a/toucangrade/src/hosting/message.rs
+++ b/toucangrade/src/hosting/message.rs
@@ -57,6 +57,12 @@
     pub(super) fn shows_all(&self) -> bool {
         self.complete && !self.unread
     }
+
+    /// The listed runs, both active and ended.
+    pub(super) fn runs(&self) -> impl Iterator<Item = RunKey> {
+        let ended = self.ended.iter().map(|ended| ended.key);
+        self.rows.iter().map(|row| row.key).chain(ended)
+    }
 }
 
 /// Destination of a call to a runner, with the fencing token of the call.
--- a/toucangrade/src/hosting/mod.rs
+++ b/toucangrade/src/hosting/mod.rs
@@ -2,6 +2,7 @@
 //! start and stop orders, extends the runner's lease as the leader grants it, and reports runs,
 //! ends and refused starts to the leader.
 
+mod doubts;
 mod heard;
 mod message;
 mod orders;
@@ -13,13 +14,14 @@
 
 use serde::Serialize;
 
+use self::doubts::DoubtState;
 use self::heard::Candidate;
 use self::message::Target;
 pub use self::message::{Announcement, Fault, Listing, Target as RunnerTarget};
 pub(crate) use self::message::{Effect, Message};
 use self::orders::{PendingOrder, Stage};
 use crate::core::{Moment, Name, Span};
-use crate::dispatch::{Denial, Doubts, Report, RunProfile, RunStatus, Runner};
+use crate::dispatch::{Denial, Report, RunProfile, RunStatus, Runner};
 use crate::jobs::RunKey;
 use crate::pacing::Pacing;
 
@@ -61,9 +63,9 @@
     listing: Listing,
     /// Time of its last listing.
     answered: Moment,
-    /// Whether it has answered a listing with a token of its own, so that it refuses calls that were
-    /// meant for earlier incarnations. Until then such calls may still take effect.
-    fenced: bool,
+    /// Time at which it first answered a listing with a token of its own, so that it refuses calls
+    /// that were meant for earlier incarnations. Until then such calls may still take effect.
+    fenced: Option<Moment>,
 }
 
 impl CurrentRunner {
@@ -111,6 +113,7 @@
     /// Properties of the runs that pacing needs, as the leader sent them.
     #[serde(rename = "natures")]
     profiles: BTreeMap<RunKey, RunProfile>,
+    doubts: DoubtState,
     pacing: Pacing,
     /// End of the lease in ms, on the runner's clock.
     until: Option<u64>,
@@ -165,6 +168,7 @@
             pending: BTreeMap::new(),
             denied: BTreeMap::new(),
             profiles: BTreeMap::new(),
+            doubts: DoubtState::default(),
             pacing: Pacing::default(),
             until: None,
             noted: 0,
@@ -185,6 +189,7 @@
 
     /// Handles a message and returns the effects to perform.
     pub(crate) fn step(&mut self, now: Moment, message: Message) -> Vec<Effect> {
+        self.doubts.begin(now);
         match message {
             Message::Announce(announced) => self.announce(now, *announced),
             Message::Leave { runner, born } => self.leave(&runner, born),
@@ -196,6 +201,7 @@
             Message::Tick => {
                 self.denied.retain(|_, (_, at)| now.since(*at) < DENIED_RETENTION);
                 self.expire_others(now);
+                self.doubts.tick(now);
                 self.retry_orders(now);
             },
         }
@@ -220,7 +226,7 @@
     /// The current runner, once it is fenced. Nothing about it is reported before, since calls to
     /// an earlier incarnation may still start runs on it that its last listing doesn't show.
     fn fenced(&self) -> Option<&CurrentRunner> {
-        self.current.as_ref().filter(|current| current.fenced)
+        self.current.as_ref().filter(|current| current.fenced.is_some())
     }
 
     /// Resets all state that belongs to the previous runner.
@@ -229,6 +235,7 @@
         self.pending.clear();
         self.denied.clear();
         self.profiles.clear();
+        self.doubts.forget_runner();
         self.pacing = Pacing::default();
         (self.until, self.noted, self.listing) = (None, 0, None);
         (self.failed, self.refused) = (None, 0);
@@ -268,12 +275,13 @@
             return;
         }
         (self.failed, self.refused, self.seeking) = (None, 0, false);
+        self.doubts.take_listing(now, &listing);
         let fenced = target.token == self.token;
-        if let Some(current) = self.current.as_mut().filter(|current| !current.fenced) {
+        if let Some(current) = self.current.as_mut().filter(|current| current.fenced.is_none()) {
             if !fenced {
                 return;
             }
-            current.fenced = true;
+            current.fenced = Some(now);
             let incarnation = &current.candidate.announced.incarnation;
             tracing::info!(
                 runner = %incarnation.runner,
@@ -440,7 +448,7 @@
             silent: current.map_or(Span::ZERO, |current| now.since(current.answered)),
             gone: self.refused >= REFUSALS_LIMIT,
             amnesia: self.amnesia,
-            doubts: Doubts::default(),
+            doubts: self.build_doubts(now),
         }
     }
 
@@ -452,8 +460,6 @@
 
     /// Runs in the last listing, both running and ended.
     fn listed_runs(&self) -> BTreeSet<RunKey> {
-        let Some(current) = &self.current else { return BTreeSet::new() };
-        let rows = current.listing.rows.iter().map(|row| row.key);
-        rows.chain(current.listing.ended.iter().map(|ended| ended.key)).collect()
+        self.current.iter().flat_map(|current| current.listing.runs()).collect()
     }
 }
--- a/toucangrade/src/hosting/orders.rs
+++ b/toucangrade/src/hosting/orders.rs
@@ -12,14 +12,14 @@
 use crate::jobs::RunKey;
 
 /// Time after which an unanswered order is sent again.
-const RESEND_AFTER: Span = Span::millis(250);
+pub(super) const RESEND_AFTER: Span = Span::millis(250);
 /// Number of times that a start is sent before it is given up and stopped.
 const SENDS_LIMIT: u32 = 4;
 /// Time within which an unanswered call may still take effect at the runner.
-const EFFECT_TIMEOUT: Span = Span::secs(12);
+pub(super) const EFFECT_TIMEOUT: Span = Span::secs(12);
 /// Time after which an end that can't be decoded no longer keeps a run unknown. It may never be
 /// forgotten, if no later run ends on the runner.
-const UNREAD_TIMEOUT: Span = Span::secs(10);
+pub(super) const UNREAD_TIMEOUT: Span = Span::secs(10);
 /// Maximum number of orders that wait for an answer at once, which bounds the connections to the
 /// runner.
 const OPEN_LIMIT: usize = 4;
@@ -134,7 +134,10 @@
             let target = target.clone();
             let effect = match &order.stage {
                 Stage::Start(_) if !certain => continue,
-                Stage::Start(start) => Effect::Start { target, start: start.clone(), lease_end },
+                Stage::Start(start) => {
+                    self.doubts.start_sent(now, *key);
+                    Effect::Start { target, start: start.clone(), lease_end }
+                },
                 Stage::Stop => Effect::Stop { target, key: *key },
                 Stage::Started { .. } | Stage::Stopped { .. } => continue,
             };
@@ -157,6 +160,7 @@
     }
 
     pub(super) fn started(&mut self, now: Moment, key: RunKey, result: Result<(), Fault>) {
+        self.doubts.start_answered(now, key, result);
         let Some(order) = self.pending.get_mut(&key) else { return };
         if !matches!(order.stage, Stage::Start(_)) {
             return;
--- a/toucangrade/src/hosting/tests.rs
+++ b/toucangrade/src/hosting/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of an agent with a simulated runner and hand-written answers of the leader.
 
+mod doubts;
 mod listings;
 mod lives;
 
