dispatch: record in the log which incarnation holds a run

Callers saw tasks that must run once run twice after back ends had restarted under their ids and the leader had changed.

Cause: which incarnation of a runner may hold a run was known to one leader's memory only, and what was not known counted as the shortest lease. A start that reached the next incarnation was moved to its lease there; the next leader gave it back to the incarnation that the log names, and started the task again 6.2 s after the election. A run that had been listed counted as one of which no copy is under way, so a copy of its start that the next incarnation carried out was not waited for. The age at which an incarnation is fenced was a guess.

Change: the leader keeps for each run what is known of its holder: settled (a report has shown it on the incarnation, with no copy of its start under way), doubtful until a moment that the agent's reports give, or unknown. After an election a run without that record counts as one that may still be started for 12 s, the time within which an unanswered call may be carried out, and then hold the longest lease. The age of the fence comes from the report. ORDERS_AFTER_ANSWER no longer stands for that time.

--- a/toucangrade/src/dispatch/answers.rs
+++ b/toucangrade/src/dispatch/answers.rs
@@ -23,7 +23,9 @@
         Applied::NoQueue => return None,
         Applied::Occupied => occupied(),
         Applied::Stale | Applied::Withdrawn => ClientReply::Gone,
-        Applied::Assigned | Applied::Closed | Applied::Taken => ClientReply::Unknown,
+        Applied::Assigned | Applied::Closed | Applied::Settled | Applied::Taken => {
+            ClientReply::Unknown
+        },
     })
 }
 
--- a/toucangrade/src/dispatch/fleet.rs
+++ b/toucangrade/src/dispatch/fleet.rs
@@ -10,8 +10,8 @@
 use super::message::{Report, RunStatus, Runner};
 use super::place::Exclusion;
 use super::settings::{
-    LEASE_DURATION, LEASE_MARGIN, REPORT_GAP, SILENCE_LIMIT, SLOW_CLOCK_PERCENT, STARTS_HELD,
-    STARTUP_LIMIT, STUCK_LIMIT, STUCK_SHARE,
+    CALL_LIMIT, LEASE_DURATION, LEASE_MARGIN, ORDERS_AFTER_ANSWER, REPORT_GAP, SILENCE_LIMIT,
+    SLOW_CLOCK_PERCENT, STARTS_HELD, STARTUP_LIMIT, STUCK_LIMIT, STUCK_SHARE,
 };
 use crate::core::{Moment, Name, Span};
 use crate::jobs::{Checkpoint, Incarnation, Need, RunKey};
@@ -59,6 +59,19 @@
     pub(crate) share: u8,
     /// Whether it is to be stopped although its task is not done.
     pub(crate) stop: bool,
+    pub(crate) holder: Holder,
+}
+
+/// What is known about which incarnation of a runner may hold a run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub(crate) enum Holder {
+    /// A copy of its start may be carried out until this moment, by any later incarnation.
+    Doubtful(Moment),
+    /// The incarnation to whose lease it belongs: a report has shown it there, and no copy of its start
+    /// can be carried out any more. `recorded` if the log has this, `proposed` if that is under way.
+    Settled { proposed: bool, recorded: bool },
+    /// The order to start it may be on its way to the agent or the runner.
+    Unknown,
 }
 
 impl Run {
@@ -108,6 +121,8 @@
     /// When every lease that was granted has certainly expired.
     #[serde(rename = "bound")]
     pub(crate) expires: Moment,
+    /// When the runner was last read.
+    pub(crate) read: Moment,
     /// Whether the incarnation is known to have ended.
     #[serde(skip)]
     pub(crate) over: bool,
@@ -116,6 +131,21 @@
     pub(crate) changed: u64,
 }
 
+impl Lease {
+    /// Latest time at which a run may still go on if nothing more is heard of its runner, where
+    /// `limit` is the longest lease that runners accept.
+    pub(crate) fn run_end(&self, run: &Run, limit: Span) -> Moment {
+        let stray = match run.holder {
+            Holder::Doubtful(until) => until,
+            // Its order can't have left this instance.
+            Holder::Unknown if run.never_ordered() => return self.expires,
+            Holder::Unknown => self.read + ORDERS_AFTER_ANSWER + CALL_LIMIT,
+            Holder::Settled { .. } => return self.expires,
+        };
+        self.expires.max(hold_end(stray, limit))
+    }
+}
+
 /// Latest time at which a lease expires that was granted for a report of this moment.
 pub(crate) fn lease_end(now: Moment) -> Moment {
     now + LEASE_DURATION.percent(SLOW_CLOCK_PERCENT) + LEASE_MARGIN
@@ -268,11 +298,17 @@
 }
 
 fn reported_runs(report: &Report) -> BTreeSet<RunKey> {
+    let denied = report.denied.iter().map(|(key, _)| *key);
+    held_runs(report).into_iter().chain(denied).collect()
+}
+
+/// Runs that the reported incarnation may hold: those that it lists, and those that its agent is
+/// starting or stopping there.
+pub(crate) fn held_runs(report: &Report) -> BTreeSet<RunKey> {
     let rows = report.rows.iter().map(|row| row.key);
     let ended = report.ended.iter().map(|ended| ended.key);
-    let denied = report.denied.iter().map(|(key, _)| *key);
     let handled = report.handling.iter().chain(&report.stopping).copied();
-    rows.chain(handled).chain(ended).chain(denied).collect()
+    rows.chain(handled).chain(ended).collect()
 }
 
 /// All runners and leases.
@@ -319,7 +355,7 @@
         if !self.leases.contains_key(incarnation) {
             let changed = self.next_change();
             let (runs, expires) = (BTreeMap::new(), lease_end(now));
-            let lease = Lease { runs, expires, over: false, changed };
+            let lease = Lease { runs, expires, read: now, over: false, changed };
             self.leases.insert(incarnation.clone(), lease);
         }
         self.leases.entry(incarnation.clone()).or_insert_with(|| unreachable!("inserted above"))
@@ -345,7 +381,12 @@
 
     /// Moves the runs that an incarnation lists to its lease, from those of earlier incarnations
     /// under the same name: their starts arrived after the restart.
-    pub(crate) fn adopt_runs(&mut self, incarnation: &Incarnation, listed: &[RunKey], now: Moment) {
+    pub(crate) fn adopt_runs(
+        &mut self,
+        incarnation: &Incarnation,
+        listed: &BTreeSet<RunKey>,
+        now: Moment,
+    ) {
         let earlier = self
             .leases
             .iter()
@@ -357,7 +398,10 @@
             })
             .collect();
         for (old, key) in moved {
-            let Some(run) = self.remove_run(&old, key) else { continue };
+            let Some(mut run) = self.remove_run(&old, key) else { continue };
+            if !matches!(run.holder, Holder::Doubtful(_)) {
+                run.holder = Holder::Unknown;
+            }
             tracing::info!(
                 run = %key,
                 runner = %incarnation.runner,
--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -12,6 +12,7 @@
 mod fleet;
 mod gangs;
 mod health;
+mod holders;
 mod log;
 mod message;
 mod place;
@@ -33,7 +34,7 @@
 use serde::{Serialize, Serializer};
 
 use self::evacuation::EvacuationState;
-use self::fleet::{Fleet, Run, hold_end, lease_end};
+use self::fleet::{Fleet, Holder, Run, lease_end};
 use self::gangs::GangSave;
 pub use self::message::{
     ClientReply, ClientRequest, Denial, Doubts, EndedRun, JobState, Orders, Report, RunProfile,
@@ -41,7 +42,7 @@
 };
 pub(crate) use self::message::{Effect, Message};
 use self::settings::{
-    BATCH_BYTES, BATCH_LIMIT, FENCED_AGE, HOLD_LIMIT, LEASE_DURATION, MOVE_RESERVATION,
+    BATCH_BYTES, BATCH_LIMIT, CALL_LIMIT, HOLD_LIMIT, LEASE_DURATION, MOVE_RESERVATION,
     PROPOSALS_LIMIT, SNAPSHOT_BYTES, SNAPSHOT_COMMANDS, STEP_BYTES,
 };
 use self::slow_start::SlowStart;
@@ -249,6 +250,7 @@
         self.expire_leases(now);
         self.expire_reports(now);
         self.give_back(now);
+        self.propose_holders(now);
         self.open_rounds();
         self.forget(now);
         self.moving.retain(|_, (_, since)| now.since(*since) < MOVE_RESERVATION);
@@ -346,7 +348,8 @@
         }
         // An assignment that was applied was allocated when it was proposed, and a confirmed start
         // leaves the room as it is.
-        self.dirty |= applied != Applied::Assigned && !matches!(command, Command::Begin { .. });
+        self.dirty |= !matches!(applied, Applied::Assigned | Applied::Settled)
+            && !matches!(command, Command::Begin { .. });
         match command {
             Command::Accept { job, .. } => {
                 let entry = self.job_table.jobs.get(&job.id);
@@ -358,8 +361,10 @@
             },
             Command::Assign { key, incarnation } => {
                 let own = self.assigning.remove(key).is_some();
-                if applied == Applied::Assigned {
-                    self.add_run(now, *key, incarnation, own, touched);
+                match applied {
+                    Applied::Assigned => self.add_run(now, *key, incarnation, own, touched),
+                    Applied::Settled => self.record_holder(*key, incarnation),
+                    _ => {},
                 }
             },
             Command::Begin { job } => {
@@ -439,6 +444,10 @@
             figure: 0,
             share: 100,
             stop: false,
+            holder: match self.job_table.settled.contains(&key) {
+                true => Holder::Settled { proposed: false, recorded: true },
+                false => Holder::Unknown,
+            },
         })
     }
 
@@ -555,7 +564,12 @@
         let live = entries.flat_map(JobEntry::live_runs);
         let live: Vec<_> = live.map(|(key, run)| (key, Arc::clone(&run.incarnation))).collect();
         for (key, incarnation) in live {
-            if let Some(run) = self.new_run(now, key) {
+            if let Some(mut run) = self.new_run(now, key) {
+                if run.holder == Holder::Unknown {
+                    // Another instance may have sent its order until now, and its start may have got
+                    // no answer.
+                    run.holder = Holder::Doubtful(now + CALL_LIMIT);
+                }
                 self.fleet.add_run(&incarnation, key, run, now);
             }
         }
@@ -574,24 +588,13 @@
             self.learner.clear_samples();
             self.rebuild(now);
             // The previous leader may have granted leases up to this moment.
-            let incarnations: Vec<Incarnation> = self.fleet.leases.keys().cloned().collect();
-            for incarnation in incarnations {
-                let expires = lease_end(now).max(self.stray_lease_end(now, &incarnation));
-                self.fleet.lease_entry(&incarnation, now).expires = expires;
+            for lease in self.fleet.leases.values_mut() {
+                (lease.expires, lease.read) = (lease_end(now), now);
             }
         }
         tracing::info!(leading, jobs = self.active.len(), index = self.index, "dispatch");
     }
 
-    /// Latest end of a lease that an incarnation took from a call meant for an earlier one, before it
-    /// was fenced. Such calls hold times on the clock of the earlier one, so the lease is as long as
-    /// the runner accepts.
-    fn stray_lease_end(&self, now: Moment, incarnation: &Incarnation) -> Moment {
-        let age = self.wall.saturating_sub(incarnation.born);
-        let fenced = Span::millis(age.saturating_sub(FENCED_AGE.as_millis()));
-        hold_end(now, self.hold_limit) - fenced
-    }
-
     /// Drops uncommitted decisions and answers all waiting requests and reports, since another
     /// instance decides from now on.
     fn step_down(&mut self) {
@@ -624,7 +627,12 @@
         self.overload.unsure |= lost;
         for command in &proposal.commands {
             match command {
-                Command::Assign { key, .. } => drop(self.assigning.remove(key)),
+                Command::Assign { key, incarnation } => {
+                    self.assigning.remove(key);
+                    if let Some(run) = self.fleet.run_mut(incarnation, *key) {
+                        run.holder = run.holder.not_proposed();
+                    }
+                },
                 Command::Begin { job } => drop(self.beginning.remove(job)),
                 Command::Cancel { job, .. } => drop(self.opening.remove(&(*job, u32::MAX))),
                 // A lost proposal may still be committed. Its runs stay closed to orders until the
--- a/toucangrade/src/dispatch/reports.rs
+++ b/toucangrade/src/dispatch/reports.rs
@@ -1,9 +1,10 @@
 //! Processing of agents' reports, and the orders sent back.
 
-use super::fleet::{Parked, Worker, hold_end, lease_end};
+use super::fleet::{Parked, Worker, lease_end};
+use super::holders::Cause;
 use super::message::{Denial, Effect, Orders, Report, RunProfile, Start};
 use super::place::Exclusion;
-use super::settings::{LEASE_DURATION, ORDERS_AFTER_ANSWER, PARK_LIMIT, TABLE_EVERY};
+use super::settings::{LEASE_DURATION, PARK_LIMIT, TABLE_EVERY};
 use super::{Dispatch, Run, log};
 use crate::core::{Moment, Name, Span};
 use crate::jobs::{Checkpoint, Command, End, Incarnation, Phase, RunKey};
@@ -21,16 +22,15 @@
         let incarnation = report.runner.as_ref().map(|runner| runner.incarnation.clone());
         if let Some(incarnation) = &incarnation {
             let rows = report.rows.iter().map(|row| row.key);
-            let listed: Vec<RunKey> =
-                rows.chain(report.ended.iter().map(|ended| ended.key)).collect();
+            let listed = rows.chain(report.ended.iter().map(|ended| ended.key)).collect();
             self.fleet.adopt_runs(incarnation, &listed, now);
         }
         for over in self.fleet.ended_incarnations(&agent, incarnation.as_ref()) {
             // An incarnation that was born later may only have been silent, so its lease must
             // expire first.
-            if incarnation.as_ref().is_some_and(|incarnation| over.born <= incarnation.born) {
+            if incarnation.as_ref().is_some_and(|found| over.born <= found.born) {
                 self.fleet.lease_entry(&over, now).over = true;
-                self.close_runs(&over);
+                self.close_runs(now, &over, Cause::Replaced);
             }
         }
         if let Some(incarnation) = &incarnation {
@@ -39,13 +39,16 @@
             let read = now - report.silent;
             let known = self.fleet.workers.get(&agent).and_then(Worker::last_incarnation).cloned();
             let mut expires = lease_end(read);
-            if known.as_ref() != Some(incarnation) {
+            let fenced = report.doubts.fenced;
+            if known.as_ref() != Some(incarnation) || fenced.is_some() {
                 // Its agent has fenced it, so no call to an earlier incarnation takes effect any more.
-                expires = expires.max(self.stray_lease_end(now, incarnation));
+                expires = expires.max(self.stray_lease_end(now, incarnation, fenced));
             }
             let lease = self.fleet.lease_entry(incarnation, now);
             lease.expires = lease.expires.max(expires);
+            lease.read = lease.read.max(read);
             lease.over = false;
+            self.update_holders(now, incarnation, &report);
             self.record_progress(now, read, incarnation, &report);
             self.collect_begun(&report);
             let cold = report.runner.as_ref().map_or(Span::ZERO, |runner| runner.cold);
@@ -53,7 +56,7 @@
             self.record_sample(now, &report);
             self.record_ends(now, incarnation, &report);
             if report.gone {
-                self.close_runs(incarnation);
+                self.close_gone(now, incarnation);
             }
         }
         let worker = self.fleet.workers.entry(agent.clone());
@@ -192,7 +195,7 @@
         }
     }
 
-    fn propose_close(
+    pub(super) fn propose_close(
         &mut self,
         incarnation: &Incarnation,
         key: RunKey,
@@ -204,59 +207,6 @@
         }
     }
 
-    /// Proposes the end of all runs of a runner's incarnation that is over, and removes the
-    /// incarnation once it has none left.
-    fn close_runs(&mut self, incarnation: &Incarnation) {
-        let Some(lease) = self.fleet.leases.get(incarnation) else { return };
-        if lease.runs.is_empty() {
-            self.fleet.leases.remove(incarnation);
-            return;
-        }
-        self.close_lost(incarnation, |_| true);
-    }
-
-    /// Proposes the end of the runs of an incarnation for which `over` holds.
-    fn close_lost(&mut self, incarnation: &Incarnation, over: impl Fn(&Run) -> bool) {
-        let Some(lease) = self.fleet.leases.get(incarnation) else { return };
-        let runs = lease.runs.iter().filter(|(key, run)| over(run) && !self.closing.contains(key));
-        let runs: Vec<_> = runs.map(|(key, run)| (*key, run.saved.clone())).collect();
-        if runs.is_empty() {
-            return;
-        }
-        tracing::info!(runner = %incarnation.runner, born = incarnation.born, runs = runs.len(), "runner lost");
-        for (key, saved) in runs {
-            self.propose_close(incarnation, key, End::Lost, saved);
-        }
-    }
-
-    /// Proposes the end of runs whose lease has certainly expired.
-    ///
-    /// A run that was never listed may have been started by the next incarnation under the same name,
-    /// in which case it runs for as long as that one may hold a lease. That can be ruled out once the
-    /// agent reports another incarnation, and is assumed for runs that an earlier leader assigned.
-    pub(super) fn expire_leases(&mut self, now: Moment) {
-        let restarted = hold_end(Moment::START + ORDERS_AFTER_ANSWER, self.hold_limit);
-        let longer = restarted.since(lease_end(Moment::START));
-        let mut over: Vec<(Incarnation, bool)> = Vec::new();
-        for (incarnation, lease) in &self.fleet.leases {
-            if lease.over {
-                // The log may have refused the proposal that closed its runs.
-                over.push((incarnation.clone(), true));
-            } else if lease.expires < now {
-                let replaced = self.fleet.is_replaced(incarnation);
-                over.push((incarnation.clone(), replaced || lease.expires + longer < now));
-            }
-        }
-        for (incarnation, unlisted) in over {
-            if unlisted {
-                self.close_runs(&incarnation);
-            } else {
-                let since = self.leading_since;
-                self.close_lost(&incarnation, |run| run.listed || run.since <= since);
-            }
-        }
-    }
-
     /// Proposes the end of runs for which no order has left, on silent runners and in evacuated data
     /// centres: they never start, so their tasks need not wait for the end of a lease.
     pub(super) fn give_back(&mut self, now: Moment) {
--- a/toucangrade/src/dispatch/settings.rs
+++ b/toucangrade/src/dispatch/settings.rs
@@ -7,12 +7,20 @@
 pub(crate) const LEASE_DURATION: Span = Span::millis(5_800);
 /// Longest lease that runners accept, unless the settings say otherwise; they shorten longer ones.
 pub(crate) const HOLD_LIMIT: Span = Span::secs(10);
-/// Time after the last answer of an incarnation in which orders for it may reach the next one under
-/// its name: agents send them for 700 ms, and give a call up after 250 ms.
+/// Time after the last answer of a runner in which its agent still sends orders to it: it does for
+/// 700 ms, and gives a call up after 250 ms.
 pub(crate) const ORDERS_AFTER_ANSWER: Span = Span::millis(950);
-/// Age at which an incarnation has been fenced by its agent: 3 s until it is found, and 2 s by which
-/// the clocks of instances may differ.
+/// Time within which a call that got no answer may be carried out, also by the next incarnation of
+/// the runner.
+pub(crate) const CALL_LIMIT: Span = Span::secs(12);
+/// Age at which an incarnation has been fenced by its agent, if the agent doesn't say when, as those
+/// of earlier versions: 3 s until it is found, and 2 s by which the clocks of instances may differ.
 pub(crate) const FENCED_AGE: Span = Span::secs(5);
+/// Time after the first listing of a run from which on its holder is recorded in the log: an
+/// unanswered start is reported by then.
+pub(crate) const SETTLED_AFTER: Span = Span::secs(1);
+/// The same for tasks that end by themselves. Most have ended by then, which saves an entry.
+pub(crate) const SHORT_SETTLED_AFTER: Span = Span::secs(3);
 /// Length of a lease on a runner whose clock is 2% slow, with a reserve of 1%, in percent of
 /// [`LEASE_DURATION`].
 pub(crate) const SLOW_CLOCK_PERCENT: u64 = 103;
--- a/toucangrade/src/jobs/book.rs
+++ b/toucangrade/src/jobs/book.rs
@@ -156,6 +156,8 @@
     Evacuating,
     /// A job of another queue has this id.
     Occupied,
+    /// The runner's incarnation that holds the run is recorded.
+    Settled,
     /// The command does not match the agreed state; nothing changed.
     Stale,
     /// The command was applied and has no answer of its own.
@@ -180,6 +182,11 @@
     /// while there are none.
     #[serde(default, skip_serializing_if = "Evacuations::is_empty")]
     pub(crate) evacuations: Evacuations,
+    /// Live runs that their runner's incarnation is known to hold: a report has shown them there, and
+    /// no copy of their start can be carried out by a later one. Snapshots have it as a part of its
+    /// own, see [`snapshot`](super::snapshot).
+    #[serde(skip)]
+    pub(crate) settled: BTreeSet<RunKey>,
 }
 
 impl JobTable {
@@ -327,8 +334,8 @@
         Applied::Taken
     }
 
-    /// Assigns a run, if the agreed state allows it. The leader may have proposed it from an
-    /// outdated state.
+    /// Assigns a run, if the agreed state allows it, or records the incarnation that holds a live one.
+    /// The leader may have proposed it from an outdated state.
     fn assign(&mut self, key: RunKey, incarnation: &Incarnation) -> Applied {
         let entry = self.jobs.get_mut(&key.task.job).filter(|e| e.phase == Phase::Active);
         let Some(entry) = entry else { return Applied::Stale };
@@ -340,6 +347,11 @@
             .is_some_and(|round| step < job.steps.len() && round.ready(&job, step));
         let limit = if job.steps.get(step).is_some_and(|s| s.copies) { COPIES_LIMIT } else { 1 };
         let Some(task) = entry.task_mut(key.task) else { return Applied::Stale };
+        if let Some(live) = task.live.iter_mut().find(|live| live.run == key.run) {
+            live.incarnation = Arc::new(incarnation.clone());
+            self.settled.insert(key);
+            return Applied::Settled;
+        }
         if !ready || task.done || task.live.len() >= limit || key.run != task.runs + 1 {
             return Applied::Stale;
         }
@@ -403,6 +415,7 @@
             return Applied::Stale;
         };
         task.live.remove(at);
+        self.settled.remove(&key);
         entry.begun |= end.shows_start();
         let Some(task) = entry.task_mut(key.task) else { return Applied::Stale };
         if let Some(saved) = saved {
--- a/toucangrade/src/jobs/mod.rs
+++ b/toucangrade/src/jobs/mod.rs
@@ -4,6 +4,7 @@
 mod book;
 mod declared;
 mod setup;
+pub(crate) mod snapshot;
 
 #[cfg(test)]
 pub(crate) mod tests;
@@ -112,7 +113,8 @@
 pub(crate) enum Command {
     /// Adds a job; `wall` is the time of acceptance in ms since 1970.
     Accept { job: Arc<Job>, wall: u64 },
-    /// Assigns a new run of a task to a runner.
+    /// Assigns a new run of a task to a runner. For a live run, records that this incarnation of its
+    /// runner holds it; instances of earlier versions ignore such a command.
     Assign {
         key: RunKey,
         #[serde(rename = "life")]
--- a/toucangrade/src/jobs/tests.rs
+++ b/toucangrade/src/jobs/tests.rs
@@ -409,3 +409,57 @@
     let read: JobTable = rmp_serde::from_slice(&written).expect("decodes");
     assert!(read.evacuations.is_empty());
 }
+
+struct Recorded {
+    /// Whether the log names the incarnation that holds the run.
+    settled: bool,
+    /// Whether the run's end is recorded afterwards.
+    closed: bool,
+    /// Whether the snapshot has the record.
+    kept: bool,
+}
+
+/// A snapshot lost who holds a run, or had a field more, at which earlier versions stop.
+#[rstest]
+#[case::assigned(Recorded { settled: false, closed: false, kept: false })]
+#[case::settled(Recorded { settled: true, closed: false, kept: true })]
+#[case::ended(Recorded { settled: true, closed: true, kept: false })]
+fn holders_of_runs_survive_snapshots(#[case] case: Recorded) {
+    let incarnation = |born| Incarnation { runner: Name::new("i-1").expect("a name"), born };
+    let key = RunKey { task: TaskKey { job: 1, round: 0, step: 0, index: 0 }, run: 1 };
+    let queue = Queue {
+        name: "quotes".into(),
+        host: "h.example".into(),
+        prefix: "/a/".into(),
+        service: "s".into(),
+        priority: 0,
+        attempts: 1,
+        stretch: 1.0,
+        objective: Span::secs(1),
+        timeout: Span::secs(3),
+    };
+    let setup = Configuration { version: 1, queues: vec![queue], ..Configuration::default() };
+    let mut table = JobTable::default();
+    table.apply(&Command::Configure(Arc::new(setup)));
+    let job = Arc::new(job(vec![step(1, vec![])]));
+    assert_eq!(table.apply(&Command::Accept { job, wall: 1 }), Applied::Accepted);
+    let assign = |born| Command::Assign { key, incarnation: incarnation(born) };
+    assert_eq!(table.apply(&assign(10)), Applied::Assigned);
+    if case.settled {
+        assert_eq!(table.apply(&assign(20)), Applied::Settled);
+        let live = table.live(key).map(|live| live.incarnation.born);
+        assert_eq!(live, Some(20));
+    }
+    if case.closed {
+        let close = Command::Close { key, end: End::Stopped, saved: None };
+        assert_eq!(table.apply(&close), Applied::Closed);
+    }
+    let bytes = snapshot::encode(&table);
+    let read = snapshot::decode(&bytes).expect("a readable snapshot");
+    assert_eq!((&read.jobs, &read.settled), (&table.jobs, &table.settled));
+    assert_eq!(read.settled.contains(&key), case.kept);
+    // Earlier versions read the table alone, and write nothing after it.
+    let earlier: JobTable = crate::peer::decode(&bytes).expect("a readable table");
+    let read = snapshot::decode(&crate::peer::encode(&earlier)).expect("a readable snapshot");
+    assert_eq!((&read.jobs, read.settled.len()), (&table.jobs, 0));
+}
--- a/toucangrade/src/node/control.rs
+++ b/toucangrade/src/node/control.rs
@@ -20,7 +20,7 @@
     BODY_LIMIT, CallError, Exchange, Handler, Head, Inbound, Outbound, Replies, Screen, Server,
     Tier,
 };
-use crate::jobs::{Command, JobTable};
+use crate::jobs::{Command, JobTable, snapshot};
 use crate::peer::{self, Reply, Request};
 use crate::quorum::{self, Quorum};
 
@@ -184,7 +184,7 @@
         match effect {
             agreement::Effect::Commit { index, ticket, command } => {
                 let bytes = command.len();
-                let stored: Vec<Command> = decode_or_exit(index, &command);
+                let stored: Vec<Command> = readable_or_exit(index, peer::decode(&command));
                 let commands: Vec<Command> = stored.into_iter().map(Command::from_stored).collect();
                 for command in &commands {
                     self.context.meter.count("commands_total", "kind", command.kind());
@@ -197,7 +197,7 @@
                 let job_table = if state.is_empty() {
                     JobTable::default()
                 } else {
-                    decode_or_exit(index, &state)
+                    readable_or_exit(index, snapshot::decode(&state))
                 };
                 let job_table = Box::new(job_table);
                 self.dispatch.push(dispatch::Message::Install { index, job_table });
@@ -276,7 +276,7 @@
                 control.orders.close(ticket, orders);
             },
             dispatch::Effect::Snapshot { index, job_table } => {
-                let state = peer::encode(&*job_table);
+                let state = snapshot::encode(&job_table);
                 info!(index, bytes = state.len(), "snapshot");
                 control.agreement.push(agreement::Message::SnapshotTaken { index, state });
             },
@@ -512,8 +512,8 @@
 
 /// Decodes replicated state. A failure ends the process, so that undecodable state is never treated
 /// as empty.
-fn decode_or_exit<T: for<'a> serde::Deserialize<'a>>(index: u64, bytes: &[u8]) -> T {
-    peer::decode(bytes).unwrap_or_else(|| {
+fn readable_or_exit<T>(index: u64, decoded: Option<T>) -> T {
+    decoded.unwrap_or_else(|| {
         error!(index, "agreed state can't be read, stopping the process");
         std::process::exit(EXIT_DATA)
     })
