dispatch: keep the runs that a partial listing may lack

Callers saw a task run again whose first run had ended as done.

Cause: when a report named the next incarnation of a runner, the leader closed each run of the earlier one that the report had neither as running nor as ended, as if its start had never arrived. The agent also names runs whose ends it knows to be hidden (as being handled) or that it is stopping, and a listing that is cut at 500 ends, or has ends that can't be decoded, doesn't show that a start never arrived.

Change: a run that a report names in any way belongs to its incarnation, and while the agent says that its listing may lack ends, earlier incarnations are not closed.

--- a/toucangrade/src/dispatch/fleet.rs
+++ b/toucangrade/src/dispatch/fleet.rs
@@ -379,12 +379,12 @@
         worker.health.trust(now, later)
     }
 
-    /// Moves the runs that an incarnation lists to its lease, from those of earlier incarnations
+    /// Moves the runs that a report names to the lease of its incarnation, from those of earlier ones
     /// under the same name: their starts arrived after the restart.
     pub(crate) fn adopt_runs(
         &mut self,
         incarnation: &Incarnation,
-        listed: &BTreeSet<RunKey>,
+        named: &BTreeSet<RunKey>,
         now: Moment,
     ) {
         let earlier = self
@@ -393,7 +393,7 @@
             .filter(|(old, _)| old.runner == incarnation.runner && *old != incarnation);
         let moved: Vec<(Incarnation, RunKey)> = earlier
             .flat_map(|(old, lease)| {
-                let runs = listed.iter().filter(|key| lease.runs.contains_key(key));
+                let runs = named.iter().filter(|key| lease.runs.contains_key(key));
                 runs.map(|key| (old.clone(), *key))
             })
             .collect();
@@ -429,10 +429,11 @@
         found.next().map(|(agent, _)| agent)
     }
 
-    /// Whether an agent reports another incarnation under the same name. An agent that reports none
-    /// may not have found the next one yet.
+    /// Whether an agent reports another incarnation under the same name, with all that it holds. An
+    /// agent that reports none may not have found the next one yet.
     pub(crate) fn is_replaced(&self, incarnation: &Incarnation) -> bool {
-        let mut reported = self.workers.values().filter_map(Worker::incarnation);
+        let complete = self.workers.values().filter(|worker| !worker.report.doubts.partial);
+        let mut reported = complete.filter_map(Worker::incarnation);
         reported.any(|other| other.runner == incarnation.runner && other != incarnation)
     }
 
--- a/toucangrade/src/dispatch/reports.rs
+++ b/toucangrade/src/dispatch/reports.rs
@@ -1,6 +1,6 @@
 //! Processing of agents' reports, and the orders sent back.
 
-use super::fleet::{Parked, Worker, lease_end};
+use super::fleet::{Parked, Worker, held_runs, lease_end};
 use super::holders::Cause;
 use super::message::{Denial, Effect, Orders, Report, RunProfile, Start};
 use super::place::Exclusion;
@@ -21,14 +21,13 @@
         }
         let incarnation = report.runner.as_ref().map(|runner| runner.incarnation.clone());
         if let Some(incarnation) = &incarnation {
-            let rows = report.rows.iter().map(|row| row.key);
-            let listed = rows.chain(report.ended.iter().map(|ended| ended.key)).collect();
-            self.fleet.adopt_runs(incarnation, &listed, now);
+            self.fleet.adopt_runs(incarnation, &held_runs(&report), now);
         }
         for over in self.fleet.ended_incarnations(&agent, incarnation.as_ref()) {
             // An incarnation that was born later may only have been silent, so its lease must
-            // expire first.
-            if incarnation.as_ref().is_some_and(|found| over.born <= found.born) {
+            // expire first. A report that may lack ends doesn't show which runs never arrived.
+            let earlier = incarnation.as_ref().is_some_and(|found| over.born <= found.born);
+            if earlier && !report.doubts.partial {
                 self.fleet.lease_entry(&over, now).over = true;
                 self.close_runs(now, &over, Cause::Replaced);
             }
--- a/toucangrade/src/dispatch/tests/lives.rs
+++ b/toucangrade/src/dispatch/tests/lives.rs
@@ -182,6 +182,54 @@
     }
 }
 
+/// How a report of the next incarnation, whose listing may lack ends, names a run that was assigned
+/// to the last one.
+#[derive(Clone, Copy)]
+enum Named {
+    Handling,
+    Not,
+    Stopping,
+}
+
+struct Partial {
+    named: Named,
+    /// Whether leadership changes before the report.
+    elected: bool,
+}
+
+/// A run that a report names, or whose end its listing may lack, was closed as lost and its task
+/// started again, and then it turned out to have ended as done.
+#[rstest]
+#[case::end_hidden(Partial { named: Named::Handling, elected: false })]
+#[case::end_hidden_after_an_election(Partial { named: Named::Handling, elected: true })]
+#[case::stopping(Partial { named: Named::Stopping, elected: false })]
+#[case::not_listed_yet(Partial { named: Named::Not, elected: false })]
+#[case::not_listed_yet_after_an_election(Partial { named: Named::Not, elected: true })]
+fn runs_that_a_partial_listing_lacks_are_kept(#[case] case: Partial) {
+    let mut world = World::new();
+    let (old, new) = (incarnation("i-1", 10), incarnation("i-1", 20));
+    world.report(report("10.0.0.1", 1, &old));
+    world.submit("match", 7, vec![step(1, 1_000)]);
+    let run = key(7, 0, 0, 1);
+    if case.elected {
+        world.send(Message::Lead { leading: false });
+        world.send(Message::Lead { leading: true });
+    }
+    let doubts = Doubts { partial: true, ..Doubts::default() };
+    let partial = Report { doubts, ..report("10.0.0.1", 2, &new) };
+    world.report(match case.named {
+        Named::Handling => Report { handling: vec![run], ..partial },
+        Named::Not => partial,
+        Named::Stopping => Report { stopping: vec![run], ..partial },
+    });
+    let live = |world: &World| [world.live(&old), world.live(&new)].concat();
+    assert_eq!(live(&world), [run]);
+    let ended = vec![EndedRun { number: 501, key: run, end: End::Done, saved: None }];
+    world.report(Report { ended, ..report("10.0.0.1", 3, &new) });
+    assert_eq!(live(&world), []);
+    assert_eq!(world.state("match", 7), Some(ClientReply::State(JobState::Completed)));
+}
+
 struct Copy {
     /// Time in ms for which the agent reports that a copy of the start may still be carried out.
     left: u64,
