dispatch: don't start a run again that has begun

Callers saw a task start a second time under the same number, on the next incarnation of its runner.

Cause: orders to start a run were repeated whenever the agent's newest report lacked it, also if an earlier report had shown it. The runner refuses such a start, but a call that gets no answer may be carried out later by its next incarnation.

Evidence: the users' record has run 4 of a task on two incarnations of a runner, 34 ms after the restart and 6 s after it was first at work; whether by this path isn't shown. run_that_has_begun_is_not_started_again fails without the change.

Change: a run that was listed and isn't reported any more is stopped, which the runner confirms and which prevents a start, instead of being started. While its end may be among those that a listing lacks, nothing is ordered.

--- a/toucangrade/src/dispatch/reports.rs
+++ b/toucangrade/src/dispatch/reports.rs
@@ -314,7 +314,13 @@
             if worker.reported_runs.contains(key) || self.closing.contains(key) {
                 continue;
             }
-            if self.should_run(*key, &runner.incarnation, evacuated) {
+            let begun = self.fleet.run(&runner.incarnation, *key).is_some_and(|run| run.listed);
+            if begun && report.doubts.partial {
+                // Its end may be among those that the report lacks.
+                continue;
+            }
+            // A run that has begun is not started again: the call could reach the next incarnation.
+            if !begun && self.should_run(*key, &runner.incarnation, evacuated) {
                 orders.starts.extend(self.start(*key));
             } else {
                 orders.stops.push(*key);
--- a/toucangrade/src/dispatch/tests/lives.rs
+++ b/toucangrade/src/dispatch/tests/lives.rs
@@ -268,3 +268,18 @@
     }
     assert!(100 * tenths > case.stays, "started again after {} ms", 100 * tenths);
 }
+
+/// A start was sent again for a run that had begun, and was carried out by the next incarnation.
+#[test]
+fn run_that_has_begun_is_not_started_again() {
+    let mut world = World::new();
+    let runner = incarnation("i-1", 10);
+    world.report(report("10.0.0.1", 1, &runner));
+    world.submit("match", 7, vec![step(1, 1_000)]);
+    let run = key(7, 0, 0, 1);
+    world.report(Report { rows: vec![row(run)], ..report("10.0.0.1", 2, &runner) });
+    let orders = world.report(report("10.0.0.1", 3, &runner)).or_else(|| world.later_orders());
+    let orders = orders.expect("orders");
+    assert!(orders.starts.is_empty(), "{:?}", orders.starts);
+    assert_eq!(orders.stops, [run]);
+}
