dispatch: start no task beside a copy of a closed run

Callers saw two runs of a task at once although the first one had been closed with good reason: it had failed, was refused, or its runner's next incarnation didn't hold it.

Cause: a start that got no answer may be carried out up to 12 s later by any later incarnation of the runner. The leader placed the task's next run as if the closed one could not come back, also while a report showed it running; and the next leader didn't know that a start had got no answer.

Change: while a copy of a closed run may be carried out, the next run starts beside the same runner only, as it ends with the incarnation that the copy needs. A task of which a report shows a closed run at work starts after that has ended. The log names the jobs with such starts (a command that earlier versions ignore); after an election their tasks whose last run has ended wait for 12 s, and their open runs count as startable for 12 s. A settled run is not doubted any more, as it isn't started again.

Taking over and giving up leadership moves to dispatch/leading.rs unchanged.

--- a/toucangrade/src/dispatch/fleet.rs
+++ b/toucangrade/src/dispatch/fleet.rs
@@ -429,6 +429,12 @@
         found.next().map(|(agent, _)| agent)
     }
 
+    /// Agent whose newest report names an incarnation of this runner.
+    pub(crate) fn agent_of(&self, runner: &Name) -> Option<&Name> {
+        let named = |worker: &Worker| worker.incarnation().is_some_and(|i| i.runner == *runner);
+        self.workers.iter().find(|(_, worker)| named(worker)).map(|(agent, _)| agent)
+    }
+
     /// Whether an agent reports another incarnation under the same name, with all that it holds. An
     /// agent that reports none may not have found the next one yet.
     pub(crate) fn is_replaced(&self, incarnation: &Incarnation) -> bool {
--- a/toucangrade/src/dispatch/holders.rs
+++ b/toucangrade/src/dispatch/holders.rs
@@ -5,14 +5,62 @@
 //! earlier one until its agent has fenced it. What is not known about a run therefore counts as the
 //! longest time for which some incarnation may hold it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::Serialize;
 
 use super::Dispatch;
 use super::fleet::{Holder, Run, held_runs, hold_end, lease_end};
 use super::message::Report;
 use super::settings::{CALL_LIMIT, FENCED_AGE, SETTLED_AFTER, SHORT_SETTLED_AFTER};
-use crate::core::{Moment, Span};
-use crate::jobs::{Command, End, Incarnation, RunKey};
+use crate::core::{Moment, Name, Span};
+use crate::jobs::{Command, End, Incarnation, JobTable, RunKey, TaskKey};
+
+/// Closed runs that their runners may still carry out or have started again, from a copy of a start.
+#[derive(Debug, Default, Serialize)]
+pub(super) struct Copies {
+    /// Agent beside whose runner the next run of a task has to start, and until when: a copy of the
+    /// start of a closed run may be carried out by that runner's next incarnation, with which the next
+    /// run ends.
+    #[serde(skip)]
+    pins: BTreeMap<TaskKey, (Name, Moment)>,
+    /// Tasks of doubtful jobs whose runs were closed before this instance led, and until when a copy of
+    /// a start of one may be carried out. Only the last leader knew by which runner.
+    #[serde(skip)]
+    closed: BTreeMap<TaskKey, Moment>,
+    /// Tasks of which a closed run is reported as running, by the reporting agent, with the runner's
+    /// incarnation.
+    #[serde(skip)]
+    strays: BTreeMap<Name, (Incarnation, BTreeSet<TaskKey>)>,
+}
+
+impl Copies {
+    /// Notes that a run of a task is closed whose holder is not certain.
+    pub(super) fn pin(&mut self, task: TaskKey, agent: &Name, holder: Holder) {
+        if let Holder::Doubtful(until) = holder {
+            self.pins.insert(task, (agent.clone(), until));
+        }
+    }
+
+    /// Notes the tasks whose last run has ended, of jobs that are doubtful when this instance begins to
+    /// lead.
+    pub(super) fn begin_term(&mut self, now: Moment, table: &JobTable) {
+        for entry in table.doubtful.iter().filter_map(|job| table.jobs.get(job)) {
+            let until = now + CALL_LIMIT;
+            self.closed.extend(entry.closed_tasks().map(|task| (task, until)));
+        }
+    }
+
+    pub(super) fn expire(&mut self, now: Moment) {
+        self.pins.retain(|_, (_, until)| *until >= now);
+        self.closed.retain(|_, until| *until >= now);
+    }
+
+    /// Agent beside whose runner the next run of a task has to start, if it matters.
+    pub(super) fn pinned(&self, task: TaskKey) -> Option<&Name> {
+        self.pins.get(&task).map(|(agent, _)| agent)
+    }
+}
 
 /// Why a run counts as gone.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -70,12 +118,25 @@
         let shown = shown.chain(report.ended.iter().map(|ended| ended.key));
         let before = self.fleet.workers.get(&report.agent);
         let restarted = before.is_some_and(|b| b.report.incarnation != report.incarnation);
-        let Some(lease) = self.fleet.leases.get_mut(incarnation) else { return };
+        let mut doubted = Vec::new();
         for (key, left) in &doubts {
-            if let Some(run) = lease.runs.get_mut(key) {
-                run.holder = Holder::Doubtful(now + *left);
+            // It may belong to the lease of an earlier incarnation.
+            let mut runs = self.fleet.leases.values_mut().filter_map(|l| l.runs.get_mut(key));
+            // A settled run is not started again. A restarted agent doesn't know that it was settled.
+            let run = runs.find(|run| !matches!(run.holder, Holder::Settled { .. }));
+            let Some(run) = run else {
+                if self.job_table.live(*key).is_none() {
+                    self.copies.pin(key.task, &report.agent, Holder::Doubtful(now + *left));
+                }
+                continue;
+            };
+            run.holder = Holder::Doubtful(now + *left);
+            let recorded = self.job_table.doubtful.contains(&key.task.job);
+            if !recorded && self.doubting.insert(key.task.job) {
+                doubted.push(key.task.job);
             }
         }
+        let Some(lease) = self.fleet.leases.get_mut(incarnation) else { return };
         for key in shown.filter(|key| !doubts.contains_key(key)) {
             if let Some(run) = lease.runs.get_mut(&key)
                 && !matches!(run.holder, Holder::Settled { .. })
@@ -92,6 +153,39 @@
                 run.holder = Holder::Doubtful(now + CALL_LIMIT);
             }
         }
+        for job in doubted {
+            self.propose(Command::Doubt { job, open: true }, None);
+        }
+    }
+
+    /// Notes the closed runs that a report shows as running. They are being stopped, and their tasks
+    /// don't start elsewhere before.
+    pub(super) fn note_strays(&mut self, incarnation: &Incarnation, report: &Report) {
+        let closed = |key: &RunKey| {
+            let entry = self.job_table.jobs.get(&key.task.job);
+            let task = entry.and_then(|entry| entry.task(key.task));
+            let step = entry.and_then(|e| e.job.steps.get(usize::from(key.task.step)));
+            task.is_some_and(|task| !task.done)
+                && step.is_some_and(|step| !step.copies)
+                && (self.job_table.live(*key).is_none() || self.closing.contains(key))
+        };
+        let rows = report.rows.iter().map(|row| row.key);
+        let strays: BTreeSet<TaskKey> = rows.filter(closed).map(|key| key.task).collect();
+        if strays.is_empty() {
+            self.copies.strays.remove(&report.agent);
+        } else {
+            let found = (incarnation.clone(), strays);
+            self.copies.strays.insert(report.agent.clone(), found);
+        }
+    }
+
+    /// Whether a closed run of a task may still be running, or be started again.
+    pub(super) fn is_stray(&self, task: TaskKey) -> bool {
+        let mut strays = self.copies.strays.values();
+        self.copies.closed.contains_key(&task)
+            || strays.any(|(incarnation, tasks)| {
+                tasks.contains(&task) && self.fleet.leases.contains_key(incarnation)
+            })
     }
 
     /// Proposes to record the holders of runs that are certain. Every later leader then knows how long
@@ -115,6 +209,24 @@
         for command in settled {
             self.propose(command, None);
         }
+        if !self.job_table.doubtful.is_empty() {
+            self.propose_certainty(now);
+        }
+    }
+
+    /// Proposes to record that no start of a job can be carried out late any more.
+    fn propose_certainty(&mut self, now: Moment) {
+        let leases = self.fleet.leases.values();
+        let open = |run: &Run| matches!(run.holder, Holder::Doubtful(until) if until >= now);
+        let runs = leases.flat_map(|lease| &lease.runs).filter(|(_, run)| open(run));
+        let mut doubted: BTreeSet<u64> = runs.map(|(key, _)| key.task.job).collect();
+        doubted.extend(self.copies.pins.keys().map(|task| task.job));
+        doubted.extend(self.copies.closed.keys().map(|task| task.job));
+        for job in self.job_table.doubtful.difference(&doubted).copied().collect::<Vec<_>>() {
+            if self.doubting.insert(job) {
+                self.propose(Command::Doubt { job, open: false }, None);
+            }
+        }
     }
 
     /// Notes that the log has recorded the holder of a run.
--- a/toucangrade/src/dispatch/log.rs
+++ b/toucangrade/src/dispatch/log.rs
@@ -49,6 +49,9 @@
         Command::Configure(setup) => {
             info!(version = setup.version, queues = setup.queues.len(), outcome, "configure");
         },
+        Command::Doubt { job, open } => {
+            info!(job = format_args!("{job:016x}"), open, outcome, "doubt");
+        },
         Command::Evacuate(order) => {
             let (centre, verb, by) = (&*order.centre, order.verb, &*order.by);
             info!(centre, ?verb, by, wall = order.wall, outcome, "evacuate");
--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -13,6 +13,7 @@
 mod gangs;
 mod health;
 mod holders;
+mod leading;
 mod log;
 mod message;
 mod place;
@@ -34,16 +35,17 @@
 use serde::{Serialize, Serializer};
 
 use self::evacuation::EvacuationState;
-use self::fleet::{Fleet, Holder, Run, lease_end};
+use self::fleet::{Fleet, Holder, Run};
 use self::gangs::GangSave;
+use self::holders::Copies;
 pub use self::message::{
     ClientReply, ClientRequest, Denial, Doubts, EndedRun, JobState, Orders, Report, RunProfile,
     RunStatus, Runner, Start, Verb,
 };
 pub(crate) use self::message::{Effect, Message};
 use self::settings::{
-    BATCH_BYTES, BATCH_LIMIT, CALL_LIMIT, HOLD_LIMIT, LEASE_DURATION, MOVE_RESERVATION,
-    PROPOSALS_LIMIT, SNAPSHOT_BYTES, SNAPSHOT_COMMANDS, STEP_BYTES,
+    BATCH_BYTES, BATCH_LIMIT, HOLD_LIMIT, LEASE_DURATION, MOVE_RESERVATION, PROPOSALS_LIMIT,
+    SNAPSHOT_BYTES, SNAPSHOT_COMMANDS, STEP_BYTES,
 };
 use self::slow_start::SlowStart;
 use self::views::Views;
@@ -114,6 +116,9 @@
     /// Jobs for which a [`Command::Begin`] is proposed.
     #[serde(skip)]
     beginning: BTreeSet<u64>,
+    /// Jobs for which a [`Command::Doubt`] is proposed.
+    #[serde(skip)]
+    doubting: BTreeSet<u64>,
     /// Proposed repetitions, as (job, round); cancellations have the round `u32::MAX`.
     #[serde(skip)]
     opening: BTreeSet<(u64, u32)>,
@@ -138,6 +143,7 @@
     /// When runs were last checked for being stuck or on a draining runner.
     #[serde(rename = "rescued")]
     last_rescue: Moment,
+    copies: Copies,
     waits: Waits,
     evacuation: EvacuationState,
     slow_start: SlowStart,
@@ -174,6 +180,7 @@
             closing: BTreeSet::new(),
             begun: BTreeSet::new(),
             beginning: BTreeSet::new(),
+            doubting: BTreeSet::new(),
             opening: BTreeSet::new(),
             ended: BTreeMap::new(),
             durations: BTreeMap::new(),
@@ -182,6 +189,7 @@
             dirty: false,
             leading_since: Moment::START,
             last_rescue: Moment::START,
+            copies: Copies::default(),
             waits: Waits::default(),
             evacuation: EvacuationState::default(),
             slow_start: SlowStart::default(),
@@ -250,6 +258,7 @@
         self.expire_leases(now);
         self.expire_reports(now);
         self.give_back(now);
+        self.copies.expire(now);
         self.propose_holders(now);
         self.open_rounds();
         self.forget(now);
@@ -349,7 +358,7 @@
         // An assignment that was applied was allocated when it was proposed, and a confirmed start
         // leaves the room as it is.
         self.dirty |= !matches!(applied, Applied::Assigned | Applied::Settled)
-            && !matches!(command, Command::Begin { .. });
+            && !matches!(command, Command::Begin { .. } | Command::Doubt { .. });
         match command {
             Command::Accept { job, .. } => {
                 let entry = self.job_table.jobs.get(&job.id);
@@ -370,6 +379,9 @@
             Command::Begin { job } => {
                 self.beginning.remove(job);
             },
+            Command::Doubt { job, .. } => {
+                self.doubting.remove(job);
+            },
             Command::Cancel { job, .. } => {
                 self.opening.remove(&(*job, u32::MAX));
                 if applied == Applied::Withdrawn {
@@ -461,6 +473,12 @@
         touched: &mut BTreeSet<Name>,
     ) {
         let run = self.fleet.remove_run(incarnation, key);
+        if let Some(run) = &run
+            && end != End::Done
+            && let Some(agent) = self.fleet.agent_of(&incarnation.runner)
+        {
+            self.copies.pin(key.task, agent, run.holder);
+        }
         // The start time of runs assigned by an earlier leader is not known here.
         if let Some(run) = &run
             && end == End::Done
@@ -536,91 +554,6 @@
         }
     }
 
-    fn install(&mut self, now: Moment, index: u64, job_table: JobTable) {
-        self.job_table = job_table;
-        self.gang_saves.clear();
-        self.index = index;
-        self.growth = (0, 0);
-        self.rebuild(now);
-    }
-
-    /// Rebuilds the derived state from the replicated state.
-    fn rebuild(&mut self, now: Moment) {
-        let active = |entry: &JobEntry| entry.phase == Phase::Active;
-        (self.active, self.ended) = (BTreeSet::new(), BTreeMap::new());
-        for (id, entry) in &self.job_table.jobs {
-            if active(entry) {
-                self.active.insert(*id);
-            } else {
-                // The time of the end is not known here, so retention counts from now.
-                self.ended.insert(*id, now);
-            }
-        }
-        for (id, _) in &self.job_table.withdrawn {
-            self.ended.entry(*id).or_insert(now);
-        }
-        self.fleet.leases.clear();
-        let entries = self.job_table.jobs.values();
-        let live = entries.flat_map(JobEntry::live_runs);
-        let live: Vec<_> = live.map(|(key, run)| (key, Arc::clone(&run.incarnation))).collect();
-        for (key, incarnation) in live {
-            if let Some(mut run) = self.new_run(now, key) {
-                if run.holder == Holder::Unknown {
-                    // Another instance may have sent its order until now, and its start may have got
-                    // no answer.
-                    run.holder = Holder::Doubtful(now + CALL_LIMIT);
-                }
-                self.fleet.add_run(&incarnation, key, run, now);
-            }
-        }
-        self.dirty = true;
-    }
-
-    fn set_leading(&mut self, now: Moment, leading: bool) {
-        if !leading {
-            self.step_down();
-        }
-        self.leading = leading;
-        if leading {
-            self.leading_since = now;
-            self.fleet.workers.clear();
-            self.views = Views::default();
-            self.learner.clear_samples();
-            self.rebuild(now);
-            // The previous leader may have granted leases up to this moment.
-            for lease in self.fleet.leases.values_mut() {
-                (lease.expires, lease.read) = (lease_end(now), now);
-            }
-        }
-        tracing::info!(leading, jobs = self.active.len(), index = self.index, "dispatch");
-    }
-
-    /// Drops uncommitted decisions and answers all waiting requests and reports, since another
-    /// instance decides from now on.
-    fn step_down(&mut self) {
-        self.batch.clear();
-        self.joined.clear();
-        self.assigning.clear();
-        self.moving.clear();
-        self.closing.clear();
-        self.begun.clear();
-        self.beginning.clear();
-        self.opening.clear();
-        self.clear_waits();
-        self.clear_evacuations();
-        self.clear_slow_starts();
-        self.overload.clear();
-        self.clear_lookahead();
-        for (_, ticket) in self.waiters.drain(..) {
-            self.out.push(Effect::Reply { ticket, reply: None });
-        }
-        for worker in self.fleet.workers.values_mut() {
-            if let Some(parked) = worker.parked.take() {
-                self.out.push(Effect::Orders { ticket: parked.ticket, orders: None });
-            }
-        }
-    }
-
     /// Discards a proposal that the log refused, and answers its requests.
     fn drop_proposal(&mut self, ticket: u64, lost: bool) {
         let Some(proposal) = self.proposals.remove(&ticket) else { return };
@@ -634,6 +567,7 @@
                     }
                 },
                 Command::Begin { job } => drop(self.beginning.remove(job)),
+                Command::Doubt { job, .. } => drop(self.doubting.remove(job)),
                 Command::Cancel { job, .. } => drop(self.opening.remove(&(*job, u32::MAX))),
                 // A lost proposal may still be committed. Its runs stay closed to orders until the
                 // end of the term, which follows.
--- a/toucangrade/src/dispatch/place.rs
+++ b/toucangrade/src/dispatch/place.rs
@@ -293,13 +293,18 @@
     }
 
     /// Index of the best candidate for a task, if any is eligible. Among those of the same trust,
-    /// unreachable ones come last, and before them those on whose agents the task has failed.
+    /// unreachable ones come last, and before them those on whose agents the task has failed. With
+    /// `only`, the runner of that agent is the only candidate.
     pub(super) fn best(
         &self,
         candidates: &[Candidate],
         avoided: Option<&BTreeSet<Name>>,
+        only: Option<&Name>,
     ) -> Option<usize> {
         let ranked = self.ranks.iter().enumerate().filter_map(|(at, rank)| {
+            if only.is_some_and(|only| *only != candidates[at].agent) {
+                return None;
+            }
             let (trust, admitted, rack, rank) = (*rank)?;
             let failed = avoided.is_some_and(|avoided| avoided.contains(&candidates[at].agent));
             let reachable = candidates[at].reachable;
--- a/toucangrade/src/dispatch/plan.rs
+++ b/toucangrade/src/dispatch/plan.rs
@@ -156,7 +156,7 @@
                         continue;
                     }
                     let key = TaskKey { job: entry.job.id, round, step, index: index as u16 };
-                    if !self.is_assigning(key) {
+                    if !self.is_assigning(key) && !self.is_stray(key) {
                         let key = RunKey { task: key, run: task.runs + 1 };
                         waiting.entry((round, step)).or_default().push(key);
                     }
@@ -244,7 +244,13 @@
         let mut chosen: Vec<(RunKey, Incarnation)> = Vec::new();
         for key in tasks.iter().copied() {
             let avoided = self.avoided.get(&key.task);
-            let Some(at) = ranking.best(candidates, avoided) else { break };
+            let only = self.copies.pinned(key.task);
+            let Some(at) = ranking.best(candidates, avoided, only) else {
+                if only.is_some() {
+                    continue;
+                }
+                break;
+            };
             ranking.allocate(candidates, at);
             chosen.push((key, candidates[at].incarnation.clone()));
         }
--- a/toucangrade/src/dispatch/reports.rs
+++ b/toucangrade/src/dispatch/reports.rs
@@ -38,9 +38,9 @@
             let read = now - report.silent;
             let known = self.fleet.workers.get(&agent).and_then(Worker::last_incarnation).cloned();
             let mut expires = lease_end(read);
-            let fenced = report.doubts.fenced;
-            if known.as_ref() != Some(incarnation) || fenced.is_some() {
+            if known.as_ref() != Some(incarnation) {
                 // Its agent has fenced it, so no call to an earlier incarnation takes effect any more.
+                let fenced = report.doubts.fenced;
                 expires = expires.max(self.stray_lease_end(now, incarnation, fenced));
             }
             let lease = self.fleet.lease_entry(incarnation, now);
@@ -48,6 +48,7 @@
             lease.read = lease.read.max(read);
             lease.over = false;
             self.update_holders(now, incarnation, &report);
+            self.note_strays(incarnation, &report);
             self.record_progress(now, read, incarnation, &report);
             self.collect_begun(&report);
             let cold = report.runner.as_ref().map_or(Span::ZERO, |runner| runner.cold);
@@ -320,6 +321,10 @@
                 continue;
             }
             // A run that has begun is not started again: the call could reach the next incarnation.
+            let stray = !begun && self.is_stray(key.task);
+            if stray {
+                continue;
+            }
             if !begun && self.should_run(*key, &runner.incarnation, evacuated) {
                 orders.starts.extend(self.start(*key));
             } else {
--- a/toucangrade/src/dispatch/rescue.rs
+++ b/toucangrade/src/dispatch/rescue.rs
@@ -123,7 +123,7 @@
                 let constraints = Constraints::plain(step, service, &table);
                 Ranking::new(candidates, constraints, siblings.clone())
             });
-            let Some(at) = ranking.best(candidates, None) else { continue };
+            let Some(at) = ranking.best(candidates, None, None) else { continue };
             let better = candidates[at].speed(&table, step);
             let suitable = candidates[at].trust == Trust::Full && candidates[at].reachable;
             if candidates[at].incarnation == incarnation || better < speed + MOVE_GAIN || !suitable
--- a/toucangrade/src/jobs/book.rs
+++ b/toucangrade/src/jobs/book.rs
@@ -116,6 +116,19 @@
         })
     }
 
+    /// Tasks that are not done, without a live run but with an earlier one.
+    pub(crate) fn closed_tasks(&self) -> impl Iterator<Item = TaskKey> {
+        let job = self.job.id;
+        self.rounds.iter().flat_map(move |(&round, state)| {
+            state.steps.iter().enumerate().flat_map(move |(step, tasks)| {
+                let closed = |task: &Task| task.runs > 0 && task.live.is_empty() && !task.done;
+                let tasks = tasks.iter().enumerate().filter(move |(_, task)| closed(task));
+                let key = move |index| TaskKey { job, round, step: step as u16, index };
+                tasks.map(move |(index, _)| key(index as u16))
+            })
+        })
+    }
+
     /// Whether a task that has to end has failed this often.
     fn exhausted(&self, attempts: u32) -> bool {
         let failed = |task: &Task| !task.done && task.failed > 0 && task.failed >= attempts;
@@ -187,6 +200,9 @@
     /// own, see [`snapshot`](super::snapshot).
     #[serde(skip)]
     pub(crate) settled: BTreeSet<RunKey>,
+    /// Jobs of whose runs a start has got no answer and may be carried out later. Stored like `settled`.
+    #[serde(skip)]
+    pub(crate) doubtful: BTreeSet<u64>,
 }
 
 impl JobTable {
@@ -204,6 +220,14 @@
                 }
                 Applied::Configured
             },
+            Command::Doubt { job, open } => {
+                let active = self.jobs.get(job).is_some_and(|e| e.phase == Phase::Active);
+                let changed = match open {
+                    true => active && self.doubtful.insert(*job),
+                    false => self.doubtful.remove(job),
+                };
+                if changed { Applied::Taken } else { Applied::Stale }
+            },
             Command::Evacuate(order) => {
                 self.evacuations.apply(order);
                 Applied::Evacuating
@@ -213,6 +237,7 @@
                     let ended = |entry: &JobEntry| entry.phase != Phase::Active;
                     if self.jobs.get(id).is_some_and(|e| ended(e) && e.rounds.is_empty()) {
                         self.jobs.remove(id);
+                        self.doubtful.remove(id);
                     }
                 }
                 self.withdrawn.retain(|(id, _)| !ids.contains(id));
--- a/toucangrade/src/jobs/mod.rs
+++ b/toucangrade/src/jobs/mod.rs
@@ -136,6 +136,11 @@
     Close { key: RunKey, end: End, saved: Option<Checkpoint> },
     /// Replaces the configuration if this one is newer.
     Configure(Arc<Configuration>),
+    /// Records whether starts of a job's runs have got no answer and may be carried out later.
+    ///
+    /// It is not stored as such, see [`Command::into_stored`].
+    #[serde(skip)]
+    Doubt { job: u64, open: bool },
     /// Evacuates a data centre, or takes that back. Instances of earlier versions can't decode it, so
     /// it is only written once an operator has ordered an evacuation.
     Evacuate(EvacuationOrder),
@@ -145,8 +150,10 @@
     Open { job: u64, round: u32 },
 }
 
-/// Repetition that no job has, as jobs have fewer.
+/// Repetitions that no job has, as jobs have fewer.
 const NO_ROUND: u32 = u32::MAX;
+const DOUBT_ROUND: u32 = u32::MAX - 1;
+const NO_DOUBT_ROUND: u32 = u32::MAX - 2;
 
 impl Command {
     /// Form in which the log stores the command. Instances of earlier versions stop at commands that
@@ -154,6 +161,8 @@
     pub(crate) fn into_stored(self) -> Self {
         match self {
             Self::Begin { job } => Self::Open { job, round: NO_ROUND },
+            Self::Doubt { job, open: true } => Self::Open { job, round: DOUBT_ROUND },
+            Self::Doubt { job, open: false } => Self::Open { job, round: NO_DOUBT_ROUND },
             other => other,
         }
     }
@@ -162,6 +171,8 @@
     pub(crate) fn from_stored(stored: Self) -> Self {
         match stored {
             Self::Open { job, round: NO_ROUND } => Self::Begin { job },
+            Self::Open { job, round: DOUBT_ROUND } => Self::Doubt { job, open: true },
+            Self::Open { job, round: NO_DOUBT_ROUND } => Self::Doubt { job, open: false },
             other => other,
         }
     }
@@ -175,6 +186,7 @@
             Self::Cancel { .. } => "cancel",
             Self::Close { end, .. } => end.label(),
             Self::Configure(_) => "configure",
+            Self::Doubt { .. } => "doubt",
             Self::Evacuate(_) => "evacuate",
             Self::Forget(_) => "forget",
             Self::Open { .. } => "open",
--- a/toucangrade/src/jobs/snapshot.rs
+++ b/toucangrade/src/jobs/snapshot.rs
@@ -8,11 +8,14 @@
 use super::{JobTable, RunKey};
 use crate::peer;
 
-/// Encodes a job table. The settled runs follow it as a second value, as instances of earlier
-/// versions refuse a table with a field more, and read no further than its end.
+/// What follows the table: the settled runs and the doubtful jobs.
+type Holders = (BTreeSet<RunKey>, BTreeSet<u64>);
+
+/// Encodes a job table. What is known of the holders of runs follows it as a second value, as
+/// instances of earlier versions refuse a table with a field more, and read no further than its end.
 pub(crate) fn encode(table: &JobTable) -> Bytes {
     let mut bytes = peer::encode(table).to_vec();
-    bytes.extend(peer::encode(&table.settled));
+    bytes.extend(peer::encode(&(&table.settled, &table.doubtful)));
     bytes.into()
 }
 
@@ -22,8 +25,9 @@
     let mut rest = Cursor::new(bytes);
     let mut table: JobTable = rmp_serde::from_read(&mut rest).ok()?;
     if rest.position() < bytes.len() as u64 {
-        let settled: BTreeSet<RunKey> = rmp_serde::from_read(&mut rest).ok()?;
+        let (settled, doubtful): Holders = rmp_serde::from_read(&mut rest).ok()?;
         table.settled = settled.into_iter().filter(|key| table.live(*key).is_some()).collect();
+        table.doubtful = doubtful;
     }
     Some(table)
 }
