--- a/toucangrade/src/dispatch/fleet.rs
+++ b/toucangrade/src/dispatch/fleet.rs
@@ -65,8 +65,9 @@
 /// What is known about which incarnation of a runner may hold a run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
 pub(crate) enum Holder {
-    /// A copy of its start may be carried out until this moment, by any later incarnation.
-    Doubtful(Moment),
+    /// A copy of its start may be carried out until this moment, by any later incarnation. `reported`
+    /// if its agent has said so.
+    Doubtful { until: Moment, reported: bool },
     /// The incarnation to whose lease it belongs: a report has shown it there, and no copy of its start
     /// can be carried out any more. `recorded` if the log has this, `proposed` if that is under way.
     Settled { proposed: bool, recorded: bool },
@@ -136,7 +137,7 @@
     /// `limit` is the longest lease that runners accept.
     pub(crate) fn run_end(&self, run: &Run, limit: Span) -> Moment {
         let stray = match run.holder {
-            Holder::Doubtful(until) => until,
+            Holder::Doubtful { until, .. } => until,
             // Its order can't have left this instance.
             Holder::Unknown if run.never_ordered() => return self.expires,
             Holder::Unknown => self.read + ORDERS_AFTER_ANSWER + CALL_LIMIT,
@@ -399,7 +400,7 @@
             .collect();
         for (old, key) in moved {
             let Some(mut run) = self.remove_run(&old, key) else { continue };
-            if !matches!(run.holder, Holder::Doubtful(_)) {
+            if !matches!(run.holder, Holder::Doubtful { .. }) {
                 run.holder = Holder::Unknown;
             }
             tracing::info!(
--- a/toucangrade/src/dispatch/holders.rs
+++ b/toucangrade/src/dispatch/holders.rs
@@ -12,7 +12,7 @@
 use super::Dispatch;
 use super::fleet::{Holder, Run, held_runs, hold_end, lease_end};
 use super::message::Report;
-use super::settings::{CALL_LIMIT, FENCED_AGE, SETTLED_AFTER, SHORT_SETTLED_AFTER};
+use super::settings::{ANSWER_OVERDUE, CALL_LIMIT, FENCED_AGE, SETTLED_AFTER, SHORT_SETTLED_AFTER};
 use crate::core::{Moment, Name, Span};
 use crate::jobs::{Command, End, Incarnation, JobTable, RunKey, TaskKey};
 
@@ -35,9 +35,9 @@
 }
 
 impl Copies {
-    /// Notes that a run of a task is closed whose holder is not certain.
+    /// Notes that a run of a task is closed of whose start the agent has reported a doubt.
     pub(super) fn pin(&mut self, task: TaskKey, agent: &Name, holder: Holder) {
-        if let Holder::Doubtful(until) = holder {
+        if let Holder::Doubtful { until, reported: true } = holder {
             self.pins.insert(task, (agent.clone(), until));
         }
     }
@@ -124,15 +124,18 @@
             let mut runs = self.fleet.leases.values_mut().filter_map(|l| l.runs.get_mut(key));
             // A settled run is not started again. A restarted agent doesn't know that it was settled.
             let run = runs.find(|run| !matches!(run.holder, Holder::Settled { .. }));
+            let holder = Holder::Doubtful { until: now + *left, reported: true };
             let Some(run) = run else {
                 if self.job_table.live(*key).is_none() {
-                    self.copies.pin(key.task, &report.agent, Holder::Doubtful(now + *left));
+                    self.copies.pin(key.task, &report.agent, holder);
                 }
                 continue;
             };
-            run.holder = Holder::Doubtful(now + *left);
+            run.holder = holder;
+            // An answer that isn't overdue will probably come.
+            let overdue = *left + ANSWER_OVERDUE <= CALL_LIMIT;
             let recorded = self.job_table.doubtful.contains(&key.task.job);
-            if !recorded && self.doubting.insert(key.task.job) {
+            if overdue && !recorded && self.doubting.insert(key.task.job) {
                 doubted.push(key.task.job);
             }
         }
@@ -150,7 +153,7 @@
                 !held.contains(key) && run.holder == Holder::Unknown && !run.never_ordered()
             };
             for (_, run) in lease.runs.iter_mut().filter(open) {
-                run.holder = Holder::Doubtful(now + CALL_LIMIT);
+                run.holder = Holder::Doubtful { until: now + CALL_LIMIT, reported: false };
             }
         }
         for job in doubted {
@@ -217,7 +220,7 @@
     /// Proposes to record that no start of a job can be carried out late any more.
     fn propose_certainty(&mut self, now: Moment) {
         let leases = self.fleet.leases.values();
-        let open = |run: &Run| matches!(run.holder, Holder::Doubtful(until) if until >= now);
+        let open = |run: &Run| matches!(run.holder, Holder::Doubtful { until, reported: true } if until >= now);
         let runs = leases.flat_map(|lease| &lease.runs).filter(|(_, run)| open(run));
         let mut doubted: BTreeSet<u64> = runs.map(|(key, _)| key.task.job).collect();
         doubted.extend(self.copies.pins.keys().map(|task| task.job));
@@ -254,7 +257,8 @@
     /// next one may start.
     pub(super) fn close_gone(&mut self, now: Moment, incarnation: &Incarnation) {
         let Some(lease) = self.fleet.leases.get(incarnation) else { return };
-        let doubtful = |run: &Run| matches!(run.holder, Holder::Doubtful(until) if until >= now);
+        let doubtful =
+            |run: &Run| matches!(run.holder, Holder::Doubtful { until, .. } if until >= now);
         let runs = lease.runs.iter().filter(|(_, run)| !doubtful(run));
         let runs = runs.map(|(key, _)| *key).collect();
         self.close_lost(now, incarnation, runs, Cause::Gone);
--- a/toucangrade/src/dispatch/leading.rs
+++ b/toucangrade/src/dispatch/leading.rs
@@ -46,7 +46,7 @@
                     // Its start may have reached an incarnation that no agent has reported.
                     let doubtful = self.job_table.doubtful.contains(&key.task.job);
                     let left = if doubtful { CALL_LIMIT } else { ORDERS_AFTER_ANSWER };
-                    run.holder = Holder::Doubtful(now + left);
+                    run.holder = Holder::Doubtful { until: now + left, reported: false };
                 }
                 self.fleet.add_run(&incarnation, key, run, now);
             }
--- a/toucangrade/src/dispatch/settings.rs
+++ b/toucangrade/src/dispatch/settings.rs
@@ -13,6 +13,8 @@
 /// Time within which a call that got no answer may be carried out, also by the next incarnation of
 /// the runner.
 pub(crate) const CALL_LIMIT: Span = Span::secs(12);
+/// Time after which an agent counts the answer to a start as overdue.
+pub(crate) const ANSWER_OVERDUE: Span = Span::millis(250);
 /// Age at which an incarnation has been fenced by its agent, if the agent doesn't say when, as those
 /// of earlier versions: 3 s until it is found, and 2 s by which the clocks of instances may differ.
 pub(crate) const FENCED_AGE: Span = Span::secs(5);
