simulation: faults that come with the cut of a restarted runner

The users' record has a restart, a cut, an election and the kill of an agent within a few seconds. The randomised runs drew each of them on its own, a restart in one of 19 faults, so they rarely met. With restarts, 7 of 25 kinds of faults are now restarts. The cut of a restarted runner comes with a change of leader and with a kill of its agent within 1.5 s, each with a chance of 60%. The other scopes draw as before.

--- a/toucangrade/src/simulation/jobs/faults.rs
+++ b/toucangrade/src/simulation/jobs/faults.rs
@@ -1,9 +1,53 @@
 //! Injection of faults, and recovery from them.
 
+use std::ops::Range;
+
 use super::runner::Habit;
 use super::world::{Event, Link, RECOVERY_TIME, World, runner_name};
 use crate::jobs::Incarnation;
 
+/// Number of fault kinds, without and with restarts. Of the additional ones the first is a cut, and the
+/// others are restarts.
+const KINDS: u64 = 17;
+const RESTART_KINDS: u64 = 25;
+/// Time after the restart of a runner in which it is cut off, in microseconds.
+const CUT_WITHIN: Range<u64> = 1_000..3_000_000;
+/// Faults that come with the cut of a restarted runner.
+const COMPANIONS: [Companion; 2] = [
+    Companion {
+        chance: 600,
+        wait: 0..1_500_000,
+        length: 0..1,
+        begin: |world, _, _| {
+            world.depose();
+            world.record_disturbance();
+        },
+    },
+    Companion {
+        chance: 600,
+        wait: 0..1_500_000,
+        length: 300_000..5_000_000,
+        begin: |world, agent, length| {
+            world.kill_agent(agent);
+            world.begin_fault(Fault::Agent(agent), length);
+        },
+    },
+];
+
+/// Begins a fault at a machine that lasts for some microseconds.
+pub(super) type Begin = fn(&mut World, usize, u64);
+
+/// A fault that comes with another one at the same machine.
+struct Companion {
+    /// Probability, out of 1,000.
+    chance: u32,
+    /// Time after the other fault, in microseconds.
+    wait: Range<u64>,
+    /// Duration in microseconds.
+    length: Range<u64>,
+    begin: Begin,
+}
+
 /// An active fault.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum Fault {
@@ -33,7 +77,7 @@
     pub(super) fn inject_fault(&mut self) {
         let control = self.draw(0..3) as usize;
         let length = self.draw(300_000..7_000_000);
-        let kind = self.draw(0..if self.truth.scope.restarts { 19 } else { 17 });
+        let kind = self.draw(0..if self.truth.scope.restarts { RESTART_KINDS } else { KINDS });
         let machines = self.machines.len() as u64;
         match kind {
             0..12 | 17.. => {
@@ -104,7 +148,7 @@
             9 => Habit::Late,
             10 => Habit::Mute,
             17 => Habit::CutOff,
-            18 => {
+            18.. => {
                 self.end_runner(agent);
                 self.machines[agent].refuses = false;
                 let down = self.draw(50_000..1_200_000);
@@ -118,15 +162,26 @@
         self.begin_fault(Fault::Habit(agent), length);
     }
 
-    /// Cuts the link between an agent and its runner, for `length` microseconds.
-    pub(super) fn cut_runner(&mut self, agent: usize, length: u64) {
-        self.faults -= 1;
-        if let Some(runner) = &mut self.machines[agent].runner {
-            runner.habit = Habit::CutOff;
-            self.begin_fault(Fault::Habit(agent), length);
+    /// Cuts the link between an agent and its restarted runner, often with other faults at about the
+    /// same time.
+    fn cut_runner(&mut self, agent: usize, length: u64) {
+        let Some(runner) = &mut self.machines[agent].runner else { return };
+        runner.habit = Habit::CutOff;
+        self.begin_fault(Fault::Habit(agent), length);
+        for Companion { chance, wait, length, begin } in COMPANIONS {
+            if self.chance(chance) {
+                let (wait, length) = (self.draw(wait), self.draw(length));
+                self.begin_later(wait, begin, agent, length);
+            }
         }
     }
 
+    /// Schedules a fault, which counts as active until then too.
+    fn begin_later(&mut self, wait: u64, begin: Begin, agent: usize, length: u64) {
+        self.faults += 1;
+        self.schedule(wait, Event::BeginFault { begin, agent, length });
+    }
+
     fn begin_fault(&mut self, fault: Fault, length: u64) {
         self.note(|| format!("{fault:?} for {length} us"));
         self.faults += 1;
@@ -151,10 +206,8 @@
                 let incarnation = Incarnation { runner, born: self.wall() - back };
                 self.schedule(0, Event::StartRunner { agent, incarnation });
                 if matches!(fault, Fault::Restart(_)) && self.chance(500) {
-                    let (wait, length) =
-                        (self.draw(1_000..3_000_000), self.draw(3_000_000..12_000_000));
-                    self.faults += 1;
-                    self.schedule(wait, Event::CutRunner { agent, length });
+                    let (wait, length) = (self.draw(CUT_WITHIN), self.draw(3_000_000..12_000_000));
+                    self.begin_later(wait, Self::cut_runner, agent, length);
                 }
             },
             Fault::Freeze => {},
--- a/toucangrade/src/simulation/jobs/world.rs
+++ b/toucangrade/src/simulation/jobs/world.rs
@@ -9,7 +9,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::control::{Control, Log};
-use super::faults::Fault;
+use super::faults::{Begin, Fault};
 use super::machine::RUNNER_TICK;
 use super::runner::Runner;
 use super::truth::Truth;
@@ -137,7 +137,8 @@
         agent: usize,
         serial: u64,
     },
-    CutRunner {
+    BeginFault {
+        begin: Begin,
         agent: usize,
         length: u64,
     },
@@ -348,7 +349,10 @@
             Event::Elect => self.elect(),
             Event::EndFault(fault) => self.end_fault(fault),
             Event::EndDrain { agent, serial } => self.end_drain(agent, serial),
-            Event::CutRunner { agent, length } => self.cut_runner(agent, length),
+            Event::BeginFault { begin, agent, length } => {
+                self.faults -= 1;
+                begin(self, agent, length);
+            },
             Event::Order { agent, call, target, delivery, order } => {
                 self.deliver_order(agent, call, target, delivery, order);
             },
