simulation: check all starts after an end as done that is acknowledged

A start after a run has ended as done is wrong too if that end is acknowledged only later. The check of an acknowledged end looked for later run numbers alone. The next incarnation of another runner can start an earlier run again, so a start of any number after the end now breaks the invariant.

--- a/toucangrade/src/simulation/jobs/runner.rs
+++ b/toucangrade/src/simulation/jobs/runner.rs
@@ -262,19 +262,18 @@
     }
 
     /// Applies a list request: drops the acknowledged ends and extends the lease. Returns the ends
-    /// since which the lease has not lapsed.
+    /// since which the lease has not lapsed, with their times.
     pub(super) fn acknowledge(
         &mut self,
         now: u64,
         token: u64,
         recorded: u64,
         until: Option<u64>,
-    ) -> Result<Vec<EndedRun>, Denial> {
+    ) -> Result<Vec<(u64, EndedRun)>, Denial> {
         self.fence(token)?;
         let acknowledged = self.ended.extract_if(.., |(_, ended)| ended.number <= recorded);
         let lapsed = self.lapsed;
-        let acknowledged = acknowledged.filter(|(at, _)| *at > lapsed);
-        let acknowledged = acknowledged.map(|(_, ended)| ended).collect();
+        let acknowledged = acknowledged.filter(|(at, _)| *at > lapsed).collect();
         if let Some(until) = until {
             self.extend_lease(now, until);
         }
--- a/toucangrade/src/simulation/jobs/truth.rs
+++ b/toucangrade/src/simulation/jobs/truth.rs
@@ -2,7 +2,6 @@
 //! compare it with the log.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::ops::Bound;
 use std::sync::Arc;
 
 use super::QUEUES;
@@ -74,14 +73,19 @@
         self.trace.iter().flatten()
     }
 
-    /// Records ends that a runner forgets, as they were acknowledged to it.
-    pub(super) fn record_acknowledged(&mut self, ends: &[EndedRun]) {
-        for ended in ends.iter().filter(|ended| ended.end == End::Done) {
+    /// Records ends that a runner forgets, as they were acknowledged to it, with their times.
+    ///
+    /// No later run may have started, nor any run after the end: the next incarnation of another
+    /// runner may have started an earlier one again.
+    pub(super) fn record_acknowledged(&mut self, ends: &[(u64, EndedRun)]) {
+        for (at, ended) in ends.iter().filter(|(_, ended)| ended.end == End::Done) {
             let job = self.jobs.get(&ended.key.task.job);
             let step = job.and_then(|job| job.steps.get(usize::from(ended.key.task.step)));
             if step.is_some_and(|step| !step.lasting) {
-                let last = RunKey { run: u32::MAX, ..ended.key };
-                let again = self.started.range((Bound::Excluded(ended.key), Bound::Included(last)));
+                let [first, last] = [0, u32::MAX].map(|run| RunKey { run, ..ended.key });
+                let runs = self.started.range(first..=last);
+                let later = |key: &RunKey, began: u64| key.run > ended.key.run || began > *at;
+                let again = runs.filter(|(key, (.., began))| later(key, *began));
                 let again: Vec<_> = again.map(|(key, _)| key).collect();
                 invariant!(
                     again.is_empty(),
