simulation: show in the trace who sent a start and when a held one is carried out

A trace showed that a run had started a second time, but neither to which incarnation and with which token the start had been sent, nor that it was a copy that the runner had held. Starts and stops now have a line when they are sent and when they are held, and those without an answer are marked. No draws change.

--- a/toucangrade/src/simulation/jobs/machine.rs
+++ b/toucangrade/src/simulation/jobs/machine.rs
@@ -122,6 +122,10 @@
         target: Target,
         order: Order,
     ) {
+        if let Some((verb, key)) = order.changed_run() {
+            let Target { incarnation: Incarnation { runner, born }, token, .. } = &target;
+            self.note(|| format!("agent {agent}: {verb} {key} to {runner} {born}, token {token}"));
+        }
         let (wait, delivery) = (self.draw(200..2_000), Delivery::Direct);
         self.schedule(wait, Event::Order { agent, call, target, delivery, order });
     }
@@ -167,18 +171,14 @@
             Habit::CutOff => {},
             Habit::Mute if !late => {
                 if !lists && self.chance(500) {
-                    let wait = self.draw(100_000..6_000_000);
-                    let (call, delivery) = (None, Delivery::Late(own));
-                    self.schedule(wait, Event::Order { agent, call, target, delivery, order });
+                    self.hold_order(agent, target, own, order);
                 }
             },
             Habit::Late if !late && !lists && self.chance(700) => {
                 if self.chance(500) {
                     self.execute_order(agent, None, &target, &order);
                 }
-                let wait = self.draw(100_000..6_000_000);
-                let (call, delivery) = (None, Delivery::Late(own));
-                self.schedule(wait, Event::Order { agent, call, target, delivery, order });
+                self.hold_order(agent, target, own, order);
             },
             _ => {
                 if late {
@@ -190,8 +190,19 @@
         }
     }
 
+    /// Leaves an order unanswered, to be carried out seconds later.
+    fn hold_order(&mut self, agent: usize, target: Target, serial: u64, order: Order) {
+        let wait = self.draw(100_000..6_000_000);
+        if let Some((verb, key)) = order.changed_run() {
+            self.note(|| format!("runner of {agent} holds {verb} {key} for {wait} us"));
+        }
+        let (call, delivery) = (None, Delivery::Late(serial));
+        self.schedule(wait, Event::Order { agent, call, target, delivery, order });
+    }
+
     fn execute_order(&mut self, agent: usize, call: Option<u64>, target: &Target, order: &Order) {
         let (now, token, within) = (self.now, target.token, self.draw(0..MAX_STOP_TIME));
+        let answered = if call.is_some() { "" } else { ", unanswered" };
         let plan = match order {
             Order::Start { start, .. } => self.draw_plan(start.key),
             _ => None,
@@ -226,7 +237,7 @@
                 };
                 let result = runner.start(now, token, start, *lease_end, plan);
                 let key = start.key;
-                self.note(|| format!("runner of {agent}: start {key} gives {result:?}"));
+                self.note(|| format!("runner of {agent}: start {key} gives {result:?}{answered}"));
                 if result == Ok(true) {
                     self.record_start(agent, key);
                     self.record_gang_start(start);
@@ -236,7 +247,7 @@
             Order::Stop { key } => {
                 let result = runner.stop(now, token, *key, within);
                 let key = *key;
-                self.note(|| format!("runner of {agent}: stop {key} gives {result:?}"));
+                self.note(|| format!("runner of {agent}: stop {key} gives {result:?}{answered}"));
                 Message::Stopped { key, result: denied(result) }
             },
         };
--- a/toucangrade/src/simulation/jobs/world.rs
+++ b/toucangrade/src/simulation/jobs/world.rs
@@ -67,6 +67,17 @@
     Stop { key: RunKey },
 }
 
+impl Order {
+    /// The run that it starts or stops, and which of the two.
+    pub(super) fn changed_run(&self) -> Option<(&'static str, RunKey)> {
+        match self {
+            Self::Start { start, .. } => Some(("start", start.key)),
+            Self::Stop { key } => Some(("stop", *key)),
+            Self::List { .. } | Self::Pace { .. } => None,
+        }
+    }
+}
+
 /// How an order arrives at a runner.
 #[derive(Clone, Copy, Eq, PartialEq)]
 pub(super) enum Delivery {
