simulation: hold calls for up to 12 s with restarts

A call without an answer may be carried out up to 12 s later, which is what agents count (`EFFECT_TIMEOUT`). The randomised runs held it for 6 s at most, so a leader that waits 7 s would have passed. With restarts, 30% of the held calls are now held for up to 11.9 s. The other scopes draw as before.

--- a/toucangrade/src/simulation/jobs/machine.rs
+++ b/toucangrade/src/simulation/jobs/machine.rs
@@ -15,6 +15,10 @@
 const HEARTBEAT_INTERVAL: u64 = 1_000_000;
 /// Maximum time that a runner takes to stop a run, in microseconds.
 const MAX_STOP_TIME: u64 = 400_000;
+/// Maximum time after which a call without an answer is carried out, usually and at all, in
+/// microseconds. With the way to the runner the latter stays below the 12 s that agents count.
+const USUAL_HOLD: u64 = 6_000_000;
+const LONGEST_HOLD: u64 = 11_900_000;
 
 impl World {
     /// Starts a runner with random capacity, labels and clock rate, unless there is one.
@@ -192,7 +196,9 @@
 
     /// Leaves an order unanswered, to be carried out seconds later.
     fn hold_order(&mut self, agent: usize, target: Target, serial: u64, order: Order) {
-        let wait = self.draw(100_000..6_000_000);
+        let long = self.truth.scope.restarts && self.chance(300);
+        let longest = if long { LONGEST_HOLD } else { USUAL_HOLD };
+        let wait = self.draw(100_000..longest);
         if let Some((verb, key)) = order.changed_run() {
             self.note(|| format!("runner of {agent} holds {verb} {key} for {wait} us"));
         }
