--- a/toucangrade/src/simulation/jobs/machine.rs
+++ b/toucangrade/src/simulation/jobs/machine.rs
@@ -15,6 +15,10 @@
 const HEARTBEAT_INTERVAL: u64 = 1_000_000;
 /// Maximum time that a runner takes to stop a run, in microseconds.
 const MAX_STOP_TIME: u64 = 400_000;
+/// Maximum time after which a call without an answer is carried out, usually and at all, in
+/// microseconds. With the way to the runner the latter stays below the 12 s that agents count.
+const USUAL_HOLD: u64 = 6_000_000;
+const LONGEST_HOLD: u64 = 11_900_000;
 
 impl World {
     /// Starts a runner with random capacity, labels and clock rate, unless there is one.
@@ -122,6 +126,10 @@
         target: Target,
         order: Order,
     ) {
+        if let Some((verb, key)) = order.changed_run() {
+            let Target { incarnation: Incarnation { runner, born }, token, .. } = &target;
+            self.note(|| format!("agent {agent}: {verb} {key} to {runner} {born}, token {token}"));
+        }
         let (wait, delivery) = (self.draw(200..2_000), Delivery::Direct);
         self.schedule(wait, Event::Order { agent, call, target, delivery, order });
     }
@@ -167,18 +175,14 @@
             Habit::CutOff => {},
             Habit::Mute if !late => {
                 if !lists && self.chance(500) {
-                    let wait = self.draw(100_000..6_000_000);
-                    let (call, delivery) = (None, Delivery::Late(own));
-                    self.schedule(wait, Event::Order { agent, call, target, delivery, order });
+                    self.hold_order(agent, target, own, order);
                 }
             },
             Habit::Late if !late && !lists && self.chance(700) => {
                 if self.chance(500) {
                     self.execute_order(agent, None, &target, &order);
                 }
-                let wait = self.draw(100_000..6_000_000);
-                let (call, delivery) = (None, Delivery::Late(own));
-                self.schedule(wait, Event::Order { agent, call, target, delivery, order });
+                self.hold_order(agent, target, own, order);
             },
             _ => {
                 if late {
@@ -190,8 +194,21 @@
         }
     }
 
+    /// Leaves an order unanswered, to be carried out seconds later.
+    fn hold_order(&mut self, agent: usize, target: Target, serial: u64, order: Order) {
+        let long = self.truth.scope.restarts && self.chance(300);
+        let longest = if long { LONGEST_HOLD } else { USUAL_HOLD };
+        let wait = self.draw(100_000..longest);
+        if let Some((verb, key)) = order.changed_run() {
+            self.note(|| format!("runner of {agent} holds {verb} {key} for {wait} us"));
+        }
+        let (call, delivery) = (None, Delivery::Late(serial));
+        self.schedule(wait, Event::Order { agent, call, target, delivery, order });
+    }
+
     fn execute_order(&mut self, agent: usize, call: Option<u64>, target: &Target, order: &Order) {
         let (now, token, within) = (self.now, target.token, self.draw(0..MAX_STOP_TIME));
+        let answered = if call.is_some() { "" } else { ", unanswered" };
         let plan = match order {
             Order::Start { start, .. } => self.draw_plan(start.key),
             _ => None,
@@ -226,7 +243,7 @@
                 };
                 let result = runner.start(now, token, start, *lease_end, plan);
                 let key = start.key;
-                self.note(|| format!("runner of {agent}: start {key} gives {result:?}"));
+                self.note(|| format!("runner of {agent}: start {key} gives {result:?}{answered}"));
                 if result == Ok(true) {
                     self.record_start(agent, key);
                     self.record_gang_start(start);
@@ -236,7 +253,7 @@
             Order::Stop { key } => {
                 let result = runner.stop(now, token, *key, within);
                 let key = *key;
-                self.note(|| format!("runner of {agent}: stop {key} gives {result:?}"));
+                self.note(|| format!("runner of {agent}: stop {key} gives {result:?}{answered}"));
                 Message::Stopped { key, result: denied(result) }
             },
         };
--- a/toucangrade/src/simulation/jobs/world.rs
+++ b/toucangrade/src/simulation/jobs/world.rs
@@ -9,7 +9,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::control::{Control, Log};
-use super::faults::Fault;
+use super::faults::{Begin, Fault};
 use super::machine::RUNNER_TICK;
 use super::runner::Runner;
 use super::truth::Truth;
@@ -67,6 +67,17 @@
     Stop { key: RunKey },
 }
 
+impl Order {
+    /// The run that it starts or stops, and which of the two.
+    pub(super) fn changed_run(&self) -> Option<(&'static str, RunKey)> {
+        match self {
+            Self::Start { start, .. } => Some(("start", start.key)),
+            Self::Stop { key } => Some(("stop", *key)),
+            Self::List { .. } | Self::Pace { .. } => None,
+        }
+    }
+}
+
 /// How an order arrives at a runner.
 #[derive(Clone, Copy, Eq, PartialEq)]
 pub(super) enum Delivery {
@@ -137,7 +148,8 @@
         agent: usize,
         serial: u64,
     },
-    CutRunner {
+    BeginFault {
+        begin: Begin,
         agent: usize,
         length: u64,
     },
@@ -348,7 +360,10 @@
             Event::Elect => self.elect(),
             Event::EndFault(fault) => self.end_fault(fault),
             Event::EndDrain { agent, serial } => self.end_drain(agent, serial),
-            Event::CutRunner { agent, length } => self.cut_runner(agent, length),
+            Event::BeginFault { begin, agent, length } => {
+                self.faults -= 1;
+                begin(self, agent, length);
+            },
             Event::Order { agent, call, target, delivery, order } => {
                 self.deliver_order(agent, call, target, delivery, order);
             },
