hosting: log starts without an answer, and the runs of a runner that was just fenced

`start unanswered` now comes once per run and doubt, with the incarnation that the start was meant for, the sends so far and the time for which a copy may still be carried out. `runner fenced` names the first eight runs that are listed.

Tests: hosting::tests::logs, which reads the lines through a subscriber; 4 of its 5 cases failed before, the fifth checks that an answered start leaves no line.

--- a/toucangrade/src/hosting/doubts.rs
+++ b/toucangrade/src/hosting/doubts.rs
@@ -10,7 +10,7 @@
 use super::orders::{EFFECT_TIMEOUT, RESEND_AFTER, UNREAD_TIMEOUT};
 use crate::core::{Moment, Span};
 use crate::dispatch::Doubts;
-use crate::jobs::RunKey;
+use crate::jobs::{Incarnation, RunKey};
 
 /// Time for which the age of the fence is reported: longer than any lease that a runner accepts.
 const FENCE_REPORTED: Span = Span::secs(30);
@@ -26,6 +26,9 @@
     lost: Option<Moment>,
     /// Whether an answer is or was overdue.
     overdue: bool,
+    /// Number of sends of this process, and the incarnation that the last one was meant for.
+    sends: u32,
+    target: Option<Incarnation>,
 }
 
 impl StartCalls {
@@ -37,7 +40,7 @@
 
     /// Counts the answer to one of the sends. Answers don't say to which one, so that the send that
     /// remains is taken for the later one.
-    fn count_answer(&mut self, now: Moment, definite: bool) {
+    fn count_answer(&mut self, now: Moment, key: RunKey, definite: bool) {
         let Some(last) = self.open.last().copied() else { return };
         if definite {
             self.open.remove(0);
@@ -46,7 +49,22 @@
         let sent = if now.since(last) < ANSWER_MAX_DELAY { last } else { now };
         self.open.pop();
         self.lost = self.lost.max(Some(sent));
-        self.overdue = true;
+        self.mark_overdue(now, key);
+    }
+
+    fn mark_overdue(&mut self, now: Moment, key: RunKey) {
+        if std::mem::replace(&mut self.overdue, true) {
+            return;
+        }
+        let Some(target) = &self.target else { return };
+        tracing::info!(
+            run = %key,
+            runner = %target.runner,
+            born = target.born,
+            sends = self.sends,
+            for_ms = self.until().since(now).as_millis(),
+            "start unanswered"
+        );
     }
 }
 
@@ -72,17 +90,20 @@
     }
 
     /// Records a send of a start.
-    pub(super) fn start_sent(&mut self, now: Moment, key: RunKey) {
+    pub(super) fn start_sent(&mut self, now: Moment, key: RunKey, target: &Incarnation) {
         if self.follows_process(now) {
             self.sent.insert(key);
         }
-        self.starts.entry(key).or_default().open.push(now);
+        let calls = self.starts.entry(key).or_default();
+        calls.open.push(now);
+        calls.sends += 1;
+        calls.target = Some(target.clone());
     }
 
     /// Records the answer to a start. It may arrive after a listing has confirmed the order.
     pub(super) fn start_answered(&mut self, now: Moment, key: RunKey, result: Result<(), Fault>) {
         let Some(calls) = self.starts.get_mut(&key) else { return };
-        calls.count_answer(now, result != Err(Fault::Silent));
+        calls.count_answer(now, key, result != Err(Fault::Silent));
         if calls.open.is_empty() && calls.lost.is_none() {
             self.starts.remove(&key);
         }
@@ -107,8 +128,10 @@
     /// Finds overdue answers and drops what is ruled out.
     pub(super) fn tick(&mut self, now: Moment) {
         self.starts.retain(|_, calls| now < calls.until());
-        for calls in self.starts.values_mut() {
-            calls.overdue |= calls.open.first().is_some_and(|at| now.since(*at) >= RESEND_AFTER);
+        for (key, calls) in &mut self.starts {
+            if calls.open.first().is_some_and(|at| now.since(*at) >= RESEND_AFTER) {
+                calls.mark_overdue(now, *key);
+            }
         }
         if !self.follows_process(now) {
             self.sent.clear();
--- a/toucangrade/src/hosting/mod.rs
+++ b/toucangrade/src/hosting/mod.rs
@@ -55,6 +55,9 @@
 /// one is not carried out.
 const DENIED_RETENTION: Span = Span::secs(15);
 
+/// Maximum number of runs that a log line names.
+const LOGGED_RUNS: usize = 8;
+
 /// The current runner: the one that answered last.
 #[derive(Debug, Serialize)]
 struct CurrentRunner {
@@ -288,6 +291,7 @@
                 born = incarnation.born,
                 runs = listing.rows.len(),
                 ends = listing.ended.len(),
+                listed = first_runs(&listing),
                 "runner fenced"
             );
             self.report_now = true;
@@ -463,3 +467,9 @@
         self.current.iter().flat_map(|current| current.listing.runs()).collect()
     }
 }
+
+/// The first runs of a listing, for a log line.
+fn first_runs(listing: &Listing) -> String {
+    let runs: Vec<String> = listing.runs().take(LOGGED_RUNS).map(|run| run.to_string()).collect();
+    runs.join(" ")
+}
--- a/toucangrade/src/hosting/orders.rs
+++ b/toucangrade/src/hosting/orders.rs
@@ -135,7 +135,7 @@
             let effect = match &order.stage {
                 Stage::Start(_) if !certain => continue,
                 Stage::Start(start) => {
-                    self.doubts.start_sent(now, *key);
+                    self.doubts.start_sent(now, *key, &target.incarnation);
                     Effect::Start { target, start: start.clone(), lease_end }
                 },
                 Stage::Stop => Effect::Stop { target, key: *key },
--- a/toucangrade/src/hosting/tests.rs
+++ b/toucangrade/src/hosting/tests.rs
@@ -3,6 +3,7 @@
 mod doubts;
 mod listings;
 mod lives;
+mod logs;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/toucangrade/src/hosting/tests/doubts.rs
+++ b/toucangrade/src/hosting/tests/doubts.rs
@@ -26,7 +26,7 @@
         self.send(Message::Started { key: key(index), result });
     }
 
-    fn list_row(&mut self, index: u16) {
+    pub(super) fn list_row(&mut self, index: u16) {
         let row = RunStatus { key: key(index), saved: None, percent: 0, figure: 0, share: 100 };
         self.rows.insert(key(index), row);
     }
