hosting: keep ends as done while a copy of their start may be carried out

Callers saw a task start again after it had ended as done. The acknowledgement of that end is final, but a copy of the start that got no answer may be carried out up to 12 s after it was sent, also by the runner's next incarnation. The agent acknowledged an end as soon as the leader had recorded it.

The number that is acknowledged now stays below the first end as done whose start is in doubt. Ends of an incomplete listing are acknowledged as before, since it hides further ones until then. A runner that lists ends answers at once, so listings are requested every 250 ms meanwhile. Reports are as before. `end kept` is logged once per end that holds the others back.

--- a/toucangrade/src/hosting/doubts.rs
+++ b/toucangrade/src/hosting/doubts.rs
@@ -10,7 +10,7 @@
 use super::orders::{EFFECT_TIMEOUT, RESEND_AFTER, UNREAD_TIMEOUT};
 use crate::core::{Moment, Span};
 use crate::dispatch::Doubts;
-use crate::jobs::{Incarnation, RunKey};
+use crate::jobs::{End, Incarnation, RunKey};
 
 /// Time for which the age of the fence is reported: longer than any lease that a runner accepts.
 const FENCE_REPORTED: Span = Span::secs(30);
@@ -81,6 +81,8 @@
     starts: BTreeMap<RunKey, StartCalls>,
     /// Time since which the listings have ends that can't be decoded.
     unread: Option<Moment>,
+    /// Number of the last end that was kept from being acknowledged to the current incarnation.
+    kept: Option<u64>,
 }
 
 impl DoubtState {
@@ -122,7 +124,7 @@
 
     /// Resets what belongs to the previous incarnation.
     pub(super) fn forget_runner(&mut self) {
-        self.unread = None;
+        (self.unread, self.kept) = (None, None);
     }
 
     /// Finds overdue answers and drops what is ruled out.
@@ -157,6 +159,22 @@
 }
 
 impl Hosting {
+    /// Number of the first end as done that the leader has recorded and whose start may still be
+    /// carried out. A copy that starts after the acknowledgement runs a task again that is done for
+    /// good. An incomplete listing is acknowledged nevertheless, as it hides ends until then.
+    pub(super) fn kept_end(&mut self, now: Moment) -> Option<u64> {
+        let listing = &self.current.as_ref()?.listing;
+        let ended = listing.ended.iter().filter(|ended| listing.complete && ended.end == End::Done);
+        let doubt = |key| self.doubts.start_doubt(now, key, true);
+        let kept = ended.filter(|ended| ended.number <= self.noted);
+        let kept = kept.filter_map(|ended| Some((ended.number, ended.key, doubt(ended.key)?)));
+        let (number, key, remaining) = kept.min_by_key(|(number, ..)| *number)?;
+        if self.doubts.kept.replace(number) != Some(number) {
+            tracing::info!(run = %key, number, for_ms = remaining.as_millis(), "end kept");
+        }
+        Some(number)
+    }
+
     /// What this agent can't rule out, for the next report.
     pub(super) fn build_doubts(&self, now: Moment) -> Doubts {
         let current = self.fenced();
--- a/toucangrade/src/hosting/mod.rs
+++ b/toucangrade/src/hosting/mod.rs
@@ -36,6 +36,8 @@
 /// Minimum time between a listing and the next request while ends wait to be recorded, since the
 /// runner answers at once as long as it lists any.
 const LIST_MIN_INTERVAL: Span = Span::millis(60);
+/// Minimum time between a listing and the next request while an acknowledgement is held back.
+const LIST_KEPT_INTERVAL: Span = Span::millis(250);
 /// Delay before a listing is requested again after a failed one.
 const LIST_RETRY_DELAY: Span = Span::millis(150);
 /// Consecutive refused connections after which the runner's process counts as ended. No order is
@@ -373,14 +375,20 @@
         let ends_waiting = listing.is_some_and(|listing| {
             listing.unread || listing.ended.iter().any(|ended| ended.number > self.noted)
         });
-        if ends_waiting && now.since(self.listed) < LIST_MIN_INTERVAL {
+        let kept = self.kept_end(now);
+        let interval = match kept {
+            Some(_) if !self.seeking => LIST_KEPT_INTERVAL,
+            None if !ends_waiting => Span::ZERO,
+            _ => LIST_MIN_INTERVAL,
+        };
+        if now.since(self.listed) < interval {
             return;
         }
         let Some(target) = self.list_target() else { return };
         self.seq += 1;
         let seq = self.seq;
         // After a failed listing the runner has to answer at once, to show that it is alive.
-        let at_once = ends_waiting || self.seeking || self.fenced().is_none();
+        let at_once = ends_waiting || kept.is_some() || self.seeking || self.fenced().is_none();
         let wait = if at_once { Span::ZERO } else { LIST_WAIT };
         self.listing = Some(ListRequest { seq, since: now, wait, target: target.clone() });
         // The lease and the acknowledged end number apply only to the current incarnation of the
@@ -388,15 +396,17 @@
         let is_current =
             self.is_confirmed(now) && self.target().is_some_and(|current| current == target);
         let lease_end = self.until.filter(|_| is_current);
+        let recorded = kept.map_or(self.noted, |number| number.saturating_sub(1));
         // A later incarnation would forget ends of its own, so nothing is acknowledged twice.
-        let recorded = if is_current && self.has_recorded_ends() { self.noted } else { 0 };
+        let listed = is_current && self.lists_end(recorded);
+        let recorded = if listed { recorded } else { 0 };
         self.out.push(Effect::List { seq, target, recorded, lease_end, wait });
     }
 
-    /// Whether the last listing has ends that the leader has recorded.
-    fn has_recorded_ends(&self) -> bool {
-        let listed = self.current.iter().flat_map(|current| &current.listing.ended);
-        listed.into_iter().any(|ended| ended.number <= self.noted)
+    /// Whether the last listing has ends up to a number.
+    fn lists_end(&self, number: u64) -> bool {
+        let mut listed = self.current.iter().flat_map(|current| &current.listing.ended);
+        listed.any(|ended| ended.number <= number)
     }
 
     /// Sends a report if there is a change, none is pending, or `REPORT_INTERVAL` has passed.
--- a/toucangrade/src/hosting/tests/doubts.rs
+++ b/toucangrade/src/hosting/tests/doubts.rs
@@ -224,3 +224,68 @@
         assert_eq!(world.doubts().fenced, None);
     }
 }
+
+struct Kept {
+    /// How run 0, the second of three, ends.
+    end: End,
+    /// Whether its start got no answer.
+    silent: bool,
+    /// Whether the listing is complete.
+    complete: bool,
+    /// Ends that are left 1 s after the leader has recorded all, and once no copy can follow.
+    left: (usize, usize),
+}
+
+const KEPT: Kept = Kept { end: End::Done, silent: true, complete: true, left: (2, 0) };
+
+/// A copy of a start ran after the end as done had been acknowledged, which can't be taken back.
+/// Ends that a full listing leaves out stay hidden if nothing is acknowledged.
+#[rstest]
+#[case::done(KEPT)]
+#[case::answered(Kept { silent: false, left: (0, 0), ..KEPT })]
+#[case::failed(Kept { end: End::Failed, left: (0, 0), ..KEPT })]
+#[case::incomplete(Kept { complete: false, left: (0, 0), ..KEPT })]
+fn done_end_of_a_doubtful_start_is_kept(#[case] case: Kept) {
+    let mut world = World::new(Behaviour::IgnoresOrders);
+    // Calls of an earlier process can't take effect any more.
+    world.advance(12_000);
+    world.start(0);
+    world.answer_start(0, if case.silent { SILENT } else { Ok(()) });
+    world.answer_start(0, Ok(()));
+    for (index, end) in [(1, End::Done), (0, case.end), (2, End::Done)] {
+        world.finish(key(index), end);
+    }
+    world.page = if case.complete { usize::MAX } else { 3 };
+    world.advance(500);
+    assert_eq!(world.last_report().ended.len(), 3);
+    let until = Some(world.now.as_micros() / 1_000 + 9_000);
+    world.answer_report(Orders { until, noted: 3, ..Orders::default() });
+    let before = world.lists;
+    world.advance(1_000);
+    assert_eq!(world.last_report().ended, [], "the leader has recorded them");
+    assert_eq!(world.ended.len(), case.left.0);
+    if case.left.0 > 0 {
+        // A listing is answered at once while there are ends, and figures are needed twice a second.
+        let lists = world.lists - before;
+        assert!((2..=5).contains(&lists), "{lists} listings in 1 s");
+        world.advance(9_000);
+        assert_eq!(world.ended.len(), case.left.0);
+    }
+    world.advance(3_000);
+    assert_eq!(world.ended.len(), case.left.1);
+}
+
+/// A restarted agent acknowledged an end as done while the start that its earlier process had sent
+/// could still be carried out.
+#[test]
+fn done_end_of_an_earlier_process_is_kept() {
+    let mut world = World::unannounced();
+    world.finish(key(0), End::Done);
+    world.send(Message::Announce(Box::new(announcement("i-1", 50, 1))));
+    world.advance(500);
+    world.answer_report(Orders { until: Some(20_000), noted: 1, ..Orders::default() });
+    world.advance(11_000);
+    assert_eq!(world.ended.len(), 1);
+    world.advance(1_500);
+    assert_eq!(world.ended.len(), 0);
+}
--- a/toucangrade/src/hosting/tests/logs.rs
+++ b/toucangrade/src/hosting/tests/logs.rs
@@ -91,6 +91,22 @@
     assert_eq!(lines, case.lines);
 }
 
+/// Without a line, an end that stays listed for seconds looks like one that nobody has recorded. One
+/// line for each listing would fill the log.
+#[test]
+fn kept_end_is_logged_once() {
+    let lines = Lines::of("end kept", || {
+        let mut world = World::unannounced();
+        world.finish(key(0), End::Done);
+        world.finish(key(1), End::Done);
+        world.send(Message::Announce(Box::new(announcement("i-1", 50, 1))));
+        world.advance(500);
+        world.answer_report(Orders { until: Some(20_000), noted: 2, ..Orders::default() });
+        world.advance(13_000);
+    });
+    assert_eq!(lines, ["end kept run=0000000000000001.0.0.0#1 number=1 for_ms=11500"]);
+}
+
 struct Fenced {
     /// Numbers of running and ended tasks on the next incarnation before it is fenced.
     runs: u16,
