simulation: let a stray start follow an end that is never acknowledged

A held call may reach a later incarnation after the log has the task as done. Only calls meant for another incarnation are exempt, and the end must never be acknowledged then, which the checks of acknowledgements and starts still demand.

--- a/toucangrade/src/simulation/jobs/machine.rs
+++ b/toucangrade/src/simulation/jobs/machine.rs
@@ -214,6 +214,7 @@
             _ => None,
         };
         let Some(runner) = &mut self.machines[agent].runner else { return };
+        let stray = target.incarnation != runner.incarnation;
         let denied = |result: Result<(), Denial>| result.map_err(Failure::Denied);
         let message = match order {
             Order::List { seq, recorded, lease_end, wait } => {
@@ -245,7 +246,7 @@
                 let key = start.key;
                 self.note(|| format!("runner of {agent}: start {key} gives {result:?}{answered}"));
                 if result == Ok(true) {
-                    self.record_start(agent, key);
+                    self.record_start(agent, key, stray);
                     self.record_gang_start(start);
                 }
                 Message::Started { key, result: denied(result.map(drop)) }
