hosting: hold back acknowledgements only for starts of this process

Callers would have felt the doubts of a restarted agent: for its first 12 s it counted each run and end that it hadn't started as one whose start may be carried out again, held back the acknowledgement of all ends, and the leader kept the next runs of tasks whose last run had ended beside that agent, also while it was out of reach.

Change: what an earlier process of the agent may have sent counts for runs that go on, not for ended ones and not for those of earlier incarnations, and doesn't hold acknowledgements back. Lasting tasks of doubtful jobs don't wait after an election. The check of acknowledgements in the randomised runs allows the 12 s after an unanswered start, in which an end as done is kept by design; all other ends and times are checked as before.

Left: an end as done whose unanswered start was sent by an earlier process of the agent is acknowledged at once.

--- a/toucangrade/src/dispatch/holders.rs
+++ b/toucangrade/src/dispatch/holders.rs
@@ -45,7 +45,9 @@
     /// Notes the tasks whose last run has ended, of jobs that are doubtful when this instance begins to
     /// lead.
     pub(super) fn begin_term(&mut self, now: Moment, table: &JobTable) {
-        for entry in table.doubtful.iter().filter_map(|job| table.jobs.get(job)) {
+        // Lasting tasks don't wait, as each second without them is felt.
+        let entries = table.doubtful.iter().filter_map(|job| table.jobs.get(job));
+        for entry in entries.filter(|entry| !entry.job.lasting()) {
             let until = now + CALL_LIMIT;
             self.closed.extend(entry.closed_tasks().map(|task| (task, until)));
         }
--- a/toucangrade/src/hosting/doubts.rs
+++ b/toucangrade/src/hosting/doubts.rs
@@ -116,7 +116,8 @@
     pub(super) fn take_listing(&mut self, now: Moment, listing: &Listing) {
         self.unread = if listing.unread { self.unread.or(Some(now)) } else { None };
         let Some(begun) = self.begun.filter(|_| self.follows_process(now)) else { return };
-        for key in listing.runs().filter(|key| !self.sent.contains(key)) {
+        let running = listing.rows.iter().map(|row| row.key);
+        for key in running.filter(|key| !self.sent.contains(key)) {
             let calls = StartCalls { lost: Some(begun), overdue: true, ..StartCalls::default() };
             self.starts.entry(key).or_insert(calls);
         }
@@ -152,6 +153,13 @@
         Some(calls.until().since(now)).filter(|remaining| *remaining > Span::ZERO)
     }
 
+    /// The same for starts that this process has sent. What an earlier one may have sent counts only
+    /// while the run goes on: after each restart of an agent all ends would be in doubt.
+    fn own_doubt(&self, now: Moment, key: RunKey, listed: bool) -> Option<Span> {
+        let sent = self.starts.get(&key).is_some_and(|calls| calls.sends > 0);
+        self.start_doubt(now, key, listed).filter(|_| sent)
+    }
+
     fn is_partial(&self, now: Moment, listing: &Listing) -> bool {
         let unread = self.unread.is_some_and(|since| now.since(since) < UNREAD_TIMEOUT);
         !listing.complete || unread
@@ -165,7 +173,7 @@
     pub(super) fn kept_end(&mut self, now: Moment) -> Option<u64> {
         let listing = &self.current.as_ref()?.listing;
         let ended = listing.ended.iter().filter(|ended| listing.complete && ended.end == End::Done);
-        let doubt = |key| self.doubts.start_doubt(now, key, true);
+        let doubt = |key| self.doubts.own_doubt(now, key, true);
         let kept = ended.filter(|ended| ended.number <= self.noted);
         let kept = kept.filter_map(|ended| Some((ended.number, ended.key, doubt(ended.key)?)));
         let (number, key, remaining) = kept.min_by_key(|(number, ..)| *number)?;
@@ -180,9 +188,14 @@
         let current = self.fenced();
         let fence_age = current.and_then(|current| current.fenced).map(|at| now.since(at));
         let listed = self.listed_runs();
+        let rows = current.iter().flat_map(|current| &current.listing.rows);
+        let running: BTreeSet<RunKey> = rows.map(|row| row.key).collect();
         let doubt = |key: &RunKey| {
-            let remaining = self.doubts.start_doubt(now, *key, listed.contains(key))?;
-            Some((*key, remaining))
+            let remaining = match running.contains(key) {
+                true => self.doubts.start_doubt(now, *key, true),
+                false => self.doubts.own_doubt(now, *key, listed.contains(key)),
+            };
+            remaining.map(|remaining| (*key, remaining))
         };
         Doubts {
             partial: current.is_some_and(|current| self.doubts.is_partial(now, &current.listing)),
--- a/toucangrade/src/hosting/tests.rs
+++ b/toucangrade/src/hosting/tests.rs
@@ -511,8 +511,6 @@
 #[test]
 fn silent_runner_gets_no_starts() {
     let mut world = World::new(Behaviour::Healthy);
-    // Calls of an earlier process can't take effect any more, so ends as done are acknowledged.
-    world.advance(12_000);
     world.start(0);
     world.advance(500);
     for index in 1..4 {
--- a/toucangrade/src/simulation/jobs/truth.rs
+++ b/toucangrade/src/simulation/jobs/truth.rs
@@ -18,6 +18,8 @@
 const RESTART_GRACE: u64 = 6_000_000;
 /// Time without faults within which the system must act on a change, in microseconds.
 pub(super) const REACTION_TIME: u64 = 3_000_000;
+/// Time within which a call without an answer may be carried out, in microseconds.
+const LATE_CALL: u64 = 12_000_000;
 /// Time from which on a job that waits must be counted as waiting, in microseconds.
 const WAITING_TIME: u64 = 5_000_000;
 /// Maximum number of lines in the trace; older ones are dropped.
@@ -43,6 +45,8 @@
     begun: BTreeMap<u64, u64>,
     /// Tasks with an end as done that was acknowledged to the runner.
     acknowledged: BTreeSet<TaskKey>,
+    /// Time at which the last start without an answer was given up, by agent.
+    unanswered: BTreeMap<usize, u64>,
     /// Time at which the last run of each task ended.
     ends: BTreeMap<TaskKey, u64>,
     /// Number of failed runs, by task.
@@ -97,6 +101,11 @@
         }
     }
 
+    /// Records that an agent has got no answer to a start.
+    pub(super) fn record_unanswered(&mut self, now: u64, agent: usize) {
+        self.unanswered.insert(agent, now);
+    }
+
     /// Records the end of a run, by itself or with its runner.
     pub(super) fn record_end(&mut self, now: u64, key: RunKey, failed: bool) {
         self.ends.insert(key.task, now);
@@ -267,10 +276,13 @@
         self.truth.idle = idle;
     }
 
+    /// Checks that ends are acknowledged, once no copy of an unanswered start can be carried out: until
+    /// then an end as done and the ones after it are kept.
     fn check_ends(&self) {
         for (agent, machine) in self.machines.iter().enumerate() {
+            let kept = self.truth.unanswered.get(&agent).map_or(0, |at| at + LATE_CALL);
             for (at, ended) in machine.runner.iter().flat_map(|runner| &runner.ended) {
-                let late = at + REACTION_TIME < self.now;
+                let late = kept.max(*at) + REACTION_TIME < self.now;
                 invariant!(!late, "{ended:?} at {agent} is not acknowledged since {at} us");
             }
         }
