dispatch: count the room of closed runs until they are stopped

A runner that doesn't guard its capacity was brought over it: a copy of a closed run's start had been carried out by its next incarnation, the leader stopped the run, and filled the room in the same step, since only runs of the lease count against it.

Change: runs that the newest report lists and that are not assigned there any more take room until a report lacks them. The time within which an unanswered call may be carried out is one constant for agent and leader now, CALL_LIMIT.

Test: closed_run_takes_room_until_it_is_stopped, which failed before (job 8 started beside the closed run).

--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -43,6 +43,7 @@
     RunStatus, Runner, Start, Verb,
 };
 pub(crate) use self::message::{Effect, Message};
+pub(crate) use self::settings::CALL_LIMIT;
 use self::settings::{
     BATCH_BYTES, BATCH_LIMIT, HOLD_LIMIT, LEASE_DURATION, MOVE_RESERVATION, PROPOSALS_LIMIT,
     SNAPSHOT_BYTES, SNAPSHOT_COMMANDS, STEP_BYTES,
--- a/toucangrade/src/dispatch/plan.rs
+++ b/toucangrade/src/dispatch/plan.rs
@@ -357,6 +357,15 @@
             starts: None,
             claims: Vec::new(),
         };
+        let lease = self.fleet.leases.get(&runner.incarnation);
+        for row in &worker.report.rows {
+            // A closed run takes room until it has been stopped.
+            if lease.is_none_or(|lease| !lease.runs.contains_key(&row.key))
+                && let Some(step) = self.step_of(row.key)
+            {
+                candidate.free.remove(&step.counted());
+            }
+        }
         let cores = runner.capacity.millicores.max(1) as f64;
         let (mut serving, mut used, mut asked) = (Vec::new(), Vec::new(), Vec::new());
         for (key, run) in
--- a/toucangrade/src/dispatch/tests/lives.rs
+++ b/toucangrade/src/dispatch/tests/lives.rs
@@ -355,3 +355,26 @@
     let next = if case.next == "i-1" { &first } else { &second };
     assert_eq!(world.live(next), [key(7, 0, 0, 2)]);
 }
+
+/// A runner that doesn't guard its capacity was filled beside a closed run that it still listed, and
+/// went over its capacity.
+#[test]
+fn closed_run_takes_room_until_it_is_stopped() {
+    let mut world = World::new();
+    let runner = incarnation("i-1", 10);
+    world.report(report("10.0.0.1", 1, &runner));
+    world.submit("match", 7, vec![step(1, 3_000)]);
+    let rows = vec![row(key(7, 0, 0, 1))];
+    world.report(Report { rows: rows.clone(), ..report("10.0.0.1", 2, &runner) });
+    let denied = vec![(key(7, 0, 0, 1), Denial::Stopped)];
+    world.report(Report { denied, rows: rows.clone(), ..report("10.0.0.1", 3, &runner) });
+    world.ask("/match/0000000000000007", Verb::Cancel, Some(7));
+    assert_eq!(world.live(&runner), []);
+    world.submit("match", 8, vec![step(1, 2_000)]);
+    world.report(Report { rows, ..report("10.0.0.1", 4, &runner) });
+    world.advance(100);
+    assert_eq!(world.live(&runner), [], "started beside the closed run");
+    world.report(report("10.0.0.1", 5, &runner));
+    world.advance(100);
+    assert_eq!(world.live(&runner), [key(8, 0, 0, 1)]);
+}
--- a/toucangrade/src/hosting/doubts.rs
+++ b/toucangrade/src/hosting/doubts.rs
@@ -7,9 +7,9 @@
 
 use super::Hosting;
 use super::message::{Fault, Listing};
-use super::orders::{EFFECT_TIMEOUT, RESEND_AFTER, UNREAD_TIMEOUT};
+use super::orders::{RESEND_AFTER, UNREAD_TIMEOUT};
 use crate::core::{Moment, Span};
-use crate::dispatch::Doubts;
+use crate::dispatch::{CALL_LIMIT, Doubts};
 use crate::jobs::{End, Incarnation, RunKey};
 
 /// Time for which the age of the fence is reported: longer than any lease that a runner accepts.
@@ -35,7 +35,7 @@
     /// Time from which on no copy is carried out any more.
     fn until(&self) -> Moment {
         let last = self.open.last().copied().max(self.lost).unwrap_or(Moment::START);
-        last + EFFECT_TIMEOUT
+        last + CALL_LIMIT
     }
 
     /// Counts the answer to one of the sends. Answers don't say to which one, so that the send that
@@ -72,7 +72,7 @@
 #[derive(Debug, Default, Serialize)]
 pub(super) struct DoubtState {
     /// Time of this process's first step; calls of an earlier one may take effect for
-    /// `EFFECT_TIMEOUT` more.
+    /// [`CALL_LIMIT`] more.
     begun: Option<Moment>,
     /// Runs whose start this process has sent until then.
     sent: BTreeSet<RunKey>,
@@ -143,7 +143,7 @@
 
     /// Whether calls of an earlier process may still take effect.
     fn follows_process(&self, now: Moment) -> bool {
-        self.begun.is_some_and(|begun| now.since(begun) < EFFECT_TIMEOUT)
+        self.begun.is_some_and(|begun| now.since(begun) < CALL_LIMIT)
     }
 
     /// Time for which a copy of the start of a run may still be carried out. While the runner lists
--- a/toucangrade/src/hosting/orders.rs
+++ b/toucangrade/src/hosting/orders.rs
@@ -8,15 +8,13 @@
 use super::Hosting;
 use super::message::{Effect, Fault};
 use crate::core::{Moment, Span};
-use crate::dispatch::{Denial, Orders, Start};
+use crate::dispatch::{CALL_LIMIT, Denial, Orders, Start};
 use crate::jobs::RunKey;
 
 /// Time after which an unanswered order is sent again.
 pub(super) const RESEND_AFTER: Span = Span::millis(250);
 /// Number of times that a start is sent before it is given up and stopped.
 const SENDS_LIMIT: u32 = 4;
-/// Time within which an unanswered call may still take effect at the runner.
-pub(super) const EFFECT_TIMEOUT: Span = Span::secs(12);
 /// Time after which an end that can't be decoded no longer keeps a run unknown. It may never be
 /// forgotten, if no later run ends on the runner.
 pub(super) const UNREAD_TIMEOUT: Span = Span::secs(10);
@@ -207,7 +205,7 @@
     /// until the call can't take effect after newer ones any more.
     pub(super) fn paced(&mut self, now: Moment, key: RunKey, result: Result<(), Fault>) {
         if let Err(fault) = result {
-            let late = if fault == Fault::Silent { EFFECT_TIMEOUT } else { Span::ZERO };
+            let late = if fault == Fault::Silent { CALL_LIMIT } else { Span::ZERO };
             self.pacing.mark_unconfirmed(key, now + late);
         }
     }
