dispatch: keep doubts over elections, re-orders and unfenced runners

- A new leader proposed on its first tick that the doubts of a job were over, as it had heard no agent yet.
It now counts the guesses that it makes itself after the election (case unanswered_and_elected_twice).
- Doubts of an agent that has not fenced its runner yet were ignored, as its reports name no runner.
- An order given after an election left the guess of the election in place, so that its start counted as ruled out.
- A run whose holder the log names could be started again by a new leader that had not listed it.
- A job that was cancelled while a start had no answer was proposed as doubtful again and again.
- Recording a holder could move a run to another runner, if such a command was ever written.
- Tasks that may run in copies waited for copies of a start.

The check of acknowledgements in the randomised runs allows the wait only for an end as done whose own start had no answer, and the ends after it; it allowed it for all ends of the agent.

--- a/toucangrade/src/dispatch/holders.rs
+++ b/toucangrade/src/dispatch/holders.rs
@@ -84,6 +84,10 @@
         }
     }
 
+    pub(super) fn is_settled(self) -> bool {
+        matches!(self, Self::Settled { .. })
+    }
+
     /// Whether it is to be recorded in the log.
     fn unrecorded(self) -> bool {
         self == Self::Settled { proposed: false, recorded: false }
@@ -107,6 +111,35 @@
         hold_end(now, self.hold_limit) - fenced
     }
 
+    /// Notes the starts of which the agent can't rule out that a copy is carried out, also while it has
+    /// not fenced its runner and reports none.
+    pub(super) fn note_doubts(&mut self, now: Moment, report: &Report) {
+        for (key, left) in &report.doubts.starts {
+            let holder = Holder::Doubtful { until: now + *left, reported: true };
+            if self.job_table.live(*key).is_none() {
+                if self.step_of(*key).is_some_and(|step| !step.copies) {
+                    self.copies.pin(key.task, &report.agent, holder);
+                }
+                continue;
+            }
+            // It may belong to the lease of an earlier incarnation.
+            let mut runs = self.fleet.leases.values_mut().filter_map(|l| l.runs.get_mut(key));
+            // A settled run is not started again. A restarted agent doesn't know that it was settled.
+            let Some(run) = runs.find(|run| !run.holder.is_settled()) else { continue };
+            run.holder = holder;
+            // An answer that isn't overdue will probably come.
+            let overdue = *left + ANSWER_OVERDUE <= CALL_LIMIT;
+            let job = key.task.job;
+            if overdue
+                && self.active.contains(&job)
+                && !self.job_table.doubtful.contains(&job)
+                && self.doubting.insert(job)
+            {
+                self.propose(Command::Doubt { job, open: true }, None);
+            }
+        }
+    }
+
     /// Updates what is known of the holders of an incarnation's runs from a report on it.
     pub(super) fn update_holders(
         &mut self,
@@ -114,37 +147,16 @@
         incarnation: &Incarnation,
         report: &Report,
     ) {
-        let doubts: BTreeMap<RunKey, Span> = report.doubts.starts.iter().copied().collect();
+        let doubts: BTreeSet<RunKey> = report.doubts.starts.iter().map(|(key, _)| *key).collect();
         let held = held_runs(report);
         let shown = report.rows.iter().map(|row| row.key);
         let shown = shown.chain(report.ended.iter().map(|ended| ended.key));
         let before = self.fleet.workers.get(&report.agent);
         let restarted = before.is_some_and(|b| b.report.incarnation != report.incarnation);
-        let mut doubted = Vec::new();
-        for (key, left) in &doubts {
-            // It may belong to the lease of an earlier incarnation.
-            let mut runs = self.fleet.leases.values_mut().filter_map(|l| l.runs.get_mut(key));
-            // A settled run is not started again. A restarted agent doesn't know that it was settled.
-            let run = runs.find(|run| !matches!(run.holder, Holder::Settled { .. }));
-            let holder = Holder::Doubtful { until: now + *left, reported: true };
-            let Some(run) = run else {
-                if self.job_table.live(*key).is_none() {
-                    self.copies.pin(key.task, &report.agent, holder);
-                }
-                continue;
-            };
-            run.holder = holder;
-            // An answer that isn't overdue will probably come.
-            let overdue = *left + ANSWER_OVERDUE <= CALL_LIMIT;
-            let recorded = self.job_table.doubtful.contains(&key.task.job);
-            if overdue && !recorded && self.doubting.insert(key.task.job) {
-                doubted.push(key.task.job);
-            }
-        }
         let Some(lease) = self.fleet.leases.get_mut(incarnation) else { return };
-        for key in shown.filter(|key| !doubts.contains_key(key)) {
+        for key in shown.filter(|key| !doubts.contains(key)) {
             if let Some(run) = lease.runs.get_mut(&key)
-                && !matches!(run.holder, Holder::Settled { .. })
+                && !run.holder.is_settled()
             {
                 run.holder = Holder::Settled { proposed: false, recorded: false };
             }
@@ -158,9 +170,6 @@
                 run.holder = Holder::Doubtful { until: now + CALL_LIMIT, reported: false };
             }
         }
-        for job in doubted {
-            self.propose(Command::Doubt { job, open: true }, None);
-        }
     }
 
     /// Notes the closed runs that a report shows as running. They are being stopped, and their tasks
@@ -222,7 +231,7 @@
     /// Proposes to record that no start of a job can be carried out late any more.
     fn propose_certainty(&mut self, now: Moment) {
         let leases = self.fleet.leases.values();
-        let open = |run: &Run| matches!(run.holder, Holder::Doubtful { until, reported: true } if until >= now);
+        let open = |run: &Run| matches!(run.holder, Holder::Doubtful { until, .. } if until >= now);
         let runs = leases.flat_map(|lease| &lease.runs).filter(|(_, run)| open(run));
         let mut doubted: BTreeSet<u64> = runs.map(|(key, _)| key.task.job).collect();
         doubted.extend(self.copies.pins.keys().map(|task| task.job));
@@ -237,7 +246,7 @@
     /// Notes that the log has recorded the holder of a run.
     pub(super) fn record_holder(&mut self, key: RunKey, incarnation: &Incarnation) {
         if let Some(run) = self.fleet.run_mut(incarnation, key)
-            && matches!(run.holder, Holder::Settled { .. })
+            && run.holder.is_settled()
         {
             run.holder = Holder::Settled { proposed: false, recorded: true };
         }
--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -476,6 +476,7 @@
         let run = self.fleet.remove_run(incarnation, key);
         if let Some(run) = &run
             && end != End::Done
+            && self.step_of(key).is_some_and(|step| !step.copies)
             && let Some(agent) = self.fleet.agent_of(&incarnation.runner)
         {
             self.copies.pin(key.task, agent, run.holder);
--- a/toucangrade/src/dispatch/reports.rs
+++ b/toucangrade/src/dispatch/reports.rs
@@ -1,6 +1,6 @@
 //! Processing of agents' reports, and the orders sent back.
 
-use super::fleet::{Parked, Worker, held_runs, lease_end};
+use super::fleet::{Holder, Parked, Worker, held_runs, lease_end};
 use super::holders::Cause;
 use super::message::{Denial, Effect, Orders, Report, RunProfile, Start};
 use super::place::Exclusion;
@@ -19,6 +19,7 @@
         if self.fleet.workers.get(&agent).is_some_and(|worker| worker.is_outdated(&report, now)) {
             return self.out.push(Effect::Orders { ticket, orders: Some(Box::default()) });
         }
+        self.note_doubts(now, &report);
         let incarnation = report.runner.as_ref().map(|runner| runner.incarnation.clone());
         if let Some(incarnation) = &incarnation {
             self.fleet.adopt_runs(incarnation, &held_runs(&report), now);
@@ -315,16 +316,16 @@
             if worker.reported_runs.contains(key) || self.closing.contains(key) {
                 continue;
             }
-            let begun = self.fleet.run(&runner.incarnation, *key).is_some_and(|run| run.listed);
+            let run = self.fleet.run(&runner.incarnation, *key);
+            let begun = run.is_some_and(|run| run.listed || run.holder.is_settled());
             if begun && report.doubts.partial {
                 // Its end may be among those that the report lacks.
                 continue;
             }
-            // A run that has begun is not started again: the call could reach the next incarnation.
-            let stray = !begun && self.is_stray(key.task);
-            if stray {
+            if !begun && self.is_stray(key.task) {
                 continue;
             }
+            // A run that has begun is not started again: the call could reach the next incarnation.
             if !begun && self.should_run(*key, &runner.incarnation, evacuated) {
                 orders.starts.extend(self.start(*key));
             } else {
@@ -341,6 +342,10 @@
     fn record_ordered(&mut self, now: Moment, incarnation: &Incarnation, mut runs: Vec<RunKey>) {
         runs.retain(|key| {
             let Some(run) = self.fleet.run_mut(incarnation, *key) else { return false };
+            // The guess after an election says nothing of a new order.
+            if matches!(run.holder, Holder::Doubtful { reported: false, .. }) {
+                run.holder = Holder::Unknown;
+            }
             let first = !std::mem::replace(&mut run.ordered, true);
             if first {
                 run.sent = now;
--- a/toucangrade/src/dispatch/tests/lives.rs
+++ b/toucangrade/src/dispatch/tests/lives.rs
@@ -37,6 +37,12 @@
 #[case::restarted_long_before_an_election(Restart {
     age: 30_000, elected: Some(4_000), silent: 6_400, moved: true,
 })]
+#[case::restarted_long_before_an_election_at_once(Restart {
+    age: 30_000, elected: Some(0), silent: 11_300, moved: false,
+})]
+#[case::restarted_long_before_an_election_at_once_expired(Restart {
+    age: 30_000, elected: Some(0), silent: 11_600, moved: true,
+})]
 #[case::restarted_before_an_election(Restart {
     age: 500, elected: Some(3_000), silent: 10_400, moved: false,
 })]
@@ -233,8 +239,8 @@
 struct Copy {
     /// Time in ms for which the agent reports that a copy of the start may still be carried out.
     left: u64,
-    /// Whether leadership changes before the runner falls silent.
-    elected: bool,
+    /// Changes of leadership, 1 s apart, after the runner has fallen silent.
+    elections: u32,
     /// Time in ms without an answer of the runner, within which the run stays.
     stays: u64,
 }
@@ -242,9 +248,10 @@
 /// A run that one incarnation had listed was started a second time by the next one, from a copy of
 /// its start that had got no answer. The leader counted the lease of the first one only.
 #[rstest]
-#[case::answered(Copy { left: 0, elected: false, stays: 5_800 })]
-#[case::unanswered(Copy { left: 8_000, elected: false, stays: 18_200 })]
-#[case::unanswered_and_elected(Copy { left: 8_000, elected: true, stays: 18_200 })]
+#[case::answered(Copy { left: 0, elections: 0, stays: 5_800 })]
+#[case::unanswered(Copy { left: 8_000, elections: 0, stays: 18_200 })]
+#[case::unanswered_and_elected_twice(Copy { left: 8_000, elections: 2, stays: 18_200 })]
+#[case::unanswered_and_elected(Copy { left: 8_000, elections: 1, stays: 18_200 })]
 fn listed_run_with_a_copy_under_way_outlasts_its_lease(#[case] case: Copy) {
     let mut world = World::new();
     let (first, other) = (incarnation("i-1", 10), incarnation("i-2", 10));
@@ -255,9 +262,10 @@
     let starts = left.map(|left| (run, Span::millis(left))).into_iter().collect();
     let doubts = Doubts { starts, ..Doubts::default() };
     world.report(Report { rows: vec![row(run)], doubts, ..report("10.0.0.1", 2, &first) });
-    if case.elected {
+    for _ in 0..case.elections {
         world.send(Message::Lead { leading: false });
         world.send(Message::Lead { leading: true });
+        world.advance(1_000);
     }
     let mut tenths = 0;
     while world.live(&other).is_empty() {
--- a/toucangrade/src/jobs/book.rs
+++ b/toucangrade/src/jobs/book.rs
@@ -372,7 +372,10 @@
             .is_some_and(|round| step < job.steps.len() && round.ready(&job, step));
         let limit = if job.steps.get(step).is_some_and(|s| s.copies) { COPIES_LIMIT } else { 1 };
         let Some(task) = entry.task_mut(key.task) else { return Applied::Stale };
-        if let Some(live) = task.live.iter_mut().find(|live| live.run == key.run) {
+        let same = |live: &&mut LiveRun| {
+            live.run == key.run && live.incarnation.runner == incarnation.runner
+        };
+        if let Some(live) = task.live.iter_mut().find(same) {
             live.incarnation = Arc::new(incarnation.clone());
             self.settled.insert(key);
             return Applied::Settled;
--- a/toucangrade/src/simulation/jobs/truth.rs
+++ b/toucangrade/src/simulation/jobs/truth.rs
@@ -45,8 +45,8 @@
     begun: BTreeMap<u64, u64>,
     /// Tasks with an end as done that was acknowledged to the runner.
     acknowledged: BTreeSet<TaskKey>,
-    /// Time at which the last start without an answer was given up, by agent.
-    unanswered: BTreeMap<usize, u64>,
+    /// Time at which the last start without an answer was given up.
+    unanswered: BTreeMap<RunKey, u64>,
     /// Time at which the last run of each task ended.
     ends: BTreeMap<TaskKey, u64>,
     /// Number of failed runs, by task.
@@ -102,8 +102,8 @@
     }
 
     /// Records that an agent has got no answer to a start.
-    pub(super) fn record_unanswered(&mut self, now: u64, agent: usize) {
-        self.unanswered.insert(agent, now);
+    pub(super) fn record_unanswered(&mut self, now: u64, key: RunKey) {
+        self.unanswered.insert(key, now);
     }
 
     /// Records the end of a run, by itself or with its runner.
@@ -280,8 +280,12 @@
     /// then an end as done and the ones after it are kept.
     fn check_ends(&self) {
         for (agent, machine) in self.machines.iter().enumerate() {
-            let kept = self.truth.unanswered.get(&agent).map_or(0, |at| at + LATE_CALL);
+            let mut kept = 0;
             for (at, ended) in machine.runner.iter().flat_map(|runner| &runner.ended) {
+                let unanswered = self.truth.unanswered.get(&ended.key);
+                if let Some(asked) = unanswered.filter(|_| ended.end == End::Done) {
+                    kept = kept.max(asked + LATE_CALL);
+                }
                 let late = kept.max(*at) + REACTION_TIME < self.now;
                 invariant!(!late, "{ended:?} at {agent} is not acknowledged since {at} us");
             }
--- a/toucangrade/src/simulation/jobs/world.rs
+++ b/toucangrade/src/simulation/jobs/world.rs
@@ -471,8 +471,8 @@
 
     fn deliver_answer(&mut self, call: u64, message: Message) {
         let Some(Call { agent, epoch, .. }) = self.calls.remove(&call) else { return };
-        if matches!(message, Message::Started { result: Err(Failure::Silent), .. }) {
-            self.truth.record_unanswered(self.now, agent);
+        if let Message::Started { key, result: Err(Failure::Silent) } = &message {
+            self.truth.record_unanswered(self.now, *key);
         }
         if self.machines[agent].epoch == epoch {
             self.step_agent(agent, message);
