--- a/toucangrade/src/dispatch/holders.rs
+++ b/toucangrade/src/dispatch/holders.rs
@@ -3,7 +3,8 @@
 //!
 //! A runner's name doesn't distinguish its incarnations, and a new one carries out calls meant for an
 //! earlier one until its agent has fenced it. What is not known about a run therefore counts as the
-//! longest time for which some incarnation may hold it.
+//! longest lease that a runner accepts. A start whose answer is known to be missing counts for
+//! [`CALL_LIMIT`] before that.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -18,7 +19,7 @@
 
 /// Closed runs that their runners may still carry out or have started again, from a copy of a start.
 #[derive(Debug, Default, Serialize)]
-pub(super) struct Copies {
+pub(super) struct LateStarts {
     /// Agent beside whose runner the next run of a task has to start, and until when: a copy of the
     /// start of a closed run may be carried out by that runner's next incarnation, with which the next
     /// run ends.
@@ -34,7 +35,7 @@
     strays: BTreeMap<Name, (Incarnation, BTreeSet<TaskKey>)>,
 }
 
-impl Copies {
+impl LateStarts {
     /// Notes that a run of a task is closed of whose start the agent has reported a doubt.
     pub(super) fn pin(&mut self, task: TaskKey, agent: &Name, holder: Holder) {
         if let Holder::Doubtful { until, reported: true } = holder {
@@ -118,7 +119,7 @@
             let holder = Holder::Doubtful { until: now + *left, reported: true };
             if self.job_table.live(*key).is_none() {
                 if self.step_of(*key).is_some_and(|step| !step.copies) {
-                    self.copies.pin(key.task, &report.agent, holder);
+                    self.late_starts.pin(key.task, &report.agent, holder);
                 }
                 continue;
             }
@@ -186,17 +187,17 @@
         let rows = report.rows.iter().map(|row| row.key);
         let strays: BTreeSet<TaskKey> = rows.filter(closed).map(|key| key.task).collect();
         if strays.is_empty() {
-            self.copies.strays.remove(&report.agent);
+            self.late_starts.strays.remove(&report.agent);
         } else {
             let found = (incarnation.clone(), strays);
-            self.copies.strays.insert(report.agent.clone(), found);
+            self.late_starts.strays.insert(report.agent.clone(), found);
         }
     }
 
     /// Whether a closed run of a task may still be running, or be started again.
     pub(super) fn is_stray(&self, task: TaskKey) -> bool {
-        let mut strays = self.copies.strays.values();
-        self.copies.closed.contains_key(&task)
+        let mut strays = self.late_starts.strays.values();
+        self.late_starts.closed.contains_key(&task)
             || strays.any(|(incarnation, tasks)| {
                 tasks.contains(&task) && self.fleet.leases.contains_key(incarnation)
             })
@@ -234,8 +235,8 @@
         let open = |run: &Run| matches!(run.holder, Holder::Doubtful { until, .. } if until >= now);
         let runs = leases.flat_map(|lease| &lease.runs).filter(|(_, run)| open(run));
         let mut doubted: BTreeSet<u64> = runs.map(|(key, _)| key.task.job).collect();
-        doubted.extend(self.copies.pins.keys().map(|task| task.job));
-        doubted.extend(self.copies.closed.keys().map(|task| task.job));
+        doubted.extend(self.late_starts.pins.keys().map(|task| task.job));
+        doubted.extend(self.late_starts.closed.keys().map(|task| task.job));
         for job in self.job_table.doubtful.difference(&doubted).copied().collect::<Vec<_>>() {
             if self.doubting.insert(job) {
                 self.propose(Command::Doubt { job, open: false }, None);
--- a/toucangrade/src/dispatch/leading.rs
+++ b/toucangrade/src/dispatch/leading.rs
@@ -5,7 +5,7 @@
 
 use super::Dispatch;
 use super::fleet::{Holder, lease_end};
-use super::holders::Copies;
+use super::holders::LateStarts;
 use super::message::Effect;
 use super::settings::{CALL_LIMIT, ORDERS_AFTER_ANSWER};
 use super::views::Views;
@@ -43,7 +43,8 @@
         for (key, incarnation) in live {
             if let Some(mut run) = self.new_run(now, key) {
                 if run.holder == Holder::Unknown {
-                    // Its start may have reached an incarnation that no agent has reported.
+                    // Its start may have reached an incarnation that no agent has reported, and the
+                    // order may have been sent until now.
                     let doubtful = self.job_table.doubtful.contains(&key.task.job);
                     let left = if doubtful { CALL_LIMIT } else { ORDERS_AFTER_ANSWER };
                     run.holder = Holder::Doubtful { until: now + left, reported: false };
@@ -65,7 +66,7 @@
             self.views = Views::default();
             self.learner.clear_samples();
             self.rebuild(now);
-            self.copies.begin_term(now, &self.job_table);
+            self.late_starts.begin_term(now, &self.job_table);
             // The previous leader may have granted leases up to this moment.
             for lease in self.fleet.leases.values_mut() {
                 (lease.expires, lease.read) = (lease_end(now), now);
@@ -85,7 +86,7 @@
         self.begun.clear();
         self.beginning.clear();
         self.doubting.clear();
-        self.copies = Copies::default();
+        self.late_starts = LateStarts::default();
         self.opening.clear();
         self.clear_waits();
         self.clear_evacuations();
--- a/toucangrade/src/dispatch/message.rs
+++ b/toucangrade/src/dispatch/message.rs
@@ -187,8 +187,8 @@
 pub struct Doubts {
     /// Whether the runner may have ends that the report lacks.
     pub partial: bool,
-    /// Time since the runner's incarnation was fenced, while calls to an earlier one may have given it
-    /// a lease that has not ended. `None` once that is ruled out.
+    /// Time since this agent fenced the runner's incarnation, in its first 30 s, in which calls to an
+    /// earlier one may have given it a lease that has not ended.
     pub fenced: Option<Span>,
     /// Runs of which a copy of the start may still be carried out, at the next incarnation too, and
     /// the time until that is ruled out.
--- a/toucangrade/src/dispatch/mod.rs
+++ b/toucangrade/src/dispatch/mod.rs
@@ -37,7 +37,7 @@
 use self::evacuation::EvacuationState;
 use self::fleet::{Fleet, Holder, Run};
 use self::gangs::GangSave;
-use self::holders::Copies;
+use self::holders::LateStarts;
 pub use self::message::{
     ClientReply, ClientRequest, Denial, Doubts, EndedRun, JobState, Orders, Report, RunProfile,
     RunStatus, Runner, Start, Verb,
@@ -144,7 +144,7 @@
     /// When runs were last checked for being stuck or on a draining runner.
     #[serde(rename = "rescued")]
     last_rescue: Moment,
-    copies: Copies,
+    late_starts: LateStarts,
     waits: Waits,
     evacuation: EvacuationState,
     slow_start: SlowStart,
@@ -190,7 +190,7 @@
             dirty: false,
             leading_since: Moment::START,
             last_rescue: Moment::START,
-            copies: Copies::default(),
+            late_starts: LateStarts::default(),
             waits: Waits::default(),
             evacuation: EvacuationState::default(),
             slow_start: SlowStart::default(),
@@ -259,7 +259,7 @@
         self.expire_leases(now);
         self.expire_reports(now);
         self.give_back(now);
-        self.copies.expire(now);
+        self.late_starts.expire(now);
         self.propose_holders(now);
         self.open_rounds();
         self.forget(now);
@@ -479,7 +479,7 @@
             && self.step_of(key).is_some_and(|step| !step.copies)
             && let Some(agent) = self.fleet.agent_of(&incarnation.runner)
         {
-            self.copies.pin(key.task, agent, run.holder);
+            self.late_starts.pin(key.task, agent, run.holder);
         }
         // The start time of runs assigned by an earlier leader is not known here.
         if let Some(run) = &run
--- a/toucangrade/src/dispatch/plan.rs
+++ b/toucangrade/src/dispatch/plan.rs
@@ -244,7 +244,7 @@
         let mut chosen: Vec<(RunKey, Incarnation)> = Vec::new();
         for key in tasks.iter().copied() {
             let avoided = self.avoided.get(&key.task);
-            let only = self.copies.pinned(key.task);
+            let only = self.late_starts.pinned(key.task);
             let Some(at) = ranking.best(candidates, avoided, only) else {
                 if only.is_some() {
                     continue;
